--- /dev/null
+++ b/cmd/basilroute/documents.go
@@ -0,0 +1,229 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/basilroute/basilroute/instance"
+	"github.com/basilroute/basilroute/protocol/operatorapi"
+	"github.com/basilroute/basilroute/service"
+	"github.com/basilroute/basilroute/transport/platform"
+	"github.com/basilroute/basilroute/yamldoc"
+)
+
+const (
+	storeTimeout = 5 * time.Second
+	applyTimeout = 30 * time.Second
+	waitPause    = 200 * time.Millisecond
+)
+
+func platformFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: "platform", Usage: "URL of the platform's services", Required: true,
+		Sources: cli.EnvVars("BASILROUTE_PLATFORM"),
+	}
+}
+
+func openStore(command *cli.Command) (*platform.Client, error) {
+	return platform.New(platform.Settings{
+		URL: command.String("platform"), CallTimeout: storeTimeout, CallRate: 100, CallBurst: 100,
+	}, http.DefaultTransport)
+}
+
+// readDocuments parses every file and reports the findings of all of them.
+func readDocuments(files []string) ([]*service.Document, [][]byte, error) {
+	if len(files) == 0 {
+		return nil, nil, errors.New("name at least one document")
+	}
+	var documents []*service.Document
+	var contents [][]byte
+	var all yamldoc.Findings
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return nil, nil, errors.Wrap(err, "document")
+		}
+		d, err := service.Parse(file, data)
+		var findings yamldoc.Findings
+		if errors.As(err, &findings) {
+			all = append(all, findings...)
+			continue
+		}
+		documents, contents = append(documents, d), append(contents, data)
+	}
+	if len(all) > 0 {
+		return nil, nil, all
+	}
+	return documents, contents, nil
+}
+
+func validateCommand() *cli.Command {
+	return &cli.Command{
+		Name: "validate", Usage: "check documents and print every finding with its place", ArgsUsage: "FILE...",
+		Flags: []cli.Flag{&cli.BoolFlag{Name: "instance", Usage: "the files hold instance settings"}},
+		Action: func(_ context.Context, command *cli.Command) error {
+			files := command.Args().Slice()
+			if command.Bool("instance") {
+				return validateSettings(files)
+			}
+			documents, _, err := readDocuments(files)
+			if err != nil {
+				return err
+			}
+			for _, d := range documents {
+				fmt.Fprintf(command.Root().Writer, "%s %s: valid\n", d.Kind, d.Name)
+			}
+			return nil
+		},
+	}
+}
+
+func validateSettings(files []string) error {
+	var all yamldoc.Findings
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return errors.Wrap(err, "settings")
+		}
+		_, err = instance.ParseSettings(file, data)
+		var findings yamldoc.Findings
+		if errors.As(err, &findings) {
+			all = append(all, findings...)
+		}
+	}
+	if len(all) > 0 {
+		return all
+	}
+	return nil
+}
+
+func applyCommand() *cli.Command {
+	return &cli.Command{
+		Name: "apply", Usage: "bring documents into force", ArgsUsage: "FILE...",
+		Flags: []cli.Flag{
+			platformFlag(), operatorFlag(), tokenFlag(),
+			&cli.Int64Flag{Name: "expect", Value: -1, Usage: "revision that the document must have; the one found when not given"},
+			&cli.BoolFlag{Name: "wait", Usage: "wait until every instance has it in force (needs --instance)"},
+			&cli.DurationFlag{Name: "timeout", Value: applyTimeout, Usage: "how long to wait"},
+		},
+		Action: apply,
+	}
+}
+
+func apply(ctx context.Context, command *cli.Command) error {
+	documents, contents, err := readDocuments(command.Args().Slice())
+	if err != nil {
+		return err
+	}
+	store, err := openStore(command)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, command.Duration("timeout"))
+	defer cancel()
+	var last int64
+	for n, d := range documents {
+		revision, err := put(ctx, store, d, contents[n], command.Int64("expect"))
+		if err != nil {
+			return errors.Wrapf(err, "%s %s", d.Kind, d.Name)
+		}
+		last = max(last, revision)
+		fmt.Fprintf(command.Root().Writer, "%s %s: accepted at revision %d\n", d.Kind, d.Name, revision)
+	}
+	if command.Bool("wait") {
+		return awaitRevision(ctx, command, last)
+	}
+	return nil
+}
+
+func put(ctx context.Context, store *platform.Client, d *service.Document, content []byte, expect int64) (int64, error) {
+	if expect < 0 {
+		current, err := store.Get(ctx, d.Key())
+		switch {
+		case err == nil:
+			expect = current.Revision
+		case errors.Is(err, platform.ErrNotFound):
+			expect = 0
+		default:
+			return 0, err
+		}
+	}
+	return store.Put(ctx, platform.Write{Key: d.Key(), Value: content, Expect: expect})
+}
+
+// awaitRevision waits until every live instance has the revision in force.
+func awaitRevision(ctx context.Context, command *cli.Command, revision int64) error {
+	client, err := openOperator(command)
+	if err != nil {
+		return err
+	}
+	for {
+		status, err := client.GetStatus(ctx)
+		if err == nil {
+			done, all := inForce(status, revision)
+			fmt.Fprintf(command.Root().ErrWriter, "\r%d of %d instances have revision %d in force", done, all, revision)
+			if done == all {
+				fmt.Fprintln(command.Root().ErrWriter)
+				return nil
+			}
+		}
+		select {
+		case <-time.After(waitPause):
+		case <-ctx.Done():
+			fmt.Fprintln(command.Root().ErrWriter)
+			return errors.CombineErrors(errTimeout, err)
+		}
+	}
+}
+
+func inForce(status *operatorapi.Status, revision int64) (done, all int) {
+	for _, i := range status.Instances {
+		all++
+		if i.ConfigRevision >= revision {
+			done++
+		}
+	}
+	return done, all
+}
+
+func getCommand() *cli.Command {
+	return &cli.Command{
+		Name: "get", Usage: "print a document as it stands in the store", ArgsUsage: "KIND [NAME]",
+		Flags: []cli.Flag{platformFlag()},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			store, err := openStore(command)
+			if err != nil {
+				return err
+			}
+			kind, name := service.Kind(command.Args().Get(0)), command.Args().Get(1)
+			if name == "" {
+				return listDocuments(ctx, command, store, kind)
+			}
+			kv, err := store.Get(ctx, service.StoreKey(kind, name))
+			if err != nil {
+				return errors.Wrapf(err, "%s %s", kind, name)
+			}
+			fmt.Fprintf(command.Root().ErrWriter, "# revision %d\n", kv.Revision)
+			_, err = command.Root().Writer.Write(kv.Value)
+			return err
+		},
+	}
+}
+
+func listDocuments(ctx context.Context, command *cli.Command, store *platform.Client, kind service.Kind) error {
+	list, _, err := store.List(ctx, service.StoreKey(kind, ""), 0)
+	if err != nil {
+		return err
+	}
+	for _, kv := range list {
+		kind, name, _ := service.SplitKey(kv.Key)
+		fmt.Fprintf(command.Root().Writer, "%s\t%s\t%d\n", kind, name, kv.Revision)
+	}
+	return nil
+}
--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,277 @@
+package instance
+
+import (
+	"context"
+	"encoding/hex"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/basilroute/basilroute/coordination/configwatch"
+	"github.com/basilroute/basilroute/coordination/membership"
+	"github.com/basilroute/basilroute/coordination/quarantine"
+	"github.com/basilroute/basilroute/coordination/quota"
+	"github.com/basilroute/basilroute/coordination/retry"
+	"github.com/basilroute/basilroute/protocol/peerpb"
+	"github.com/basilroute/basilroute/protocol/refusal"
+	"github.com/basilroute/basilroute/state/catalog"
+	"github.com/basilroute/basilroute/state/requests"
+	"github.com/basilroute/basilroute/state/servers"
+	"github.com/basilroute/basilroute/transport/backend"
+	"github.com/basilroute/basilroute/transport/dispatch"
+	"github.com/basilroute/basilroute/transport/gateway"
+	"github.com/basilroute/basilroute/transport/operator"
+	"github.com/basilroute/basilroute/transport/peer"
+	"github.com/basilroute/basilroute/transport/platform"
+)
+
+// Instance is one entry instance. Several can run in one process.
+type Instance struct {
+	settings Settings
+	log      *slog.Logger
+	registry *prometheus.Registry
+
+	catalog    *catalog.Catalog
+	config     *configwatch.Log
+	members    *membership.Table
+	servers    *servers.Table
+	requests   *requests.Table
+	forwarded  *requests.Table
+	ledger     *quota.Ledger
+	retries    *retry.Budget
+	quarantine *quarantine.List
+
+	platform *platform.Client
+	backend  *backend.Client
+	pool     *peer.Pool
+	local    *dispatch.Local
+	front    *dispatch.Front
+
+	callers, operators *http.Server
+	peers              *grpc.Server
+	listeners          listeners
+
+	ready     atomic.Bool
+	storeSeen atomic.Bool // the last call of the store succeeded
+	storeRead atomic.Bool // the documents were listed once; a watch goes on from there
+	loops     sync.WaitGroup
+	stopLoops context.CancelFunc
+	failed    chan error // a listener that ended unasked
+}
+
+type listeners struct{ callers, peers, operators net.Listener }
+
+// New binds the instance's addresses. It serves nothing before Start.
+func New(settings Settings, log *slog.Logger) (*Instance, error) {
+	i := &Instance{
+		settings:   settings,
+		log:        log.With("instance", settings.ID),
+		registry:   prometheus.NewRegistry(),
+		catalog:    catalog.New(),
+		servers:    servers.New(),
+		requests:   requests.New(),
+		forwarded:  requests.New(),
+		ledger:     quota.New(),
+		retries:    retry.NewBudget(),
+		quarantine: quarantine.New(),
+		backend:    backend.New(),
+		failed:     make(chan error, 3),
+	}
+	i.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	i.config = configwatch.New(i.catalog)
+	i.catalog.OnWithdraw(i.requests.Withdraw)
+	i.catalog.OnWithdraw(i.forwarded.Withdraw)
+	if err := i.listen(); err != nil {
+		return nil, err
+	}
+	i.members = membership.New(i.selfEntry(), time.Now())
+	if err := i.wire(); err != nil {
+		i.closeListeners()
+		return nil, err
+	}
+	return i, nil
+}
+
+func (i *Instance) listen() error {
+	var err error
+	for _, l := range []struct {
+		into    *net.Listener
+		address string
+	}{
+		{&i.listeners.callers, i.settings.Callers.Listen},
+		{&i.listeners.peers, i.settings.Peers.Listen},
+		{&i.listeners.operators, i.settings.Operator.Listen},
+	} {
+		if *l.into, err = net.Listen("tcp", l.address); err != nil {
+			i.closeListeners()
+			return errors.Wrap(err, "listen")
+		}
+	}
+	return nil
+}
+
+func (i *Instance) closeListeners() {
+	for _, l := range []net.Listener{i.listeners.callers, i.listeners.peers, i.listeners.operators} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+func advertised(l Listener, bound net.Listener) string {
+	if l.Advertise != "" {
+		return l.Advertise
+	}
+	return bound.Addr().String()
+}
+
+func (i *Instance) selfEntry() *peerpb.Member {
+	return &peerpb.Member{
+		Id: i.settings.ID, Incarnation: uint64(time.Now().UnixNano()), Version: 1,
+		State: peerpb.MemberState_MEMBER_STATE_LIVE, Region: i.settings.Region, Domain: i.settings.Domain,
+		CallerAddress: advertised(i.settings.Callers, i.listeners.callers),
+		PeerAddress:   advertised(i.settings.Peers, i.listeners.peers),
+	}
+}
+
+func (i *Instance) wire() error {
+	var err error
+	i.platform, err = platform.New(platform.Settings{
+		URL: i.settings.Platform.URL, CallTimeout: i.settings.Platform.CallTimeout,
+		CallRate: i.settings.Platform.CallRate, CallBurst: int(i.settings.Platform.CallBurst),
+	}, &http.Transport{MaxIdleConnsPerHost: 8})
+	if err != nil {
+		return err
+	}
+	i.pool = peer.NewPool(insecure.NewCredentials())
+	i.local = &dispatch.Local{Catalog: i.catalog, Servers: i.servers, Backend: i.backend, Quarantine: i.quarantine}
+	i.front = &dispatch.Front{
+		Region: i.settings.Region, Domain: i.settings.Domain, Catalog: i.catalog, Ledger: i.ledger,
+		Retries: i.retries, Quarantine: i.quarantine, Known: i, Local: i.local, Forwarder: i.pool, Log: i.log,
+	}
+	return i.wireServers()
+}
+
+const headerTimeout = 10 * time.Second
+
+func (i *Instance) wireServers() error {
+	callers, err := (&gateway.Gateway{
+		Catalog: i.catalog, Requests: i.requests, Runner: i.front, Entry: i, Ready: i.Ready,
+	}).Handler()
+	if err != nil {
+		return err
+	}
+	handler := &operator.Handler{Instance: i}
+	sum, err := hex.DecodeString(i.settings.Operator.TokenSHA256)
+	if err != nil {
+		return errors.Wrap(err, "operator.token_sha256")
+	}
+	copy(handler.TokenSHA256[:], sum)
+	operators, err := operator.New(handler, i.registry)
+	if err != nil {
+		return err
+	}
+	i.callers = &http.Server{Handler: callers, ReadHeaderTimeout: headerTimeout}
+	i.operators = &http.Server{Handler: operators, ReadHeaderTimeout: headerTimeout}
+	i.peers = grpc.NewServer(grpc.Creds(insecure.NewCredentials()))
+	peerpb.RegisterPeerServer(i.peers, &peer.Server{Runner: i, Exchanger: i})
+	return nil
+}
+
+// Start serves and runs the loops until Stop or Kill.
+func (i *Instance) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	i.stopLoops = cancel
+	go i.serve(func() error { return i.callers.Serve(i.listeners.callers) })
+	go i.serve(func() error { return i.operators.Serve(i.listeners.operators) })
+	go i.serve(func() error { return i.peers.Serve(i.listeners.peers) })
+	for _, loop := range []func(context.Context){i.watchConfig, i.watchList, i.pollServers, i.exchange} {
+		i.loops.Go(func() { loop(ctx) })
+	}
+	i.log.Info("instance started", "region", i.settings.Region, "domain", i.settings.Domain,
+		"callers", i.listeners.callers.Addr().String(), "peers", i.listeners.peers.Addr().String())
+}
+
+func (i *Instance) serve(run func() error) {
+	err := run()
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		i.failed <- err
+	}
+}
+
+// Failed delivers the error of a listener that ended unasked.
+func (i *Instance) Failed() <-chan error { return i.failed }
+
+// announceFor is how long a leaving instance goes on listening, so that peers
+// and callers hear of it before connections are refused.
+const announceFor = 2 * time.Second
+
+// Stop is the planned stop: the instance says that it is leaving, refuses new
+// work, lets what is in flight finish, and ends. The error says what was cut.
+func (i *Instance) Stop(ctx context.Context) error {
+	i.members.UpdateSelf(time.Now(), func(m *peerpb.Member) { m.State = peerpb.MemberState_MEMBER_STATE_LEAVING })
+	own, others := i.requests.Close(), i.forwarded.Close()
+	i.exchangeAll(ctx)
+	if i.settings.Stop.Limit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, i.settings.Stop.Limit)
+		defer cancel()
+	}
+	i.log.Info("stopping", "in_flight", i.requests.Count(), "forwarded", i.forwarded.Count())
+	err := errors.CombineErrors(wait(ctx, own), wait(ctx, others))
+	if err == nil {
+		_ = wait(ctx, time.After(announceFor))
+	}
+	i.Kill()
+	return errors.Wrap(err, "requests were cut")
+}
+
+func wait[T any](ctx context.Context, c <-chan T) error {
+	select {
+	case <-c:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Kill ends the instance at once.
+func (i *Instance) Kill() {
+	i.stopLoops()
+	_ = i.callers.Close()
+	_ = i.operators.Close()
+	i.peers.Stop()
+	i.loops.Wait()
+	i.pool.Close()
+	i.backend.Close()
+}
+
+// RunForwarded implements peer.Runner.
+func (i *Instance) RunForwarded(ctx context.Context, w *dispatch.Work, sink dispatch.Sink) error {
+	if !i.catalog.Usable(w.KeyID) {
+		return refusal.New(refusal.CodeWithdrawn, "the key is not usable here")
+	}
+	ctx, request, ok := i.forwarded.Begin(ctx, w.KeyID)
+	if !ok {
+		return refusal.New(refusal.CodeLeaving, "this instance stops")
+	}
+	defer i.forwarded.End(request)
+	return i.local.Run(ctx, w, sink)
+}
+
+// Ready tells whether the instance has a configuration to serve callers with.
+func (i *Instance) Ready() bool { return i.ready.Load() }
+
+// Addresses returns the bound addresses for callers, peers and operators.
+func (i *Instance) Addresses() (callers, peers, operators string) {
+	return i.listeners.callers.Addr().String(), i.listeners.peers.Addr().String(), i.listeners.operators.Addr().String()
+}
--- /dev/null
+++ b/localfleet/localfleet.go
@@ -0,0 +1,242 @@
+// Package localfleet runs a whole deployment in one process: the stand-ins of
+// the platform and the backend servers, and entry instances in several regions,
+// all on loopback. The demo and the tests use it.
+package localfleet
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/basilroute/basilroute/instance"
+	"github.com/basilroute/basilroute/protocol/platformapi"
+	"github.com/basilroute/basilroute/service"
+	"github.com/basilroute/basilroute/standin/engine"
+	"github.com/basilroute/basilroute/standin/plain"
+	"github.com/basilroute/basilroute/standin/platform"
+	transport "github.com/basilroute/basilroute/transport/platform"
+)
+
+// OperatorToken is what operators present to instances of a local fleet.
+const OperatorToken = "local-operator"
+
+// Domain is a failure domain to run.
+type Domain struct {
+	Region    string
+	Name      string
+	Instances int
+	Engines   int
+	Plain     int
+}
+
+// Config describes a fleet.
+type Config struct {
+	Domains      []Domain
+	ModelService string // service of the engines
+	PlainService string // service of the plain stand-ins
+	Engine       engine.Config
+	Log          *slog.Logger
+	Adjust       func(*instance.Settings) // changes the settings of each instance; may be nil
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Platform  *platform.Server
+	URL       string // of the platform
+	Store     *transport.Client
+	Engines   map[string]*engine.Engine
+	Plain     map[string]*plain.Service
+	Instances map[string]*instance.Instance
+	Order     []string // ids of the instances as they were started
+
+	config  Config
+	mu      sync.Mutex
+	servers []*http.Server
+}
+
+// Start runs the fleet. Stop it with Close.
+func Start(config Config) (*Fleet, error) {
+	f := &Fleet{
+		Platform: platform.New(), config: config,
+		Engines: make(map[string]*engine.Engine), Plain: make(map[string]*plain.Service),
+		Instances: make(map[string]*instance.Instance),
+	}
+	if err := f.start(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start() error {
+	handler, err := f.Platform.Handler()
+	if err != nil {
+		return err
+	}
+	if f.URL, err = f.serve(handler); err != nil {
+		return err
+	}
+	f.Store, err = transport.New(transport.Settings{URL: f.URL, CallTimeout: time.Second, CallRate: 1000, CallBurst: 1000}, http.DefaultTransport)
+	if err != nil {
+		return err
+	}
+	for _, domain := range f.config.Domains {
+		if err := f.startDomain(domain); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serve listens on a free port of loopback and returns the base URL.
+func (f *Fleet) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "stand-in")
+	}
+	server := &http.Server{Handler: handler, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
+	f.mu.Lock()
+	f.servers = append(f.servers, server)
+	f.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
+	return "http://" + listener.Addr().String(), nil
+}
+
+func (f *Fleet) startDomain(d Domain) error {
+	for n := range d.Engines {
+		id := fmt.Sprintf("%s-engine-%d", d.Name, n+1)
+		e := engine.New(f.config.Engine)
+		f.Engines[id] = e
+		handler, err := e.Handler()
+		if err != nil {
+			return err
+		}
+		if err := f.list(d, id, f.config.ModelService, f.config.Engine.Version, handler); err != nil {
+			return err
+		}
+	}
+	for n := range d.Plain {
+		id := fmt.Sprintf("%s-plain-%d", d.Name, n+1)
+		f.Plain[id] = plain.New()
+		handler, err := f.Plain[id].Handler()
+		if err != nil {
+			return err
+		}
+		if err := f.list(d, id, f.config.PlainService, "v1", handler); err != nil {
+			return err
+		}
+	}
+	for n := range d.Instances {
+		if _, err := f.StartInstance(d, fmt.Sprintf("%s-entry-%d", d.Name, n+1)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// list serves a backend server and puts it on the platform's list.
+func (f *Fleet) list(d Domain, id, name, version string, handler http.Handler) error {
+	url, err := f.serve(handler)
+	if err != nil {
+		return err
+	}
+	f.Platform.SetInstance(platformapi.Instance{
+		ID: id, Role: platformapi.InstanceRoleBackend, Region: d.Region, Domain: d.Name, Address: url,
+		Service: platformapi.NewOptString(name), Version: platformapi.NewOptString(version),
+		State: platformapi.InstanceStateLive,
+	})
+	return nil
+}
+
+// StartInstance adds an entry instance to a failure domain.
+func (f *Fleet) StartInstance(d Domain, id string) (*instance.Instance, error) {
+	settings := f.settings(d, id)
+	i, err := instance.New(settings, f.config.Log)
+	if err != nil {
+		return nil, err
+	}
+	_, peers, _ := i.Addresses()
+	f.Platform.SetInstance(platformapi.Instance{
+		ID: id, Role: platformapi.InstanceRoleEntry, Region: d.Region, Domain: d.Name, Address: peers,
+		State: platformapi.InstanceStateLive,
+	})
+	i.Start()
+	f.Instances[id] = i
+	f.Order = append(f.Order, id)
+	return i, nil
+}
+
+func (f *Fleet) settings(d Domain, id string) instance.Settings {
+	const anyPort = "127.0.0.1:0"
+	plainText := instance.TLS{PlainText: true}
+	sum := sha256.Sum256([]byte(OperatorToken))
+	s := instance.DefaultSettings()
+	s.ID, s.Region, s.Domain = id, d.Region, d.Name
+	s.Callers = instance.Listener{Listen: anyPort, TLS: plainText}
+	s.Peers = instance.Listener{Listen: anyPort, TLS: plainText}
+	s.Operator = instance.Operator{Listen: anyPort, TokenSHA256: hex.EncodeToString(sum[:])}
+	s.Platform.URL = f.URL
+	if f.config.Adjust != nil {
+		f.config.Adjust(&s)
+	}
+	return s
+}
+
+// Apply writes a document to the store, in place of the one that stands.
+func (f *Fleet) Apply(ctx context.Context, document string) error {
+	d, err := service.Parse("", []byte(document))
+	if err != nil {
+		return err
+	}
+	expect := int64(0)
+	current, err := f.Store.Get(ctx, d.Key())
+	if err == nil {
+		expect = current.Revision
+	}
+	_, err = f.Store.Put(ctx, transport.Write{Key: d.Key(), Value: []byte(document), Expect: expect})
+	return err
+}
+
+// Await waits until every instance that runs satisfies the condition.
+func (f *Fleet) Await(ctx context.Context, ok func(*instance.Instance) bool) error {
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		met := 0
+		for _, i := range f.Instances {
+			if ok(i) {
+				met++
+			}
+		}
+		if met == len(f.Instances) {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%d of %d instances", met, len(f.Instances))
+		}
+	}
+}
+
+// Close ends everything at once.
+func (f *Fleet) Close() {
+	for _, i := range f.Instances {
+		i.Kill()
+	}
+	for _, server := range f.servers {
+		_ = server.Close()
+	}
+	for _, e := range f.Engines {
+		e.Close()
+	}
+	f.Platform.Close()
+}
--- /dev/null
+++ b/protocol/refusal/refusal.go
@@ -0,0 +1,156 @@
+// Package refusal defines the typed refusals that callers get and that
+// instances hand to each other.
+package refusal
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/basilroute/basilroute/protocol/peerpb"
+)
+
+// Code says why a request was refused. Callers may rely on it.
+type Code string
+
+// Codes of refusals.
+const (
+	CodeInvalid         Code = "invalid_request"
+	CodeUnauthorized    Code = "unauthorized"
+	CodeForbidden       Code = "forbidden"
+	CodeNotFound        Code = "not_found"
+	CodeConflict        Code = "conflict"
+	CodeTooLarge        Code = "too_large"
+	CodeRateLimited     Code = "rate_limited"
+	CodeOverloaded      Code = "overloaded"
+	CodeNoServer        Code = "no_server"
+	CodeLeaving         Code = "leaving"
+	CodeNotReady        Code = "not_ready"
+	CodeStoreDown       Code = "store_unreachable"
+	CodeQuarantined     Code = "quarantined"
+	CodeLoop            Code = "loop"
+	CodeDeadline        Code = "deadline_exceeded"
+	CodeBackendFailed   Code = "backend_failed"
+	CodeWithdrawn       Code = "key_withdrawn"
+	CodeIncomplete      Code = "incomplete"
+	CodeInternal        Code = "internal"
+	CodeResidency       Code = "residency"
+	CodePeerUnreachable Code = "peer_unreachable"
+)
+
+var statusOf = map[Code]int{
+	CodeInvalid:         http.StatusUnprocessableEntity,
+	CodeUnauthorized:    http.StatusUnauthorized,
+	CodeWithdrawn:       http.StatusUnauthorized,
+	CodeForbidden:       http.StatusForbidden,
+	CodeResidency:       http.StatusForbidden,
+	CodeNotFound:        http.StatusNotFound,
+	CodeConflict:        http.StatusConflict,
+	CodeLoop:            http.StatusConflict,
+	CodeTooLarge:        http.StatusRequestEntityTooLarge,
+	CodeRateLimited:     http.StatusTooManyRequests,
+	CodeQuarantined:     http.StatusUnprocessableEntity,
+	CodeDeadline:        http.StatusGatewayTimeout,
+	CodeBackendFailed:   http.StatusBadGateway,
+	CodeIncomplete:      http.StatusBadGateway,
+	CodeInternal:        http.StatusInternalServerError,
+	CodeOverloaded:      http.StatusServiceUnavailable,
+	CodeNoServer:        http.StatusServiceUnavailable,
+	CodeLeaving:         http.StatusServiceUnavailable,
+	CodeNotReady:        http.StatusServiceUnavailable,
+	CodeStoreDown:       http.StatusServiceUnavailable,
+	CodePeerUnreachable: http.StatusServiceUnavailable,
+}
+
+// Run says whether a refused request ran on a backend server.
+type Run string
+
+// States of a refused request.
+const (
+	NotRun  Run = "not_run" // no backend server began it, and none will
+	Unknown Run = "unknown"
+	Ran     Run = "ran"
+)
+
+// Refusal is the error type of everything a caller is refused.
+type Refusal struct {
+	Code       Code
+	Message    string
+	Run        Run
+	RetryAfter time.Duration // when to come back; 0 when coming back does not help
+}
+
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s (%s): %s", r.Code, r.Run, r.Message)
+}
+
+// Status returns the HTTP status of the refusal.
+func (r *Refusal) Status() int {
+	if status, ok := statusOf[r.Code]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+// New returns a refusal of a request that did not run.
+func New(code Code, format string, args ...any) *Refusal {
+	return &Refusal{Code: code, Message: fmt.Sprintf(format, args...), Run: NotRun}
+}
+
+// After returns a copy that tells the caller when to come back.
+func (r *Refusal) After(d time.Duration) *Refusal {
+	next := *r
+	next.RetryAfter = d
+	return &next
+}
+
+// WithRun returns a copy with another run state.
+func (r *Refusal) WithRun(run Run) *Refusal {
+	next := *r
+	next.Run = run
+	return &next
+}
+
+// From returns the refusal that err carries, or an internal one with an unknown
+// run state: an error that no code typed says nothing of what ran.
+func From(err error) *Refusal {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return New(CodeInternal, "%v", err).WithRun(Unknown)
+}
+
+var runToProto = map[Run]peerpb.RunState{
+	NotRun:  peerpb.RunState_RUN_STATE_NOT_RUN,
+	Unknown: peerpb.RunState_RUN_STATE_UNKNOWN,
+	Ran:     peerpb.RunState_RUN_STATE_RAN,
+}
+
+// ToProto encodes the refusal for a peer.
+func (r *Refusal) ToProto() *peerpb.Refusal {
+	return &peerpb.Refusal{
+		Code:         string(r.Code),
+		Message:      r.Message,
+		Run:          runToProto[r.Run],
+		RetryAfterMs: r.RetryAfter.Milliseconds(),
+	}
+}
+
+// FromProto decodes a peer's refusal. A state that is not known counts as unknown.
+func FromProto(p *peerpb.Refusal) *Refusal {
+	run := Unknown
+	for state, encoded := range runToProto {
+		if encoded == p.GetRun() {
+			run = state
+		}
+	}
+	return &Refusal{
+		Code:       Code(p.GetCode()),
+		Message:    p.GetMessage(),
+		Run:        run,
+		RetryAfter: time.Duration(p.GetRetryAfterMs()) * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/service/document.go
@@ -0,0 +1,245 @@
+package service
+
+import (
+	"strings"
+	"time"
+
+	"github.com/basilroute/basilroute/yamldoc"
+)
+
+// Kind names the type of a document.
+type Kind string
+
+// Kinds of documents.
+const (
+	KindService Kind = "service"
+	KindAccount Kind = "account"
+	KindFleet   Kind = "fleet"
+)
+
+// KeyPrefix is where documents stand in the store.
+const KeyPrefix = "config/"
+
+// FleetName is the name of the one fleet document.
+const FleetName = "fleet"
+
+// Document is a decoded and checked document. Exactly one of the pointers is set.
+type Document struct {
+	Kind    Kind
+	Name    string
+	Service *Service
+	Account *Account
+	Fleet   *Fleet
+}
+
+// Key returns the store key of the document.
+func (d *Document) Key() string { return StoreKey(d.Kind, d.Name) }
+
+// StoreKey returns the store key of the document of a kind and name.
+func StoreKey(kind Kind, name string) string {
+	return KeyPrefix + string(kind) + "/" + name
+}
+
+// SplitKey returns the kind and name that a store key stands for.
+func SplitKey(key string) (Kind, string, bool) {
+	rest, ok := strings.CutPrefix(key, KeyPrefix)
+	if !ok {
+		return "", "", false
+	}
+	kind, name, ok := strings.Cut(rest, "/")
+	return Kind(kind), name, ok
+}
+
+// Type tells model engines and plain services apart.
+type Type string
+
+// Types of services.
+const (
+	TypeModel Type = "model"
+	TypePlain Type = "plain"
+)
+
+// Class is a request's class of urgency.
+type Class string
+
+// Classes of requests.
+const (
+	ClassInteractive Class = "interactive"
+	ClassBulk        Class = "bulk"
+)
+
+// Policy names what routing of a service favours.
+type Policy string
+
+// Routing policies.
+const (
+	PolicyLatency Policy = "latency" // expected time to first token counts most
+	PolicyCost    Policy = "cost"    // engine seconds and prompt tokens computed again count most
+)
+
+// Service is the document by which a team drives its service.
+type Service struct {
+	Kind       Kind                 `yaml:"kind"`
+	Name       string               `yaml:"name"`
+	Type       Type                 `yaml:"type"`
+	Regions    []string             `yaml:"regions"`  // where it may run; all when empty
+	Domains    []string             `yaml:"domains"`  // narrows the regions; all of them when empty
+	Versions   []string             `yaml:"versions"` // versions that may serve; any when empty
+	Policy     Policy               `yaml:"policy"`
+	Classes    Classes              `yaml:"classes"`
+	Retry      Retry                `yaml:"retry"`
+	Spill      Spill                `yaml:"spill"`
+	Operations map[string]Operation `yaml:"operations"`
+	Limits     Limits               `yaml:"limits"`
+	Fencing    bool                 `yaml:"fencing"` // engines refuse an order with an old fencing number
+}
+
+// Classes holds the settings of each class.
+type Classes struct {
+	Interactive ClassSettings `yaml:"interactive"`
+	Bulk        ClassSettings `yaml:"bulk"`
+}
+
+// ClassSettings bounds how long a request waits and runs.
+type ClassSettings struct {
+	MaxWait  time.Duration `yaml:"max_wait"` // in the queue and for tokens
+	Deadline time.Duration `yaml:"deadline"` // for the whole answer
+	Floor    float64       `yaml:"floor"`    // share of slots kept for the class, 0 to 0.5
+}
+
+// Retry bounds what failures may add to the load.
+type Retry struct {
+	Budget   float64 `yaml:"budget"`   // retries as a share of requests
+	Attempts int64   `yaml:"attempts"` // in all, the first one included
+}
+
+// Spill bounds what is sent to another region.
+type Spill struct {
+	Disabled bool          `yaml:"disabled"`
+	Gain     time.Duration `yaml:"gain"` // expected time won before a request leaves its region
+}
+
+// Operation is an operation of a plain service.
+type Operation struct {
+	Repeatable bool  `yaml:"repeatable"` // idempotent: running it twice does no harm
+	Cost       int64 `yaml:"cost"`       // tokens charged to the account
+}
+
+// Limits bounds requests of the service.
+type Limits struct {
+	BodyBytes    int64 `yaml:"body_bytes"`
+	PromptTokens int64 `yaml:"prompt_tokens"`
+	OutputTokens int64 `yaml:"output_tokens"`
+	Queue        int64 `yaml:"queue"`       // requests waiting per instance
+	Concurrency  int64 `yaml:"concurrency"` // requests in flight per backend server, upper bound
+}
+
+// Account is the document of a client account.
+type Account struct {
+	Kind   Kind             `yaml:"kind"`
+	Name   string           `yaml:"name"`
+	Home   string           `yaml:"home"`   // region its data must stay in; anywhere when empty
+	Rate   float64          `yaml:"rate"`   // tokens per second over the fleet
+	Burst  float64          `yaml:"burst"`  // tokens
+	Shares map[string]int64 `yaml:"shares"` // weight of each failure domain; even when empty
+	Keys   []Key            `yaml:"keys"`
+}
+
+// Key is a caller's key. Only its hash is kept.
+type Key struct {
+	ID     string `yaml:"id"`
+	SHA256 string `yaml:"sha256"` // of the whole key, in hexadecimal
+}
+
+// Fleet is the document that describes the fleet.
+type Fleet struct {
+	Kind    Kind              `yaml:"kind"`
+	Name    string            `yaml:"name"`
+	Regions map[string]Region `yaml:"regions"`
+	Slots   Slots             `yaml:"slots"`
+}
+
+// Region is a region and its failure domains.
+type Region struct {
+	Domains []string `yaml:"domains"`
+}
+
+// Slots sets how each failure domain's part of the quota is held.
+type Slots struct {
+	PerDomain int64         `yaml:"per_domain"`
+	Lease     time.Duration `yaml:"lease"`
+	Promise   time.Duration `yaml:"promise"`
+	Peers     int64         `yaml:"peers"`    // holders asked for promises, in a renewal's list
+	Promises  int64         `yaml:"promises"` // fresh promises needed to go on minting without the store
+	Release   time.Duration `yaml:"release"`  // after the lease, when nobody is left who may take the slot
+}
+
+// Domain returns whether the fleet has the failure domain, and its region.
+func (f *Fleet) Domain(name string) (region string, ok bool) {
+	for region, r := range f.Regions {
+		for _, domain := range r.Domains {
+			if domain == name {
+				return region, true
+			}
+		}
+	}
+	return "", false
+}
+
+// Class returns the settings of a class.
+func (s *Service) Class(c Class) ClassSettings {
+	if c == ClassBulk {
+		return s.Classes.Bulk
+	}
+	return s.Classes.Interactive
+}
+
+// AllowsRegion tells whether the service may run in a region.
+func (s *Service) AllowsRegion(region string) bool {
+	return allows(s.Regions, region)
+}
+
+// AllowsDomain tells whether the service may run in a failure domain.
+func (s *Service) AllowsDomain(region, domain string) bool {
+	return allows(s.Regions, region) && allows(s.Domains, domain)
+}
+
+// AllowsVersion tells whether servers of the version may serve.
+func (s *Service) AllowsVersion(version string) bool {
+	return allows(s.Versions, version)
+}
+
+func allows(list []string, item string) bool {
+	if len(list) == 0 {
+		return true
+	}
+	for _, allowed := range list {
+		if allowed == item {
+			return true
+		}
+	}
+	return false
+}
+
+// Parse decodes and checks a document of any kind. The error is yamldoc.Findings.
+func Parse(file string, data []byte) (*Document, error) {
+	var head header
+	r := yamldoc.Peek(file, data, &head)
+	if err := r.Err(); err != nil {
+		return nil, err
+	}
+	switch head.Kind {
+	case KindService:
+		return parseService(file, data)
+	case KindAccount:
+		return parseAccount(file, data)
+	case KindFleet:
+		return parseFleet(file, data)
+	}
+	r.Addf("kind", "want service, account or fleet, have %q", head.Kind)
+	return nil, r.Err()
+}
+
+type header struct {
+	Kind Kind `yaml:"kind"`
+}
--- /dev/null
+++ b/tools/tools.go
@@ -0,0 +1,2 @@
+// Package tools pins the linter and the generators as tools of the workspace.
+package tools
--- /dev/null
+++ b/transport/backend/stream.go
@@ -0,0 +1,147 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/basilroute/basilroute/protocol/engineapi"
+	"github.com/basilroute/basilroute/protocol/frame"
+	"github.com/basilroute/basilroute/protocol/refusal"
+)
+
+const (
+	lineBytes     = 4 << 10
+	maxFrameBytes = 256 << 10
+)
+
+var lineReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, lineBytes) }}
+
+// Generation is one attempt of a request on an engine.
+type Generation struct {
+	RequestID string
+	Attempt   int
+	Account   string
+	Version   string
+	Prompt    string
+	MaxTokens int
+	Priority  int
+	Via       string
+}
+
+// FrameFunc takes a frame. An error ends the stream and is returned as it is.
+type FrameFunc func(f *frame.Frame) error
+
+// StreamStats counts frames that did not belong to the stream.
+type StreamStats struct {
+	Foreign  int64 // of another request or attempt
+	Repeated int64
+}
+
+// Generate runs a generation and hands every frame on, in order and once each.
+// next is the first frame wanted; it rises as frames are handed on, so that a
+// stream that broke can be resumed. The error is a *refusal.Refusal, or what
+// handle returned.
+func (c *Client) Generate(ctx context.Context, address string, g Generation, next *int64, stats *StreamStats, handle FrameFunc) error {
+	resp, err := c.openStream(ctx, address, g, *next)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	lines := lineReaders.Get().(*bufio.Reader)
+	lines.Reset(resp.Body)
+	defer lineReaders.Put(lines)
+	return readFrames(lines, g, next, stats, handle)
+}
+
+func (c *Client) openStream(ctx context.Context, address string, g Generation, from int64) (*http.Response, error) {
+	body, err := (&engineapi.GenerateRequest{
+		RequestID: g.RequestID, Attempt: g.Attempt, Account: g.Account,
+		Version: engineapi.NewOptString(g.Version), Prompt: g.Prompt, MaxTokens: g.MaxTokens,
+		Priority: g.Priority, FromSeq: engineapi.NewOptInt64(from), Via: engineapi.NewOptString(g.Via),
+	}).MarshalJSON()
+	if err != nil {
+		return nil, refusal.New(refusal.CodeInternal, "%v", err)
+	}
+	req, err := post(ctx, address+"/v1/generate", body)
+	if err != nil {
+		return nil, refusal.New(refusal.CodeInternal, "%v", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, failure(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		_ = resp.Body.Close()
+		return nil, answerRefusal(resp.StatusCode)
+	}
+	return resp, nil
+}
+
+// readFrames drops frames of other requests and repeated ones. A gap means that
+// frames were lost: the stream counts as broken, since a caller must get the
+// whole answer or be told that it is not whole.
+func readFrames(lines *bufio.Reader, g Generation, next *int64, stats *StreamStats, handle FrameFunc) error {
+	var f frame.Frame
+	for {
+		line, err := readLine(lines)
+		if err != nil {
+			return refusal.New(refusal.CodeBackendFailed, "the stream broke").WithRun(refusal.Unknown)
+		}
+		if err := frame.Decode(line, &f); err != nil {
+			return refusal.New(refusal.CodeBackendFailed, "a frame cannot be read").WithRun(refusal.Unknown)
+		}
+		switch {
+		case f.RequestID != g.RequestID || f.Attempt != g.Attempt:
+			stats.Foreign++
+			continue
+		case f.Seq < *next:
+			stats.Repeated++
+			continue
+		case f.Seq > *next:
+			return refusal.New(refusal.CodeBackendFailed, "frames are missing").WithRun(refusal.Unknown)
+		}
+		*next++
+		if err := handle(&f); err != nil {
+			return err
+		}
+		if f.Finish != "" {
+			return nil
+		}
+	}
+}
+
+func readLine(lines *bufio.Reader) ([]byte, error) {
+	line, err := lines.ReadSlice('\n')
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return line, err
+	}
+	long := append([]byte(nil), line...)
+	for errors.Is(err, bufio.ErrBufferFull) && len(long) < maxFrameBytes {
+		line, err = lines.ReadSlice('\n')
+		long = append(long, line...)
+	}
+	return long, err
+}
+
+// Cancel tells an engine that nobody waits for the generation any more.
+func (c *Client) Cancel(ctx context.Context, address, requestID string) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, address+"/v1/generate/"+url.PathEscape(requestID), nil)
+	if err != nil {
+		return errors.Wrap(err, "cancel")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "cancel")
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
--- /dev/null
+++ b/transport/dispatch/local.go
@@ -0,0 +1,123 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/basilroute/basilroute/coordination/quarantine"
+	"github.com/basilroute/basilroute/coordination/routing"
+	"github.com/basilroute/basilroute/protocol/frame"
+	"github.com/basilroute/basilroute/protocol/refusal"
+	"github.com/basilroute/basilroute/service"
+	"github.com/basilroute/basilroute/state/catalog"
+	"github.com/basilroute/basilroute/state/servers"
+	"github.com/basilroute/basilroute/transport/backend"
+)
+
+const (
+	failureLimit   = 3 // failures in a row after which a server gets no new work
+	noServerRetry  = time.Second
+	priorityBulk   = 10
+	cancelDeadline = 2 * time.Second
+	resumeLimit    = 3 // times a broken stream is resumed on its engine
+	resumeBackoff  = 50 * time.Millisecond
+)
+
+// Local runs work on the backend servers of the own failure domain.
+type Local struct {
+	Catalog    *catalog.Catalog
+	Servers    *servers.Table
+	Backend    *backend.Client
+	Quarantine *quarantine.List
+}
+
+// Run sends the work to one server. The error is a *refusal.Refusal, or the
+// sink's own error.
+func (l *Local) Run(ctx context.Context, w *Work, sink Sink) error {
+	svc := l.Catalog.Service(w.Service)
+	if svc == nil {
+		return refusal.New(refusal.CodeNotFound, "service %q is not known here", w.Service)
+	}
+	server, refused := l.choose(w, svc)
+	if refused != nil {
+		return refused
+	}
+	l.Servers.Begin(w.Service, server.ID)
+	defer l.Servers.End(w.Service, server.ID)
+	if w.Generation != nil {
+		return l.generate(ctx, w, server, sink)
+	}
+	return l.operate(ctx, w, server, sink)
+}
+
+func (l *Local) choose(w *Work, svc *service.Service) (servers.Server, *refusal.Refusal) {
+	list := l.Servers.Of(w.Service)
+	i := routing.ChooseServer(&routing.Request{Service: svc, Home: w.Home, Hop: w.Hop}, list, newRand())
+	if i < 0 {
+		return servers.Server{}, refusal.New(refusal.CodeNoServer, "no backend server of %s can take the request", w.Service).After(noServerRetry)
+	}
+	return list[i], nil
+}
+
+func newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
+func (l *Local) operate(ctx context.Context, w *Work, server servers.Server, sink Sink) error {
+	answer, err := l.Backend.Run(ctx, server.Address, backend.Operation{
+		Name: w.Operation.Name, RequestID: w.RequestID, Account: w.Account, Via: w.Via, Body: w.Operation.Body,
+	})
+	if err != nil {
+		l.failed(ctx, w, server, err)
+		return err
+	}
+	return sink.Answer(server.ID, answer)
+}
+
+func (l *Local) failed(ctx context.Context, w *Work, server servers.Server, err error) {
+	r := refusal.From(err)
+	if ctx.Err() != nil || r.Code != refusal.CodeBackendFailed {
+		return
+	}
+	l.Servers.Failed(w.Service, server.ID, failureLimit)
+	if r.Run == refusal.Unknown {
+		l.Quarantine.Crashed(quarantine.Fingerprint(w.Account, w.Service, w.body()), time.Now())
+	}
+}
+
+// generate streams from one engine and resumes there when the connection breaks.
+func (l *Local) generate(ctx context.Context, w *Work, server servers.Server, sink Sink) error {
+	generation := backend.Generation{
+		RequestID: w.RequestID, Attempt: w.Attempt, Account: w.Account, Version: server.Version,
+		Prompt: w.Generation.Prompt, MaxTokens: w.Generation.MaxTokens, Via: w.Via,
+	}
+	if w.Class == service.ClassBulk {
+		generation.Priority = priorityBulk
+	}
+	var stats backend.StreamStats
+	next := w.Generation.FromSeq
+	forward := func(f *frame.Frame) error { return sink.Frame(server.ID, f) }
+	for resumed := 0; ; resumed++ {
+		err := l.Backend.Generate(ctx, server.Address, generation, &next, &stats, forward)
+		if err == nil {
+			return nil
+		}
+		broken := refusal.From(err)
+		if ctx.Err() != nil || broken.Code != refusal.CodeBackendFailed {
+			l.cancel(server, w.RequestID)
+			return err
+		}
+		if next == 0 || resumed >= resumeLimit {
+			l.failed(ctx, w, server, err)
+			return err
+		}
+		time.Sleep(resumeBackoff)
+	}
+}
+
+func (l *Local) cancel(server servers.Server, requestID string) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelDeadline)
+	defer cancel()
+	_ = l.Backend.Cancel(ctx, server.Address, requestID) // the engine ends the generation by itself at its limit
+}
--- /dev/null
+++ b/transport/gateway/errors.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/ogen-go/ogen/ogenerrors"
+
+	"github.com/basilroute/basilroute/protocol/gatewayapi"
+	"github.com/basilroute/basilroute/protocol/refusal"
+	"github.com/basilroute/basilroute/service"
+)
+
+// classify returns the refusal for an error of the generated server or a handler.
+func classify(err error) *refusal.Refusal {
+	var typed *refusal.Refusal
+	if errors.As(err, &typed) {
+		return typed
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return refusal.New(refusal.CodeTooLarge, "the body has more than %d bytes", tooLarge.Limit)
+	}
+	var security *ogenerrors.SecurityError
+	if errors.As(err, &security) {
+		return refusal.New(refusal.CodeUnauthorized, "a key is needed: Authorization: Bearer <key>")
+	}
+	var request *ogenerrors.DecodeRequestError
+	var params *ogenerrors.DecodeParamsError
+	if errors.As(err, &request) || errors.As(err, &params) {
+		return refusal.New(refusal.CodeInvalid, "%v", err)
+	}
+	return refusal.From(err)
+}
+
+// encode returns the body of a refusal; one that other instances may serve names them.
+func (g *Gateway) encode(r *refusal.Refusal, account *service.Account) gatewayapi.Refusal {
+	out := gatewayapi.Refusal{Code: string(r.Code), Message: r.Message, Run: gatewayapi.RefusalRun(r.Run)}
+	if r.RetryAfter > 0 {
+		out.RetryAfterMs = gatewayapi.NewOptInt64(r.RetryAfter.Milliseconds())
+	}
+	switch r.Code {
+	case refusal.CodeLeaving, refusal.CodeNotReady, refusal.CodeOverloaded:
+		out.Entries = g.Entry.Entries(account)
+	}
+	return out
+}
+
+func retryAfterSeconds(r *refusal.Refusal) int {
+	return int(math.Ceil(r.RetryAfter.Seconds()))
+}
+
+// NewError implements gatewayapi.Handler.
+func (g *Gateway) NewError(ctx context.Context, err error) *gatewayapi.RefusalStatusCodeWithHeaders {
+	r := classify(err)
+	c, _ := ctx.Value(callerKey{}).(caller)
+	out := &gatewayapi.RefusalStatusCodeWithHeaders{StatusCode: r.Status(), Response: g.encode(r, c.account)}
+	if r.RetryAfter > 0 {
+		out.RetryAfter = gatewayapi.NewOptInt(retryAfterSeconds(r))
+	}
+	return out
+}
+
+// writeError answers for errors before an operation's handler runs.
+func (g *Gateway) writeError(_ context.Context, w http.ResponseWriter, _ *http.Request, err error) {
+	g.writeRefusal(w, classify(err))
+}
+
+func (g *Gateway) notFound(w http.ResponseWriter, _ *http.Request) {
+	g.writeRefusal(w, refusal.New(refusal.CodeNotFound, "no such path"))
+}
+
+func (g *Gateway) writeRefusal(w http.ResponseWriter, r *refusal.Refusal) {
+	body := g.encode(r, nil)
+	encoded, err := body.MarshalJSON()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	if r.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds(r)))
+	}
+	w.WriteHeader(r.Status())
+	_, _ = w.Write(encoded)
+}
--- /dev/null
+++ b/transport/platform/platform.go
@@ -0,0 +1,312 @@
+// Package platform is the client of the platform's services: the key-value
+// store with compare-and-swap, leases and watches, and the list of instances.
+//
+// Every call has a deadline and is counted against a budget, a waiting watch as
+// one. A write whose answer was lost is settled by reading it back: every value
+// is stored behind a nonce of the write, so that the writer can tell its own
+// value from another's.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"golang.org/x/time/rate"
+
+	"github.com/basilroute/basilroute/protocol/platformapi"
+)
+
+// KeyValue is a stored value with the revision that wrote it.
+type KeyValue struct {
+	Key      string
+	Value    []byte
+	Revision int64
+	Lease    int64
+	Deleted  bool
+}
+
+// Write is a compare-and-swap.
+type Write struct {
+	Key    string
+	Value  []byte
+	Expect int64 // revision the key must have; 0 when it must not exist
+	Lease  int64 // the key ends with the lease; 0 for none
+	Delete bool
+}
+
+// Errors of the store. Every other error leaves the outcome of a write open.
+var (
+	ErrNotFound      = errors.New("key not found")
+	ErrConflict      = errors.New("the key has another revision")
+	ErrLeaseNotFound = errors.New("the lease has ended")
+	ErrRejected      = errors.New("the store rejected the call")
+)
+
+// Store is the key-value service.
+type Store interface {
+	Get(ctx context.Context, key string) (KeyValue, error)
+	// List returns the keys under a prefix that changed after a revision, and the store's revision.
+	List(ctx context.Context, prefix string, after int64) ([]KeyValue, int64, error)
+	// Watch is List, but waits up to wait for a change.
+	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]KeyValue, int64, error)
+	// Put returns the revision written. It settles lost answers until ctx ends.
+	Put(ctx context.Context, w Write) (int64, error)
+	Grant(ctx context.Context, ttl time.Duration) (int64, error)
+	KeepAlive(ctx context.Context, lease int64) error
+	Revoke(ctx context.Context, lease int64) error
+}
+
+// Lister is the platform's list of instances.
+type Lister interface {
+	Instances(ctx context.Context) ([]platformapi.Instance, error)
+}
+
+// Settings of a Client.
+type Settings struct {
+	URL         string
+	CallTimeout time.Duration // for one call, on top of a watch's wait
+	CallRate    float64       // calls per second
+	CallBurst   int
+}
+
+const (
+	nonceBytes  = 36 // text form of a UUID
+	minBackoff  = 20 * time.Millisecond
+	maxBackoff  = time.Second
+	nonceEnd    = '\n'
+	emptyHeader = nonceBytes + 1
+)
+
+// Client implements Store and Lister over HTTP.
+type Client struct {
+	settings Settings
+	api      *platformapi.Client
+	budget   *rate.Limiter
+}
+
+// New returns a client. It makes no call.
+func New(settings Settings, transport http.RoundTripper) (*Client, error) {
+	api, err := platformapi.NewClient(settings.URL, platformapi.WithClient(&http.Client{Transport: transport}))
+	if err != nil {
+		return nil, errors.Wrap(err, "platform client")
+	}
+	return &Client{
+		settings: settings,
+		api:      api,
+		budget:   rate.NewLimiter(rate.Limit(settings.CallRate), settings.CallBurst),
+	}, nil
+}
+
+// call waits for the budget and runs one call with its own deadline.
+func (c *Client) call(ctx context.Context, extra time.Duration, do func(context.Context) error) error {
+	if err := c.budget.Wait(ctx); err != nil {
+		return errors.Wrap(err, "platform call budget")
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.settings.CallTimeout+extra)
+	defer cancel()
+	return typed(do(ctx))
+}
+
+func typed(err error) error {
+	var status *platformapi.ErrorStatusCode
+	if !errors.As(err, &status) {
+		return err
+	}
+	switch status.Response.Code {
+	case platformapi.ErrorCodeNotFound:
+		return ErrNotFound
+	case platformapi.ErrorCodeConflict:
+		return ErrConflict
+	case platformapi.ErrorCodeLeaseNotFound:
+		return ErrLeaseNotFound
+	case platformapi.ErrorCodeTooLarge, platformapi.ErrorCodeInvalid:
+		return errors.Wrap(ErrRejected, status.Response.Message)
+	}
+	return err
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, key string) (KeyValue, error) {
+	kv, _, err := c.getWithNonce(ctx, key)
+	return kv, err
+}
+
+func (c *Client) getWithNonce(ctx context.Context, key string) (KeyValue, string, error) {
+	var found *platformapi.KeyValue
+	err := c.call(ctx, 0, func(ctx context.Context) (err error) {
+		found, err = c.api.GetKey(ctx, platformapi.GetKeyParams{Key: key})
+		return err
+	})
+	if err != nil {
+		return KeyValue{}, "", err
+	}
+	kv, nonce := open(*found)
+	return kv, nonce, nil
+}
+
+// open splits a stored value into its nonce and the value itself.
+func open(stored platformapi.KeyValue) (KeyValue, string) {
+	kv := KeyValue{
+		Key: stored.Key, Value: stored.Value, Revision: stored.Revision,
+		Lease: stored.Lease.Or(0), Deleted: stored.Deleted.Or(false),
+	}
+	nonce, value, ok := bytes.Cut(stored.Value, []byte{nonceEnd})
+	if !ok || len(nonce) != nonceBytes {
+		return kv, ""
+	}
+	kv.Value = value
+	return kv, string(nonce)
+}
+
+func seal(nonce string, value []byte) []byte {
+	sealed := make([]byte, 0, emptyHeader+len(value))
+	sealed = append(sealed, nonce...)
+	sealed = append(sealed, nonceEnd)
+	return append(sealed, value...)
+}
+
+func openAll(list *platformapi.KeyList) ([]KeyValue, int64) {
+	out := make([]KeyValue, len(list.Items))
+	for i, item := range list.Items {
+		out[i], _ = open(item)
+	}
+	return out, list.Revision
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, prefix string, after int64) ([]KeyValue, int64, error) {
+	var list *platformapi.KeyList
+	err := c.call(ctx, 0, func(ctx context.Context) (err error) {
+		list, err = c.api.ListKeys(ctx, platformapi.ListKeysParams{Prefix: prefix, After: platformapi.NewOptInt64(after)})
+		return err
+	})
+	if err != nil {
+		return nil, 0, err
+	}
+	items, revision := openAll(list)
+	return items, revision, nil
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]KeyValue, int64, error) {
+	var list *platformapi.KeyList
+	err := c.call(ctx, wait, func(ctx context.Context) (err error) {
+		list, err = c.api.WatchKeys(ctx, platformapi.WatchKeysParams{Prefix: prefix, After: after, WaitMs: wait.Milliseconds()})
+		return err
+	})
+	if err != nil {
+		return nil, 0, err
+	}
+	items, revision := openAll(list)
+	return items, revision, nil
+}
+
+// Put implements Store.
+//
+// A lost answer leaves open whether the write took effect. Put sends the same
+// write again with the same nonce: a compare-and-swap takes effect once, and a
+// conflict is settled by reading which nonce stands.
+func (c *Client) Put(ctx context.Context, w Write) (int64, error) {
+	nonce := uuid.NewString()
+	backoff := minBackoff
+	for first := true; ; first = false {
+		revision, err := c.putOnce(ctx, w, nonce)
+		switch {
+		case err == nil:
+			return revision, nil
+		case errors.Is(err, ErrConflict) && !first:
+			return c.settle(ctx, w, nonce)
+		case errors.IsAny(err, ErrConflict, ErrLeaseNotFound, ErrRejected):
+			return 0, err
+		}
+		if !sleep(ctx, backoff) {
+			return 0, errors.Wrapf(err, "write of %s not settled", w.Key)
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func (c *Client) putOnce(ctx context.Context, w Write, nonce string) (int64, error) {
+	var result *platformapi.PutResult
+	err := c.call(ctx, 0, func(ctx context.Context) (err error) {
+		result, err = c.api.PutKey(ctx, &platformapi.PutRequest{
+			Key: w.Key, Value: seal(nonce, w.Value), Expect: w.Expect,
+			Lease: platformapi.NewOptInt64(w.Lease), Delete: platformapi.NewOptBool(w.Delete),
+		})
+		return err
+	})
+	if err != nil {
+		return 0, err
+	}
+	return result.Revision, nil
+}
+
+func (c *Client) settle(ctx context.Context, w Write, nonce string) (int64, error) {
+	for {
+		kv, found, err := c.getWithNonce(ctx, w.Key)
+		switch {
+		case err == nil && found == nonce:
+			return kv.Revision, nil
+		case err == nil:
+			return 0, ErrConflict
+		case errors.Is(err, ErrNotFound):
+			return 0, ErrConflict
+		}
+		if !sleep(ctx, minBackoff) {
+			return 0, errors.Wrapf(err, "write of %s not settled", w.Key)
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Grant implements Store.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	var lease *platformapi.Lease
+	err := c.call(ctx, 0, func(ctx context.Context) (err error) {
+		lease, err = c.api.GrantLease(ctx, &platformapi.LeaseRequest{TTLMs: ttl.Milliseconds()})
+		return err
+	})
+	if err != nil {
+		return 0, err
+	}
+	return lease.ID, nil
+}
+
+// KeepAlive implements Store.
+func (c *Client) KeepAlive(ctx context.Context, lease int64) error {
+	return c.call(ctx, 0, func(ctx context.Context) error {
+		_, err := c.api.KeepAlive(ctx, platformapi.KeepAliveParams{ID: lease})
+		return err
+	})
+}
+
+// Revoke implements Store.
+func (c *Client) Revoke(ctx context.Context, lease int64) error {
+	return c.call(ctx, 0, func(ctx context.Context) error {
+		return c.api.RevokeLease(ctx, platformapi.RevokeLeaseParams{ID: lease})
+	})
+}
+
+// Instances implements Lister.
+func (c *Client) Instances(ctx context.Context) ([]platformapi.Instance, error) {
+	var list []platformapi.Instance
+	err := c.call(ctx, 0, func(ctx context.Context) (err error) {
+		list, err = c.api.ListInstances(ctx)
+		return err
+	})
+	return list, err
+}
--- /dev/null
+++ b/yamldoc/doc.go
@@ -0,0 +1,7 @@
+// Package yamldoc decodes YAML documents strictly and reports every finding of
+// a document together, each with its line and column.
+//
+// Struct fields are matched by their `yaml` tag. Unknown fields, wrong types,
+// duplicate keys and malformed durations are findings; decoding goes on after
+// each of them, so that one run shows all that is wrong.
+package yamldoc
