Split the instance's wiring and the dispatch path by matter

Cause: the next steps change quota, configuration, membership, routing and streams at the same time; one file for all loops would make each a conflict.

--- /dev/null
+++ b/experiment/experiment.go
@@ -0,0 +1,46 @@
+// Package experiment measures the decisions against simpler baselines in virtual
+// time. Every experiment is driven by a seed, so that anyone can run it again.
+// The tables land in docs/MEASUREMENTS.md by `basilroute experiment --write`.
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"strings"
+)
+
+// Table is the outcome of an experiment.
+type Table struct {
+	Columns []string
+	Rows    [][]string
+	Notes   []string // what the rows show, and which goal is met or missed
+}
+
+// Experiment is one comparison.
+type Experiment struct {
+	Name  string // for the command line
+	Title string
+	Run   func(seed uint64) (Table, error)
+}
+
+// All returns every experiment in the order of the page.
+func All() []Experiment {
+	return nil
+}
+
+// WriteMarkdown writes the outcome as a section of the page.
+func (t Table) WriteMarkdown(w io.Writer, e Experiment, seed uint64) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "## %s\n\n`basilroute experiment --seed %d %s`\n\n", e.Title, seed, e.Name)
+	fmt.Fprintf(&b, "| %s |\n|%s\n", strings.Join(t.Columns, " | "), strings.Repeat("---|", len(t.Columns)))
+	for _, row := range t.Rows {
+		fmt.Fprintf(&b, "| %s |\n", strings.Join(row, " | "))
+	}
+	b.WriteString("\n")
+	for _, note := range t.Notes {
+		fmt.Fprintf(&b, "- %s\n", note)
+	}
+	b.WriteString("\n")
+	_, err := io.WriteString(w, b.String())
+	return err
+}
--- a/transport/dispatch/local.go
+++ b/transport/dispatch/local.go
@@ -7,7 +7,6 @@
 
 	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/coordination/routing"
-	"github.com/basilroute/basilroute/protocol/frame"
 	"github.com/basilroute/basilroute/protocol/refusal"
 	"github.com/basilroute/basilroute/service"
 	"github.com/basilroute/basilroute/state/catalog"
@@ -16,12 +15,8 @@
 )
 
 const (
-	failureLimit   = 3 // failures in a row after which a server gets no new work
-	noServerRetry  = time.Second
-	priorityBulk   = 10
-	cancelDeadline = 2 * time.Second
-	resumeLimit    = 3 // times a broken stream is resumed on its engine
-	resumeBackoff  = 50 * time.Millisecond
+	failureLimit  = 3 // failures in a row after which a server gets no new work
+	noServerRetry = time.Second
 )
 
 // Local runs work on the backend servers of the own failure domain.
@@ -64,17 +59,6 @@
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
 
-func (l *Local) operate(ctx context.Context, w *Work, server servers.Server, sink Sink) error {
-	answer, err := l.Backend.Run(ctx, server.Address, backend.Operation{
-		Name: w.Operation.Name, RequestID: w.RequestID, Account: w.Account, Via: w.Via, Body: w.Operation.Body,
-	})
-	if err != nil {
-		l.failed(ctx, w, server, err)
-		return err
-	}
-	return sink.Answer(server.ID, answer)
-}
-
 func (l *Local) failed(ctx context.Context, w *Work, server servers.Server, err error) {
 	r := refusal.From(err)
 	if ctx.Err() != nil || r.Code != refusal.CodeBackendFailed {
@@ -85,39 +69,3 @@
 		l.Quarantine.Crashed(quarantine.Fingerprint(w.Account, w.Service, w.body()), time.Now())
 	}
 }
-
-// generate streams from one engine and resumes there when the connection breaks.
-func (l *Local) generate(ctx context.Context, w *Work, server servers.Server, sink Sink) error {
-	generation := backend.Generation{
-		RequestID: w.RequestID, Attempt: w.Attempt, Account: w.Account, Version: server.Version,
-		Prompt: w.Generation.Prompt, MaxTokens: w.Generation.MaxTokens, Via: w.Via,
-	}
-	if w.Class == service.ClassBulk {
-		generation.Priority = priorityBulk
-	}
-	var stats backend.StreamStats
-	next := w.Generation.FromSeq
-	forward := func(f *frame.Frame) error { return sink.Frame(server.ID, f) }
-	for resumed := 0; ; resumed++ {
-		err := l.Backend.Generate(ctx, server.Address, generation, &next, &stats, forward)
-		if err == nil {
-			return nil
-		}
-		broken := refusal.From(err)
-		if ctx.Err() != nil || broken.Code != refusal.CodeBackendFailed {
-			l.cancel(server, w.RequestID)
-			return err
-		}
-		if next == 0 || resumed >= resumeLimit {
-			l.failed(ctx, w, server, err)
-			return err
-		}
-		time.Sleep(resumeBackoff)
-	}
-}
-
-func (l *Local) cancel(server servers.Server, requestID string) {
-	ctx, cancel := context.WithTimeout(context.Background(), cancelDeadline)
-	defer cancel()
-	_ = l.Backend.Cancel(ctx, server.Address, requestID) // the engine ends the generation by itself at its limit
-}
