Mint each slot's part and lend it to where the demand is

The even split per instance overshot whenever views of the fleet differed. Now an account's rate and burst are minted by the holders of slots only (DESIGN section 6): a bucket a held slot that starts empty, loans debited before the answer that fill the lender's capacity until reported or expired, worst-case charges refunded only as far as the headroom since the charge allows, requests that wait for minting or a loan and are refused as soon as it is plain that it comes too late.

Found by the property test on the way: a report sent twice to a holder of two slots refunded twice; the headroom has to be noted before whatever raises it; a grown share has to wait for the loans of those who shrank.

--- /dev/null
+++ b/coordination/quota/account.go
@@ -0,0 +1,164 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/basilroute/basilroute/service"
+)
+
+// part is what one slot mints of an account.
+type part struct {
+	rate  float64 // tokens per second
+	burst float64 // tokens
+}
+
+// account is one account's state on this instance.
+type account struct {
+	name string
+	doc  *service.Account
+	part part
+	// share is the fraction of the account's rate and burst that one slot has.
+	// A larger one waits in grown until those who shrink have acknowledged.
+	share, grown float64
+	grownAt      int64     // configuration revision to be acknowledged; 0 when nothing waits
+	growFrom     time.Time // when it is in force, once acknowledged
+
+	level   float64 // minted tokens
+	at      time.Time
+	lent    float64 // tokens of loans that are neither reported nor expired
+	loans   []loan  // lent, oldest first
+	history history
+
+	borrowings []borrowing // oldest first
+	reports    []pendingReport
+	asked      float64 // tokens asked for since the last tick
+	demand     float64 // average of asked, tokens per second
+	waiters    []*Waiter
+	round      round
+	nextAsk    time.Time // not before
+	active     bool
+}
+
+func (a *account) capacity(minting int) float64 { return a.part.burst * float64(minting) }
+
+// headroom is how much more the bucket and open loans could hold.
+func (a *account) headroom(minting int) float64 {
+	return max(0, a.capacity(minting)-a.level-a.lent)
+}
+
+// mint brings the bucket to now, one expired loan after the other: what a loan
+// filled before it expired could not be minted then.
+func (a *account) mint(now time.Time, minting int) {
+	for len(a.loans) > 0 && !now.Before(a.loans[0].until) {
+		a.mintTo(a.loans[0].until, minting)
+		a.history.note(a.headroom(minting))
+		a.lent -= a.loans[0].tokens
+		a.loans = a.loans[1:]
+	}
+	if len(a.loans) == 0 {
+		a.lent = 0 // without this, rounding would add up
+	}
+	a.mintTo(now, minting)
+}
+
+func (a *account) mintTo(now time.Time, minting int) {
+	elapsed := now.Sub(a.at)
+	if elapsed <= 0 {
+		return
+	}
+	a.at = now
+	a.level += min(elapsed.Seconds()*a.part.rate*float64(minting), a.headroom(minting))
+}
+
+// clamp drops what exceeds the capacity of a smaller number of slots or of a
+// smaller part. Open loans count first: they cannot be called back.
+func (a *account) clamp(minting int) {
+	a.level = max(0, min(a.level, a.capacity(minting)-a.lent))
+	a.history.note(a.headroom(minting))
+}
+
+func (a *account) charge(tokens float64, now time.Time, minting int) (Charge, bool) {
+	if a.level+a.borrowed(now) < tokens {
+		return Charge{}, false
+	}
+	c := Charge{Account: a.name, Tokens: tokens}
+	c.own = a.spendLoans(tokens, now, &c)
+	if c.own > 0 {
+		c.seq = a.debit(c.own, minting)
+	}
+	return c, true
+}
+
+// debit takes tokens from the bucket. The headroom is noted before: it is
+// smallest there.
+func (a *account) debit(tokens float64, minting int) (seq uint64) {
+	seq = a.history.note(a.headroom(minting))
+	a.level = max(0, a.level-tokens)
+	return seq
+}
+
+// refund gives back an overestimate of a charge. Had the charge been right from
+// the start, the bucket would be fuller by at most the smallest headroom since;
+// more would let tokens through that the capacity had cut off, and a full bucket
+// spent twice would exceed the burst.
+func (a *account) refund(tokens float64, seq uint64, minting int) {
+	back := min(tokens, a.history.since(seq, a.headroom(minting)))
+	if back <= 0 {
+		return
+	}
+	a.level += back
+	a.history.raise(back)
+}
+
+// setShare takes in a document. A smaller share is in force at once.
+func (a *account) setShare(doc *service.Account, share float64, revision int64, minting int) {
+	first := a.doc == nil
+	a.history.note(a.headroom(minting))
+	a.doc = doc
+	switch {
+	case first, share <= a.share:
+		a.share, a.grownAt = share, 0
+	default:
+		a.grown, a.grownAt, a.growFrom = share, revision, time.Time{}
+	}
+	a.apply(minting)
+}
+
+func (a *account) apply(minting int) {
+	a.part = part{rate: a.doc.Rate * a.share, burst: a.doc.Burst * a.share}
+	a.clamp(minting)
+}
+
+// share returns the fraction of an account's rate and burst that one slot of the
+// failure domain has. Without shares in its document the account's part is even
+// over the domains where it may run.
+func share(doc *service.Account, fleet *service.Fleet, domain string) float64 {
+	if fleet == nil || fleet.Slots.PerDomain <= 0 {
+		return 0
+	}
+	total, own := 0.0, 0.0
+	add := func(name string, weight float64) {
+		total += weight
+		if name == domain {
+			own = weight
+		}
+	}
+	if len(doc.Shares) > 0 {
+		for name, weight := range doc.Shares {
+			add(name, float64(weight))
+		}
+	} else {
+		for region, r := range fleet.Regions {
+			if doc.Home != "" && doc.Home != region {
+				continue
+			}
+			for _, name := range r.Domains {
+				add(name, 1)
+			}
+		}
+	}
+	if total <= 0 {
+		return 0
+	}
+	return own / total / float64(fleet.Slots.PerDomain)
+}
--- /dev/null
+++ b/coordination/quota/borrower.go
@@ -0,0 +1,315 @@
+package quota
+
+import (
+	"math"
+	"time"
+
+	"github.com/basilroute/basilroute/coordination/slots"
+)
+
+const (
+	demandHalfLife = time.Second            // of the demand average
+	demandFor      = time.Second            // demand that is borrowed ahead
+	lowWater       = 0.5                    // part of that below which more is borrowed
+	returnBefore   = 600 * time.Millisecond // the end of a loan, when what is left goes back
+	askPause       = 250 * time.Millisecond // between rounds for an account for which all lenders were dry
+	leastDemand    = 0.1                    // tokens per second below which an account counts as idle
+)
+
+// borrowing is a loan from a peer.
+type borrowing struct {
+	lender slots.Member
+	loan   uint64
+	tokens float64
+	until  time.Time // counted from when it was asked for
+}
+
+// pendingReport waits for the next call to the lender. A report that is not
+// delivered in reportFor is dropped, which loses tokens.
+type pendingReport struct {
+	lender slots.Member
+	Report
+	at time.Time
+}
+
+const (
+	reportPause = 300 * time.Millisecond // reports wait so long for a call that asks for tokens
+	reportFor   = 2 * time.Second
+)
+
+// answerTimeout is when an account asks again though an answer is open.
+const answerTimeout = time.Second
+
+func (a *account) borrowed(now time.Time) float64 {
+	total := 0.0
+	for i := range a.borrowings {
+		if now.Before(a.borrowings[i].until) {
+			total += a.borrowings[i].tokens
+		}
+	}
+	return total
+}
+
+// spendLoans pays from the loans and returns what is left to pay.
+func (a *account) spendLoans(tokens float64, now time.Time, c *Charge) float64 {
+	for i := range a.borrowings {
+		b := &a.borrowings[i]
+		paid := min(b.tokens, tokens)
+		if paid <= 0 || !now.Before(b.until) {
+			continue
+		}
+		b.tokens -= paid
+		tokens -= paid
+		c.loans = append(c.loans, loanPart{b.lender, b.loan, paid})
+		a.report(b.lender, Report{Loan: b.loan, Spent: paid}, now)
+	}
+	return tokens
+}
+
+// report adds to what the lender is told, one report for each loan.
+func (a *account) report(lender slots.Member, r Report, now time.Time) {
+	for i := range a.reports {
+		p := &a.reports[i]
+		if p.lender == lender && p.Loan == r.Loan {
+			p.Spent += r.Spent
+			p.Returned += r.Returned
+			p.Refunded += r.Refunded
+			return
+		}
+	}
+	r.Account = a.name
+	a.reports = append(a.reports, pendingReport{lender: lender, Report: r, at: now})
+}
+
+func (a *account) reportRefund(parts []loanPart, refund float64, now time.Time) {
+	for _, part := range parts {
+		back := min(refund, part.tokens)
+		if back <= 0 {
+			return
+		}
+		refund -= back
+		a.report(part.lender, Report{Loan: part.loan, Refunded: back}, now)
+	}
+}
+
+// Call is one message to a lender.
+type Call struct {
+	Lender  slots.Member
+	Wants   []Want
+	Reports []Report
+	asked   time.Time
+}
+
+// Plan returns the calls to make now. holders are the holders of slots in the
+// order in which they are asked, without those to whom a call is still open. One
+// that holds several slots gets one call: reports sent twice would refund twice.
+func (l *Ledger) Plan(holders []slots.Member, now time.Time) []*Call {
+	calls := make(map[slots.Member]*Call, len(holders))
+	var lenders []slots.Member
+	for _, holder := range holders {
+		if calls[holder] == nil {
+			calls[holder] = &Call{Lender: holder, asked: now}
+			lenders = append(lenders, holder)
+		}
+	}
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		s.advance(now)
+		s.plan(lenders, calls, now)
+		s.mu.Unlock()
+	}
+	var out []*Call
+	for _, lender := range lenders {
+		if c := calls[lender]; len(c.Wants)+len(c.Reports) > 0 {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (s *shard) plan(lenders []slots.Member, calls map[slots.Member]*Call, now time.Time) {
+	kept := s.active[:0]
+	for _, a := range s.active {
+		a.mint(now, s.minting)
+		a.dropExpired(now)
+		a.want(lenders, calls, s.minting, now)
+		a.flushReports(calls, now)
+		if a.idle() {
+			a.active = false
+			continue
+		}
+		kept = append(kept, a)
+	}
+	clear(s.active[len(kept):])
+	s.active = kept
+}
+
+func (a *account) idle() bool {
+	return a.asked == 0 && a.demand < leastDemand && len(a.waiters) == 0 && len(a.borrowings) == 0 && len(a.reports) == 0
+}
+
+// dropExpired returns loans near their end and forgets those past it.
+func (a *account) dropExpired(now time.Time) {
+	kept := a.borrowings[:0]
+	for _, b := range a.borrowings {
+		if b.tokens > 0 && now.Before(b.until) && b.until.Sub(now) < returnBefore {
+			a.report(b.lender, Report{Loan: b.loan, Returned: b.tokens}, now)
+			continue
+		}
+		if b.tokens > 0 && now.Before(b.until) {
+			kept = append(kept, b)
+		}
+	}
+	a.borrowings = kept
+}
+
+func (a *account) flushReports(calls map[slots.Member]*Call, now time.Time) {
+	kept := a.reports[:0]
+	for _, r := range a.reports {
+		c := calls[r.lender]
+		if c != nil && (len(c.Wants) > 0 || now.Sub(r.at) >= reportPause) {
+			c.Reports = append(c.Reports, r.Report)
+			continue
+		}
+		if now.Sub(r.at) < reportFor {
+			kept = append(kept, r)
+		}
+	}
+	a.reports = kept
+}
+
+// measure updates the demand average; it is called at every tick.
+func (a *account) measure(elapsed time.Duration) {
+	keep := math.Exp2(-elapsed.Seconds() / demandHalfLife.Seconds())
+	a.demand = a.demand*keep + a.asked/elapsed.Seconds()*(1-keep)
+	a.asked = 0
+}
+
+// round is the present search for lenders. It asks the nearest one first, then
+// twice as many each time, so that few are bothered for a little and a request of
+// nearly the whole burst still finds all of them in time.
+type round struct {
+	next        int       // lender to ask next
+	fan         int       // lenders asked at once
+	open        int       // answers to come
+	exhaustedAt time.Time // when a round last ended with too little
+}
+
+// exhausted tells whether all lenders were found dry just now.
+func (r *round) exhausted(now time.Time) bool {
+	return !r.exhaustedAt.IsZero() && now.Sub(r.exhaustedAt) <= 2*askPause
+}
+
+// want asks lenders for what the queue lacks, and for a second's demand ahead
+// when less than half of it is left.
+func (a *account) want(lenders []slots.Member, calls map[slots.Member]*Call, minting int, now time.Time) {
+	if len(lenders) == 0 {
+		a.round.exhaustedAt = now
+		return
+	}
+	if now.Before(a.nextAsk) {
+		return
+	}
+	have := a.level + a.borrowed(now)
+	queued := a.queued()
+	ahead := max(0, a.demand-a.part.rate*float64(minting)) * demandFor.Seconds()
+	if have >= queued+ahead*lowWater {
+		return
+	}
+	a.ask(queued+ahead-have, lenders, calls, now)
+}
+
+// ask spreads what is missing over the round's lenders. Several are asked for
+// twice their even part, since some will have less.
+func (a *account) ask(missing float64, lenders []slots.Member, calls map[slots.Member]*Call, now time.Time) {
+	fan := max(1, a.round.fan)
+	tokens := missing
+	if fan > 1 {
+		tokens = min(missing, 2*missing/float64(fan))
+	}
+	a.round.open = 0
+	for i := a.round.next; i < min(a.round.next+fan, len(lenders)); i++ {
+		c := calls[lenders[i]]
+		c.Wants = append(c.Wants, Want{Account: a.name, Tokens: math.Ceil(tokens)})
+		a.round.open++
+	}
+	a.nextAsk = now.Add(answerTimeout)
+	if a.round.open == 0 {
+		a.endRound(now)
+	}
+}
+
+func (a *account) endRound(now time.Time) {
+	a.round = round{exhaustedAt: now}
+	a.nextAsk = now.Add(askPause)
+}
+
+// Answered takes in a lender's answer, nil when none came. Loans count from when
+// they were asked for.
+func (l *Ledger) Answered(c *Call, lent []Lent, now time.Time) {
+	got := make(map[string]Lent, len(lent))
+	for _, item := range lent {
+		got[item.Account] = item
+	}
+	for _, w := range c.Wants {
+		l.takeLoan(c, got[w.Account], w, now)
+	}
+}
+
+func (l *Ledger) takeLoan(c *Call, item Lent, w Want, now time.Time) {
+	s := l.shard(w.Account)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance(now)
+	a := s.account(w.Account, now)
+	a.mint(now, s.minting)
+	if item.Tokens > 0 {
+		a.borrowings = append(a.borrowings, borrowing{
+			lender: c.Lender, loan: item.Loan, tokens: item.Tokens, until: c.asked.Add(LoanValid),
+		})
+	}
+	s.activate(a)
+	a.serveWaiters(s.minting, now)
+	if a.round.open--; a.round.open > 0 {
+		return
+	}
+	a.nextAsk = time.Time{}
+	if item.Tokens >= w.Tokens {
+		a.round = round{}
+		return
+	}
+	fan := max(1, a.round.fan)
+	a.round.next += fan
+	a.round.fan = 2 * fan
+	if len(a.waiters) > 0 {
+		l.signal()
+	}
+}
+
+// ReturnAll gives every loan back, for a planned stop. The calls have to be made.
+func (l *Ledger) ReturnAll(now time.Time) []*Call {
+	calls := make(map[slots.Member]*Call)
+	var out []*Call
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		for _, a := range s.active {
+			for _, b := range a.borrowings {
+				a.report(b.lender, Report{Loan: b.loan, Returned: b.tokens}, now)
+			}
+			a.borrowings = nil
+			for n := range a.reports {
+				r := &a.reports[n]
+				r.at = time.Time{} // not to wait any longer
+				if calls[r.lender] == nil {
+					calls[r.lender] = &Call{Lender: r.lender, asked: now}
+					out = append(out, calls[r.lender])
+				}
+			}
+			a.flushReports(calls, now)
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -1,70 +1,239 @@
 // Package quota keeps every client account within its rate and burst, summed
 // over all instances.
+//
+// An account's rate and burst are split over failure domains by the shares of
+// its document, and each domain's part evenly over the domain's slots. The holder
+// of a slot mints that part into a bucket that starts empty. Minted tokens move
+// to where the demand is as loans: the lender debits them before it answers, and
+// until they are reported spent or have expired they still fill its capacity.
+//
+// So, for each account, the tokens that can be admitted without minting (buckets
+// and open loans) never exceed the burst, and grow by minting only. That bounds
+// every window T by rate*T + burst.
+//
+// The package does no I/O: the time comes in with each call.
 package quota
 
 import (
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/basilroute/basilroute/coordination/slots"
 	"github.com/basilroute/basilroute/service"
 )
 
+const (
+	shardCount = 16
+
+	// LoanValid is how long a loan may be spent. The borrower counts it from
+	// when it asked, the lender, with slots.WithDrift, from when it lent.
+	LoanValid = 3 * time.Second
+)
+
+// LentUntil returns when a loan lent at a time has expired for every borrower.
+func LentUntil(lent time.Time) time.Time { return lent.Add(slots.WithDrift(LoanValid)) }
+
 // Ledger admits requests against the tokens that this instance may give out.
 // It is safe for concurrent use.
 type Ledger struct {
-	mu      sync.Mutex
-	share   float64
-	buckets map[string]*bucket
+	domain string
+	shards [shardCount]shard
+	wanted chan struct{} // signalled when a request waits
+
+	mu     sync.Mutex
+	epochs map[int]uint64    // latest epoch held, by slot
+	from   map[int]time.Time // when that epoch begins to mint
+	fleet  *service.Fleet
+	docs   map[string]*service.Account
 }
 
-type bucket struct {
-	tokens float64
-	at     time.Time
+// shard holds a part of the accounts and its own copy of the slots held, so that
+// no admission uses a slot that another goroutine has just seen lost.
+type shard struct {
+	mu       sync.Mutex
+	grants   []grant
+	minting  int       // slots that mint now
+	change   time.Time // when minting changes next; zero for never
+	accounts map[string]*account
+	active   []*account // accounts with demand, loans or waiters
 }
 
-// New returns a ledger that gives out nothing until SetShare.
-func New() *Ledger {
-	return &Ledger{buckets: make(map[string]*bucket)}
+// grant is a slot with the time in which it mints.
+type grant struct{ from, until time.Time }
+
+// New returns a ledger of an instance of a failure domain. It mints nothing until
+// it holds slots and knows the documents.
+func New(domain string) *Ledger {
+	l := &Ledger{
+		domain: domain, wanted: make(chan struct{}, 1), epochs: make(map[int]uint64),
+		from: make(map[int]time.Time), docs: make(map[string]*service.Account),
+	}
+	for i := range l.shards {
+		l.shards[i].accounts = make(map[string]*account)
+	}
+	return l
 }
 
-// SetShare sets the share of every account's rate and burst that is minted here.
-func (l *Ledger) SetShare(share float64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.share = share
+func (l *Ledger) shard(name string) *shard {
+	return &l.shards[xxhash.Sum64String(name)%shardCount]
 }
 
-// Admit takes tokens for a request, or returns after what time to come back.
-func (l *Ledger) Admit(a *service.Account, tokens float64, now time.Time) (ok bool, wait time.Duration) {
+// SetHeld takes in the slots that this instance may mint for.
+//
+// The former holder of a slot may have lent just before it stopped, and these
+// loans still fill the slot's part of the burst. A slot with a new epoch
+// therefore mints only when they have expired; a slot's first epoch has none.
+func (l *Ledger) SetHeld(held []slots.Held, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b := l.bucket(a, now)
-	if b.tokens >= tokens {
-		b.tokens -= tokens
-		return true, 0
+	grants := make([]grant, len(held))
+	for i, h := range held {
+		if l.epochs[h.Slot] != h.Epoch {
+			l.epochs[h.Slot] = h.Epoch
+			l.from[h.Slot] = now
+			if h.Epoch > 1 {
+				l.from[h.Slot] = LentUntil(now)
+			}
+		}
+		grants[i] = grant{from: l.from[h.Slot], until: h.Until}
 	}
-	rate := a.Rate * l.share
-	if rate <= 0 {
-		return false, 0
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		s.advance(now)
+		s.grants = grants
+		s.recount(now)
+		s.mu.Unlock()
 	}
-	return false, time.Duration((tokens - b.tokens) / rate * float64(time.Second))
 }
 
-// Settle gives back what a request did not use.
-func (l *Ledger) Settle(a *service.Account, refund float64, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	b := l.bucket(a, now)
-	b.tokens = min(b.tokens+refund, a.Burst*l.share)
+// advance brings the shard to now through every change of the slots that mint.
+func (s *shard) advance(now time.Time) {
+	for !s.change.IsZero() && !now.Before(s.change) {
+		s.recount(s.change)
+	}
 }
 
-func (l *Ledger) bucket(a *service.Account, now time.Time) *bucket {
-	b, ok := l.buckets[a.Name]
+// recount sets what mints from a time on. Every account is brought there first,
+// since what it minted and may keep before depends on the former number.
+func (s *shard) recount(at time.Time) {
+	minting, change := 0, time.Time{}
+	soonest := func(t time.Time) {
+		if t.After(at) && (change.IsZero() || t.Before(change)) {
+			change = t
+		}
+	}
+	for _, g := range s.grants {
+		if !at.Before(g.from) && at.Before(g.until) {
+			minting++
+		}
+		soonest(g.from)
+		soonest(g.until)
+	}
+	s.change = change
+	if minting == s.minting {
+		return
+	}
+	for _, a := range s.accounts {
+		a.mint(at, s.minting)
+		a.history.note(a.headroom(s.minting))
+		a.clamp(minting)
+	}
+	s.minting = minting
+}
+
+// account returns the account's state, made at its first use.
+func (s *shard) account(name string, now time.Time) *account {
+	a, ok := s.accounts[name]
 	if !ok {
-		b = &bucket{at: now}
-		l.buckets[a.Name] = b
+		a = &account{name: name, at: now}
+		s.accounts[name] = a
 	}
-	b.tokens = min(b.tokens+now.Sub(b.at).Seconds()*a.Rate*l.share, a.Burst*l.share)
-	b.at = now
-	return b
+	return a
+}
+
+// Charge is what a request was charged with. It has to be settled once.
+type Charge struct {
+	Account string
+	Tokens  float64
+	own     float64 // of the own bucket
+	seq     uint64  // of the own bucket's history
+	loans   []loanPart
+}
+
+// loanPart is the part of a charge that was paid by a loan.
+type loanPart struct {
+	lender slots.Member
+	loan   uint64
+	tokens float64
+}
+
+// Admit takes tokens for a request, from loans first since these expire. It fails
+// while other requests of the account wait for tokens.
+func (l *Ledger) Admit(name string, tokens float64, now time.Time) (Charge, bool) {
+	s := l.shard(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance(now)
+	a := s.account(name, now)
+	a.mint(now, s.minting)
+	s.activate(a)
+	a.asked += tokens
+	if len(a.waiters) > 0 {
+		return Charge{}, false
+	}
+	return a.charge(tokens, now, s.minting)
+}
+
+// Settle gives back what a request did not use. used is at most what was charged.
+func (l *Ledger) Settle(c Charge, used float64, now time.Time) {
+	refund := c.Tokens - used
+	if refund <= 0 {
+		return
+	}
+	s := l.shard(c.Account)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance(now)
+	a, ok := s.accounts[c.Account]
+	if !ok {
+		return
+	}
+	a.mint(now, s.minting)
+	own := min(refund, c.own)
+	a.refund(own, c.seq, s.minting)
+	a.reportRefund(c.loans, refund-own, now)
+	s.activate(a)
+}
+
+func (s *shard) activate(a *account) {
+	if !a.active {
+		a.active = true
+		s.active = append(s.active, a)
+	}
+}
+
+// Available returns the tokens that the account could be charged here now.
+func (l *Ledger) Available(name string, now time.Time) float64 {
+	s := l.shard(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance(now)
+	a, ok := s.accounts[name]
+	if !ok {
+		return 0
+	}
+	a.mint(now, s.minting)
+	return a.level + a.borrowed(now)
+}
+
+// Minting returns how many slots mint here now.
+func (l *Ledger) Minting(now time.Time) int {
+	s := &l.shards[0]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance(now)
+	return s.minting
 }
--- a/coordination/slots/machine.go
+++ b/coordination/slots/machine.go
@@ -319,3 +319,14 @@
 }
 
 func (s *slot) free() bool { return s.read && (s.seen.Revision == 0 || s.seen.Record.Released) }
+
+// Unsettled tells whether a slot is free or not read yet, or a write is open, so
+// that the store has to be read soon.
+func (m *Machine) Unsettled() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.ContainsFunc(m.slots, func(s *slot) bool {
+		return s.index < m.settings.Slots && (!s.read || s.free() || s.pending != nil ||
+			(s.seen.Record.Holder == m.self && s.held == nil))
+	})
+}
--- a/instance/domains.go
+++ b/instance/domains.go
@@ -53,17 +53,3 @@
 	}
 	return false
 }
-
-// Affords tells whether the account could be charged some tokens here now.
-func (i *Instance) Affords(account string, tokens float64) bool {
-	a := i.catalog.Account(account)
-	if a == nil {
-		return false
-	}
-	now := time.Now()
-	ok, _ := i.ledger.Admit(a, tokens, now)
-	if ok {
-		i.ledger.Settle(a, tokens, now)
-	}
-	return ok
-}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -47,6 +47,7 @@
 	requests   *requests.Table
 	forwarded  *requests.Table
 	ledger     *quota.Ledger
+	slots      *slotKeeper
 	retries    *retry.Budget
 	quarantine *quarantine.List
 
@@ -80,7 +81,7 @@
 		servers:    servers.New(),
 		requests:   requests.New(),
 		forwarded:  requests.New(),
-		ledger:     quota.New(),
+		ledger:     quota.New(settings.Domain),
 		retries:    retry.NewBudget(),
 		quarantine: quarantine.New(),
 		backend:    backend.New(),
@@ -94,6 +95,7 @@
 		return nil, err
 	}
 	i.members = membership.New(i.selfEntry(), time.Now())
+	i.slots = newSlotKeeper(i.member())
 	if err := i.wire(); err != nil {
 		i.closeListeners()
 		return nil, err
@@ -183,7 +185,7 @@
 	i.callers = &http.Server{Handler: callers, ReadHeaderTimeout: headerTimeout}
 	i.operators = &http.Server{Handler: operators, ReadHeaderTimeout: headerTimeout}
 	i.peers = grpc.NewServer(grpc.Creds(insecure.NewCredentials()))
-	peerpb.RegisterPeerServer(i.peers, &peer.Server{Runner: i, Exchanger: i})
+	peerpb.RegisterPeerServer(i.peers, &peer.Server{Runner: i, Exchanger: i, Quota: i})
 	return nil
 }
 
@@ -194,7 +196,7 @@
 	go i.serve(func() error { return i.callers.Serve(i.listeners.callers) })
 	go i.serve(func() error { return i.operators.Serve(i.listeners.operators) })
 	go i.serve(func() error { return i.peers.Serve(i.listeners.peers) })
-	for _, loop := range []func(context.Context){i.watchConfig, i.watchList, i.pollServers, i.exchange, i.shareQuotaLoop} {
+	for _, loop := range []func(context.Context){i.watchConfig, i.watchList, i.pollServers, i.exchange, i.holdSlots, i.readSlots, i.lend} {
 		i.loops.Go(func() { loop(ctx) })
 	}
 	i.log.Info("instance started", "region", i.settings.Region, "domain", i.settings.Domain,
--- /dev/null
+++ b/instance/slots.go
@@ -0,0 +1,245 @@
+package instance
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/basilroute/basilroute/coordination/slots"
+	"github.com/basilroute/basilroute/protocol/peerpb"
+	"github.com/basilroute/basilroute/service"
+	"github.com/basilroute/basilroute/transport/platform"
+)
+
+const (
+	slotsEvery       = 100 * time.Millisecond
+	slotWriteTimeout = 2 * time.Second
+	askTimeout       = time.Second
+	readSoon         = 250 * time.Millisecond // while slots of the own domain are free
+	readsPerLease    = 4                      // of an instance that holds or may take a slot
+	slotsPrefix      = "slots/"
+)
+
+// slotKeeper carries out what the slots' protocol decides.
+type slotKeeper struct {
+	machine *slots.Machine
+	self    slots.Member
+
+	mu       sync.Mutex
+	settings slots.Settings
+	known    map[slots.Member]bool // holders of slots of all domains
+	running  sync.WaitGroup
+}
+
+func newSlotKeeper(self slots.Member) *slotKeeper {
+	return &slotKeeper{machine: slots.New(self, slots.Settings{}), self: self}
+}
+
+// holders returns the holders of slots as last read from the store.
+func (k *slotKeeper) holders() map[slots.Member]bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.known
+}
+
+func (k *slotKeeper) configure(s service.Slots) {
+	next := slots.Settings{
+		Slots: int(s.PerDomain), Lease: s.Lease, Promise: s.Promise,
+		Peers: int(s.Peers), Promises: int(s.Promises), Release: s.Release,
+	}
+	k.mu.Lock()
+	changed := next != k.settings
+	k.settings = next
+	k.mu.Unlock()
+	if changed {
+		k.machine.Configure(next)
+	}
+}
+
+func (i *Instance) member() slots.Member {
+	self := i.members.Self()
+	return slots.Member{ID: self.GetId(), Incarnation: self.GetIncarnation()}
+}
+
+// holdSlots runs the slots' protocol for the own failure domain.
+func (i *Instance) holdSlots(ctx context.Context) {
+	defer i.slots.running.Wait()
+	every(ctx, slotsEvery, func(ctx context.Context) {
+		fleet := i.catalog.Fleet()
+		if fleet == nil {
+			return
+		}
+		i.slots.configure(fleet.Slots)
+		now := time.Now()
+		i.slots.machine.SetLive(i.liveInDomain(now), now)
+		actions := i.slots.machine.Step(now)
+		for _, w := range actions.Writes {
+			i.slots.running.Go(func() { i.writeSlot(ctx, w) })
+		}
+		for _, a := range actions.Asks {
+			i.slots.running.Go(func() { i.askPeer(ctx, a) })
+		}
+		i.updateHeld()
+	})
+}
+
+func (i *Instance) updateHeld() {
+	now := time.Now()
+	i.ledger.SetHeld(i.slots.machine.Held(now), now)
+}
+
+func (i *Instance) liveInDomain(now time.Time) []slots.Member {
+	var out []slots.Member
+	for _, m := range i.members.Members(now) {
+		if m.Reachable && !m.Leaving() && m.Entry.GetDomain() == i.settings.Domain {
+			out = append(out, slots.Member{ID: m.Entry.GetId(), Incarnation: m.Entry.GetIncarnation()})
+		}
+	}
+	return out
+}
+
+func (i *Instance) writeSlot(ctx context.Context, w slots.Write) {
+	outcome, revision := i.putSlot(ctx, w)
+	i.slots.machine.WriteDone(w, outcome, revision, time.Now())
+	if outcome == slots.Written {
+		i.updateHeld()
+	}
+}
+
+func (i *Instance) putSlot(ctx context.Context, w slots.Write) (slots.Outcome, int64) {
+	value, err := w.Record.Encode()
+	if err != nil {
+		i.log.Error("slot record", "error", err)
+		return slots.Unknown, 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, slotWriteTimeout)
+	defer cancel()
+	revision, err := i.platform.Put(ctx, platform.Write{
+		Key: slots.Key(i.settings.Domain, w.Slot), Value: value, Expect: w.Expect,
+	})
+	switch {
+	case err == nil:
+		return slots.Written, revision
+	case errors.Is(err, platform.ErrConflict):
+		return slots.Conflict, 0
+	}
+	return slots.Unknown, 0
+}
+
+// readSlots reads the slots of all domains: the own ones for the protocol, the
+// others to know whom to ask for loans. An instance that neither holds a slot nor
+// may take one reads seldom.
+func (i *Instance) readSlots(ctx context.Context) {
+	for ctx.Err() == nil {
+		i.readSlotsOnce(ctx)
+		_ = wait(ctx, time.After(i.readPause()))
+	}
+}
+
+func (i *Instance) readPause() time.Duration {
+	fleet := i.catalog.Fleet()
+	switch {
+	case fleet == nil, i.slots.machine.Unsettled():
+		return readSoon
+	case i.slots.machine.Busy():
+		return fleet.Slots.Lease / readsPerLease
+	}
+	return fleet.Slots.Lease
+}
+
+func (i *Instance) readSlotsOnce(ctx context.Context) {
+	if i.catalog.Fleet() == nil {
+		return
+	}
+	list, _, err := i.platform.List(ctx, slotsPrefix, 0)
+	if err != nil {
+		return
+	}
+	own := make(map[int]slots.Entry)
+	holders := make(map[slots.Member]bool)
+	prefix := slots.Prefix(i.settings.Domain)
+	for _, kv := range list {
+		record, err := slots.DecodeRecord(kv.Value)
+		if err != nil || kv.Deleted {
+			continue
+		}
+		if !record.Released {
+			holders[record.Holder] = true
+		}
+		if index, err := strconv.Atoi(strings.TrimPrefix(kv.Key, prefix)); err == nil && strings.HasPrefix(kv.Key, prefix) {
+			own[index] = slots.Entry{Revision: kv.Revision, Record: record}
+		}
+	}
+	i.slots.mu.Lock()
+	i.slots.known = holders
+	i.slots.mu.Unlock()
+	i.slots.machine.Observe(own, time.Now())
+}
+
+// askPeer asks for a promise or a consent. An answer of another incarnation does
+// not count.
+func (i *Instance) askPeer(ctx context.Context, a slots.Ask) {
+	address := i.addressOf(a.To)
+	client, err := i.pool.Get(address)
+	if address == "" || err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	self, slot := i.member(), slots.Key(i.settings.Domain, a.Slot)
+	if a.Consent {
+		resp, err := client.Consent(ctx, &peerpb.ConsentRequest{
+			From: self.ID, Incarnation: self.Incarnation, Slot: slot, Epoch: a.Epoch, Version: int64(a.Seq),
+		})
+		if err == nil && resp.GetConsented() {
+			i.slots.machine.Consented(a, slots.Member{ID: a.To.ID, Incarnation: resp.GetIncarnation()})
+		}
+		return
+	}
+	resp, err := client.Promise(ctx, &peerpb.PromiseRequest{
+		From: self.ID, Incarnation: self.Incarnation, Slot: slot, Epoch: a.Epoch, Version: int64(a.Seq),
+	})
+	if err == nil && resp.GetPromised() {
+		valid := time.Duration(resp.GetValidMs()) * time.Millisecond
+		i.slots.machine.Promised(a, slots.Member{ID: a.To.ID, Incarnation: resp.GetIncarnation()}, valid)
+	}
+}
+
+func (i *Instance) addressOf(m slots.Member) string {
+	for _, known := range i.members.Members(time.Now()) {
+		if known.Entry.GetId() == m.ID {
+			return known.Entry.GetPeerAddress()
+		}
+	}
+	return ""
+}
+
+// slotIndex returns the number of a slot of the own failure domain, or -1.
+func (i *Instance) slotIndex(key string) int {
+	number, ok := strings.CutPrefix(key, slots.Prefix(i.settings.Domain))
+	index, err := strconv.Atoi(number)
+	if !ok || err != nil {
+		return -1
+	}
+	return index
+}
+
+// Promise implements peer.Quota.
+func (i *Instance) Promise(req *peerpb.PromiseRequest) *peerpb.PromiseResponse {
+	valid := i.slots.machine.OnPromise(i.slotIndex(req.GetSlot()), uint64(req.GetVersion()), time.Now())
+	return &peerpb.PromiseResponse{
+		Promised: valid > 0, Incarnation: i.slots.self.Incarnation, ValidMs: valid.Milliseconds(),
+	}
+}
+
+// Consent implements peer.Quota.
+func (i *Instance) Consent(req *peerpb.ConsentRequest) *peerpb.ConsentResponse {
+	pause, ok := i.slots.machine.OnConsent(i.slotIndex(req.GetSlot()), uint64(req.GetVersion()), time.Now())
+	return &peerpb.ConsentResponse{
+		Consented: ok, Incarnation: i.slots.self.Incarnation, WaitMs: pause.Milliseconds(),
+	}
+}
--- a/instance/stop.go
+++ b/instance/stop.go
@@ -17,6 +17,7 @@
 // work, lets what is in flight finish, and ends. The error says what was cut.
 func (i *Instance) Stop(ctx context.Context) error {
 	i.members.UpdateSelf(time.Now(), func(m *peerpb.Member) { m.State = peerpb.MemberState_MEMBER_STATE_LEAVING })
+	i.slots.machine.Leave()
 	own, others := i.requests.Close(), i.forwarded.Close()
 	i.exchangeAll(ctx)
 	if i.settings.Stop.Limit > 0 {
@@ -26,6 +27,7 @@
 	}
 	i.log.Info("stopping", "in_flight", i.requests.Count(), "forwarded", i.forwarded.Count())
 	err := errors.CombineErrors(wait(ctx, own), wait(ctx, others))
+	i.returnLoans(ctx)
 	if err == nil {
 		_ = wait(ctx, time.After(announceFor))
 	}
--- a/transport/dispatch/charge.go
+++ b/transport/dispatch/charge.go
@@ -1,33 +1,48 @@
 package dispatch
 
 import (
+	"context"
 	"time"
 
+	"github.com/basilroute/basilroute/coordination/quota"
 	"github.com/basilroute/basilroute/protocol/refusal"
 	"github.com/basilroute/basilroute/service"
 )
 
-func (f *Front) charge(account *service.Account, cost float64) *refusal.Refusal {
+// charge takes the most tokens that the work can use. A request short of tokens
+// waits for minting or a loan, at most as long as its class allows. It is refused
+// as soon as it is plain that the tokens cannot come in time.
+func (f *Front) charge(ctx context.Context, account *service.Account, w *Work, cost float64) (quota.Charge, *refusal.Refusal) {
 	if cost > account.Burst {
-		return refusal.New(refusal.CodeTooLarge, "the request may use %.0f tokens, the account's burst is %.0f", cost, account.Burst)
+		return quota.Charge{}, refusal.New(refusal.CodeTooLarge, "the request may use %.0f tokens, the account's burst is %.0f", cost, account.Burst)
 	}
-	ok, wait := f.Ledger.Admit(account, cost, time.Now())
-	if !ok {
-		return refusal.New(refusal.CodeRateLimited, "the account is at its rate").After(wait)
+	if charge, ok := f.Ledger.Admit(account.Name, cost, time.Now()); ok {
+		return charge, nil
+	}
+	limit := min(w.MaxWait, time.Until(w.Deadline))
+	waiter := f.Ledger.Wait(account.Name, cost, limit, time.Now())
+	select {
+	case verdict := <-waiter.Done:
+		if !verdict.OK {
+			return quota.Charge{}, refusal.New(refusal.CodeRateLimited, "the account is at its rate").After(verdict.RetryAfter)
+		}
+		return verdict.Charge, nil
+	case <-ctx.Done():
+		f.Ledger.Abandon(waiter, time.Now())
+		return quota.Charge{}, refusal.From(f.final(ctx, ctx.Err())).WithRun(refusal.NotRun)
 	}
-	return nil
 }
 
 // settle refunds what the worst-case charge was too high by.
-func (f *Front) settle(account *service.Account, w *Work, u *usage, cost float64, err error) {
-	used := cost
+func (f *Front) settle(charge quota.Charge, w *Work, u *usage, err error) {
+	used := charge.Tokens
 	switch {
 	case w.Generation != nil && u.done:
 		used = float64(u.prompt + u.output)
 	case err != nil && refusal.From(err).Run == refusal.NotRun:
 		used = 0
 	}
-	if used < cost {
-		f.Ledger.Settle(account, cost-used, time.Now())
+	if used < charge.Tokens {
+		f.Ledger.Settle(charge, used, time.Now())
 	}
 }
--- a/transport/dispatch/front.go
+++ b/transport/dispatch/front.go
@@ -65,12 +65,13 @@
 		return refusal.New(refusal.CodeQuarantined, "this request crashed backend servers").After(time.Until(until))
 	}
 	cost := w.Cost(svc)
-	if refused := f.charge(account, cost); refused != nil {
+	charge, refused := f.charge(ctx, account, w, cost)
+	if refused != nil {
 		return refused
 	}
 	watched := &usage{Sink: sink}
 	err := f.attempts(ctx, svc, w, watched)
-	f.settle(account, w, watched, cost, err)
+	f.settle(charge, w, watched, err)
 	return err
 }
 
--- /dev/null
+++ b/transport/peer/quota.go
@@ -0,0 +1,89 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/basilroute/basilroute/coordination/quota"
+	"github.com/basilroute/basilroute/coordination/slots"
+	"github.com/basilroute/basilroute/protocol/peerpb"
+)
+
+// Quota answers what peers ask about loans and slots.
+type Quota interface {
+	Borrow(req *peerpb.BorrowRequest) *peerpb.BorrowResponse
+	Promise(req *peerpb.PromiseRequest) *peerpb.PromiseResponse
+	Consent(req *peerpb.ConsentRequest) *peerpb.ConsentResponse
+}
+
+// Borrow implements peerpb.PeerServer.
+func (s *Server) Borrow(_ context.Context, req *peerpb.BorrowRequest) (*peerpb.BorrowResponse, error) {
+	return s.Quota.Borrow(req), nil
+}
+
+// Promise implements peerpb.PeerServer.
+func (s *Server) Promise(_ context.Context, req *peerpb.PromiseRequest) (*peerpb.PromiseResponse, error) {
+	return s.Quota.Promise(req), nil
+}
+
+// Consent implements peerpb.PeerServer.
+func (s *Server) Consent(_ context.Context, req *peerpb.ConsentRequest) (*peerpb.ConsentResponse, error) {
+	return s.Quota.Consent(req), nil
+}
+
+// EncodeBorrow returns the message of a call to a lender.
+func EncodeBorrow(from slots.Member, c *quota.Call) *peerpb.BorrowRequest {
+	req := &peerpb.BorrowRequest{From: from.ID, Incarnation: from.Incarnation, LenderIncarnation: c.Lender.Incarnation}
+	for _, w := range c.Wants {
+		req.Wants = append(req.Wants, &peerpb.AccountTokens{Account: w.Account, Tokens: int64(w.Tokens)})
+	}
+	for _, r := range c.Reports {
+		req.Spent = append(req.Spent, &peerpb.AccountTokens{
+			Account: r.Account, Loan: r.Loan, Tokens: int64(r.Spent), Returned: int64(r.Returned), Refunded: int64(r.Refunded),
+		})
+	}
+	return req
+}
+
+// DecodeBorrow returns what a borrower wants and reports. Reports for another
+// incarnation of the lender are left out: its loans are gone.
+func DecodeBorrow(self slots.Member, req *peerpb.BorrowRequest) ([]quota.Want, []quota.Report) {
+	var wants []quota.Want
+	for _, w := range req.GetWants() {
+		wants = append(wants, quota.Want{Account: w.GetAccount(), Tokens: float64(w.GetTokens())})
+	}
+	if req.GetLenderIncarnation() != self.Incarnation {
+		return wants, nil
+	}
+	var reports []quota.Report
+	for _, r := range req.GetSpent() {
+		reports = append(reports, quota.Report{
+			Account: r.GetAccount(), Loan: r.GetLoan(), Spent: float64(max(0, r.GetTokens())),
+			Returned: float64(max(0, r.GetReturned())), Refunded: float64(max(0, r.GetRefunded())),
+		})
+	}
+	return wants, reports
+}
+
+// EncodeLent returns a lender's answer.
+func EncodeLent(self slots.Member, lent []quota.Lent) *peerpb.BorrowResponse {
+	resp := &peerpb.BorrowResponse{Incarnation: self.Incarnation, ValidMs: quota.LoanValid.Milliseconds()}
+	for _, item := range lent {
+		if item.Tokens > 0 {
+			resp.Lent = append(resp.Lent, &peerpb.AccountTokens{Account: item.Account, Tokens: int64(item.Tokens), Loan: item.Loan})
+		}
+	}
+	return resp
+}
+
+// DecodeLent returns what was lent. A lender that has restarted since the call
+// was planned, or that goes by another validity, lends nothing.
+func DecodeLent(c *quota.Call, resp *peerpb.BorrowResponse) []quota.Lent {
+	if resp.GetIncarnation() != c.Lender.Incarnation || resp.GetValidMs() < quota.LoanValid.Milliseconds() {
+		return nil
+	}
+	var lent []quota.Lent
+	for _, item := range resp.GetLent() {
+		lent = append(lent, quota.Lent{Account: item.GetAccount(), Tokens: float64(item.GetTokens()), Loan: item.GetLoan()})
+	}
+	return lent
+}
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -29,6 +29,7 @@
 	peerpb.UnimplementedPeerServer
 	Runner    Runner
 	Exchanger Exchanger
+	Quota     Quota
 }
 
 // Exchange implements peerpb.PeerServer.
