--- a/coordination/quota/borrower.go
+++ b/coordination/quota/borrower.go
@@ -10,8 +10,9 @@
 const (
 	demandHalfLife = time.Second            // of the demand average
 	demandFor      = time.Second            // demand that is borrowed ahead
-	lowWater       = 0.5                    // part of that below which more is borrowed
+	lowWater       = 0.6                    // part of that below which more is borrowed
 	returnBefore   = 600 * time.Millisecond // the end of a loan, when what is left goes back
+	aheadPause     = 400 * time.Millisecond // between calls for tokens that no request waits for
 	askPause       = 250 * time.Millisecond // between rounds for an account for which all lenders were dry
 	leastDemand    = 0.1                    // tokens per second below which an account counts as idle
 )
@@ -32,10 +33,7 @@
 	at time.Time
 }
 
-const (
-	reportPause = 300 * time.Millisecond // reports wait so long for a call that asks for tokens
-	reportFor   = 2 * time.Second
-)
+const reportFor = 2 * time.Second
 
 // answerTimeout is when an account asks again though an answer is open.
 const answerTimeout = time.Second
@@ -112,11 +110,12 @@
 			lenders = append(lenders, holder)
 		}
 	}
+	ahead := l.aheadDue(now)
 	for i := range l.shards {
 		s := &l.shards[i]
 		s.mu.Lock()
 		s.advance(now)
-		s.plan(lenders, calls, now)
+		s.plan(lenders, calls, ahead, now)
 		s.mu.Unlock()
 	}
 	var out []*Call
@@ -128,13 +127,27 @@
 	return out
 }
 
-func (s *shard) plan(lenders []slots.Member, calls map[slots.Member]*Call, now time.Time) {
+// aheadDue tells whether it is time to borrow ahead. All accounts do so at the
+// same time, so that their wants and reports share calls.
+func (l *Ledger) aheadDue(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Before(l.nextAhead) {
+		return false
+	}
+	l.nextAhead = now.Add(aheadPause)
+	return true
+}
+
+func (s *shard) plan(lenders []slots.Member, calls map[slots.Member]*Call, ahead bool, now time.Time) {
 	kept := s.active[:0]
 	for _, a := range s.active {
 		a.mint(now, s.minting)
 		a.dropExpired(now)
-		a.want(lenders, calls, s.minting, now)
-		a.flushReports(calls, now)
+		if ahead || len(a.waiters) > 0 {
+			a.want(lenders, calls, s.minting, now)
+		}
+		a.flushReports(calls, ahead, now)
 		if a.idle() {
 			a.active = false
 			continue
@@ -164,11 +177,13 @@
 	a.borrowings = kept
 }
 
-func (a *account) flushReports(calls map[slots.Member]*Call, now time.Time) {
+// flushReports hands reports to calls that are made anyway, and with due also to
+// calls of their own.
+func (a *account) flushReports(calls map[slots.Member]*Call, due bool, now time.Time) {
 	kept := a.reports[:0]
 	for _, r := range a.reports {
 		c := calls[r.lender]
-		if c != nil && (len(c.Wants) > 0 || now.Sub(r.at) >= reportPause) {
+		if c != nil && (due || len(c.Wants) > 0) {
 			c.Reports = append(c.Reports, r.Report)
 			continue
 		}
@@ -299,15 +314,13 @@
 				a.report(b.lender, Report{Loan: b.loan, Returned: b.tokens}, now)
 			}
 			a.borrowings = nil
-			for n := range a.reports {
-				r := &a.reports[n]
-				r.at = time.Time{} // not to wait any longer
+			for _, r := range a.reports {
 				if calls[r.lender] == nil {
 					calls[r.lender] = &Call{Lender: r.lender, asked: now}
 					out = append(out, calls[r.lender])
 				}
 			}
-			a.flushReports(calls, now)
+			a.flushReports(calls, true, now)
 		}
 		s.mu.Unlock()
 	}
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -42,11 +42,12 @@
 	shards [shardCount]shard
 	wanted chan struct{} // signalled when a request waits
 
-	mu     sync.Mutex
-	epochs map[int]uint64    // latest epoch held, by slot
-	from   map[int]time.Time // when that epoch begins to mint
-	fleet  *service.Fleet
-	docs   map[string]*service.Account
+	mu        sync.Mutex
+	nextAhead time.Time         // when tokens are next borrowed ahead of need
+	epochs    map[int]uint64    // latest epoch held, by slot
+	from      map[int]time.Time // when that epoch begins to mint
+	fleet     *service.Fleet
+	docs      map[string]*service.Account
 }
 
 // shard holds a part of the accounts and its own copy of the slots held, so that
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -25,7 +25,9 @@
 
 // All returns every experiment in the order of the page.
 func All() []Experiment {
-	return nil
+	return []Experiment{
+		{Name: "quota", Title: "Fair share: rate and burst across the fleet", Run: quotaExperiment},
+	}
 }
 
 // WriteMarkdown writes the outcome as a section of the page.
--- /dev/null
+++ b/experiment/quota_policies.go
@@ -0,0 +1,198 @@
+package experiment
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/basilroute/basilroute/coordination/quota"
+	"github.com/basilroute/basilroute/coordination/slots"
+)
+
+// loanPolicy runs the product's ledgers.
+type loanPolicy struct {
+	ledgers []*quota.Ledger
+	busy    []map[int]bool
+	waiting []*loanWait
+}
+
+type loanWait struct {
+	request *quotaRequest
+	waiter  *quota.Waiter
+}
+
+const (
+	lendTick    = 50 * time.Millisecond
+	lendTimeout = 500 * time.Millisecond
+)
+
+var quotaEpoch = time.Unix(1_000_000, 0)
+
+func (w *quotaWorld) clock() time.Time { return quotaEpoch.Add(w.now) }
+
+func newLoanPolicy(w *quotaWorld) quotaPolicy {
+	p := &loanPolicy{}
+	perDomain := quotaInstances / quotaDomains
+	for instance := range quotaInstances {
+		l := quota.New(quotaDomain(quotaDomainOf(instance)))
+		l.Update(w.docs, w.fleet, 1, w.clock())
+		var held []slots.Held
+		for slot := range quotaSlots {
+			if slot%perDomain == instance%perDomain {
+				held = append(held, slots.Held{Slot: slot, Epoch: 1, Until: w.clock().Add(time.Hour)})
+			}
+		}
+		l.SetHeld(held, w.clock())
+		p.ledgers = append(p.ledgers, l)
+		p.busy = append(p.busy, make(map[int]bool))
+	}
+	return p
+}
+
+func loanMember(instance int) slots.Member { return slots.Member{ID: fmt.Sprint(instance)} }
+
+func (p *loanPolicy) request(w *quotaWorld, r *quotaRequest) {
+	name := w.docs[r.account].Name
+	if c, ok := p.ledgers[r.instance].Admit(name, r.cost, w.clock()); ok {
+		p.admit(w, r, c)
+		return
+	}
+	waiter := p.ledgers[r.instance].Wait(name, r.cost, quotaMaxWait, w.clock())
+	p.waiting = append(p.waiting, &loanWait{r, waiter})
+	p.poll(w)
+}
+
+func (p *loanPolicy) admit(w *quotaWorld, r *quotaRequest, c quota.Charge) {
+	w.admit(r)
+	w.after(quotaLength, func() { p.ledgers[r.instance].Settle(c, r.used, w.clock()) })
+}
+
+func (p *loanPolicy) poll(w *quotaWorld) {
+	kept := p.waiting[:0]
+	for _, x := range p.waiting {
+		select {
+		case v := <-x.waiter.Done:
+			if v.OK {
+				p.admit(w, x.request, v.Charge)
+			} else {
+				w.refuse(x.request)
+			}
+		default:
+			kept = append(kept, x)
+		}
+	}
+	p.waiting = kept
+}
+
+func (p *loanPolicy) step(w *quotaWorld) {
+	for instance, l := range p.ledgers {
+		wanted := false
+		select {
+		case <-l.Wanted():
+			wanted = true
+		default:
+		}
+		tick := w.now%lendTick == 0
+		if tick {
+			l.Tick(lendTick, w.clock())
+		}
+		if tick || wanted {
+			p.borrow(w, instance)
+		}
+	}
+	p.poll(w)
+}
+
+// borrow asks the own domain first, then the own region, then the others.
+func (p *loanPolicy) borrow(w *quotaWorld, instance int) {
+	var lenders []slots.Member
+	index := make(map[slots.Member]int)
+	for distance := range 3 {
+		for other := range quotaInstances {
+			if other != instance && loanDistance(instance, other) == distance && !p.busy[instance][other] && w.reachable(instance, other) {
+				lenders = append(lenders, loanMember(other))
+				index[loanMember(other)] = other
+			}
+		}
+	}
+	for _, c := range p.ledgers[instance].Plan(lenders, w.clock()) {
+		p.call(w, instance, index[c.Lender], c)
+	}
+}
+
+func loanDistance(a, b int) int {
+	switch {
+	case quotaDomainOf(a) == quotaDomainOf(b):
+		return 0
+	case quotaRegionOf(a) == quotaRegionOf(b):
+		return 1
+	}
+	return 2
+}
+
+func (p *loanPolicy) call(w *quotaWorld, from, to int, c *quota.Call) {
+	p.busy[from][to] = true
+	answered := false
+	answer := func(lent []quota.Lent) {
+		if !answered {
+			answered = true
+			delete(p.busy[from], to)
+			p.ledgers[from].Answered(c, lent, w.clock())
+		}
+	}
+	w.after(lendTimeout, func() { answer(nil) })
+	w.send(from, to, func() {
+		lent := p.ledgers[to].Lend(c.Wants, c.Reports, w.clock())
+		w.send(to, from, func() { answer(lent) })
+	})
+}
+
+// splitPolicy gives each instance an even part. It is a baseline.
+type splitPolicy struct {
+	parts [quotaInstances][quotaAccounts]meter
+}
+
+func newSplitPolicy(*quotaWorld) quotaPolicy { return &splitPolicy{} }
+
+func (p *splitPolicy) request(w *quotaWorld, r *quotaRequest) {
+	part := &p.parts[r.instance][r.account]
+	if !part.take(r.cost, quotaRate/quotaInstances, quotaBurst/quotaInstances, w.now) {
+		w.refuse(r)
+		return
+	}
+	w.admit(r)
+	w.after(quotaLength, func() {
+		part.tokens = min(quotaBurst/quotaInstances, part.tokens+r.cost-r.used)
+	})
+}
+
+func (p *splitPolicy) step(*quotaWorld) {}
+
+// ownerPolicy asks one instance an account for every request. It is a baseline.
+type ownerPolicy struct{ accounts [quotaAccounts]meter }
+
+func newOwnerPolicy(*quotaWorld) quotaPolicy { return &ownerPolicy{} }
+
+func (p *ownerPolicy) request(w *quotaWorld, r *quotaRequest) {
+	owner := r.account * 7 % quotaInstances
+	if !w.reachable(r.instance, owner) {
+		w.refuse(r)
+		return
+	}
+	w.send(r.instance, owner, func() {
+		ok := p.accounts[r.account].take(r.cost, quotaRate, quotaBurst, w.now)
+		if ok {
+			w.after(quotaLength, func() {
+				p.accounts[r.account].tokens = min(quotaBurst, p.accounts[r.account].tokens+r.cost-r.used)
+			})
+		}
+		w.send(owner, r.instance, func() {
+			if ok {
+				w.admit(r)
+			} else {
+				w.refuse(r)
+			}
+		})
+	})
+}
+
+func (p *ownerPolicy) step(*quotaWorld) {}
