Tell a slot's own write from another's by writer and nonce

The property test found two holders: a member had tried to take a slot after its lapse when the former holder handed it the slot with the same holder, epoch, number and list. It took the other's write for its own and counted the lease from its later try. A record now names its writer and the writer's nonce.

--- a/coordination/quota/bound_test.go
+++ b/coordination/quota/bound_test.go
@@ -123,7 +123,9 @@
 // the document and such loans have expired.
 func TestGrownShareWaits(t *testing.T) {
 	l, now := fullHolder()
-	shares := func(d0, d1 int64) *service.Account { return acme(testRate, testBurst, map[string]int64{"d0": d0, "d1": d1}) }
+	shares := func(d0, d1 int64) *service.Account {
+		return acme(testRate, testBurst, map[string]int64{"d0": d0, "d1": d1})
+	}
 	l.Update([]*service.Account{shares(1, 9)}, oneSlot, 2, now)
 	within(t, l.Available("acme", now), testBurst/10)
 	l.Update([]*service.Account{shares(1, 1)}, oneSlot, 3, now)
--- a/coordination/quota/documents.go
+++ b/coordination/quota/documents.go
@@ -11,6 +11,9 @@
 func (l *Ledger) Update(accounts []*service.Account, fleet *service.Fleet, revision int64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if fleet == nil {
+		return // without it no share is known, and the first one need not wait
+	}
 	newFleet := fleet != l.fleet
 	l.fleet = fleet
 	seen := make(map[string]bool, len(accounts))
--- a/coordination/slots/holder.go
+++ b/coordination/slots/holder.go
@@ -72,7 +72,7 @@
 	}
 	age := now.Sub(s.held.asked)
 	list := m.desiredList(s, s.held.Record.List, m.self)
-	newList := !slices.Equal(list, s.held.Record.List) && age >= listPause
+	newList := !slices.Equal(list, s.held.Record.List) && age >= listPause(len(list), len(s.held.Record.List))
 	if age >= s.held.Record.lease()/renewalsPerLease || newList {
 		r := m.record(s, list)
 		r.Epoch = s.held.Record.Epoch
@@ -80,6 +80,16 @@
 	}
 }
 
+// listPause is how old a version is before it is replaced only to bring a new
+// list. A holder that crashes with too short a list leaves its slot to the lapse,
+// so a longer list is written soon.
+func listPause(length, present int) time.Duration {
+	if length > present {
+		return longerListPause
+	}
+	return otherListPause
+}
+
 // giveUp stops minting before it writes: whoever the write hands the slot to may
 // begin as soon as it stands, also when this instance never hears so.
 func (m *Machine) giveUp(s *slot, r Record, now time.Time, out *Actions) {
@@ -96,6 +106,9 @@
 // handoverTo returns a live instance without a slot, when this one has several
 // and this slot is the last of them.
 func (m *Machine) handoverTo(s *slot, now time.Time) (Member, bool) {
+	if s.held.Record.Epoch > 1 && now.Sub(s.heldFrom) < takenGrace {
+		return Member{}, false
+	}
 	count, last := 0, -1
 	holders := make(map[Member]bool)
 	for _, other := range m.slots {
--- a/coordination/slots/machine.go
+++ b/coordination/slots/machine.go
@@ -18,13 +18,14 @@
 
 // Parts of the lease and other times.
 const (
-	renewalsPerLease  = 3
-	promisesPerValid  = 3
-	retryPause        = 500 * time.Millisecond // after a write whose outcome is open, and between asks for consent
-	listPause         = time.Second            // between renewals that only bring a new list
-	secondSlotGrace   = time.Second            // a free slot is left so long to instances that hold none
-	handoverGrace     = 2 * time.Second        // an instance is known so long before it is handed a slot
-	minRenewalSpacing = 100 * time.Millisecond
+	renewalsPerLease = 3
+	promisesPerValid = 3
+	retryPause       = 500 * time.Millisecond // after a write whose outcome is open, and between asks for consent
+	otherListPause   = time.Second            // between renewals that only bring another list
+	longerListPause  = 200 * time.Millisecond // between renewals that bring a longer one
+	secondSlotGrace  = time.Second            // a free slot is left so long to instances that hold none
+	takenGrace       = 5 * time.Second        // a slot taken from another is kept so long: the other may still look alive
+	handoverGrace    = 2 * time.Second        // an instance is known so long before it is handed a slot
 )
 
 // Entry is a slot's key as read from the store.
@@ -82,6 +83,7 @@
 	slots    []*slot
 	live     map[Member]time.Time // live peers of the domain, since when
 	leaving  bool
+	nonce    uint64 // of the last write
 }
 
 // slot is what one instance knows of one slot.
@@ -94,6 +96,7 @@
 	regressedAt time.Time // when the store was first seen to be older; zero when it is not
 
 	held     *holding
+	heldFrom time.Time // since when this epoch is held
 	pending  *pendingWrite
 	promised map[promiseKey]time.Time // fresh until
 	lastAsk  time.Time                // for promises or consents
@@ -233,7 +236,7 @@
 	if !s.read || e.Revision != s.seen.Revision {
 		s.read, s.seen, s.seenAt = true, e, now
 	}
-	s.settle(self, e)
+	s.settle(self, e, now)
 }
 
 // observeOlder is for an answer that is older than what is known: a late one, or
@@ -252,11 +255,11 @@
 
 // settle compares the store's version with the own write that is open and with
 // what is held.
-func (s *slot) settle(self Member, e Entry) {
+func (s *slot) settle(self Member, e Entry, now time.Time) {
 	if p := s.pending; p != nil && !p.inFlight && e.Record.Seq >= p.Record.Seq {
 		s.pending = nil
 		if mine(e.Record, p.Record) {
-			s.accept(self, e, p.asked)
+			s.accept(self, e, p.asked, now)
 			return
 		}
 	}
@@ -269,21 +272,22 @@
 	s.lose()
 }
 
-// mine tells whether a version is the one that this instance tried to write. A
-// version number is used again only by the one who failed to write it, so holder,
-// epoch and number suffice, but for two takers or a taker and the holder: these
-// differ in holder or epoch.
+// mine tells whether a version is the write that this instance tried. Holder and
+// list do not suffice: the former holder may have handed the slot over with the
+// same content and earlier, and the lease counts from the own write.
 func mine(have, tried Record) bool {
-	return have.Seq == tried.Seq && have.Epoch == tried.Epoch && have.Holder == tried.Holder &&
-		have.Released == tried.Released && slices.Equal(have.List, tried.List)
+	return have.Writer == tried.Writer && have.Nonce == tried.Nonce
 }
 
-func (s *slot) accept(self Member, e Entry, asked time.Time) {
+func (s *slot) accept(self Member, e Entry, asked, now time.Time) {
 	s.read, s.seen = true, e
 	if e.Record.Holder != self || e.Record.Released || s.givenUp {
 		s.lose()
 		return
 	}
+	if s.held == nil || s.held.Record.Epoch != e.Record.Epoch {
+		s.heldFrom = now
+	}
 	s.held = &holding{Entry: e, asked: asked}
 	for key := range s.promised {
 		if key.seq < e.Record.Seq {
@@ -311,7 +315,7 @@
 	case Written:
 		s.pending = nil
 		s.seenAt = now
-		s.accept(m.self, Entry{Revision: revision, Record: w.Record}, p.asked)
+		s.accept(m.self, Entry{Revision: revision, Record: w.Record}, p.asked, now)
 	case Conflict:
 		// The next read settles whether an earlier try of this write stands.
 	case Unknown:
--- a/coordination/slots/record.go
+++ b/coordination/slots/record.go
@@ -37,8 +37,10 @@
 	Released  bool     `json:"released,omitempty"` // free for anyone to take
 	Epoch     uint64   `json:"epoch"`              // rises with each change of the holder
 	Seq       uint64   `json:"seq"`                // rises with each write
-	List      []Member `json:"list"`               // peers that the holder asks for promises
-	Promises  int      `json:"promises"`           // of the list that the holder needs without the store
+	Writer    Member   `json:"writer"`
+	Nonce     uint64   `json:"nonce"`    // of the writer's own; tells its writes apart
+	List      []Member `json:"list"`     // peers that the holder asks for promises
+	Promises  int      `json:"promises"` // of the list that the holder needs without the store
 	LeaseMs   int64    `json:"lease_ms"`
 	ReleaseMs int64    `json:"release_ms"` // after the lease, when anyone may take the slot
 }
--- a/coordination/slots/taker.go
+++ b/coordination/slots/taker.go
@@ -44,6 +44,8 @@
 }
 
 func (m *Machine) write(s *slot, r Record, now time.Time, out *Actions) {
+	m.nonce++
+	r.Writer, r.Nonce = m.self, m.nonce
 	w := Write{Slot: s.index, Record: r, Expect: s.seen.Revision}
 	s.pending = &pendingWrite{Write: w, asked: now, tried: now, inFlight: true}
 	out.Writes = append(out.Writes, w)
--- a/instance/quota.go
+++ b/instance/quota.go
@@ -18,6 +18,7 @@
 
 const (
 	lendEvery     = 50 * time.Millisecond
+	lendersEvery  = 200 * time.Millisecond // the members are looked through
 	borrowTimeout = 500 * time.Millisecond
 	returnTimeout = time.Second
 	affordWait    = 300 * time.Millisecond
@@ -62,15 +63,20 @@
 	ticker := time.NewTicker(lendEvery)
 	defer ticker.Stop()
 	known := int64(-1)
-	last := time.Now()
+	last, looked := time.Now(), time.Time{}
+	var lenders []lender
 	for ctx.Err() == nil {
 		now := time.Now()
+		if now.Sub(looked) >= lendersEvery {
+			looked, lenders = now, i.lenders(now)
+			i.ledger.Acknowledged(i.acknowledged(now), now)
+		}
 		if now.Sub(last) >= lendEvery/2 {
 			known = i.updateLedger(known, now)
 			i.ledger.Tick(now.Sub(last), now)
 			last = now
 		}
-		i.borrow(ctx, open, &running, now)
+		i.borrow(ctx, lenders, open, &running, now)
 		select {
 		case <-ticker.C:
 		case <-i.ledger.Wanted():
@@ -79,25 +85,29 @@
 	}
 }
 
-// updateLedger hands the documents to the ledger when they have changed, and says
-// up to which revision every known instance goes by them.
+// updateLedger hands the documents to the ledger when they have changed.
 func (i *Instance) updateLedger(known int64, now time.Time) int64 {
 	revision := i.config.Revision()
 	if revision != known {
 		i.ledger.Update(i.catalog.Accounts(), i.catalog.Fleet(), revision, now)
 	}
-	acknowledged := revision
+	return revision
+}
+
+// acknowledged returns up to which revision every instance goes by the documents
+// that is reachable, or that holds a slot as last read and so may mint unseen.
+func (i *Instance) acknowledged(now time.Time) int64 {
+	oldest, holders := i.config.Revision(), i.slots.holders()
 	for _, m := range i.members.Members(now) {
-		if m.Entry.GetId() != i.settings.ID {
-			acknowledged = min(acknowledged, m.Entry.GetConfigRevision())
+		member := slots.Member{ID: m.Entry.GetId(), Incarnation: m.Entry.GetIncarnation()}
+		if m.Entry.GetId() != i.settings.ID && (m.Reachable || holders[member]) {
+			oldest = min(oldest, m.Entry.GetConfigRevision())
 		}
 	}
-	i.ledger.Acknowledged(acknowledged, now)
-	return revision
+	return oldest
 }
 
-func (i *Instance) borrow(ctx context.Context, open *calls, running *sync.WaitGroup, now time.Time) {
-	lenders := i.lenders(now)
+func (i *Instance) borrow(ctx context.Context, lenders []lender, open *calls, running *sync.WaitGroup, now time.Time) {
 	addresses := make(map[slots.Member]string, len(lenders))
 	var free []slots.Member
 	for _, l := range lenders {
@@ -198,3 +208,6 @@
 	}
 	return ok
 }
+
+// Minting returns how many slots this instance mints for.
+func (i *Instance) Minting() int { return i.ledger.Minting(time.Now()) }
--- a/instance/slots.go
+++ b/instance/slots.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/basilroute/basilroute/coordination/quota"
 	"github.com/basilroute/basilroute/coordination/slots"
 	"github.com/basilroute/basilroute/protocol/peerpb"
 	"github.com/basilroute/basilroute/service"
@@ -31,6 +32,7 @@
 
 	mu       sync.Mutex
 	settings slots.Settings
+	growFrom time.Time             // when a larger number of slots is in force; zero when none waits
 	known    map[slots.Member]bool // holders of slots of all domains
 	running  sync.WaitGroup
 }
@@ -46,12 +48,21 @@
 	return k.known
 }
 
-func (k *slotKeeper) configure(s service.Slots) {
+// configure takes in the fleet document. More slots than before come only when
+// every instance goes by the document (acknowledged) and earlier loans have
+// expired: an instance that still splits its domain's part over fewer slots would
+// mint too much beside them.
+func (k *slotKeeper) configure(s service.Slots, acknowledged bool, now time.Time) {
 	next := slots.Settings{
 		Slots: int(s.PerDomain), Lease: s.Lease, Promise: s.Promise,
 		Peers: int(s.Peers), Promises: int(s.Promises), Release: s.Release,
 	}
 	k.mu.Lock()
+	if next.Slots > k.settings.Slots && k.settings.Slots > 0 {
+		next.Slots = k.growSlots(next.Slots, acknowledged, now)
+	} else {
+		k.growFrom = time.Time{}
+	}
 	changed := next != k.settings
 	k.settings = next
 	k.mu.Unlock()
@@ -60,6 +71,20 @@
 	}
 }
 
+func (k *slotKeeper) growSlots(count int, acknowledged bool, now time.Time) int {
+	if !acknowledged {
+		k.growFrom = time.Time{}
+		return k.settings.Slots
+	}
+	if k.growFrom.IsZero() {
+		k.growFrom = quota.LentUntil(now)
+	}
+	if now.Before(k.growFrom) {
+		return k.settings.Slots
+	}
+	return count
+}
+
 func (i *Instance) member() slots.Member {
 	self := i.members.Self()
 	return slots.Member{ID: self.GetId(), Incarnation: self.GetIncarnation()}
@@ -73,8 +98,9 @@
 		if fleet == nil {
 			return
 		}
-		i.slots.configure(fleet.Slots)
 		now := time.Now()
+		revision := i.config.Revision()
+		i.slots.configure(fleet.Slots, i.acknowledged(now) >= revision, now)
 		i.slots.machine.SetLive(i.liveInDomain(now), now)
 		actions := i.slots.machine.Step(now)
 		for _, w := range actions.Writes {
--- a/instance/status.go
+++ b/instance/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/basilroute/basilroute/coordination/slots"
 	"github.com/basilroute/basilroute/protocol/operatorapi"
 	"github.com/basilroute/basilroute/service"
 	"github.com/basilroute/basilroute/state/servers"
@@ -46,6 +47,8 @@
 	Services  []*service.Service  `json:"services"`
 	Accounts  int                 `json:"accounts"`
 	Withdrawn int                 `json:"withdrawn_keys"`
+	Slots     []slots.Record      `json:"slots"` // of the own failure domain, as last read
+	Minting   int                 `json:"minting_slots"`
 }
 
 // Dump implements operator.Instance.
@@ -53,5 +56,6 @@
 	return Dump{
 		Status: i.Status(), Servers: i.servers.All(), InFlight: i.requests.Count(), Forwarded: i.forwarded.Count(),
 		Services: i.catalog.Services(), Accounts: len(i.catalog.Accounts()), Withdrawn: len(i.catalog.Withdrawn()),
+		Slots: i.slots.machine.Records(), Minting: i.Minting(),
 	}
 }
