--- a/instance/domains.go
+++ b/instance/domains.go
@@ -44,6 +44,29 @@
 	return d
 }
 
+// peersBeside returns the addresses of the reachable peers in the failure domain
+// of the peer at an address, that one last.
+func (i *Instance) peersBeside(address string) []string {
+	members := i.members.Members(time.Now())
+	domain := ""
+	for _, m := range members {
+		if m.Entry.GetPeerAddress() == address {
+			domain = m.Entry.GetDomain()
+		}
+	}
+	var beside, last []string
+	for _, m := range members {
+		switch {
+		case domain == "" || m.Entry.GetDomain() != domain:
+		case m.Entry.GetPeerAddress() == address:
+			last = append(last, address)
+		case m.Reachable && !m.Leaving():
+			beside = append(beside, m.Entry.GetPeerAddress())
+		}
+	}
+	return append(beside, last...)
+}
+
 // Serves tells whether some failure domain has a usable server of the service.
 func (i *Instance) Serves(name string) bool {
 	for _, d := range i.Domains(name) {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -21,12 +21,14 @@
 	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/coordination/quota"
 	"github.com/basilroute/basilroute/coordination/retry"
+	"github.com/basilroute/basilroute/coordination/via"
 	"github.com/basilroute/basilroute/protocol/peerpb"
 	"github.com/basilroute/basilroute/protocol/refusal"
 	"github.com/basilroute/basilroute/state/catalog"
 	"github.com/basilroute/basilroute/state/requests"
 	"github.com/basilroute/basilroute/state/servers"
 	"github.com/basilroute/basilroute/transport/backend"
+	"github.com/basilroute/basilroute/transport/claim"
 	"github.com/basilroute/basilroute/transport/dispatch"
 	"github.com/basilroute/basilroute/transport/gateway"
 	"github.com/basilroute/basilroute/transport/operator"
@@ -55,17 +57,19 @@
 	pool     *peer.Pool
 	local    *dispatch.Local
 	front    *dispatch.Front
+	claims   *claim.Claimer
 
 	callers, operators *http.Server
 	peers              *grpc.Server
 	listeners          listeners
 
-	ready     atomic.Bool
-	storeSeen atomic.Bool // the last call of the store succeeded
-	storeRead atomic.Bool // the documents were listed once; a watch goes on from there
-	loops     sync.WaitGroup
-	stopLoops context.CancelFunc
-	failed    chan error // a listener that ended unasked
+	ready      atomic.Bool
+	storeSeen  atomic.Bool // the last call of the store succeeded
+	storeRead  atomic.Bool // the documents were listed once; a watch goes on from there
+	loops      sync.WaitGroup
+	background context.Context // of everything that runs until Kill
+	stopLoops  context.CancelFunc
+	failed     chan error // a listener that ended unasked
 }
 
 type listeners struct{ callers, peers, operators net.Listener }
@@ -87,6 +91,7 @@
 		failed:     make(chan error, 3),
 	}
 	i.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	i.background, i.stopLoops = context.WithCancel(context.Background())
 	i.config = configwatch.New(i.catalog)
 	i.catalog.OnWithdraw(i.requests.Withdraw)
 	i.catalog.OnWithdraw(i.forwarded.Withdraw)
@@ -152,11 +157,13 @@
 	if err != nil {
 		return err
 	}
+	i.claims = claim.New(i.background, i.platform, i.settings.ID, i.log)
 	i.pool = peer.NewPool(insecure.NewCredentials())
-	i.local = &dispatch.Local{Catalog: i.catalog, Servers: i.servers, Backend: i.backend, Quarantine: i.quarantine}
+	i.local = &dispatch.Local{Catalog: i.catalog, Servers: i.servers, Backend: i.backend, Quarantine: i.quarantine, Claims: i.claims}
+	forwarder := &dispatch.Resumer{Next: i.pool, Peers: i.peersBeside}
 	i.front = &dispatch.Front{
 		Region: i.settings.Region, Domain: i.settings.Domain, Catalog: i.catalog, Ledger: i.ledger,
-		Retries: i.retries, Quarantine: i.quarantine, Known: i, Local: i.local, Forwarder: i.pool, Log: i.log,
+		Retries: i.retries, Quarantine: i.quarantine, Known: i, Local: i.local, Forwarder: forwarder, Log: i.log,
 	}
 	return i.wireServers()
 }
@@ -166,6 +173,7 @@
 func (i *Instance) wireServers() error {
 	callers, err := (&gateway.Gateway{
 		Catalog: i.catalog, Requests: i.requests, Runner: i.front, Entry: i, Ready: i.Ready,
+		Via: via.NewSigner(i.settings.viaSecret()),
 	}).Handler()
 	if err != nil {
 		return err
@@ -182,20 +190,18 @@
 	}
 	i.callers = &http.Server{Handler: callers, ReadHeaderTimeout: headerTimeout}
 	i.operators = &http.Server{Handler: operators, ReadHeaderTimeout: headerTimeout}
-	i.peers = grpc.NewServer(grpc.Creds(insecure.NewCredentials()))
+	i.peers = grpc.NewServer(append(peer.ServerOptions(), grpc.Creds(insecure.NewCredentials()))...)
 	peerpb.RegisterPeerServer(i.peers, &peer.Server{Runner: i, Exchanger: i})
 	return nil
 }
 
 // Start serves and runs the loops until Stop or Kill.
 func (i *Instance) Start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	i.stopLoops = cancel
 	go i.serve(func() error { return i.callers.Serve(i.listeners.callers) })
 	go i.serve(func() error { return i.operators.Serve(i.listeners.operators) })
 	go i.serve(func() error { return i.peers.Serve(i.listeners.peers) })
 	for _, loop := range []func(context.Context){i.watchConfig, i.watchList, i.pollServers, i.exchange, i.shareQuotaLoop} {
-		i.loops.Go(func() { loop(ctx) })
+		i.loops.Go(func() { loop(i.background) })
 	}
 	i.log.Info("instance started", "region", i.settings.Region, "domain", i.settings.Domain,
 		"callers", i.listeners.callers.Addr().String(), "peers", i.listeners.peers.Addr().String())
@@ -218,6 +224,7 @@
 	_ = i.operators.Close()
 	i.peers.Stop()
 	i.loops.Wait()
+	i.claims.Wait()
 	i.pool.Close()
 	i.backend.Close()
 }
@@ -235,6 +242,11 @@
 	return i.local.Run(ctx, w, sink)
 }
 
+// CancelForwarded implements peer.Runner.
+func (i *Instance) CancelForwarded(service, server, requestID string) {
+	i.local.Cancel(service, server, requestID)
+}
+
 // Ready tells whether the instance has a configuration to serve callers with.
 func (i *Instance) Ready() bool { return i.ready.Load() }
 
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -3,6 +3,8 @@
 package instance
 
 import (
+	"crypto/hmac"
+	"crypto/sha256"
 	"encoding/hex"
 	"net"
 	"net/url"
@@ -23,6 +25,7 @@
 	Log      Log      `yaml:"log"`
 	Links    Links    `yaml:"links"`
 	Stop     Stop     `yaml:"stop"`
+	Via      Via      `yaml:"via"`
 }
 
 // Listener is an address that the instance serves.
@@ -71,6 +74,30 @@
 	Limit time.Duration `yaml:"limit"` // requests in flight are cut after it; none when 0
 }
 
+// Via sets the signing of via tokens, which keep requests from looping between
+// services. Every instance of the fleet needs the same secret.
+type Via struct {
+	Secret string `yaml:"secret"` // at least 32 characters; derived from operator.token_sha256 when empty
+}
+
+const minViaSecret = 32
+
+func checkVia(r *yamldoc.Report, v Via) {
+	if v.Secret != "" && len(v.Secret) < minViaSecret {
+		r.Addf("via.secret", "want at least %d characters, have %d", minViaSecret, len(v.Secret))
+	}
+}
+
+// viaSecret returns the secret that signs via tokens.
+func (s *Settings) viaSecret() []byte {
+	if s.Via.Secret != "" {
+		return []byte(s.Via.Secret)
+	}
+	mac := hmac.New(sha256.New, []byte(s.Operator.TokenSHA256))
+	mac.Write([]byte("via"))
+	return mac.Sum(nil)
+}
+
 // DefaultSettings are the settings before the file is read.
 func DefaultSettings() Settings {
 	return Settings{
@@ -96,6 +123,7 @@
 	if u, err := url.Parse(s.Platform.URL); err != nil || u.Host == "" {
 		r.Addf("platform.url", "want a URL such as http://192.0.2.1:7000, have %q", s.Platform.URL)
 	}
+	checkVia(r, s.Via)
 	positive(r, "platform.call_timeout", s.Platform.CallTimeout)
 	if s.Platform.CallRate <= 0 || s.Platform.CallBurst <= 0 {
 		r.Addf("platform.call_rate", "call_rate and call_burst have to be above 0")
--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -31,6 +31,8 @@
 	RequestIDHeader = "X-Request-Id"
 	accountHeader   = "X-Account"
 	viaHeader       = "X-Via"
+	keyHeader       = "Idempotency-Key"
+	maxErrorBytes   = 64 << 10
 )
 
 // Client is safe for concurrent use.
@@ -41,21 +43,29 @@
 // New returns a client with its own connections.
 func New() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: idlePerHost,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-	}}}
+	return &Client{http: &http.Client{
+		CheckRedirect: noRedirect,
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: idlePerHost,
+			IdleConnTimeout:     30 * time.Second,
+			DisableCompression:  true,
+		},
+	}}
 }
 
+// noRedirect hands a redirect back as the answer. Following it would send the
+// request a second time, and its data to a server that routing did not choose.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Close ends idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 // once hides the body's type from net/http, so that it cannot rewind the body
-// and send the request again. Symptom without it: a purchase order runs twice
-// when the server resets a kept-alive connection after reading it. It suffices
-// because net/http resends only requests without a body or with GetBody set.
+// and send the request again. Symptom without it: a purchase order with an
+// idempotency key runs twice when the server resets a kept-alive connection
+// after reading it. It suffices because net/http resends only requests without
+// a body or with GetBody set.
 type once struct{ io.Reader }
 
 func post(ctx context.Context, url string, body []byte) (*http.Request, error) {
@@ -85,6 +95,8 @@
 	Account   string
 	Via       string
 	Body      []byte
+
+	IdempotencyKey string // empty for none
 }
 
 // Run sends an operation to a server, once. The error is a *refusal.Refusal.
@@ -98,31 +110,53 @@
 	if op.Via != "" {
 		req.Header.Set(viaHeader, op.Via)
 	}
+	if op.IdempotencyKey != "" {
+		req.Header.Set(keyHeader, op.IdempotencyKey)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, failure(err)
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, answerRefusal(resp)
+	}
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil || len(answer) > maxAnswerBytes {
 		return nil, refusal.New(refusal.CodeBackendFailed, "the answer was cut").WithRun(refusal.Ran)
 	}
-	if resp.StatusCode != http.StatusOK {
-		return nil, answerRefusal(resp.StatusCode)
-	}
 	return answer, nil
 }
 
-// answerRefusal is what an error status of a backend server becomes. 503 says
-// that the server did not begin; any other status says that it did.
-func answerRefusal(status int) *refusal.Refusal {
-	switch status {
-	case http.StatusServiceUnavailable:
+// answerRefusal is what an error status of a backend server becomes. Only an
+// error code of the server's API proves that it did not begin: a bare 503 may
+// come from something in between, after the server began.
+func answerRefusal(resp *http.Response) *refusal.Refusal {
+	if didNotBegin(resp) {
 		return refusal.New(refusal.CodeBackendFailed, "the backend server takes no work")
+	}
+	switch resp.StatusCode {
 	case http.StatusBadRequest, http.StatusUnprocessableEntity:
-		return refusal.New(refusal.CodeInvalid, "the backend server refused the body").WithRun(refusal.Ran)
+		return refusal.New(refusal.CodeInvalid, "the backend server refused the body").WithRun(refusal.Unknown)
+	}
+	return refusal.New(refusal.CodeBackendFailed, "the backend server answered %d", resp.StatusCode).WithRun(refusal.Unknown)
+}
+
+// didNotBegin reads the code that engine.yaml and plain.yaml give to a request
+// that was not begun.
+func didNotBegin(resp *http.Response) bool {
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		return false
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	if err != nil {
+		return false
+	}
+	var refused engineapi.Error
+	if err := refused.UnmarshalJSON(data); err != nil {
+		return false
 	}
-	return refusal.New(refusal.CodeBackendFailed, "the backend server answered %d", status).WithRun(refusal.Unknown)
+	return refused.Code == engineapi.ErrorCodeLeaving || refused.Code == engineapi.ErrorCodeOverloaded
 }
 
 // EngineLoad asks an engine for its load.
--- a/transport/backend/stream.go
+++ b/transport/backend/stream.go
@@ -77,8 +77,8 @@
 		return nil, failure(err)
 	}
 	if resp.StatusCode != http.StatusOK {
-		_ = resp.Body.Close()
-		return nil, answerRefusal(resp.StatusCode)
+		defer resp.Body.Close()
+		return nil, answerRefusal(resp)
 	}
 	return resp, nil
 }
@@ -106,6 +106,9 @@
 		case f.Seq > *next:
 			return refusal.New(refusal.CodeBackendFailed, "frames are missing").WithRun(refusal.Unknown)
 		}
+		if f.Finish == frame.FinishCancelled {
+			return refusal.New(refusal.CodeIncomplete, "the generation was cancelled on its engine").WithRun(refusal.Ran)
+		}
 		*next++
 		if err := handle(&f); err != nil {
 			return err
--- a/transport/dispatch/local.go
+++ b/transport/dispatch/local.go
@@ -12,6 +12,7 @@
 	"github.com/basilroute/basilroute/state/catalog"
 	"github.com/basilroute/basilroute/state/servers"
 	"github.com/basilroute/basilroute/transport/backend"
+	"github.com/basilroute/basilroute/transport/claim"
 )
 
 const (
@@ -25,6 +26,7 @@
 	Servers    *servers.Table
 	Backend    *backend.Client
 	Quarantine *quarantine.List
+	Claims     *claim.Claimer // of operations that may run at most once
 }
 
 // Run sends the work to one server. The error is a *refusal.Refusal, or the
@@ -47,6 +49,9 @@
 }
 
 func (l *Local) choose(w *Work, svc *service.Service) (servers.Server, *refusal.Refusal) {
+	if server, refused, ok := l.pinned(w); ok {
+		return server, refused
+	}
 	list := l.Servers.Of(w.Service)
 	i := routing.ChooseServer(&routing.Request{Service: svc, Home: w.Home, Hop: w.Hop}, list, newRand())
 	if i < 0 {
--- a/transport/dispatch/stream.go
+++ b/transport/dispatch/stream.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/basilroute/basilroute/protocol/frame"
 	"github.com/basilroute/basilroute/protocol/refusal"
 	"github.com/basilroute/basilroute/service"
@@ -18,6 +20,11 @@
 	resumeBackoff  = 50 * time.Millisecond
 )
 
+// ErrDetached is the cause of a context that ended because the connection to
+// the first instance broke. The generation goes on: the first instance may
+// resume it through another peer, and cancels it itself when it gives up.
+var ErrDetached = errors.New("the connection to the first instance broke")
+
 // generate streams from one engine and resumes there when the connection breaks.
 func (l *Local) generate(ctx context.Context, w *Work, server servers.Server, sink Sink) error {
 	generation := backend.Generation{
@@ -37,19 +44,58 @@
 		}
 		broken := refusal.From(err)
 		if ctx.Err() != nil || broken.Code != refusal.CodeBackendFailed {
-			l.cancel(server, w.RequestID)
+			l.giveUp(ctx, server, w.RequestID)
 			return err
 		}
-		if next == 0 || resumed >= resumeLimit {
+		if next == 0 || resumed >= resumeLimit || !pause(ctx, resumeBackoff) {
 			l.failed(ctx, w, server, err)
+			l.giveUp(ctx, server, w.RequestID)
 			return err
 		}
-		time.Sleep(resumeBackoff)
 	}
 }
 
+// pause waits; it returns false at once when ctx ends.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// giveUp cancels the generation unless the first instance may resume it.
+func (l *Local) giveUp(ctx context.Context, server servers.Server, requestID string) {
+	if errors.Is(context.Cause(ctx), ErrDetached) {
+		return
+	}
+	l.cancel(server, requestID)
+}
+
 func (l *Local) cancel(server servers.Server, requestID string) {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelDeadline)
 	defer cancel()
 	_ = l.Backend.Cancel(ctx, server.Address, requestID) // the engine ends the generation by itself at its limit
 }
+
+// Cancel ends a generation that runs on a server of the own failure domain.
+func (l *Local) Cancel(serviceName, serverID, requestID string) {
+	if server, ok := l.Servers.Find(serviceName, serverID); ok {
+		l.cancel(server, requestID)
+	}
+}
+
+// pinned returns the server on which the work has to be resumed, if it names one.
+func (l *Local) pinned(w *Work) (server servers.Server, refused *refusal.Refusal, ok bool) {
+	if w.Generation == nil || w.Generation.Server == "" {
+		return servers.Server{}, nil, false
+	}
+	server, found := l.Servers.Find(w.Service, w.Generation.Server)
+	if !found {
+		refused = refusal.New(refusal.CodeIncomplete, "the engine of this generation has gone").WithRun(refusal.Ran)
+	}
+	return server, refused, true
+}
--- a/transport/dispatch/work.go
+++ b/transport/dispatch/work.go
@@ -40,8 +40,9 @@
 
 // Operation is work for a plain service.
 type Operation struct {
-	Name string
-	Body []byte
+	Name           string
+	Body           []byte
+	IdempotencyKey string // as the caller sent it; empty for none
 }
 
 // Sink takes an answer. Frames come in order and once each.
--- a/transport/gateway/completions.go
+++ b/transport/gateway/completions.go
@@ -7,6 +7,7 @@
 
 	"github.com/basilroute/basilroute/protocol/frame"
 	"github.com/basilroute/basilroute/protocol/gatewayapi"
+	"github.com/basilroute/basilroute/protocol/refusal"
 	"github.com/basilroute/basilroute/service"
 	"github.com/basilroute/basilroute/transport/dispatch"
 )
@@ -41,6 +42,18 @@
 	return nil
 }
 
+// Whole tells whether the answer has its end.
+func (s *wholeSink) Whole() bool { return s.body != nil || s.last.Finish != "" }
+
+// whole refuses an answer that ended without an error and without its end, so
+// that a fault on the way never looks like a short answer.
+func whole(sink dispatch.Sink) error {
+	if s, ok := sink.(interface{ Whole() bool }); ok && !s.Whole() {
+		return refusal.New(refusal.CodeIncomplete, "the answer is not whole").WithRun(refusal.Ran)
+	}
+	return nil
+}
+
 func (s *wholeSink) usage() gatewayapi.Usage {
 	return gatewayapi.Usage{
 		PromptTokens: s.last.PromptTokens, CompletionTokens: s.out,
@@ -66,7 +79,10 @@
 	if err != nil {
 		return nil, err
 	}
-	work := g.newWork(ctx, svc, classOf(class), via)
+	work, err := g.newWork(ctx, svc, classOf(class), via)
+	if err != nil {
+		return nil, err
+	}
 	work.Generation, err = generation(svc, prompt, maxTokens)
 	return work, err
 }
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
+	"github.com/basilroute/basilroute/coordination/via"
 	"github.com/basilroute/basilroute/protocol/gatewayapi"
 	"github.com/basilroute/basilroute/protocol/refusal"
 	"github.com/basilroute/basilroute/protocol/tokens"
@@ -42,6 +43,7 @@
 	Runner   Runner
 	Entry    Entries
 	Ready    func() bool
+	Via      *via.Signer
 }
 
 // Handler returns the HTTP handler for callers.
@@ -93,14 +95,19 @@
 }
 
 // newWork fills in what all kinds of work share.
-func (g *Gateway) newWork(ctx context.Context, svc *service.Service, class service.Class, via string) *dispatch.Work {
+func (g *Gateway) newWork(ctx context.Context, svc *service.Service, class service.Class, passed string) (*dispatch.Work, error) {
 	c := callerOf(ctx)
 	settings := svc.Class(class)
+	id := uuid.NewString()
+	via, refused := g.Via.Extend(passed, id, svc.Name)
+	if refused != nil {
+		return nil, refused
+	}
 	return &dispatch.Work{
-		RequestID: uuid.NewString(), Account: c.account.Name, KeyID: c.keyID, Home: c.account.Home,
+		RequestID: id, Account: c.account.Name, KeyID: c.keyID, Home: c.account.Home,
 		Service: svc.Name, Class: class, Via: via,
 		Deadline: time.Now().Add(settings.Deadline), MaxWait: settings.MaxWait,
-	}
+	}, nil
 }
 
 func (g *Gateway) lookup(name string, want service.Type) (*service.Service, error) {
@@ -132,6 +139,13 @@
 	}, nil
 }
 
+func idempotencyKey(p gatewayapi.CallOperationParams) string {
+	if id, ok := p.IdempotencyKey.Get(); ok {
+		return id.String()
+	}
+	return ""
+}
+
 // CallOperation implements gatewayapi.Handler.
 func (g *Gateway) CallOperation(ctx context.Context, body gatewayapi.AnyJSON, p gatewayapi.CallOperationParams) (gatewayapi.AnyJSON, error) {
 	svc, err := g.lookup(p.Service, service.TypePlain)
@@ -144,8 +158,11 @@
 	if int64(len(body)) > svc.Limits.BodyBytes {
 		return nil, refusal.New(refusal.CodeTooLarge, "the body has %d bytes, the limit is %d", len(body), svc.Limits.BodyBytes)
 	}
-	w := g.newWork(ctx, svc, classOf(p.XRequestClass), p.XVia.Or(""))
-	w.Operation = &dispatch.Operation{Name: p.Operation, Body: body}
+	w, err := g.newWork(ctx, svc, classOf(p.XRequestClass), p.XVia.Or(""))
+	if err != nil {
+		return nil, err
+	}
+	w.Operation = &dispatch.Operation{Name: p.Operation, Body: body, IdempotencyKey: idempotencyKey(p)}
 	answer := &wholeSink{}
 	if err := g.run(ctx, w, answer); err != nil {
 		return nil, err
@@ -166,5 +183,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, w.Deadline)
 	defer cancel()
-	return g.Runner.Run(ctx, c.account, w, sink)
+	if err := g.Runner.Run(ctx, c.account, w, sink); err != nil {
+		return err
+	}
+	return whole(sink)
 }
--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -28,6 +28,8 @@
 	mu      sync.Mutex
 	buf     []byte
 	output  int
+	frames  int
+	whole   bool // the last frame is there
 	ended   bool
 	wake    chan struct{} // capacity 1: there is something to read
 	drained chan struct{} // capacity 1: there is room again
@@ -54,7 +56,7 @@
 		signal(e.wake)
 	case <-e.finished:
 	}
-	if e.empty() {
+	if !e.begun() {
 		<-e.finished
 		cancel()
 		return nil, failed
@@ -69,10 +71,17 @@
 	}
 }
 
-func (e *events) empty() bool {
+func (e *events) begun() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.output == 0 && len(e.buf) == 0
+	return e.frames > 0
+}
+
+// Whole tells whether the answer has its end.
+func (e *events) Whole() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.whole
 }
 
 // Frame implements dispatch.Sink.
@@ -81,6 +90,8 @@
 		e.mu.Lock()
 		if len(e.buf) < maxBuffered {
 			e.output += f.Tokens
+			e.frames++
+			e.whole = f.Finish != ""
 			e.buf = e.appendFrame(e.buf, f)
 			e.mu.Unlock()
 			signal(e.wake)
@@ -151,7 +162,7 @@
 	switch {
 	case err == nil:
 		e.buf = append(e.buf, "data: [DONE]\n\n"...)
-	case e.output > 0:
+	case e.frames > 0:
 		e.buf = appendIncomplete(e.buf, classify(err))
 	}
 	signal(e.wake)
--- a/transport/peer/codec.go
+++ b/transport/peer/codec.go
@@ -27,7 +27,7 @@
 		return req
 	}
 	req.Work = &peerpb.ForwardRequest_Operation{Operation: &peerpb.Operation{
-		Name: w.Operation.Name, Body: w.Operation.Body,
+		Name: w.Operation.Name, Body: w.Operation.Body, IdempotencyKey: w.Operation.IdempotencyKey,
 	}}
 	return req
 }
@@ -49,7 +49,7 @@
 		}
 	}
 	if o := req.GetOperation(); o != nil {
-		w.Operation = &dispatch.Operation{Name: o.GetName(), Body: o.GetBody()}
+		w.Operation = &dispatch.Operation{Name: o.GetName(), Body: o.GetBody(), IdempotencyKey: o.GetIdempotencyKey()}
 	}
 	return w
 }
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
 	"github.com/basilroute/basilroute/coordination/routing"
@@ -17,6 +19,8 @@
 // Runner runs forwarded work in the own failure domain.
 type Runner interface {
 	RunForwarded(ctx context.Context, w *dispatch.Work, sink dispatch.Sink) error
+	// CancelForwarded ends a generation on a server of the own failure domain.
+	CancelForwarded(service, server, requestID string)
 }
 
 // Exchanger answers membership exchanges.
@@ -29,6 +33,21 @@
 	peerpb.UnimplementedPeerServer
 	Runner    Runner
 	Exchanger Exchanger
+
+	running running
+}
+
+// minPing is how often a peer may ping. Without it grpc allows a ping in five
+// minutes and cuts the connection, with all its streams, of a peer that pings as
+// Pool does.
+const minPing = pingAfter / 2
+
+// ServerOptions are the options that a grpc server for peers needs.
+func ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPing, PermitWithoutStream: true}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingAfter, Timeout: pingTimeout}),
+	}
 }
 
 // Exchange implements peerpb.PeerServer.
@@ -45,9 +64,19 @@
 		return status.Error(codes.InvalidArgument, "no work")
 	}
 	w := decodeWork(req)
-	ctx, cancel := context.WithDeadline(stream.Context(), w.Deadline)
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(stream.Context()), w.Deadline)
 	defer cancel()
-	out := &streamSink{stream: stream, work: w}
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	detach := func() { end(dispatch.ErrDetached) }
+	out := &streamSink{stream: stream, work: w, detach: detach}
+	forwarded, refused := s.running.begin(w, end, time.Now())
+	if refused != nil {
+		return stream.Send(out.wrap("", &peerpb.ForwardFrame_Refusal{Refusal: refused.ToProto()}))
+	}
+	defer s.running.end(forwarded)
+	stop := context.AfterFunc(stream.Context(), detach)
+	defer stop()
 	err := s.Runner.RunForwarded(ctx, w, out)
 	if err == nil || out.failed {
 		return nil
@@ -55,10 +84,22 @@
 	return stream.Send(out.wrap("", &peerpb.ForwardFrame_Refusal{Refusal: refusal.From(err).ToProto()}))
 }
 
+// Cancel implements peerpb.PeerServer. A request that does not run here may have
+// been detached; then its generation is ended on its engine.
+func (s *Server) Cancel(_ context.Context, req *peerpb.CancelRequest) (*peerpb.CancelResponse, error) {
+	gone := refusal.New(refusal.CodeIncomplete, "the caller does not wait any more").WithRun(refusal.Unknown)
+	ended := s.running.cancel(req.GetRequestId(), int(req.GetAttempt()), gone)
+	if !ended && req.GetServer() != "" {
+		s.Runner.CancelForwarded(req.GetService(), req.GetServer(), req.GetRequestId())
+	}
+	return &peerpb.CancelResponse{}, nil
+}
+
 // streamSink sends an answer to the first instance.
 type streamSink struct {
 	stream grpc.ServerStreamingServer[peerpb.ForwardFrame]
 	work   *dispatch.Work
+	detach func() // tells the run that the connection broke
 	failed bool
 }
 
@@ -77,7 +118,10 @@
 
 func (s *streamSink) send(f *peerpb.ForwardFrame) error {
 	err := s.stream.Send(f)
-	s.failed = err != nil
+	if err != nil {
+		s.failed = true
+		s.detach()
+	}
 	return err
 }
 
