--- a/cmd/basilrouted/main.go
+++ b/cmd/basilrouted/main.go
@@ -78,7 +78,7 @@
 			return err
 		case s := <-signals:
 			if s != syscall.SIGUSR1 {
-				return i.Stop(ctx)
+				return stop(ctx, i, signals)
 			}
 			dump, err := json.Marshal(i.Dump())
 			log.Info("state", "dump", json.RawMessage(dump), "error", err)
@@ -86,6 +86,24 @@
 	}
 }
 
+// stop runs the planned stop. A second signal to stop cuts what is in flight.
+func stop(ctx context.Context, i *instance.Instance, signals <-chan os.Signal) error {
+	ctx, cut := context.WithCancel(ctx)
+	defer cut()
+	stopped := make(chan error, 1)
+	go func() { stopped <- i.Stop(ctx) }()
+	for {
+		select {
+		case err := <-stopped:
+			return err
+		case s := <-signals:
+			if s != syscall.SIGUSR1 {
+				cut()
+			}
+		}
+	}
+}
+
 func newLogger(settings instance.Log) *slog.Logger {
 	var level slog.Level
 	_ = level.UnmarshalText([]byte(settings.Level)) // checked with the settings
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -64,6 +64,7 @@
 	listeners          listeners
 
 	ready      atomic.Bool
+	leaving    atomic.Bool
 	storeSeen  atomic.Bool // the last call of the store succeeded
 	storeRead  atomic.Bool // the documents were listed once; a watch goes on from there
 	loops      sync.WaitGroup
@@ -188,7 +189,7 @@
 	if err != nil {
 		return err
 	}
-	i.callers = &http.Server{Handler: callers, ReadHeaderTimeout: headerTimeout}
+	i.callers = &http.Server{Handler: i.closeWhenLeaving(callers), ReadHeaderTimeout: headerTimeout}
 	i.operators = &http.Server{Handler: operators, ReadHeaderTimeout: headerTimeout}
 	i.peers = grpc.NewServer(append(peer.ServerOptions(), grpc.Creds(insecure.NewCredentials()))...)
 	peerpb.RegisterPeerServer(i.peers, &peer.Server{Runner: i, Exchanger: i})
--- a/state/requests/requests.go
+++ b/state/requests/requests.go
@@ -105,6 +105,23 @@
 	}
 }
 
+// Cut ends every request for a reason.
+func (t *Table) Cut(reason *refusal.Refusal) {
+	for i := range t.shards {
+		t.shards[i].cut(reason)
+	}
+}
+
+func (s *shard) cut(reason *refusal.Refusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, requests := range s.byKey {
+		for r := range requests {
+			r.cancel(reason)
+		}
+	}
+}
+
 // Close refuses new requests. The channel closes when the last one has ended.
 func (t *Table) Close() <-chan struct{} {
 	t.mu.Lock()
--- /dev/null
+++ b/transport/backend/client_test.go
@@ -0,0 +1,117 @@
+package backend
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/basilroute/basilroute/protocol/refusal"
+	"github.com/basilroute/basilroute/standin/plain"
+)
+
+func serve(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func plainService(t *testing.T) (*plain.Service, string) {
+	t.Helper()
+	service := plain.New()
+	handler, err := service.Handler()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return service, serve(t, handler)
+}
+
+func order(id string) Operation {
+	return Operation{Name: "buy", RequestID: "r-" + id, Account: "a", Body: []byte(`{"id":"` + id + `"}`), IdempotencyKey: "0190b8a0-0000-7000-8000-000000000000"}
+}
+
+// The server reads a purchase order on a kept-alive connection and resets it.
+// The caller is told that the run state is unknown. net/http would send the
+// order again by itself, since it carries an Idempotency-Key; the server must
+// see it once.
+func TestResetConnectionIsNotResent(t *testing.T) {
+	service, address := plainService(t)
+	client := New()
+	defer client.Close()
+	if _, err := client.Run(t.Context(), address, order("warm")); err != nil {
+		t.Fatal(err)
+	}
+	service.SetFaults(plain.Faults{ResetAfterRead: 1})
+	_, err := client.Run(t.Context(), address, order("x"))
+	if got := refusal.From(err); got.Code != refusal.CodeBackendFailed || got.Run != refusal.Unknown {
+		t.Errorf("refused with %v", err)
+	}
+	if n := service.Received(); n != 2 {
+		t.Errorf("the server got %d requests, want the first and one more", n)
+	}
+}
+
+// A server runs an operation and its answer is lost: the caller must not be told
+// that it did not run.
+func TestLostAnswerIsUnknown(t *testing.T) {
+	service, address := plainService(t)
+	client := New()
+	defer client.Close()
+	service.SetFaults(plain.Faults{LoseAnswers: 1})
+	_, err := client.Run(t.Context(), address, order("x"))
+	if got := refusal.From(err); got.Run != refusal.Unknown {
+		t.Errorf("refused with %v", err)
+	}
+	if n := service.Runs()[plain.Run{Operation: "buy", ID: "x"}]; n != 1 {
+		t.Errorf("%d runs", n)
+	}
+}
+
+// A refusal says "not run" only on proof: nobody listened, or the server's API
+// says that it did not begin. A bare 503 may come from something in between
+// that lost the server's answer.
+func TestRunStateNeedsProof(t *testing.T) {
+	client := New()
+	defer client.Close()
+	answer := func(status int, body string) string {
+		return serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = w.Write([]byte(body))
+		}))
+	}
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	for _, c := range []struct {
+		what, address string
+		want          refusal.Run
+	}{
+		{"nobody listens", gone.URL, refusal.NotRun},
+		{"leaving", answer(503, `{"code":"leaving","message":""}`), refusal.NotRun},
+		{"overloaded", answer(503, `{"code":"overloaded","message":""}`), refusal.NotRun},
+		{"bare 503", answer(503, `upstream unavailable`), refusal.Unknown},
+		{"503 of another kind", answer(503, `{"code":"invalid","message":""}`), refusal.Unknown},
+		{"500", answer(500, `{"code":"leaving","message":""}`), refusal.Unknown},
+		{"422", answer(422, `{}`), refusal.Unknown},
+	} {
+		_, err := client.Run(t.Context(), c.address, order("x"))
+		if got := refusal.From(err); err == nil || got.Run != c.want {
+			t.Errorf("%s: %v", c.what, err)
+		}
+	}
+}
+
+// A server answers with a redirect. Following it would run the order a second
+// time, on a server that routing did not choose; its target must see nothing.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	service, target := plainService(t)
+	address := serve(t, http.RedirectHandler(target+"/v1/operations/buy", http.StatusTemporaryRedirect))
+	client := New()
+	defer client.Close()
+	_, err := client.Run(t.Context(), address, order("x"))
+	if got := refusal.From(err); err == nil || got.Run != refusal.Unknown {
+		t.Errorf("refused with %v", err)
+	}
+	if n := service.Received(); n != 0 {
+		t.Errorf("the target got %d requests", n)
+	}
+}
--- /dev/null
+++ b/transport/dispatch/resume_test.go
@@ -0,0 +1,134 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/basilroute/basilroute/protocol/frame"
+	"github.com/basilroute/basilroute/protocol/refusal"
+)
+
+const answerFrames = 8
+
+// fakePeers is a failure domain with one engine, reached through peers whose
+// links break after some frames.
+type fakePeers struct {
+	breakAfter map[string]int // frames until the link to a peer breaks; -1 for never
+	asked      []string
+	started    int
+	cancelled  []string
+}
+
+func (f *fakePeers) Forward(_ context.Context, address string, w *Work, sink Sink) error {
+	f.asked = append(f.asked, address)
+	if w.Generation.FromSeq == 0 {
+		f.started++
+	} else if w.Generation.Server != "engine" {
+		return refusal.New(refusal.CodeInternal, "resumed without its engine")
+	}
+	left := f.breakAfter[address]
+	for seq := w.Generation.FromSeq; seq < answerFrames; seq++ {
+		if left == 0 {
+			return refusal.New(refusal.CodePeerUnreachable, "cut").WithRun(refusal.Unknown)
+		}
+		left--
+		part := &frame.Frame{RequestID: w.RequestID, Attempt: w.Attempt, Seq: seq, Text: fmt.Sprint(seq), Tokens: 1}
+		if seq == answerFrames-1 {
+			part.Finish = frame.FinishStop
+		}
+		if err := sink.Frame("engine", part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fakePeers) Cancel(_ context.Context, address string, _ *Work, server string) error {
+	f.cancelled = append(f.cancelled, server+" through "+address)
+	return nil
+}
+
+type textSink struct {
+	frames []int64
+	err    error // returned from the second frame on
+}
+
+func (s *textSink) Frame(_ string, f *frame.Frame) error {
+	s.frames = append(s.frames, f.Seq)
+	if len(s.frames) > 1 {
+		return s.err
+	}
+	return nil
+}
+
+func (s *textSink) Answer(string, []byte) error { return nil }
+
+func newResumer(f *fakePeers) *Resumer {
+	return &Resumer{Next: f, Peers: func(address string) []string {
+		others := slices.DeleteFunc([]string{"a", "b", "c"}, func(p string) bool { return p == address })
+		return append(others, address)
+	}}
+}
+
+func streamWork() *Work {
+	return &Work{RequestID: "r", Attempt: 1, Hop: 1, Generation: &Generation{Prompt: "p", MaxTokens: answerFrames}}
+}
+
+// The link to the forwarding peer breaks under a stream, also more than once.
+// The caller gets each frame once and in order: the rest comes through another
+// peer from the same engine. The generation is started once, and it is cancelled
+// when the caller's answer cannot be made whole. Before the first frame nothing
+// is resumed, since the first instance may start again on any engine.
+func TestBrokenForwardIsResumedOnItsEngine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		peers := &fakePeers{breakAfter: make(map[string]int)}
+		for _, p := range []string{"a", "b", "c"} {
+			peers.breakAfter[p] = rapid.IntRange(-1, 4).Draw(t, p)
+		}
+		sink := &textSink{}
+		err := newResumer(peers).Forward(context.Background(), "a", streamWork(), sink)
+		for i, seq := range sink.frames {
+			if seq != int64(i) {
+				t.Fatalf("frames %v", sink.frames)
+			}
+		}
+		if whole := len(sink.frames) == answerFrames; whole != (err == nil) {
+			t.Fatalf("%d frames, error %v", len(sink.frames), err)
+		}
+		if peers.started != 1 {
+			t.Fatalf("started %d times", peers.started)
+		}
+		if abandoned := err != nil && len(sink.frames) > 0; abandoned != (len(peers.cancelled) == 1) {
+			t.Fatalf("%v after %d frames, cancelled %v", err, len(sink.frames), peers.cancelled)
+		}
+	})
+}
+
+// The peer that forwards dies in the middle of a stream; another peer of its
+// failure domain is there. The caller gets the whole answer.
+func TestDeadPeerIsReplaced(t *testing.T) {
+	peers := &fakePeers{breakAfter: map[string]int{"a": 3, "b": -1}}
+	sink := &textSink{}
+	if err := newResumer(peers).Forward(t.Context(), "a", streamWork(), sink); err != nil {
+		t.Fatal(err)
+	}
+	if len(sink.frames) != answerFrames || !slices.Equal(peers.asked, []string{"a", "b"}) || len(peers.cancelled) > 0 {
+		t.Errorf("%v through %v, cancelled %v", sink.frames, peers.asked, peers.cancelled)
+	}
+}
+
+// The caller itself goes away: nothing is resumed and the engine is told.
+func TestGoneCallerIsNotResumed(t *testing.T) {
+	peers := &fakePeers{breakAfter: map[string]int{"a": -1}}
+	sink := &textSink{err: refusal.New(refusal.CodePeerUnreachable, "the caller went away")}
+	if err := newResumer(peers).Forward(t.Context(), "a", streamWork(), sink); err == nil {
+		t.Fatal("no error")
+	}
+	if len(peers.asked) != 1 || len(peers.cancelled) != 1 {
+		t.Errorf("asked %v, cancelled %v", peers.asked, peers.cancelled)
+	}
+}
--- /dev/null
+++ b/transport/dispatch/stream_test.go
@@ -0,0 +1,150 @@
+package dispatch
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/basilroute/basilroute/coordination/quarantine"
+	"github.com/basilroute/basilroute/protocol/frame"
+	"github.com/basilroute/basilroute/protocol/refusal"
+	"github.com/basilroute/basilroute/service"
+	"github.com/basilroute/basilroute/standin/engine"
+	"github.com/basilroute/basilroute/state/catalog"
+	"github.com/basilroute/basilroute/state/servers"
+	"github.com/basilroute/basilroute/transport/backend"
+)
+
+const localPrompt = "which lacquers may cross a border"
+
+// localEngine is a Local with one engine.
+func localEngine(t *testing.T) (*Local, servers.Server, *engine.Engine) {
+	e := engine.New(engine.DefaultConfig())
+	handler, err := e.Handler()
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(handler)
+	t.Cleanup(e.Close)
+	t.Cleanup(server.Close)
+	l := &Local{Catalog: catalog.New(), Servers: servers.New(), Backend: backend.New(), Quarantine: quarantine.New()}
+	t.Cleanup(l.Backend.Close)
+	l.Servers.Replace([]servers.Identity{{ID: "e", Service: "lm", Address: server.URL}}, time.Now())
+	return l, servers.Server{ID: "e", Service: "lm", Address: server.URL}, e
+}
+
+func localWork(id string, tokens int) *Work {
+	return &Work{RequestID: id, Attempt: 1, Service: "lm", Class: service.ClassInteractive, Generation: &Generation{Prompt: localPrompt, MaxTokens: tokens}}
+}
+
+// collected is a sink that signals its first frame.
+type collected struct {
+	mu    sync.Mutex
+	text  strings.Builder
+	last  frame.Frame
+	first chan struct{}
+	once  sync.Once
+}
+
+func newCollected() *collected { return &collected{first: make(chan struct{})} }
+
+func (c *collected) Frame(_ string, f *frame.Frame) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.text.WriteString(f.Text)
+	c.last = *f
+	c.once.Do(func() { close(c.first) })
+	return nil
+}
+
+func (c *collected) Answer(string, []byte) error { return nil }
+
+// An engine's connection is cut several times, its frames come twice and crossed
+// with another's. The caller gets the whole text once, from one generation.
+func TestCutStreamIsResumedOnItsEngine(t *testing.T) {
+	l, server, e := localEngine(t)
+	e.SetFaults(engine.Faults{CutAfter: 5, CutTimes: 3, RepeatFrames: true, CrossFrames: true})
+	sink := newCollected()
+	const tokens = 40
+	if err := l.generate(t.Context(), localWork("r", tokens), server, sink); err != nil {
+		t.Fatal(err)
+	}
+	var want strings.Builder
+	for i := range tokens {
+		want.WriteString(engine.Token(localPrompt, i))
+	}
+	if sink.text.String() != want.String() {
+		t.Errorf("got %q", sink.text.String())
+	}
+	if started := e.Stats().Started; started != 1 {
+		t.Errorf("%d generations", started)
+	}
+}
+
+// The engine's connection stays cut after some frames: the caller is told that
+// the answer broke, never that it is whole.
+func TestStreamThatStaysCutIsAnError(t *testing.T) {
+	l, server, e := localEngine(t)
+	e.SetFaults(engine.Faults{CutAfter: 1, CutTimes: 100})
+	sink := newCollected()
+	err := l.generate(t.Context(), localWork("r", 40), server, sink)
+	if got := refusal.From(err); err == nil || got.Run != refusal.Unknown || sink.last.Finish != "" {
+		t.Errorf("ended with %v after %+v", err, sink.last)
+	}
+}
+
+// A caller goes away in the middle of a stream: when generate returns the engine
+// has been told. When only the link to the first instance broke, the generation
+// goes on and can be resumed from the next frame, also through another instance.
+func TestCancelReachesTheEngine(t *testing.T) {
+	l, server, e := localEngine(t)
+	run := func(id string, cause error) *collected {
+		ctx, cancel := context.WithCancelCause(t.Context())
+		sink := newCollected()
+		ended := make(chan error, 1)
+		go func() { ended <- l.generate(ctx, localWork(id, 4000), server, sink) }()
+		<-sink.first
+		cancel(cause)
+		if err := <-ended; err == nil {
+			t.Errorf("%s ended as whole", id)
+		}
+		return sink
+	}
+	run("gone", nil)
+	if n := e.Stats().Cancelled; n != 1 {
+		t.Fatalf("%d generations cancelled", n)
+	}
+	cut := run("detached", ErrDetached)
+	if n := e.Stats().Cancelled; n != 1 {
+		t.Fatal("a detached generation was cancelled")
+	}
+	rest := newCollected()
+	again := localWork("detached", 4000)
+	again.Generation.FromSeq, again.Generation.Server = cut.last.Seq+1, "e"
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- l.generate(ctx, again, server, rest) }()
+	<-rest.first
+	if started := e.Stats().Started; started != 2 {
+		t.Errorf("%d generations for two requests", started)
+	}
+	cancel()
+	<-ended
+}
+
+// A resumed generation goes to its own engine or nowhere.
+func TestResumeNeedsItsEngine(t *testing.T) {
+	l, _, _ := localEngine(t)
+	w := localWork("r", 4)
+	w.Generation.Server = "e"
+	if server, refused, ok := l.pinned(w); !ok || refused != nil || server.ID != "e" {
+		t.Errorf("%v %v %v", server, refused, ok)
+	}
+	w.Generation.Server = "another"
+	if _, refused, ok := l.pinned(w); !ok || refused == nil || refused.Run != refusal.Ran {
+		t.Errorf("%v %v", refused, ok)
+	}
+}
--- /dev/null
+++ b/transport/peer/server_test.go
@@ -0,0 +1,203 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/basilroute/basilroute/protocol/frame"
+	"github.com/basilroute/basilroute/protocol/peerpb"
+	"github.com/basilroute/basilroute/protocol/refusal"
+	"github.com/basilroute/basilroute/transport/dispatch"
+)
+
+// runner counts what it is given and runs until its context ends.
+type runner struct {
+	mu        sync.Mutex
+	runs      int
+	begun     chan struct{}
+	causes    chan error
+	cancelled chan string
+}
+
+func newRunner() *runner {
+	return &runner{begun: make(chan struct{}, 10), causes: make(chan error, 10), cancelled: make(chan string, 10)}
+}
+
+func (r *runner) RunForwarded(ctx context.Context, w *dispatch.Work, sink dispatch.Sink) error {
+	r.mu.Lock()
+	r.runs++
+	r.mu.Unlock()
+	if w.Generation != nil {
+		_ = sink.Frame("engine", &frame.Frame{RequestID: w.RequestID, Attempt: w.Attempt, Seq: w.Generation.FromSeq, Tokens: 1})
+	}
+	r.begun <- struct{}{}
+	<-ctx.Done()
+	r.causes <- context.Cause(ctx)
+	return refusal.From(context.Cause(ctx))
+}
+
+func (r *runner) CancelForwarded(_, server, requestID string) {
+	r.cancelled <- server + "/" + requestID
+}
+
+func (r *runner) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs
+}
+
+// relay passes bytes on until it is cut.
+type relay struct {
+	listener net.Listener
+	mu       sync.Mutex
+	conns    []net.Conn
+}
+
+func newRelay(t *testing.T, target string) *relay {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{listener: listener}
+	t.Cleanup(r.cut)
+	go func() {
+		for {
+			in, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = in.Close()
+				continue
+			}
+			r.mu.Lock()
+			r.conns = append(r.conns, in, out)
+			r.mu.Unlock()
+			go func() { _, _ = io.Copy(in, out) }()
+			go func() { _, _ = io.Copy(out, in) }()
+		}
+	}()
+	return r
+}
+
+func (r *relay) cut() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.conns {
+		_ = c.Close()
+	}
+}
+
+func startServer(t *testing.T, r *runner) (address string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer(ServerOptions()...)
+	peerpb.RegisterPeerServer(server, &Server{Runner: r})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	return listener.Addr().String()
+}
+
+func newPool(t *testing.T) *Pool {
+	pool := NewPool(insecure.NewCredentials())
+	t.Cleanup(pool.Close)
+	return pool
+}
+
+// The link to a peer is cut after the peer got a purchase order. The caller is
+// told that the run state is unknown, and the order is not sent again by grpc.
+func TestCutLinkIsNotResent(t *testing.T) {
+	r := newRunner()
+	link := newRelay(t, startServer(t, r))
+	pool := newPool(t)
+	failed := make(chan error, 1)
+	go func() {
+		failed <- pool.Forward(t.Context(), link.listener.Addr().String(), operationWork(), &gathered{})
+	}()
+	<-r.begun
+	link.cut()
+	if err := <-failed; refusal.From(err).Run != refusal.Unknown || refusal.From(err).Code != refusal.CodePeerUnreachable {
+		t.Errorf("refused with %v", err)
+	}
+	<-r.causes
+	if r.count() != 1 {
+		t.Errorf("%d runs", r.count())
+	}
+}
+
+// grpc may send a call again by itself when it believes that a connection's end
+// left it unprocessed, also with retries switched off. The peer refuses an
+// attempt that it has seen, so the order runs once whatever the client does.
+func TestSameAttemptRunsOnce(t *testing.T) {
+	r := newRunner()
+	address := startServer(t, r)
+	pool := newPool(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = pool.Forward(ctx, address, operationWork(), &gathered{}) }()
+	<-r.begun
+	err := pool.Forward(ctx, address, operationWork(), &gathered{})
+	if got := refusal.From(err); got.Code != refusal.CodeConflict || got.Run != refusal.Unknown {
+		t.Errorf("refused with %v", err)
+	}
+	if r.count() != 1 {
+		t.Errorf("%d runs", r.count())
+	}
+}
+
+// A caller goes away while a peer streams: the peer is told, and the run ends
+// with a cause that cancels the generation. A cut link ends the run too, but
+// with a cause that leaves the generation to be resumed elsewhere.
+func TestPeerTellsCancelFromCut(t *testing.T) {
+	r := newRunner()
+	link := newRelay(t, startServer(t, r))
+	pool := newPool(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 2)
+	forward := func(ctx context.Context, id string) {
+		w := generationWork()
+		w.RequestID = id
+		ended <- pool.Forward(ctx, link.listener.Addr().String(), w, &gathered{})
+	}
+	go forward(ctx, "cancelled")
+	<-r.begun
+	cancel()
+	if cause := <-r.causes; refusal.From(cause).Code != refusal.CodeIncomplete {
+		t.Errorf("a cancelled run ended by %v", cause)
+	}
+	<-ended
+	go forward(t.Context(), "cut")
+	<-r.begun
+	link.cut()
+	if cause := <-r.causes; !errors.Is(cause, dispatch.ErrDetached) {
+		t.Errorf("a cut run ended by %v", cause)
+	}
+	<-ended
+}
+
+// A generation that was left running when a link broke is cancelled by its first
+// instance through any peer, which does not know the request.
+func TestDetachedGenerationIsCancelled(t *testing.T) {
+	r := newRunner()
+	pool := newPool(t)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	if err := pool.Cancel(ctx, startServer(t, r), generationWork(), "engine"); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-r.cancelled; got != "engine/own" {
+		t.Errorf("cancelled %s", got)
+	}
+}
