Send each token at once, and add the load tool that found that none was

Cause: callers saw the first token together with the last. httpstream flushed in ReadFrom, but the generated servers put a writer of their own in front, which hides ReadFrom; io.Copy then calls Write, and nothing flushes. Seen by the new load tool: gap between tokens p50 0 s and first token = whole answer (16.11 ms and 16.13 ms), on direct calls to the engine stand-in as well as through the gateway.

Ruled out: the load tool's reader (it reads what the connection gives), the engine's steps (tokens appear one a step), compression (off).

Change: httpstream flushes in Write, for the two streamed content types, and sends the headers first.

loadgen/ and `basilroute load`: open loop by seed, latency from the planned start, HDR histograms, entries as a caller uses them, every answer checked against the stand-in's text, refusals within the rate counted against one ideal bucket.

The engine answers without pause here, so the ratios are the worst case.

--- /dev/null
+++ b/cmd/basilroute/overhead.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+
+	"github.com/basilroute/basilroute/loadgen"
+	"github.com/basilroute/basilroute/localfleet"
+	"github.com/basilroute/basilroute/standin/engine"
+)
+
+// Arms of the overhead measurement.
+const (
+	armDirect    = "direct"
+	armGateway   = "gateway"
+	armForwarded = "forwarded"
+)
+
+// overheadMix leaves the engine idle between requests, so that no queue is measured.
+const overheadMix = `seed: 1
+rate: 60
+duration: 30s
+warmup: 5s
+arrivals: fixed
+accounts:
+  - name: overhead
+    share: 1
+    requests:
+      - {service: overhead-model, prompt_tokens: {min: 100, max: 100}, output_tokens: {min: 16, max: 16}}
+`
+
+var overheadDocuments = []string{
+	"kind: fleet\nname: fleet\nregions:\n  here: {domains: [beside, away]}\n",
+	"kind: service\nname: overhead-model\ntype: model\n",
+	"kind: account\nname: overhead\nrate: 1000000\nburst: 10000000\n",
+}
+
+// overheadEngine answers without any pause: short pauses last from a tenth of a
+// millisecond to one, depending on what else the machine does, and would hide
+// what the gateway adds.
+func overheadEngine() engine.Config {
+	config := engine.DefaultConfig()
+	config.PrefillRate, config.MaxBatch = 1e12, 64
+	config.StepBase, config.StepPerSequence = 0, 0
+	return config
+}
+
+// startOverhead runs one engine with an instance in its failure domain, and
+// another instance in a domain without engines, which has to forward.
+func startOverhead(ctx context.Context, mix *loadgen.Mix, transport loadgen.Transport) (*localfleet.Fleet, []loadgen.Arm, error) {
+	fleet, err := startFleet(ctx, localfleet.Config{
+		Domains: []localfleet.Domain{
+			{Region: "here", Name: "beside", Instances: 1, Engines: 1},
+			{Region: "here", Name: "away", Instances: 1},
+		},
+		ModelService: "overhead-model", Engine: overheadEngine(), Log: slog.New(slog.DiscardHandler),
+	}, overheadDocuments, mix)
+	if err != nil {
+		return nil, nil, err
+	}
+	through := func(id string) loadgen.Target {
+		callers, _, _ := fleet.Instances[id].Addresses()
+		return loadgen.NewFixedGateway(mix, "http://"+callers, transport)
+	}
+	return fleet, []loadgen.Arm{
+		{Name: armDirect, Target: &loadgen.Engine{Client: &http.Client{Transport: transport}, URL: fleet.Backends["beside-engine-1"]}},
+		{Name: armGateway, Target: through("beside-entry-1")},
+		{Name: armForwarded, Target: through("away-entry-1")},
+	}, nil
+}
+
+// overheadLines compares the arms with the direct calls of the same run.
+func overheadLines(report *loadgen.Report) []string {
+	rows := make(map[string]loadgen.Row)
+	for _, row := range report.Arms {
+		rows[row.Name] = row
+	}
+	direct, ok := rows[armDirect]
+	if !ok || direct.Done == 0 {
+		return nil
+	}
+	lines := []string{"against direct calls         first p50             first p99             whole p50             whole p99"}
+	for _, name := range []string{armGateway, armForwarded} {
+		row := rows[name]
+		lines = append(lines, fmt.Sprintf("%-24s %s %s %s %s", name,
+			against(row.FirstToken.P50, direct.FirstToken.P50), against(row.FirstToken.P99, direct.FirstToken.P99),
+			against(row.Whole.P50, direct.Whole.P50), against(row.Whole.P99, direct.Whole.P99)))
+	}
+	return lines
+}
+
+// against gives the ratio and the difference of two durations in microseconds.
+func against(a, b int64) string {
+	return fmt.Sprintf("%8.2f (%+7.0f us)", float64(a)/float64(max(b, 1)), float64(a-b))
+}
--- /dev/null
+++ b/loadgen/mix.go
@@ -0,0 +1,153 @@
+package loadgen
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/basilroute/basilroute/yamldoc"
+)
+
+// Arrivals names how the starts of requests are spread in time.
+type Arrivals string
+
+// Arrivals of requests.
+const (
+	ArrivalsPoisson Arrivals = "poisson"
+	ArrivalsFixed   Arrivals = "fixed"
+)
+
+// Defaults of a mix.
+const (
+	defaultRate     = 20
+	defaultDuration = 20 * time.Second
+	defaultTimeout  = time.Minute
+	defaultSpread   = 2
+)
+
+// Mix describes the load: who sends what, how often.
+type Mix struct {
+	Seed     int64         `yaml:"seed"`
+	Rate     float64       `yaml:"rate"` // requests per second of all accounts, offenders' excess not counted
+	Duration time.Duration `yaml:"duration"`
+	Warmup   time.Duration `yaml:"warmup"` // at the start, sent but not measured
+	Arrivals Arrivals      `yaml:"arrivals"`
+	Timeout  time.Duration `yaml:"timeout"` // of one request
+	Retries  int64         `yaml:"retries"` // of requests refused as not run, after retry_after_ms
+	Spread   int64         `yaml:"spread"`  // how many of the listed entries an account uses
+	Accounts []Account     `yaml:"accounts"`
+}
+
+// Account is a client account that sends requests.
+type Account struct {
+	Name     string    `yaml:"name"`
+	Key      string    `yaml:"key"`      // as callers present it
+	Share    float64   `yaml:"share"`    // weight among the accounts
+	Multiply float64   `yaml:"multiply"` // sends this many times its share; 1 when not given
+	Rate     float64   `yaml:"rate"`     // of its document, tokens per second; 0 leaves its due unknown
+	Burst    float64   `yaml:"burst"`    // of its document, tokens
+	Requests []Request `yaml:"requests"`
+}
+
+// Request is a kind of request that an account sends.
+type Request struct {
+	Weight       float64  `yaml:"weight"`
+	Service      string   `yaml:"service"`
+	Class        string   `yaml:"class"`
+	Operation    string   `yaml:"operation"`   // of a plain service; a generation when empty
+	Idempotency  bool     `yaml:"idempotency"` // send an Idempotency-Key
+	Whole        bool     `yaml:"whole"`       // ask for the answer in one piece
+	PromptTokens Range    `yaml:"prompt_tokens"`
+	OutputTokens Range    `yaml:"output_tokens"`
+	Prefixes     Prefixes `yaml:"prefixes"`
+}
+
+// Range is a log-uniform distribution: most values are small, a few are long.
+type Range struct {
+	Min int64 `yaml:"min"`
+	Max int64 `yaml:"max"`
+}
+
+// Prefixes are prompt beginnings that requests of an account share.
+type Prefixes struct {
+	Count  int64 `yaml:"count"`
+	Tokens int64 `yaml:"tokens"` // length of each
+}
+
+// ParseMix decodes and checks a mix. The error is yamldoc.Findings.
+func ParseMix(file string, data []byte) (*Mix, error) {
+	m := &Mix{
+		Seed: 1, Rate: defaultRate, Duration: defaultDuration, Timeout: defaultTimeout,
+		Arrivals: ArrivalsPoisson, Spread: defaultSpread,
+	}
+	r := yamldoc.Decode(file, data, m)
+	positive(r, "rate", m.Rate)
+	positive(r, "duration", m.Duration.Seconds())
+	positive(r, "timeout", m.Timeout.Seconds())
+	positive(r, "spread", float64(m.Spread))
+	if m.Arrivals != ArrivalsPoisson && m.Arrivals != ArrivalsFixed {
+		r.Addf("arrivals", "want poisson or fixed, have %q", m.Arrivals)
+	}
+	if m.Warmup < 0 || m.Warmup >= m.Duration {
+		r.Addf("warmup", "want 0 to less than the duration %s, have %s", m.Duration, m.Warmup)
+	}
+	if len(m.Accounts) == 0 {
+		r.Addf("accounts", "at least one account is needed")
+	}
+	for i := range m.Accounts {
+		m.Accounts[i].check(r, "accounts."+strconv.Itoa(i))
+	}
+	return m, r.Err()
+}
+
+func positive(r *yamldoc.Report, path string, v float64) {
+	if !(v > 0) { // written so that NaN is a finding
+		r.Addf(path, "want above 0, have %g", v)
+	}
+}
+
+func (a *Account) check(r *yamldoc.Report, path string) {
+	if a.Name == "" {
+		r.Addf(path+".name", "is required")
+	}
+	if a.Multiply == 0 {
+		a.Multiply = 1
+	}
+	positive(r, path+".share", a.Share)
+	positive(r, path+".multiply", a.Multiply)
+	if len(a.Requests) == 0 {
+		r.Addf(path+".requests", "at least one kind of request is needed")
+	}
+	for i := range a.Requests {
+		a.Requests[i].check(r, path+".requests."+strconv.Itoa(i))
+	}
+}
+
+func (q *Request) check(r *yamldoc.Report, path string) {
+	if q.Weight == 0 {
+		q.Weight = 1
+	}
+	if q.Class == "" {
+		q.Class = "interactive"
+	}
+	positive(r, path+".weight", q.Weight)
+	if q.Service == "" {
+		r.Addf(path+".service", "is required")
+	}
+	if q.Class != "interactive" && q.Class != "bulk" {
+		r.Addf(path+".class", "want interactive or bulk, have %q", q.Class)
+	}
+	if q.Operation != "" {
+		return
+	}
+	q.PromptTokens.check(r, path+".prompt_tokens")
+	q.OutputTokens.check(r, path+".output_tokens")
+	if q.Prefixes.Count < 0 || q.Prefixes.Tokens < 0 {
+		r.Addf(path+".prefixes", "count and tokens have to be 0 or above")
+	}
+}
+
+func (g Range) check(r *yamldoc.Report, path string) {
+	if g.Min < 1 || g.Max < g.Min {
+		r.Addf(path, "want 1 <= min <= max, have %d and %d", g.Min, g.Max)
+	}
+}
--- /dev/null
+++ b/loadgen/report.go
@@ -0,0 +1,161 @@
+package loadgen
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Report is the outcome of a run.
+type Report struct {
+	Seed     int64         `json:"seed"`
+	Took     time.Duration `json:"took_ns"`
+	Warmup   int64         `json:"warmup_requests"` // sent but not measured
+	Arms     []Row         `json:"arms"`
+	Classes  []Row         `json:"classes"`
+	Accounts []AccountRow  `json:"accounts"`
+	Codes    []CodeCount   `json:"codes"`
+}
+
+// Row sums up the requests of one arm or class.
+type Row struct {
+	Name       string    `json:"name"`
+	Sent       int64     `json:"sent"`
+	Done       int64     `json:"done"`
+	Refused    int64     `json:"refused"`
+	Bad        int64     `json:"bad"` // neither a whole answer nor a refusal
+	Retries    int64     `json:"retries"`
+	Tokens     int64     `json:"tokens"`
+	FirstToken Quantiles `json:"first_token_us"`
+	Gap        Quantiles `json:"token_gap_us"`
+	Whole      Quantiles `json:"whole_us"`
+}
+
+// Quantiles are of durations in microseconds.
+type Quantiles struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50"`
+	P95   int64 `json:"p95"`
+	P99   int64 `json:"p99"`
+	Max   int64 `json:"max"`
+}
+
+// AccountRow is what one account got.
+type AccountRow struct {
+	Row
+	Offered    float64 `json:"offered_tokens"` // at the most, prompt and output
+	Due        float64 `json:"due_tokens"`     // what its rate and burst allow of that; 0 when they are not known
+	Served     float64 `json:"served_tokens"`
+	ServedPart float64 `json:"served_part"` // of what is due
+	WithinRate int64   `json:"refused_within_rate"`
+}
+
+// CodeCount counts the requests of one outcome.
+type CodeCount struct {
+	Status int    `json:"status"`
+	Code   string `json:"code"`
+	Run    string `json:"run,omitempty"`
+	Detail string `json:"detail,omitempty"`
+	Count  int64  `json:"count"`
+}
+
+func compareCodes(a, b CodeCount) int {
+	return cmp.Or(cmp.Compare(a.Status, b.Status), cmp.Compare(a.Code, b.Code),
+		cmp.Compare(a.Run, b.Run), cmp.Compare(a.Detail, b.Detail))
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	return Quantiles{
+		Count: h.TotalCount(), Max: h.Max(),
+		P50: h.ValueAtQuantile(50), P95: h.ValueAtQuantile(95), P99: h.ValueAtQuantile(99),
+	}
+}
+
+func row(name string, s *series) Row {
+	return Row{
+		Name: name, Sent: s.sent, Done: s.done, Refused: s.refused, Bad: s.bad, Retries: s.retries, Tokens: s.tokens,
+		FirstToken: quantiles(s.first), Gap: quantiles(s.gap), Whole: quantiles(s.whole),
+	}
+}
+
+func rows(group map[string]*series) []Row {
+	var out []Row
+	for name, s := range group {
+		out = append(out, row(name, s))
+	}
+	slices.SortFunc(out, func(a, b Row) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+func accountRow(m *Mix, a *Account, s *series, charges []charge) AccountRow {
+	out := AccountRow{Row: row(a.Name, s), Offered: s.offered}
+	for _, c := range charges {
+		if c.at >= m.Warmup {
+			out.Served += c.used
+		}
+	}
+	if a.Rate > 0 {
+		measured := (m.Duration - m.Warmup).Seconds()
+		out.Due = min(out.Offered, a.Rate*measured+a.Burst)
+		out.WithinRate = withinRate(a.Rate, a.Burst, m.Warmup, charges)
+	}
+	if out.Due > 0 {
+		out.ServedPart = out.Served / out.Due
+	}
+	return out
+}
+
+// WriteJSON writes the report as JSON.
+func (r *Report) WriteJSON(w io.Writer) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(r)
+}
+
+// WriteTable writes the report for people.
+func (r *Report) WriteTable(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(table, "seed %d, %s, %d requests of the warm-up not counted\n\n", r.Seed, r.Took.Round(time.Millisecond), r.Warmup)
+	writeRows(table, "ARM", r.Arms)
+	writeRows(table, "CLASS", r.Classes)
+	fmt.Fprintln(table, "ACCOUNT\tSENT\tDONE\tREFUSED\tWITHIN RATE\tBAD\tOFFERED\tSERVED\tDUE\tSERVED/DUE\tFIRST p99")
+	for _, a := range r.Accounts {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%s\t%d\t%.0f\t%.0f\t%s\t%s\t%s\n", a.Name, a.Sent, a.Done, a.Refused,
+			known(a.Due, "%.0f", float64(a.WithinRate)), a.Bad, a.Offered, a.Served,
+			known(a.Due, "%.0f", a.Due), known(a.Due, "%.3f", a.ServedPart), micros(a.FirstToken.P99))
+	}
+	fmt.Fprintln(table, "\nSTATUS\tCODE\tRUN\tREASON\tCOUNT")
+	for _, c := range r.Codes {
+		fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%d\n", c.Status, c.Code, c.Run, c.Detail, c.Count)
+	}
+	return table.Flush()
+}
+
+func writeRows(w io.Writer, head string, list []Row) {
+	fmt.Fprintf(w, "%s\tSENT\tDONE\tREFUSED\tBAD\tRETRIES\tTOKENS\tFIRST p50\tp95\tp99\tGAP p50\tp95\tp99\tWHOLE p50\tp99\n", head)
+	for _, s := range list {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n",
+			s.Name, s.Sent, s.Done, s.Refused, s.Bad, s.Retries, s.Tokens,
+			micros(s.FirstToken.P50), micros(s.FirstToken.P95), micros(s.FirstToken.P99),
+			micros(s.Gap.P50), micros(s.Gap.P95), micros(s.Gap.P99), micros(s.Whole.P50), micros(s.Whole.P99))
+	}
+	fmt.Fprintln(w)
+}
+
+func micros(n int64) string {
+	return (time.Duration(n) * time.Microsecond).Round(10 * time.Microsecond).String()
+}
+
+// known formats a figure that needs the account's rate.
+func known(due float64, format string, v float64) string {
+	if due == 0 {
+		return "-"
+	}
+	return fmt.Sprintf(format, v)
+}
--- /dev/null
+++ b/loadgen/target.go
@@ -0,0 +1,225 @@
+package loadgen
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/basilroute/basilroute/protocol/engineapi"
+	"github.com/basilroute/basilroute/protocol/gatewayapi"
+)
+
+// Target is what requests are sent to.
+type Target interface {
+	// Send carries one request to its end and fills in what the caller saw.
+	Send(ctx context.Context, p *Planned, out *Outcome)
+}
+
+const (
+	idlePerHost    = 1024
+	maxAnswerBytes = 16 << 20
+)
+
+// Transport carries requests on connections that are kept.
+type Transport = *http.Transport
+
+// NewTransport returns connections for many requests at once.
+func NewTransport() Transport {
+	return &http.Transport{MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: time.Minute, DisableCompression: true}
+}
+
+// Gateway sends requests to entry instances, as a well-behaved caller does: it
+// uses the instances that /v1/entries names for its account.
+type Gateway struct {
+	client  *http.Client
+	callers map[string]*entries // by account
+	retries int64
+}
+
+// NewGateway finds the instances for every account of the mix through one of
+// the seeds, and goes on refreshing them until ctx ends.
+func NewGateway(ctx context.Context, m *Mix, seeds []string, transport Transport) *Gateway {
+	g := &Gateway{client: &http.Client{Transport: transport}, callers: make(map[string]*entries), retries: m.Retries}
+	for i := range m.Accounts {
+		a := &m.Accounts[i]
+		e := &entries{client: g.client, key: a.Key, seeds: seeds, spread: int(m.Spread)}
+		g.callers[a.Name] = e
+		e.refresh(ctx)
+		go e.keepFresh(ctx)
+	}
+	return g
+}
+
+// NewFixedGateway sends everything to one instance.
+func NewFixedGateway(m *Mix, address string, transport Transport) *Gateway {
+	g := &Gateway{client: &http.Client{Transport: transport}, callers: make(map[string]*entries), retries: m.Retries}
+	for _, a := range m.Accounts {
+		g.callers[a.Name] = &entries{seeds: []string{address}, spread: 1}
+	}
+	return g
+}
+
+// Send implements Target.
+func (g *Gateway) Send(ctx context.Context, p *Planned, out *Outcome) {
+	e := g.callers[p.Account.Name]
+	for attempt := 0; ; attempt++ {
+		*out = Outcome{Attempts: attempt + 1}
+		address := e.pick(p.Number + attempt)
+		g.once(ctx, address, p, out)
+		if out.Code == CodeConnection {
+			e.failed(address)
+		}
+		if len(out.Entries) > 0 {
+			e.replace(out.Entries)
+		}
+		if int64(attempt) >= g.retries || out.Run != string(gatewayapi.RefusalRunNotRun) || out.RetryAfter == 0 {
+			return
+		}
+		select {
+		case <-time.After(out.RetryAfter):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (g *Gateway) once(ctx context.Context, address string, p *Planned, out *Outcome) {
+	req, err := gatewayRequest(ctx, address, p)
+	if err != nil {
+		out.Code = CodeConnection
+		return
+	}
+	resp, err := g.client.Do(req)
+	if err != nil {
+		out.Code = CodeConnection
+		if ctx.Err() != nil {
+			out.Code = CodeClientLimit
+		}
+		return
+	}
+	defer resp.Body.Close()
+	out.Status = resp.StatusCode
+	switch {
+	case resp.StatusCode != http.StatusOK:
+		readRefusal(resp.Body, out)
+	case p.Request.Operation != "":
+		readOperation(resp.Body, p, out)
+	case p.Request.Whole:
+		readWhole(resp.Body, p, out)
+	default:
+		readEvents(resp.Body, p, out)
+	}
+	if ctx.Err() != nil && out.Code == CodeCut {
+		out.Code = CodeClientLimit
+	}
+}
+
+func gatewayRequest(ctx context.Context, address string, p *Planned) (*http.Request, error) {
+	path, body := "/v1/completions", p.Body
+	if p.Request.Operation != "" {
+		path = "/v1/services/" + p.Request.Service + "/operations/" + p.Request.Operation
+	} else {
+		var err error
+		body, err = (&gatewayapi.CompletionRequest{
+			Model: p.Request.Service, Prompt: p.Prompt,
+			MaxTokens: gatewayapi.NewOptInt(p.MaxTokens), Stream: gatewayapi.NewOptBool(!p.Request.Whole),
+		}).MarshalJSON()
+		if err != nil {
+			return nil, err
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+p.Account.Key)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("X-Request-Class", p.Request.Class)
+	if p.Key != "" {
+		req.Header.Set("Idempotency-Key", p.Key)
+	}
+	req.GetBody = nil // the load tool counts each try; net/http must not send again by itself
+	return req, nil
+}
+
+func readRefusal(body io.Reader, out *Outcome) {
+	var r gatewayapi.Refusal
+	data, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes))
+	if err != nil || r.UnmarshalJSON(data) != nil {
+		out.Code = CodeConnection
+		return
+	}
+	out.Code, out.Run = r.Code, string(r.Run)
+	out.RetryAfter = time.Duration(r.RetryAfterMs.Or(0)) * time.Millisecond
+	for _, e := range r.Entries {
+		out.Entries = append(out.Entries, "http://"+e.Address)
+	}
+}
+
+func readOperation(body io.Reader, p *Planned, out *Outcome) {
+	var sent, got struct {
+		ID string `json:"id"`
+	}
+	_ = json.Unmarshal(p.Body, &sent) // the planner wrote it
+	if err := json.NewDecoder(body).Decode(&got); err != nil {
+		out.Code = CodeCut
+		return
+	}
+	out.Code = CodeDone
+	if got.ID != sent.ID {
+		out.Code = CodeWrongAnswer
+	}
+}
+
+func readWhole(body io.Reader, p *Planned, out *Outcome) {
+	var answer gatewayapi.Completion
+	data, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes))
+	if err != nil || answer.UnmarshalJSON(data) != nil || len(answer.Choices) != 1 {
+		out.Code = CodeCut
+		return
+	}
+	check := newChecker(p.Prompt)
+	check.add(answer.Choices[0].Text)
+	out.Code, out.Tokens = check.verdict(p.MaxTokens), check.next
+}
+
+// Engine sends generations straight to an engine, past the gateway.
+type Engine struct {
+	Client *http.Client
+	URL    string
+}
+
+// Send implements Target.
+func (e *Engine) Send(ctx context.Context, p *Planned, out *Outcome) {
+	out.Attempts = 1
+	body, err := (&engineapi.GenerateRequest{
+		RequestID: uuid.NewString(), Attempt: 1, Account: p.Account.Name, Prompt: p.Prompt, MaxTokens: p.MaxTokens,
+	}).MarshalJSON()
+	if err != nil {
+		out.Code = CodeConnection
+		return
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, e.URL+"/v1/generate", bytes.NewReader(body))
+	if err != nil {
+		out.Code = CodeConnection
+		return
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := e.Client.Do(req)
+	if err != nil {
+		out.Code = CodeConnection
+		return
+	}
+	defer resp.Body.Close()
+	out.Status = resp.StatusCode
+	if resp.StatusCode != http.StatusOK {
+		out.Code = CodeConnection
+		return
+	}
+	readFrames(resp.Body, p, out)
+}
--- a/localfleet/localfleet.go
+++ b/localfleet/localfleet.go
@@ -53,6 +53,7 @@
 	URL       string // of the platform
 	Store     *transport.Client
 	Engines   map[string]*engine.Engine
+	Backends  map[string]string // URLs of the backend servers by id
 	Plain     map[string]*plain.Service
 	Instances map[string]*instance.Instance
 	Order     []string // ids of the instances as they were started
@@ -66,7 +67,7 @@
 func Start(config Config) (*Fleet, error) {
 	f := &Fleet{
 		Platform: platform.New(), config: config,
-		Engines: make(map[string]*engine.Engine), Plain: make(map[string]*plain.Service),
+		Engines: make(map[string]*engine.Engine), Backends: make(map[string]string), Plain: make(map[string]*plain.Service),
 		Instances: make(map[string]*instance.Instance),
 	}
 	if err := f.start(); err != nil {
@@ -148,6 +149,7 @@
 	if err != nil {
 		return err
 	}
+	f.Backends[id] = url
 	f.Platform.SetInstance(platformapi.Instance{
 		ID: id, Role: platformapi.InstanceRoleBackend, Region: d.Region, Domain: d.Name, Address: url,
 		Service: platformapi.NewOptString(name), Version: platformapi.NewOptString(version),
--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -1,8 +1,8 @@
 package engine
 
 import (
-	"fmt"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/basilroute/basilroute/protocol/frame"
@@ -18,6 +18,7 @@
 	id        string
 	attempt   int
 	prompt    string
+	mark      Mark
 	priority  int
 	want      int // output tokens
 	finish    string
@@ -37,11 +38,28 @@
 	g.changed = make(chan struct{})
 }
 
+// Mark identifies a prompt in the engine's answers.
+type Mark uint64
+
+// markPadding is longer than a block, so that the last whole block covers all
+// of the prompt and prompts that share a prefix still get answers of their own.
+const markPadding = tokens.BlockTokens * 8
+
+// MarkOf returns the mark of a prompt.
+func MarkOf(prompt string) Mark {
+	blocks := tokens.AppendBlocks(nil, prompt+string(make([]byte, markPadding)))
+	return Mark(blocks[len(blocks)-1] & 0xffffff)
+}
+
+// Token returns the text of the i-th output token.
+func (m Mark) Token(i int) string {
+	return strconv.FormatUint(uint64(m), 16) + "-" + strconv.Itoa(i) + " "
+}
+
 // Token returns the text of the i-th output token for a prompt, so that a test
 // can tell a caller's own answer from another's.
 func Token(prompt string, i int) string {
-	blocks := tokens.AppendBlocks(nil, prompt+string(make([]byte, tokens.BlockTokens*8)))
-	return fmt.Sprintf("%x-%d ", uint64(blocks[0])&0xffffff, i)
+	return MarkOf(prompt).Token(i)
 }
 
 // run executes steps until the engine closes.
@@ -108,7 +126,7 @@
 }
 
 func (e *Engine) advance(g *generation) {
-	next := frame.Frame{Text: Token(g.prompt, len(g.frames)), Tokens: 1}
+	next := frame.Frame{Text: g.mark.Token(len(g.frames)), Tokens: 1}
 	switch {
 	case g.cancelled:
 		next = frame.Frame{Finish: frame.FinishCancelled}
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -114,7 +114,7 @@
 
 func (e *Engine) enqueue(req *engineapi.GenerateRequest) *generation {
 	g := &generation{
-		id: req.RequestID, attempt: req.Attempt, prompt: req.Prompt, priority: req.Priority,
+		id: req.RequestID, attempt: req.Attempt, prompt: req.Prompt, mark: MarkOf(req.Prompt), priority: req.Priority,
 		want: req.MaxTokens, finish: frame.FinishLength, changed: make(chan struct{}),
 	}
 	if e.config.OutputTokens > 0 && e.config.OutputTokens < g.want {
--- a/transport/httpstream/httpstream.go
+++ b/transport/httpstream/httpstream.go
@@ -4,63 +4,53 @@
 package httpstream
 
 import (
-	"io"
 	"net/http"
-	"sync"
 )
 
-const copyBytes = 4 << 10
-
-var copyBuffers = sync.Pool{New: func() any {
-	buf := make([]byte, copyBytes)
-	return &buf
-}}
+// Content types of bodies that are sent part by part.
+const (
+	typeEvents = "text/event-stream"
+	typeFrames = "application/octet-stream"
+)
 
-// Flush wraps a handler so that each read of a streamed body is sent at once.
+// Flush wraps a handler so that each write of a streamed body is sent at once.
 func Flush(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		next.ServeHTTP(&writer{ResponseWriter: w, flush: http.NewResponseController(w).Flush}, r)
+		next.ServeHTTP(&writer{ResponseWriter: w}, r)
 	})
 }
 
+// writer flushes in Write and not in ReadFrom: the generated server wraps the
+// writer in one of its own that hides ReadFrom, and io.Copy then calls Write.
+// Symptom of the other way: the first token arrives together with the last.
 type writer struct {
 	http.ResponseWriter
-	flush func() error
+	flusher http.Flusher // set while a streamed body is written
 }
 
 // Unwrap lets http.ResponseController reach the connection.
 func (w *writer) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
-// ReadFrom is what io.Copy calls; every part read is written and flushed.
-func (w *writer) ReadFrom(src io.Reader) (int64, error) {
-	buf := copyBuffers.Get().(*[]byte)
-	defer copyBuffers.Put(buf)
-	if err := w.flush(); err != nil { // the caller sees the headers before the first token
-		return 0, err
+// WriteHeader sends the headers of a streamed body before its first part.
+func (w *writer) WriteHeader(status int) {
+	w.ResponseWriter.WriteHeader(status)
+	if !streamed(w.Header().Get("Content-Type")) {
+		return
 	}
-	var total int64
-	for {
-		n, err := src.Read(*buf)
-		if n > 0 {
-			written, writeErr := w.send((*buf)[:n])
-			total += int64(written)
-			if writeErr != nil {
-				return total, writeErr
-			}
-		}
-		if err == io.EOF {
-			return total, nil
-		}
-		if err != nil {
-			return total, err
-		}
+	if f, ok := w.ResponseWriter.(http.Flusher); ok {
+		w.flusher = f
+		f.Flush()
 	}
 }
 
-func (w *writer) send(part []byte) (int, error) {
-	n, err := w.Write(part)
-	if err != nil {
-		return n, err
+func streamed(contentType string) bool {
+	return contentType == typeEvents || contentType == typeFrames
+}
+
+func (w *writer) Write(part []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(part)
+	if err == nil && w.flusher != nil {
+		w.flusher.Flush()
 	}
-	return n, w.flush()
+	return n, err
 }
