--- a/instance/status.go
+++ b/instance/status.go
@@ -55,3 +55,6 @@
 		Services: i.catalog.Services(), Accounts: len(i.catalog.Accounts()), Withdrawn: len(i.catalog.Withdrawn()),
 	}
 }
+
+// Busy tells whether requests of callers or of peers are in flight.
+func (d Dump) Busy() bool { return d.InFlight+d.Forwarded > 0 }
--- /dev/null
+++ b/instance/whole_test.go
@@ -0,0 +1,125 @@
+package instance_test
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/basilroute/basilroute/standin/engine"
+)
+
+// openStream opens a stream and reads its first event, so that it runs.
+func (f *testFleet) openStream(id, text string, tokens int) (*http.Response, *bufio.Reader, string) {
+	f.t.Helper()
+	resp, err := f.open(id, "/v1/completions", promptOf(text, tokens, true))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = resp.Body.Close() })
+	lines := bufio.NewReader(resp.Body)
+	first, err := lines.ReadString('\n')
+	if err != nil || !strings.HasPrefix(first, "data: ") {
+		f.t.Fatalf("%d: %q %v", resp.StatusCode, first, err)
+	}
+	return resp, lines, first
+}
+
+// text joins the tokens of a stream's events.
+func text(events string) string {
+	var b strings.Builder
+	for _, line := range strings.Split(events, "\n") {
+		_, rest, ok := strings.Cut(line, `"text":"`)
+		if ok {
+			part, _, _ := strings.Cut(rest, `"`)
+			b.WriteString(part)
+		}
+	}
+	return b.String()
+}
+
+// The peer that forwards a stream dies in the middle of it. The caller, on an
+// instance of another failure domain, gets the whole answer: the rest comes from
+// the same engine through the other peer, and the generation ran once.
+func TestStreamOutlivesTheForwardingPeer(t *testing.T) {
+	f := startFleet(t)
+	const tokens = 600
+	_, lines, first := f.openStream("fraser-a-1-entry-1", defaultPrompt, tokens)
+	victim := ""
+	for _, id := range []string{"fraser-a-2-entry-1", "fraser-a-2-entry-2"} {
+		if f.Instances[id].Dump().(interface{ Busy() bool }).Busy() {
+			victim = id
+		}
+	}
+	if victim == "" {
+		t.Fatal("no peer forwards the stream")
+	}
+	f.Instances[victim].Kill()
+	rest, err := io.ReadAll(lines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := text(first + string(rest)); got != wholeText(tokens) {
+		t.Errorf("not the whole answer: %d bytes of %d", len(got), len(wholeText(tokens)))
+	}
+	if !strings.HasSuffix(string(rest), "data: [DONE]\n\n") {
+		t.Errorf("ends with %q", rest[max(0, len(rest)-200):])
+	}
+	if started := f.engine().Stats().Started; started != 1 {
+		t.Errorf("%d generations", started)
+	}
+}
+
+// The engine crashes in the middle of an answer. A caller that reads a stream
+// gets an explicit event that the answer is incomplete and no mark of its end; one
+// that waits for the whole answer gets an error, never the part that was there.
+func TestCrashedEngineNeverLooksWhole(t *testing.T) {
+	f := startFleet(t)
+	for _, id := range []string{"fraser-a-1-entry-1", "fraser-a-2-entry-1"} {
+		_, lines, _ := f.openStream(id, "streamed through "+id, 4000)
+		whole := make(chan reply)
+		running := f.engine().Stats().Started
+		go func() { whole <- f.send(id, "/v1/completions", promptOf("whole through "+id, 4000, false)) }()
+		f.await("the second generation", func() bool { return f.engine().Stats().Started > running })
+		f.engine().Crash()
+		rest, err := io.ReadAll(lines)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if events := string(rest); !strings.Contains(events, "event: incomplete") || strings.Contains(events, "[DONE]") {
+			t.Errorf("%s: ends with %q", id, events[max(0, len(events)-300):])
+		}
+		if got := <-whole; got.status == http.StatusOK && !strings.Contains(got.body, wholeTextOf("whole through "+id, 4000)) {
+			t.Errorf("%s: a part looks whole: %d %.200s", id, got.status, got.body)
+		}
+		f.await("the engine", func() bool { // a new prompt each time, since one that fails repeatedly is quarantined
+			return f.send(id, "/v1/completions", promptOf(idempotencyKey(t), 1, false)).status == http.StatusOK
+		})
+	}
+}
+
+// A caller goes away in the middle of a stream, on an instance that forwards it.
+// The engine is told, so that it does not compute for nobody.
+func TestGoneCallerReachesTheEngine(t *testing.T) {
+	f := startFleet(t)
+	for n, id := range []string{"fraser-a-1-entry-1", "fraser-a-2-entry-1"} {
+		resp, _, _ := f.openStream(id, defaultPrompt, 4000)
+		_ = resp.Body.Close()
+		f.await("the cancel through "+id, func() bool { return f.engine().Stats().Cancelled == int64(n+1) })
+	}
+}
+
+// Frames come twice and crossed with another request's, and the connection to
+// the engine is cut: every caller still gets exactly its own text, on both sides
+// of a forward.
+func TestCrossedFramesThroughInstances(t *testing.T) {
+	f := startFleet(t)
+	f.engine().SetFaults(engine.Faults{CrossFrames: true, RepeatFrames: true, CutAfter: 30, CutTimes: 2})
+	for id := range f.Instances {
+		got := f.send(id, "/v1/completions", prompt(50, false))
+		if got.status != http.StatusOK || !strings.Contains(got.body, wholeText(50)) || strings.Contains(got.body, "not yours") {
+			t.Errorf("%s: %d %s", id, got.status, got.body)
+		}
+	}
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -137,6 +137,13 @@
 	}
 }
 
+// Crash ends the engine as a process that dies, and starts it again after a while.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crash()
+}
+
 // crash forgets everything, as a process that died would, and stays away for a while.
 func (e *Engine) crash() {
 	e.crashes++
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -25,7 +25,7 @@
 	LoseAnswers    int           `json:"lose_answers"`     // the next requests run and their answers are lost
 	CrashOn        string        `json:"crash_on"`         // a body with this id crashes the service
 	RestartAfter   time.Duration `json:"restart_after"`    // after a crash, nanoseconds in JSON
-	Leaving        bool          `json:"leaving"`
+	Leaving        bool          `json:"leaving"`          // reports itself as leaving and refuses operations
 }
 
 // Run identifies one operation on one body.
@@ -44,6 +44,7 @@
 	runs      map[Run]int
 	received  int64
 	keysSeen  int64
+	lastVia   string
 }
 
 // New returns a service that has run nothing.
@@ -79,6 +80,13 @@
 	return s.keysSeen
 }
 
+// LastVia returns the via token of the newest operation.
+func (s *Service) LastVia() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastVia
+}
+
 // Handler serves the service's API, and /admin/ for faults and counts.
 func (s *Service) Handler() (http.Handler, error) {
 	api, err := plainapi.NewServer(s)
@@ -132,6 +140,12 @@
 
 // NewError implements plainapi.Handler.
 func (s *Service) NewError(_ context.Context, err error) *plainapi.ErrorStatusCode {
+	if errors.Is(err, errLeaving) {
+		return &plainapi.ErrorStatusCode{
+			StatusCode: http.StatusServiceUnavailable,
+			Response:   plainapi.Error{Code: "leaving"},
+		}
+	}
 	return &plainapi.ErrorStatusCode{
 		StatusCode: http.StatusUnprocessableEntity,
 		Response:   plainapi.Error{Code: "invalid", Message: err.Error()},
@@ -155,8 +169,11 @@
 	if err := json.Unmarshal(req, &in); err != nil {
 		return nil, errors.Wrap(err, "body")
 	}
-	faults := s.enter(in)
+	faults := s.enter(in, p.XVia.Or(""))
 	defer s.leave()
+	if faults.Leaving {
+		return nil, errLeaving
+	}
 	if faults.Delay > 0 {
 		time.Sleep(faults.Delay)
 	}
@@ -167,9 +184,12 @@
 	return json.Marshal(answer{p.Operation, in.ID, p.XAccount, count})
 }
 
-func (s *Service) enter(in body) Faults {
+var errLeaving = errors.New("leaving")
+
+func (s *Service) enter(in body, via string) Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.lastVia = via
 	if s.faults.CrashOn != "" && s.faults.CrashOn == in.ID {
 		s.bootID = uuid.NewString()
 		s.downUntil = time.Now().Add(s.faults.RestartAfter)
--- a/transport/claim/claim.go
+++ b/transport/claim/claim.go
@@ -135,6 +135,9 @@
 		return lease.ID, nil
 	}
 	id, err := c.store.Grant(ctx, once.LeaseTTL)
+	if err != nil { // once more: a lease whose answer was lost holds no key and ends by itself
+		id, err = c.store.Grant(ctx, once.LeaseTTL)
+	}
 	if err != nil {
 		return 0, err
 	}
--- a/transport/gateway/flush_test.go
+++ b/transport/gateway/flush_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/basilroute/basilroute/coordination/via"
 	"github.com/basilroute/basilroute/protocol/frame"
 	"github.com/basilroute/basilroute/protocol/gatewayapi"
 	"github.com/basilroute/basilroute/service"
@@ -54,6 +55,7 @@
 	known.Put(document(t, "kind: account\nname: suva\nrate: 1\nburst: 1\nkeys: [{id: "+stored.ID+", sha256: "+stored.SHA256+"}]\n"))
 	handler, err := (&Gateway{
 		Catalog: known, Requests: requests.New(), Runner: runner, Entry: noEntries{}, Ready: func() bool { return true },
+		Via: via.NewSigner(nil),
 	}).Handler()
 	if err != nil {
 		t.Fatal(err)
