--- a/instance/fleet_test.go
+++ b/instance/fleet_test.go
@@ -71,7 +71,7 @@
 	return fleet
 }
 
-func (f *testFleet) plain() *plain.Service   { return f.Plain["fraser-a-2-plain-1"] }
+func (f *testFleet) plain() *plain.Service  { return f.Plain["fraser-a-2-plain-1"] }
 func (f *testFleet) engine() *engine.Engine { return f.Engines["fraser-a-2-engine-1"] }
 
 func (f *testFleet) url(id string) string {
--- a/transport/backend/client_test.go
+++ b/transport/backend/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"github.com/basilroute/basilroute/protocol/refusal"
@@ -100,18 +101,47 @@
 	}
 }
 
-// A server answers with a redirect. Following it would run the order a second
-// time, on a server that routing did not choose; its target must see nothing.
+// A server answers with a redirect. Following it would hand the account's data
+// to a server that routing did not choose, or run the order a second time; its
+// target must see nothing.
 func TestRedirectIsNotFollowed(t *testing.T) {
-	service, target := plainService(t)
-	address := serve(t, http.RedirectHandler(target+"/v1/operations/buy", http.StatusTemporaryRedirect))
+	var seen atomic.Int64
+	target := serve(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { seen.Add(1) }))
 	client := New()
 	defer client.Close()
-	_, err := client.Run(t.Context(), address, order("x"))
-	if got := refusal.From(err); err == nil || got.Run != refusal.Unknown {
-		t.Errorf("refused with %v", err)
+	for _, status := range []int{http.StatusFound, http.StatusSeeOther, http.StatusTemporaryRedirect, http.StatusPermanentRedirect} {
+		address := serve(t, http.RedirectHandler(target+"/v1/operations/buy", status))
+		_, err := client.Run(t.Context(), address, order("x"))
+		if got := refusal.From(err); err == nil || got.Run != refusal.Unknown {
+			t.Errorf("%d: refused with %v", status, err)
+		}
 	}
-	if n := service.Received(); n != 0 {
+	if n := seen.Load(); n != 0 {
 		t.Errorf("the target got %d requests", n)
 	}
 }
+
+// Requests to backend servers carry the headers of a list and no other, so that
+// no caller's key can pass, whatever header it came in.
+func TestHeadersAreOnAList(t *testing.T) {
+	allowed := map[string]bool{
+		"Content-Type": true, "Content-Length": true, "User-Agent": true,
+		accountHeader: true, RequestIDHeader: true, viaHeader: true, keyHeader: true,
+	}
+	address := serve(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		for name := range r.Header {
+			if !allowed[name] {
+				t.Errorf("%s %s has the header %s", r.Method, r.URL.Path, name)
+			}
+		}
+	}))
+	client := New()
+	defer client.Close()
+	operation := order("x")
+	operation.Via = "v"
+	_, _ = client.Run(t.Context(), address, operation)
+	var stats StreamStats
+	next := int64(0)
+	_ = client.Generate(t.Context(), address, Generation{RequestID: "r", Prompt: "p", MaxTokens: 1}, &next, &stats, nil)
+	_ = client.Cancel(t.Context(), address, "r")
+}
