--- a/transport/claim/claim_test.go
+++ b/transport/claim/claim_test.go
@@ -26,9 +26,11 @@
 	rng      *rand.Rand
 	faulty   int // calls in a hundred that fail
 	down     bool
+	lose     bool // writes take effect, their answers are lost
 	revision int64
 	keys     map[string]platform.KeyValue
 	puts     int
+	grants   int
 }
 
 func newFakeStore(seed uint64, faulty int) *fakeStore {
@@ -52,6 +54,7 @@
 func (s *fakeStore) Grant(context.Context, time.Duration) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.grants++
 	if s.down {
 		return 0, errOpen
 	}
@@ -67,6 +70,10 @@
 	if s.down {
 		return 0, errOpen
 	}
+	if s.lose {
+		_, _ = s.apply(w)
+		return 0, errOpen
+	}
 	if s.rng.IntN(100) >= s.faulty {
 		return s.apply(w)
 	}
@@ -207,11 +214,11 @@
 // back; when the store is there again the same key runs, also when the write
 // whose answer was lost had taken effect: its attempt retracts it.
 func TestLostClaimIsRetracted(t *testing.T) {
-	for _, faulty := range []int{0, 100} {
+	for _, lose := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
-			store := newFakeStore(1, faulty)
-			store.down = faulty == 0
+			store := newFakeStore(1, 0)
+			store.down, store.lose = !lose, lose
 			c := New(ctx, store, "i", slog.New(slog.DiscardHandler))
 			r := Request{Key: keyAt(time.Now()), Account: "a", Service: "s", Operation: "buy"}
 			_, err := c.Claim(ctx, r)
@@ -221,7 +228,7 @@
 			}
 			time.Sleep(3 * time.Second)
 			store.mu.Lock()
-			store.down, store.faulty = false, 0
+			store.down, store.lose = false, false
 			store.mu.Unlock()
 			time.Sleep(settleFor)
 			if _, err := c.Claim(ctx, r); err != nil {
@@ -280,8 +287,8 @@
 		}
 		held.Ended(refusal.Ran)
 	}
-	if store.puts != 100 {
-		t.Errorf("%d writes for 100 operations", store.puts)
+	if store.puts != 100 || store.grants != 1 {
+		t.Errorf("%d writes and %d leases for 100 operations", store.puts, store.grants)
 	}
 }
 
