--- a/instance/fleet_test.go
+++ b/instance/fleet_test.go
@@ -82,8 +82,8 @@
 // reply is what a caller got.
 type reply struct {
 	status int
-	header http.Header
 	body   string
+	closes bool // the server asks to leave the connection
 
 	Code         string `json:"code"`
 	Run          string `json:"run"`
@@ -116,7 +116,7 @@
 	if err != nil {
 		f.t.Errorf("%s: %v", id, err)
 	}
-	out := reply{status: resp.StatusCode, header: resp.Header, body: string(data)}
+	out := reply{status: resp.StatusCode, body: string(data), closes: resp.Close}
 	if resp.StatusCode != http.StatusOK {
 		_ = json.Unmarshal(data, &out)
 	}
