Order engines by a lease with a fencing number until they read back right

Cause: the service document could name versions, but nobody told the engines, and several instances of a domain would have told them different things.

The holder of orders/<domain> in the store (a key under a lease, taken by compare-and-swap; its revision is the epoch and fencing number) compares what each engine says of itself with `orders` of the service document every 3 s and sends the difference, only while the lease outlasts the order by as much again. Ruled out: an order of one shot (an engine that ignores fencing numbers keeps what a woken former holder sent), a leader of the fleet, electing by membership (two sides of a cut would both order).

--- /dev/null
+++ b/coordination/orders/orders_test.go
@@ -0,0 +1,134 @@
+package orders
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/basilroute/basilroute/service"
+)
+
+// sent is an order on its way to the engine.
+type sent struct {
+	order  Order
+	at     time.Time
+	lease  Lease
+	arrive time.Time
+}
+
+// holder is an instance that may be paused at any point.
+type holder struct {
+	lease  Lease
+	paused bool
+}
+
+// simulation is one engine, two instances that want to order it, and the store's
+// lease, which one of them may hold.
+type simulation struct {
+	now      time.Time
+	engine   State
+	ignores  bool // the engine obeys old fencing numbers
+	owner    int  // of the store's lease; -1 for nobody
+	ends     time.Time
+	epoch    int64
+	holders  [2]holder
+	inFlight []sent
+	service  *service.Service
+}
+
+func (s *simulation) step(n int) {
+	h := &s.holders[n]
+	if s.owner >= 0 && !s.now.Before(s.ends) {
+		s.owner = -1
+	}
+	switch {
+	case h.paused:
+		return
+	case s.owner == n:
+		s.ends, h.lease = s.now.Add(LeaseTTL), NewLease(h.lease.Epoch, s.now)
+	case s.owner < 0:
+		s.epoch++
+		s.owner, s.ends, h.lease = n, s.now.Add(LeaseTTL), NewLease(s.epoch, s.now)
+	}
+	if order, ok := Next(s.service, "e", s.engine, h.lease, s.now); ok {
+		s.inFlight = append(s.inFlight, sent{order: order, at: s.now, lease: h.lease})
+	}
+}
+
+func (s *simulation) deliver() {
+	waiting := s.inFlight[:0]
+	for _, o := range s.inFlight {
+		if s.now.Before(o.arrive) {
+			waiting = append(waiting, o)
+			continue
+		}
+		if s.ignores || o.order.Fencing >= s.engine.Fencing {
+			s.engine = State(o.order)
+		}
+	}
+	s.inFlight = waiting
+}
+
+// Two instances order one engine. They are paused and woken, the store's lease
+// goes from one to the other, orders arrive late, and the document changes; the
+// engine may ignore fencing numbers. No order is sent unless it can arrive while
+// its sender's lease runs, and when the pauses end the engine does what the
+// document wants.
+func TestEngineEndsUpRight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &simulation{now: time.Unix(1e9, 0), owner: -1, ignores: rapid.Bool().Draw(t, "ignores"), service: &service.Service{}}
+		s.engine = State{Version: "v1"}
+		for range rapid.IntRange(0, 40).Draw(t, "steps") {
+			n := rapid.IntRange(0, 1).Draw(t, "instance")
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				s.holders[n].paused = !s.holders[n].paused
+			case 1:
+				s.service.Orders.Version = rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(t, "version")
+			default:
+				s.turn(t, n, rapid.IntRange(0, int(Timeout/time.Millisecond)).Draw(t, "late"))
+			}
+			s.now = s.now.Add(time.Duration(rapid.IntRange(0, 8000).Draw(t, "pass")) * time.Millisecond)
+			s.deliver()
+		}
+		s.holders[0].paused, s.holders[1].paused = false, false
+		for range 10 {
+			s.turn(t, 0, 0)
+			s.turn(t, 1, 0)
+			s.now = s.now.Add(RenewEvery)
+			s.deliver()
+		}
+		if want := s.service.Orders.Version; want != "" && s.engine.Version != want {
+			t.Fatalf("the engine has %+v, wanted %s", s.engine, want)
+		}
+	})
+}
+
+func (s *simulation) turn(t *rapid.T, n, lateMs int) {
+	before := len(s.inFlight)
+	s.step(n)
+	for i := before; i < len(s.inFlight); i++ {
+		o := &s.inFlight[i]
+		o.arrive = o.at.Add(time.Duration(lateMs) * time.Millisecond)
+		if !o.lease.Held(o.arrive) || s.owner != n {
+			t.Fatalf("instance %d ordered without the lease", n)
+		}
+	}
+}
+
+// A holder wakes up after a pause that was longer than its lease. It sends
+// nothing, though it has not heard yet that another took over.
+func TestWokenHolderSendsNothing(t *testing.T) {
+	asked := time.Unix(1e9, 0)
+	s := &service.Service{Orders: service.Orders{Version: "v2"}}
+	lease := NewLease(7, asked)
+	if _, ok := Next(s, "e", State{Version: "v1"}, lease, asked); !ok {
+		t.Error("a fresh lease does not order")
+	}
+	for _, late := range []time.Duration{LeaseTTL - Spare, LeaseTTL, time.Hour} {
+		if order, ok := Next(s, "e", State{Version: "v1"}, lease, asked.Add(late)); ok {
+			t.Errorf("after %s it sends %+v", late, order)
+		}
+	}
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -201,7 +201,7 @@
 	go i.serve(func() error { return i.callers.Serve(i.listeners.callers) })
 	go i.serve(func() error { return i.operators.Serve(i.listeners.operators) })
 	go i.serve(func() error { return i.peers.Serve(i.listeners.peers) })
-	for _, loop := range []func(context.Context){i.watchConfig, i.watchList, i.pollServers, i.exchange, i.shareQuotaLoop} {
+	for _, loop := range []func(context.Context){i.watchConfig, i.watchList, i.pollServers, i.exchange, i.shareQuotaLoop, i.issueOrders} {
 		i.loops.Go(func() { loop(i.background) })
 	}
 	i.log.Info("instance started", "region", i.settings.Region, "domain", i.settings.Domain,
--- a/service/check.go
+++ b/service/check.go
@@ -68,6 +68,7 @@
 	checkRange(r, "spill.gain", s.Spill.Gain.Seconds(), 0, maxDeadline.Seconds())
 	checkLimits(r, s.Limits)
 	checkOperations(r, s)
+	checkOrders(r, s)
 	return done(r, &Document{Kind: KindService, Name: s.Name, Service: s})
 }
 
@@ -159,6 +160,20 @@
 	}
 }
 
+func checkOrders(r *yamldoc.Report, s *Service) {
+	if s.Type != TypeModel && (s.Orders.Version != "" || len(s.Orders.Draining) > 0) {
+		r.Addf("orders", "only model services take orders")
+	}
+	if s.Orders.Version != "" && !s.AllowsVersion(s.Orders.Version) {
+		r.Addf("orders.version", "%q is not among the versions that may serve", s.Orders.Version)
+	}
+	for n, id := range s.Orders.Draining {
+		if id == "" {
+			r.Addf("orders.draining."+strconv.Itoa(n), "is empty")
+		}
+	}
+}
+
 func checkKeys(r *yamldoc.Report, keys []Key) {
 	seen := make(map[string]bool, len(keys))
 	for i, key := range keys {
--- a/service/document.go
+++ b/service/document.go
@@ -91,9 +91,16 @@
 	Spill      Spill                `yaml:"spill"`
 	Operations map[string]Operation `yaml:"operations"`
 	Limits     Limits               `yaml:"limits"`
+	Orders     Orders               `yaml:"orders"`
 	Fencing    bool                 `yaml:"fencing"` // engines refuse an order with an old fencing number
 }
 
+// Orders is what the service's engines are to do.
+type Orders struct {
+	Version  string   `yaml:"version"`  // to load; left as it is when empty
+	Draining []string `yaml:"draining"` // ids of servers that take no new work
+}
+
 // Classes holds the settings of each class.
 type Classes struct {
 	Interactive ClassSettings `yaml:"interactive"`
