--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -85,6 +85,8 @@
 type member struct {
 	*process
 	host, region, domain string
+	advertise            string // address given to peers, when it is a relay's
+	platform             string // URL of the platform, when it is a relay's
 }
 
 func (m *member) callers() string  { return fmt.Sprintf("http://%s:%d", m.host, callersPort) }
@@ -142,7 +144,11 @@
 func (f *fleet) addInstance(id, region, domain string) {
 	m := &member{host: f.host(), region: region, domain: domain}
 	f.instances[id] = m
-	fmt.Fprintf(&f.listed, "  - {id: %s, role: entry, region: %s, domain: %s, address: '%s:%d'}\n", id, region, domain, m.host, peersPort)
+	f.listInstance(id, m, fmt.Sprintf("%s:%d", m.host, peersPort))
+}
+
+func (f *fleet) listInstance(id string, m *member, address string) {
+	fmt.Fprintf(&f.listed, "  - {id: %s, role: entry, region: %s, domain: %s, address: '%s'}\n", id, m.region, m.domain, address)
 }
 
 func (f *fleet) write(name, content string) string {
@@ -177,15 +183,19 @@
 
 func (f *fleet) startInstance(id string, m *member) *process {
 	sum := sha256.Sum256([]byte(operatorToken))
+	platform := m.platform
+	if platform == "" {
+		platform = f.platform
+	}
 	settings := fmt.Sprintf(`id: %s
 region: %s
 domain: %s
 callers: {listen: '%s:%d', tls: {plain_text: true}}
-peers: {listen: '%s:%d', tls: {plain_text: true}}
+peers: {listen: '%s:%d', advertise: '%s', tls: {plain_text: true}}
 operator: {listen: '%s:%d', token_sha256: %s}
 platform: {url: '%s'}
 log: {format: json}
-`, id, m.region, m.domain, m.host, callersPort, m.host, peersPort, m.host, operatorPort, hex.EncodeToString(sum[:]), f.platform)
+`, id, m.region, m.domain, m.host, callersPort, m.host, peersPort, m.advertise, m.host, operatorPort, hex.EncodeToString(sum[:]), platform)
 	return f.run(id, "basilrouted", "--config", f.write(id+".yaml", settings))
 }
 
