Count what callers get, and refuse every bad input with a type

Cause: /metrics showed the Go runtime only, and a wrong method was answered 405 with an empty body: TestBadInputIsRefusedAndRunsNothing failed with "wrong method: status 405, not a refusal".

transport/metrics holds a small typed recorder, called by the gateway, dispatch and the platform's client; instance/metrics.go reads gauges from the state when they are scraped. No series carries an account, a key or a server: 11,000 accounts would be 11,000 series an instance (TestMetricsShowWhatCallersGot). The store's calls are counted at the HTTP transport, where the platform counts them too, so the client's code is untouched. Time in queues has its series and method (Recorder.Queued); nothing calls it yet.

Ruled out: counting in the generated server's middleware. It sees a streamed answer end when the handler returns, before the first token.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -29,6 +29,7 @@
 	"github.com/basilroute/basilroute/transport/backend"
 	"github.com/basilroute/basilroute/transport/dispatch"
 	"github.com/basilroute/basilroute/transport/gateway"
+	"github.com/basilroute/basilroute/transport/metrics"
 	"github.com/basilroute/basilroute/transport/operator"
 	"github.com/basilroute/basilroute/transport/peer"
 	"github.com/basilroute/basilroute/transport/platform"
@@ -39,6 +40,7 @@
 	settings Settings
 	log      *slog.Logger
 	registry *prometheus.Registry
+	metrics  *metrics.Recorder
 
 	catalog    *catalog.Catalog
 	config     *configwatch.Log
@@ -87,6 +89,7 @@
 		failed:     make(chan error, 3),
 	}
 	i.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	i.metrics = metrics.NewRecorder(i.registry)
 	i.config = configwatch.New(i.catalog)
 	i.catalog.OnWithdraw(i.requests.Withdraw)
 	i.catalog.OnWithdraw(i.forwarded.Withdraw)
@@ -94,6 +97,7 @@
 		return nil, err
 	}
 	i.members = membership.New(i.selfEntry(), time.Now())
+	i.registerMetrics()
 	if err := i.wire(); err != nil {
 		i.closeListeners()
 		return nil, err
@@ -148,15 +152,15 @@
 	i.platform, err = platform.New(platform.Settings{
 		URL: i.settings.Platform.URL, CallTimeout: i.settings.Platform.CallTimeout,
 		CallRate: i.settings.Platform.CallRate, CallBurst: int(i.settings.Platform.CallBurst),
-	}, &http.Transport{MaxIdleConnsPerHost: 8})
+	}, i.metrics.CountStore(&http.Transport{MaxIdleConnsPerHost: 8}))
 	if err != nil {
 		return err
 	}
 	i.pool = peer.NewPool(insecure.NewCredentials())
-	i.local = &dispatch.Local{Catalog: i.catalog, Servers: i.servers, Backend: i.backend, Quarantine: i.quarantine}
+	i.local = &dispatch.Local{Catalog: i.catalog, Servers: i.servers, Backend: i.backend, Quarantine: i.quarantine, Metrics: i.metrics}
 	i.front = &dispatch.Front{
 		Region: i.settings.Region, Domain: i.settings.Domain, Catalog: i.catalog, Ledger: i.ledger,
-		Retries: i.retries, Quarantine: i.quarantine, Known: i, Local: i.local, Forwarder: i.pool, Log: i.log,
+		Retries: i.retries, Quarantine: i.quarantine, Known: i, Local: i.local, Forwarder: i.pool, Log: i.log, Metrics: i.metrics,
 	}
 	return i.wireServers()
 }
@@ -165,7 +169,7 @@
 
 func (i *Instance) wireServers() error {
 	callers, err := (&gateway.Gateway{
-		Catalog: i.catalog, Requests: i.requests, Runner: i.front, Entry: i, Ready: i.Ready,
+		Catalog: i.catalog, Requests: i.requests, Runner: i.front, Entry: i, Ready: i.Ready, Metrics: i.metrics,
 	}).Handler()
 	if err != nil {
 		return err
--- a/protocol/refusal/refusal.go
+++ b/protocol/refusal/refusal.go
@@ -21,6 +21,7 @@
 	CodeUnauthorized    Code = "unauthorized"
 	CodeForbidden       Code = "forbidden"
 	CodeNotFound        Code = "not_found"
+	CodeMethod          Code = "method_not_allowed"
 	CodeConflict        Code = "conflict"
 	CodeTooLarge        Code = "too_large"
 	CodeRateLimited     Code = "rate_limited"
@@ -47,6 +48,7 @@
 	CodeForbidden:       http.StatusForbidden,
 	CodeResidency:       http.StatusForbidden,
 	CodeNotFound:        http.StatusNotFound,
+	CodeMethod:          http.StatusMethodNotAllowed,
 	CodeConflict:        http.StatusConflict,
 	CodeLoop:            http.StatusConflict,
 	CodeTooLarge:        http.StatusRequestEntityTooLarge,
--- a/transport/dispatch/charge.go
+++ b/transport/dispatch/charge.go
@@ -5,6 +5,7 @@
 
 	"github.com/basilroute/basilroute/protocol/refusal"
 	"github.com/basilroute/basilroute/service"
+	"github.com/basilroute/basilroute/transport/metrics"
 )
 
 func (f *Front) charge(account *service.Account, cost float64) *refusal.Refusal {
@@ -13,8 +14,10 @@
 	}
 	ok, wait := f.Ledger.Admit(account, cost, time.Now())
 	if !ok {
+		f.Metrics.Quota(metrics.QuotaRefused, cost)
 		return refusal.New(refusal.CodeRateLimited, "the account is at its rate").After(wait)
 	}
+	f.Metrics.Quota(metrics.QuotaCharged, cost)
 	return nil
 }
 
@@ -29,5 +32,6 @@
 	}
 	if used < cost {
 		f.Ledger.Settle(account, cost-used, time.Now())
+		f.Metrics.Quota(metrics.QuotaRefunded, cost-used)
 	}
 }
--- a/transport/dispatch/front.go
+++ b/transport/dispatch/front.go
@@ -13,6 +13,7 @@
 	"github.com/basilroute/basilroute/protocol/refusal"
 	"github.com/basilroute/basilroute/service"
 	"github.com/basilroute/basilroute/state/catalog"
+	"github.com/basilroute/basilroute/transport/metrics"
 )
 
 // Domains tells what is known of the failure domains for a service.
@@ -32,6 +33,7 @@
 	Local          *Local
 	Forwarder      Forwarder
 	Log            *slog.Logger
+	Metrics        *metrics.Recorder // may be nil
 }
 
 // usage watches an answer on its way to the caller.
@@ -94,6 +96,7 @@
 		if !ok {
 			return err
 		}
+		f.Metrics.Retried(w.Service)
 		time.Sleep(wait)
 	}
 }
@@ -119,6 +122,7 @@
 	if chosen.Name == f.Domain {
 		return f.Local.Run(ctx, w, sink)
 	}
+	f.countForward(w, chosen)
 	next := *w
 	next.Hop = w.Hop + 1
 	err := f.Forwarder.Forward(ctx, chosen.Peer, &next, sink)
@@ -127,3 +131,11 @@
 	}
 	return err
 }
+
+func (f *Front) countForward(w *Work, chosen routing.Domain) {
+	scope := metrics.ScopeRegion
+	if chosen.Region != f.Region {
+		scope = metrics.ScopeSpill
+	}
+	f.Metrics.Forwarded(w.Service, scope)
+}
--- a/transport/dispatch/local.go
+++ b/transport/dispatch/local.go
@@ -12,6 +12,7 @@
 	"github.com/basilroute/basilroute/state/catalog"
 	"github.com/basilroute/basilroute/state/servers"
 	"github.com/basilroute/basilroute/transport/backend"
+	"github.com/basilroute/basilroute/transport/metrics"
 )
 
 const (
@@ -25,6 +26,7 @@
 	Servers    *servers.Table
 	Backend    *backend.Client
 	Quarantine *quarantine.List
+	Metrics    *metrics.Recorder // may be nil
 }
 
 // Run sends the work to one server. The error is a *refusal.Refusal, or the
@@ -69,3 +71,8 @@
 		l.Quarantine.Crashed(quarantine.Fingerprint(w.Account, w.Service, w.body()), time.Now())
 	}
 }
+
+func (l *Local) countDropped(stats *backend.StreamStats) {
+	l.Metrics.Dropped(metrics.DropForeign, stats.Foreign)
+	l.Metrics.Dropped(metrics.DropRepeated, stats.Repeated)
+}
--- a/transport/dispatch/stream.go
+++ b/transport/dispatch/stream.go
@@ -28,6 +28,7 @@
 		generation.Priority = priorityBulk
 	}
 	var stats backend.StreamStats
+	defer l.countDropped(&stats)
 	next := w.Generation.FromSeq
 	forward := func(f *frame.Frame) error { return sink.Frame(server.ID, f) }
 	for resumed := 0; ; resumed++ {
--- a/transport/gateway/errors.go
+++ b/transport/gateway/errors.go
@@ -38,6 +38,7 @@
 
 // encode returns the body of a refusal; one that other instances may serve names them.
 func (g *Gateway) encode(r *refusal.Refusal, account *service.Account) gatewayapi.Refusal {
+	g.Metrics.Refused(string(r.Code))
 	out := gatewayapi.Refusal{Code: string(r.Code), Message: r.Message, Run: gatewayapi.RefusalRun(r.Run)}
 	if r.RetryAfter > 0 {
 		out.RetryAfterMs = gatewayapi.NewOptInt64(r.RetryAfter.Milliseconds())
@@ -73,6 +74,11 @@
 	g.writeRefusal(w, refusal.New(refusal.CodeNotFound, "no such path"))
 }
 
+func (g *Gateway) methodNotAllowed(w http.ResponseWriter, _ *http.Request, allowed string) {
+	w.Header().Set("Allow", allowed)
+	g.writeRefusal(w, refusal.New(refusal.CodeMethod, "want one of %s", allowed))
+}
+
 func (g *Gateway) writeRefusal(w http.ResponseWriter, r *refusal.Refusal) {
 	body := g.encode(r, nil)
 	encoded, err := body.MarshalJSON()
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/basilroute/basilroute/state/requests"
 	"github.com/basilroute/basilroute/transport/dispatch"
 	"github.com/basilroute/basilroute/transport/httpstream"
+	"github.com/basilroute/basilroute/transport/metrics"
 )
 
 const (
@@ -42,13 +43,15 @@
 	Runner   Runner
 	Entry    Entries
 	Ready    func() bool
+	Metrics  *metrics.Recorder // may be nil
 }
 
 // Handler returns the HTTP handler for callers.
 func (g *Gateway) Handler() (http.Handler, error) {
 	api, err := gatewayapi.NewServer(g, g,
 		gatewayapi.WithErrorHandler(g.writeError),
-		gatewayapi.WithNotFound(g.notFound))
+		gatewayapi.WithNotFound(g.notFound),
+		gatewayapi.WithMethodNotAllowed(g.methodNotAllowed))
 	if err != nil {
 		return nil, errors.Wrap(err, "gateway")
 	}
@@ -166,5 +169,5 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, w.Deadline)
 	defer cancel()
-	return g.Runner.Run(ctx, c.account, w, sink)
+	return g.observe(ctx, c.account, w, sink)
 }
--- /dev/null
+++ b/transport/metrics/recorder.go
@@ -0,0 +1,177 @@
+// Package metrics counts what an instance does, for Prometheus. No series
+// carries an account, a key or a backend server, so that their number does not
+// grow with the fleet's 11,000 accounts.
+package metrics
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/basilroute/basilroute/service"
+)
+
+const namespace = "basilroute"
+
+// Labels of the series.
+const (
+	labelService = "service"
+	labelClass   = "class"
+	labelCode    = "code"
+	labelScope   = "scope"
+	labelReason  = "reason"
+	labelCall    = "call"
+	labelResult  = "result"
+)
+
+// CodeDone is the code of a request that got its whole answer; any other is
+// that of its refusal.
+const CodeDone = "done"
+
+// Scope tells how far a request was forwarded.
+type Scope string
+
+// Scopes of forwarding.
+const (
+	ScopeRegion Scope = "same_region"
+	ScopeSpill  Scope = "other_region"
+)
+
+// Drop tells why a frame was dropped.
+type Drop string
+
+// Reasons for dropping a frame.
+const (
+	DropForeign  Drop = "foreign" // of another request or attempt
+	DropRepeated Drop = "repeated"
+)
+
+var (
+	secondsBuckets   = []float64{.005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10, 30, 60}
+	queueWaitBuckets = []float64{.001, .005, .01, .05, .1, .5, 1, 5, 30, 120}
+)
+
+// Recorder is what the request path calls. A nil Recorder records nothing, and
+// all methods are safe for concurrent use.
+type Recorder struct {
+	requests   *prometheus.CounterVec
+	firstToken *prometheus.HistogramVec
+	duration   *prometheus.HistogramVec
+	queueWait  *prometheus.HistogramVec
+	output     *prometheus.CounterVec
+	refusals   *prometheus.CounterVec
+	forwarded  *prometheus.CounterVec
+	retries    *prometheus.CounterVec
+	dropped    *prometheus.CounterVec
+	quota      *prometheus.CounterVec
+	store      *prometheus.CounterVec
+	storeTime  *prometheus.HistogramVec
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func histogram(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, labels)
+}
+
+// NewRecorder registers the series.
+func NewRecorder(registry prometheus.Registerer) *Recorder {
+	r := &Recorder{
+		requests:   counter("requests_total", "Requests of callers that ended, by their code.", labelService, labelClass, labelCode),
+		firstToken: histogram("first_token_seconds", "From the request to its first token.", secondsBuckets, labelService, labelClass),
+		duration:   histogram("request_seconds", "From the request to the end of its answer.", secondsBuckets, labelService, labelClass),
+		queueWait:  histogram("queue_wait_seconds", "Time that a request waited in a queue.", queueWaitBuckets, labelService, labelClass),
+		output:     counter("output_tokens_total", "Tokens handed to callers.", labelService),
+		refusals:   counter("refusals_total", "Refusals answered, also those before a service was known.", labelCode),
+		forwarded:  counter("forwarded_total", "Attempts sent to a peer of another failure domain.", labelService, labelScope),
+		retries:    counter("retries_total", "Attempts after the first.", labelService),
+		dropped:    counter("dropped_frames_total", "Frames of engines that did not belong to their stream.", labelReason),
+		quota:      counter("quota_tokens_total", "Tokens charged to accounts, given back, and asked for but refused.", labelResult),
+		store:      counter("store_calls_total", "Calls of the platform's services.", labelCall, labelResult),
+		storeTime:  histogram("store_call_seconds", "Duration of calls of the platform's services, waiting watches left out.", secondsBuckets, labelCall),
+	}
+	registry.MustRegister(r.requests, r.firstToken, r.duration, r.queueWait, r.output, r.refusals,
+		r.forwarded, r.retries, r.dropped, r.quota, r.store, r.storeTime)
+	return r
+}
+
+// Ended counts a request and its output at its end.
+func (r *Recorder) Ended(svc string, class service.Class, code string, took time.Duration, tokens int) {
+	if r == nil {
+		return
+	}
+	r.requests.WithLabelValues(svc, string(class), code).Inc()
+	r.duration.WithLabelValues(svc, string(class)).Observe(took.Seconds())
+	r.output.WithLabelValues(svc).Add(float64(tokens))
+}
+
+// FirstToken observes the time to a request's first token.
+func (r *Recorder) FirstToken(svc string, class service.Class, took time.Duration) {
+	if r == nil {
+		return
+	}
+	r.firstToken.WithLabelValues(svc, string(class)).Observe(took.Seconds())
+}
+
+// Queued observes how long a request waited in a queue.
+func (r *Recorder) Queued(svc string, class service.Class, took time.Duration) {
+	if r == nil {
+		return
+	}
+	r.queueWait.WithLabelValues(svc, string(class)).Observe(took.Seconds())
+}
+
+// Refused counts a refusal that a caller got.
+func (r *Recorder) Refused(code string) {
+	if r == nil {
+		return
+	}
+	r.refusals.WithLabelValues(code).Inc()
+}
+
+// Forwarded counts an attempt sent to a peer.
+func (r *Recorder) Forwarded(svc string, scope Scope) {
+	if r == nil {
+		return
+	}
+	r.forwarded.WithLabelValues(svc, string(scope)).Inc()
+}
+
+// Retried counts an attempt after the first.
+func (r *Recorder) Retried(svc string) {
+	if r == nil {
+		return
+	}
+	r.retries.WithLabelValues(svc).Inc()
+}
+
+// Dropped counts frames that were dropped.
+func (r *Recorder) Dropped(reason Drop, frames int64) {
+	if r == nil || frames == 0 {
+		return
+	}
+	r.dropped.WithLabelValues(string(reason)).Add(float64(frames))
+}
+
+// QuotaResult is what became of tokens that a request asked for.
+type QuotaResult string
+
+// Results of quota decisions.
+const (
+	QuotaCharged  QuotaResult = "charged"
+	QuotaRefunded QuotaResult = "refunded"
+	QuotaRefused  QuotaResult = "refused"
+)
+
+// Quota counts tokens by what became of them.
+func (r *Recorder) Quota(result QuotaResult, tokens float64) {
+	if r == nil || tokens <= 0 {
+		return
+	}
+	r.quota.WithLabelValues(string(result)).Add(tokens)
+}
+
+func statusResult(status int) string { return strconv.Itoa(status/100) + "xx" }
