Fit slopes to benchmarks by size: basilroute capacity

capacity/ reads `go test -bench Size -benchmem`, fits each metric of each BenchmarkSize<What>/n=<N> by least squares, and gives the value at the size of two years on, found by a word in the name from one table in code. A series of fewer than four sizes, or of an unknown name, is printed without a value.

Ruled out: mapping sizes to targets by a flag for each benchmark. The table must come out the same for everybody.

--- a/cmd/basilroute/main.go
+++ b/cmd/basilroute/main.go
@@ -58,7 +58,7 @@
 		Commands: []*cli.Command{
 			validateCommand(), applyCommand(), getCommand(), keysCommand(),
 			statusCommand(), stateCommand(), entriesCommand(), demoCommand(), standinCommand(),
-			experimentCommand(), loadCommand(),
+			experimentCommand(), loadCommand(), capacityCommand(),
 		},
 	}
 }
