Read a document once, and report what was silently misread

Cause: the transcripts of findings, written first, showed three faults. An alias (`list: [*n]`) was taken as the text "*" without a finding. A key given twice hid every other finding of the document, because the parser stopped there. A value that could not be decoded got a second finding about the default that stood in its place. And service.Parse read each document twice, once to see its kind.

Change: yamldoc.Read reads, Source.Peek and Source.Decode decode; aliases are findings; keys given twice are findings like others; a check is silent on a field that could not be decoded; limits print without exponents.

Ruled out: looking for "kind:" in the text. A document may be in flow style.

--- a/service/check.go
+++ b/service/check.go
@@ -42,7 +42,7 @@
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
 
-func parseService(file string, data []byte) (*Document, error) {
+func parseService(source *yamldoc.Source) (*Document, error) {
 	s := &Service{
 		Type:   TypeModel,
 		Policy: PolicyLatency,
@@ -57,7 +57,7 @@
 			Queue: DefaultQueue, Concurrency: DefaultConcurrency,
 		},
 	}
-	r := yamldoc.Decode(file, data, s)
+	r := source.Decode(s)
 	checkName(r, s.Name)
 	checkOneOf(r, "type", string(s.Type), string(TypeModel), string(TypePlain))
 	checkOneOf(r, "policy", string(s.Policy), string(PolicyLatency), string(PolicyCost))
@@ -71,9 +71,9 @@
 	return done(r, &Document{Kind: KindService, Name: s.Name, Service: s})
 }
 
-func parseAccount(file string, data []byte) (*Document, error) {
+func parseAccount(source *yamldoc.Source) (*Document, error) {
 	a := &Account{}
-	r := yamldoc.Decode(file, data, a)
+	r := source.Decode(a)
 	checkName(r, a.Name)
 	checkRange(r, "rate", a.Rate, 0, 1e9)
 	checkRange(r, "burst", a.Burst, 1, 1e12)
@@ -84,12 +84,12 @@
 	return done(r, &Document{Kind: KindAccount, Name: a.Name, Account: a})
 }
 
-func parseFleet(file string, data []byte) (*Document, error) {
+func parseFleet(source *yamldoc.Source) (*Document, error) {
 	f := &Fleet{Slots: Slots{
 		PerDomain: DefaultSlots, Lease: DefaultSlotLease, Promise: DefaultPromise,
 		Peers: DefaultSlotPeers, Promises: DefaultPromises, Release: DefaultSlotRelease,
 	}}
-	r := yamldoc.Decode(file, data, f)
+	r := source.Decode(f)
 	if f.Name != FleetName {
 		r.Addf("name", "the fleet document is named %q, have %q", FleetName, f.Name)
 	}
@@ -122,10 +122,15 @@
 
 func checkRange(r *yamldoc.Report, path string, have, low, high float64) {
 	if !(have >= low && have <= high) { // written so that NaN is a finding
-		r.Addf(path, "want %g to %g, have %g", low, high, have)
+		r.Addf(path, "want %s to %s, have %s", number(low), number(high), number(have))
 	}
 }
 
+// number prints a limit as a team would write it, without an exponent.
+func number(v float64) string {
+	return strconv.FormatFloat(v, 'f', -1, 64)
+}
+
 func checkClass(r *yamldoc.Report, path string, c ClassSettings) {
 	if c.Deadline <= 0 || c.Deadline > maxDeadline {
 		r.Addf(path+".deadline", "want above 0 and at most %s, have %s", maxDeadline, c.Deadline)
--- a/service/document.go
+++ b/service/document.go
@@ -224,17 +224,18 @@
 // Parse decodes and checks a document of any kind. The error is yamldoc.Findings.
 func Parse(file string, data []byte) (*Document, error) {
 	var head header
-	r := yamldoc.Peek(file, data, &head)
+	source := yamldoc.Read(file, data)
+	r := source.Peek(&head)
 	if err := r.Err(); err != nil {
 		return nil, err
 	}
 	switch head.Kind {
 	case KindService:
-		return parseService(file, data)
+		return parseService(source)
 	case KindAccount:
-		return parseAccount(file, data)
+		return parseAccount(source)
 	case KindFleet:
-		return parseFleet(file, data)
+		return parseFleet(source)
 	}
 	r.Addf("kind", "want service, account or fleet, have %q", head.Kind)
 	return nil, r.Err()
--- a/yamldoc/decode.go
+++ b/yamldoc/decode.go
@@ -4,6 +4,7 @@
 	"encoding"
 	"fmt"
 	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -21,39 +22,58 @@
 	unmarshalerType = reflect.TypeFor[encoding.TextUnmarshaler]()
 )
 
+// Source is a document that was read and not yet decoded.
+type Source struct {
+	file     string
+	root     ast.Node // nil when findings says why it cannot be read
+	findings Findings
+}
+
+// Read reads a document as YAML. What is wrong with it is found again in the
+// reports of Decode and Peek.
+func Read(file string, data []byte) *Source {
+	r := newReport(file)
+	return &Source{file: file, root: r.parse(data), findings: r.findings}
+}
+
 // Decode fills the struct that out points to. The report holds what was found
 // so far; the caller adds the findings of its own checks and calls Err.
-func Decode(file string, data []byte, out any) *Report {
-	return decodeDocument(&Report{file: file}, data, out)
-}
+func (s *Source) Decode(out any) *Report { return s.decode(out, false) }
 
 // Peek is Decode, but fields that out does not have are no findings.
-func Peek(file string, data []byte, out any) *Report {
-	return decodeDocument(&Report{file: file, lenient: true}, data, out)
-}
+func (s *Source) Peek(out any) *Report { return s.decode(out, true) }
 
-func decodeDocument(r *Report, data []byte, out any) *Report {
-	r.places = map[string]place{"": {1, 1}}
-	if len(data) > MaxBytes {
-		r.Addf("", "the document has %d bytes, the limit is %d", len(data), MaxBytes)
-		return r
-	}
-	root := r.parse(data)
-	if root == nil {
-		return r
+func (s *Source) decode(out any, lenient bool) *Report {
+	r := newReport(s.file)
+	r.lenient = lenient
+	r.findings = slices.Clone(s.findings)
+	if s.root != nil {
+		r.decode(s.root, reflect.ValueOf(out).Elem(), "")
 	}
-	r.decode(root, reflect.ValueOf(out).Elem(), "")
 	return r
 }
 
+// Decode reads a document and fills the struct that out points to.
+func Decode(file string, data []byte, out any) *Report {
+	return Read(file, data).Decode(out)
+}
+
 func (r *Report) parse(data []byte) ast.Node {
-	file, err := parser.ParseBytes(data, 0)
+	if len(data) > MaxBytes {
+		r.Addf("", "the document has %d bytes, the limit is %d", len(data), MaxBytes)
+		return nil
+	}
+	file, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey()) // they are findings of their own
 	if err != nil {
 		r.syntaxError(err)
 		return nil
 	}
-	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
-		r.Addf("", "want exactly one YAML document that is not empty, have %d", len(file.Docs))
+	if len(file.Docs) > 1 {
+		r.Addf("", "want one YAML document, have %d", len(file.Docs))
+		return nil
+	}
+	if len(file.Docs) == 0 || file.Docs[0].Body == nil {
+		r.Addf("", "the document is empty")
 		return nil
 	}
 	return file.Docs[0].Body
@@ -89,6 +109,8 @@
 	switch {
 	case node.Type() == ast.NullType:
 		return
+	case node.Type() == ast.AliasType:
+		r.wrong(placeOf(node.GetToken()), path, "aliases are not taken: write the value out")
 	case v.Type() == durationType:
 		r.decodeDuration(node, v, path)
 	case reflect.PointerTo(v.Type()).Implements(unmarshalerType):
@@ -247,7 +269,7 @@
 func (r *Report) decodeText(node ast.Node, v reflect.Value, path string) {
 	err := v.Addr().Interface().(encoding.TextUnmarshaler).UnmarshalText([]byte(scalarText(node)))
 	if err != nil {
-		r.add(placeOf(node.GetToken()), path, err.Error())
+		r.wrong(placeOf(node.GetToken()), path, err.Error())
 	}
 }
 
@@ -286,7 +308,7 @@
 }
 
 func (r *Report) wrongType(node ast.Node, path, want string) {
-	r.add(placeOf(node.GetToken()), path, fmt.Sprintf("want %s, have %s", want, describe(node)))
+	r.wrong(placeOf(node.GetToken()), path, fmt.Sprintf("want %s, have %s", want, describe(node)))
 }
 
 func describe(node ast.Node) string {
--- a/yamldoc/findings.go
+++ b/yamldoc/findings.go
@@ -58,13 +58,22 @@
 	lenient  bool // unknown fields are passed over
 	findings Findings
 	places   map[string]place
+	undone   map[string]bool // fields whose value could not be decoded
+}
+
+func newReport(file string) *Report {
+	return &Report{file: file, places: map[string]place{"": {1, 1}}, undone: make(map[string]bool)}
 }
 
 type place struct{ line, column int }
 
 // Addf adds a finding at the place of the field that path names, or at the
-// nearest enclosing field that the document holds.
+// nearest enclosing field that the document holds. A check of a field whose
+// value could not be decoded has nothing to say: its finding is there already.
 func (r *Report) Addf(path, format string, args ...any) {
+	if r.undone[path] {
+		return
+	}
 	at := r.lookup(path)
 	r.add(at, path, fmt.Sprintf(format, args...))
 }
@@ -75,6 +84,12 @@
 	})
 }
 
+// wrong adds a finding about a value that could not be decoded.
+func (r *Report) wrong(at place, path, message string) {
+	r.undone[path] = true
+	r.add(at, path, message)
+}
+
 func (r *Report) lookup(path string) place {
 	for {
 		if at, ok := r.places[path]; ok {
