--- a/cmd/basilroute/documents.go
+++ b/cmd/basilroute/documents.go
@@ -11,7 +11,6 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/basilroute/basilroute/instance"
-	"github.com/basilroute/basilroute/protocol/operatorapi"
 	"github.com/basilroute/basilroute/service"
 	"github.com/basilroute/basilroute/transport/platform"
 	"github.com/basilroute/basilroute/yamldoc"
@@ -107,7 +106,7 @@
 	return &cli.Command{
 		Name: "apply", Usage: "bring documents into force", ArgsUsage: "FILE...",
 		Flags: []cli.Flag{
-			platformFlag(), operatorFlag(), tokenFlag(),
+			platformFlag(), operatorFlag(), tokenFlag(), caFlag(),
 			&cli.Int64Flag{Name: "expect", Value: -1, Usage: "revision that the document must have; the one found when not given"},
 			&cli.BoolFlag{Name: "wait", Usage: "wait until every instance has it in force (needs --instance)"},
 			&cli.DurationFlag{Name: "timeout", Value: applyTimeout, Usage: "how long to wait"},
@@ -127,17 +126,20 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, command.Duration("timeout"))
 	defer cancel()
-	var last int64
+	accepted := make([]applied, len(documents))
 	for n, d := range documents {
 		revision, err := put(ctx, store, d, contents[n], command.Int64("expect"))
 		if err != nil {
 			return errors.Wrapf(err, "%s %s", d.Kind, d.Name)
 		}
-		last = max(last, revision)
+		accepted[n].key = d.Key()
+		if accepted[n].rank, err = rankOf(ctx, store, revision); err != nil {
+			return errors.Wrapf(err, "%s %s", d.Kind, d.Name)
+		}
 		fmt.Fprintf(command.Root().Writer, "%s %s: accepted at revision %d\n", d.Kind, d.Name, revision)
 	}
 	if command.Bool("wait") {
-		return awaitRevision(ctx, command, last)
+		return awaitInForce(ctx, command, accepted)
 	}
 	return nil
 }
@@ -157,41 +159,6 @@
 	return store.Put(ctx, platform.Write{Key: d.Key(), Value: content, Expect: expect})
 }
 
-// awaitRevision waits until every live instance has the revision in force.
-func awaitRevision(ctx context.Context, command *cli.Command, revision int64) error {
-	client, err := openOperator(command)
-	if err != nil {
-		return err
-	}
-	for {
-		status, err := client.GetStatus(ctx)
-		if err == nil {
-			done, all := inForce(status, revision)
-			fmt.Fprintf(command.Root().ErrWriter, "\r%d of %d instances have revision %d in force", done, all, revision)
-			if done == all {
-				fmt.Fprintln(command.Root().ErrWriter)
-				return nil
-			}
-		}
-		select {
-		case <-time.After(waitPause):
-		case <-ctx.Done():
-			fmt.Fprintln(command.Root().ErrWriter)
-			return errors.CombineErrors(errTimeout, err)
-		}
-	}
-}
-
-func inForce(status *operatorapi.Status, revision int64) (done, all int) {
-	for _, i := range status.Instances {
-		all++
-		if i.ConfigRevision >= revision {
-			done++
-		}
-	}
-	return done, all
-}
-
 func getCommand() *cli.Command {
 	return &cli.Command{
 		Name: "get", Usage: "print a document as it stands in the store", ArgsUsage: "KIND [NAME]",
--- a/cmd/basilroute/operate.go
+++ b/cmd/basilroute/operate.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -13,9 +15,7 @@
 	"github.com/basilroute/basilroute/coordination/configwatch"
 	"github.com/basilroute/basilroute/protocol/gatewayapi"
 	"github.com/basilroute/basilroute/protocol/operatorapi"
-	"github.com/basilroute/basilroute/service"
-	"github.com/basilroute/basilroute/state/catalog"
-	"github.com/basilroute/basilroute/transport/platform"
+	"github.com/basilroute/basilroute/transport/tlsconf"
 )
 
 func operatorFlag() cli.Flag {
@@ -29,6 +29,13 @@
 	return &cli.StringFlag{Name: "token", Usage: "operator's token", Sources: cli.EnvVars("BASILROUTE_TOKEN")}
 }
 
+func caFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: "ca", Usage: "file with the certificates that the instance's own is checked with",
+		Sources: cli.EnvVars("BASILROUTE_CA"),
+	}
+}
+
 func outputFlag() cli.Flag {
 	return &cli.StringFlag{Name: "output", Value: "table", Usage: "table or json"}
 }
@@ -44,13 +51,22 @@
 	if command.String("instance") == "" {
 		return nil, errors.New("--instance is required")
 	}
-	return operatorapi.NewClient(command.String("instance"), operatorToken(command.String("token")))
+	transport := &http.Transport{}
+	if file := command.String("ca"); file != "" {
+		source, err := tlsconf.Open(tlsconf.Files{CA: file})
+		if err != nil {
+			return nil, err
+		}
+		transport.DialTLSContext = source.Dial
+	}
+	client := &http.Client{Transport: transport}
+	return operatorapi.NewClient(command.String("instance"), operatorToken(command.String("token")), operatorapi.WithClient(client))
 }
 
 func statusCommand() *cli.Command {
 	return &cli.Command{
 		Name: "status", Usage: "show the fleet as one instance sees it",
-		Flags: []cli.Flag{operatorFlag(), tokenFlag(), outputFlag()},
+		Flags: []cli.Flag{operatorFlag(), tokenFlag(), caFlag(), outputFlag()},
 		Action: func(ctx context.Context, command *cli.Command) error {
 			client, err := openOperator(command)
 			if err != nil {
@@ -75,16 +91,17 @@
 		_, err = fmt.Fprintf(out, "%s\n", encoded)
 		return err
 	}
-	fmt.Fprintf(out, "%s: ready %t, configuration %d, store reachable %t\n",
-		status.ID, status.Ready, status.ConfigRevision, status.StoreReachable)
+	fmt.Fprintf(out, "%s: ready %t, configuration %s, store reachable %t\n",
+		status.ID, status.Ready, configwatch.FormatRank(status.ConfigRevision), status.StoreReachable)
 	for _, finding := range status.Findings {
 		fmt.Fprintf(out, "finding: %s\n", finding)
 	}
 	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(table, "INSTANCE\tREGION\tDOMAIN\tSTATE\tCONFIGURATION\tHEARD")
+	fmt.Fprintln(table, "INSTANCE\tREGION\tDOMAIN\tSTATE\tCONFIGURATION\tREJECTED\tHEARD")
 	for _, i := range status.Instances {
 		heard := time.Duration(i.AgeMs) * time.Millisecond
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%s ago\n", i.ID, i.Region, i.Domain, i.State, i.ConfigRevision, heard)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%s ago\n", i.ID, i.Region, i.Domain, i.State,
+			configwatch.FormatRank(i.ConfigRevision), cmp.Or(strings.Join(i.Rejected, " "), "-"), heard)
 	}
 	return table.Flush()
 }
@@ -94,7 +111,7 @@
 		Name: "state", Usage: "look into an instance",
 		Commands: []*cli.Command{{
 			Name: "dump", Usage: "print the instance's state as JSON",
-			Flags: []cli.Flag{operatorFlag(), tokenFlag()},
+			Flags: []cli.Flag{operatorFlag(), tokenFlag(), caFlag()},
 			Action: func(ctx context.Context, command *cli.Command) error {
 				client, err := openOperator(command)
 				if err != nil {
@@ -141,78 +158,3 @@
 		},
 	}
 }
-
-func keysCommand() *cli.Command {
-	return &cli.Command{
-		Name: "keys", Usage: "issue and withdraw callers' keys",
-		Commands: []*cli.Command{
-			{
-				Name: "issue", Usage: "add a key to a client account and print it once", ArgsUsage: "ACCOUNT KEY-ID",
-				Flags: []cli.Flag{platformFlag()}, Action: issueKey,
-			},
-			{
-				Name: "withdraw", Usage: "make a key unusable for good", ArgsUsage: "KEY-ID",
-				Flags: []cli.Flag{operatorFlag(), tokenFlag()}, Action: withdrawKey,
-			},
-		},
-	}
-}
-
-func issueKey(ctx context.Context, command *cli.Command) error {
-	account, id := command.Args().Get(0), command.Args().Get(1)
-	store, err := openStore(command)
-	if err != nil {
-		return err
-	}
-	if _, err := store.Get(ctx, service.StoreKey(configwatch.KindWithdrawn, id)); err == nil {
-		return errors.Newf("key id %s was withdrawn and cannot be issued again", id)
-	}
-	name := service.StoreKey(service.KindAccount, account)
-	current, err := store.Get(ctx, name)
-	if err != nil {
-		return errors.Wrapf(err, "account %s", account)
-	}
-	presented, key := catalog.NewKey(id)
-	next := addKey(string(current.Value), key)
-	if _, err := service.Parse(account, []byte(next)); err != nil {
-		return err
-	}
-	if _, err := store.Put(ctx, platform.Write{Key: name, Value: []byte(next), Expect: current.Revision}); err != nil {
-		return err
-	}
-	_, err = fmt.Fprintln(command.Root().Writer, presented)
-	return err
-}
-
-// addKey writes the key into the text of an account document and keeps the rest
-// as its team wrote it.
-func addKey(document string, key service.Key) string {
-	item := fmt.Sprintf("  - id: %s\n    sha256: %s\n", key.ID, key.SHA256)
-	var b strings.Builder
-	found := false
-	for line := range strings.Lines(document) {
-		if !found && strings.HasPrefix(line, "keys:") {
-			found = true
-			b.WriteString("keys:\n" + item)
-			continue
-		}
-		b.WriteString(line)
-	}
-	if found {
-		return b.String()
-	}
-	return strings.TrimRight(document, "\n") + "\nkeys:\n" + item
-}
-
-func withdrawKey(ctx context.Context, command *cli.Command) error {
-	client, err := openOperator(command)
-	if err != nil {
-		return err
-	}
-	done, err := client.WithdrawKey(ctx, operatorapi.WithdrawKeyParams{ID: command.Args().First()})
-	if err != nil {
-		return errors.Wrap(err, "withdraw")
-	}
-	fmt.Fprintf(command.Root().Writer, "%s: withdrawn here and on %d peers, in the store: %t\n", done.ID, done.Peers, done.Stored)
-	return nil
-}
--- a/coordination/configwatch/configwatch.go
+++ b/coordination/configwatch/configwatch.go
@@ -1,7 +1,7 @@
 // Package configwatch decides which documents are in force. A document is
-// replaced only by one of a higher store revision, whether it comes from the
-// store or from a peer, so that an old answer, a cut-off peer or a store that
-// was restored from a backup cannot bring an old document back.
+// replaced only by one of a higher rank, whether it comes from the store or from
+// a peer, so that an old answer, a cut-off peer or a store that was restored
+// from a backup cannot bring an old document back.
 //
 // The package does no I/O.
 package configwatch
@@ -15,17 +15,6 @@
 	"github.com/basilroute/basilroute/service"
 )
 
-// KindWithdrawn is the kind of a withdrawn key's marker in the store.
-const KindWithdrawn service.Kind = "withdrawn"
-
-// Document is a stored document with the store revision that wrote it.
-type Document struct {
-	Key      string
-	Revision int64
-	Value    []byte
-	Deleted  bool
-}
-
 // Target is told what comes into force.
 type Target interface {
 	Put(d *service.Document)
@@ -33,108 +22,154 @@
 	Withdraw(keyID string, atUnixMilli int64) bool
 }
 
-// Log is the history of documents in force. It is safe for concurrent use.
+// Log holds the documents in force. It is safe for concurrent use.
 type Log struct {
 	mu        sync.Mutex
 	target    Target
 	revision  int64 // every document up to it is known
+	last      string
 	documents map[string]Document
-	findings  map[string]string // by key or source
+	buckets   [bucketCount]uint64 // XOR of the digests of the documents
+	rejected  map[string]string   // key to what is wrong with the document
+	store     string              // what is wrong with the store
 }
 
 // New returns an empty log that feeds target.
 func New(target Target) *Log {
-	return &Log{target: target, documents: make(map[string]Document), findings: make(map[string]string)}
+	return &Log{target: target, documents: make(map[string]Document), rejected: make(map[string]string)}
+}
+
+// Batch is what a source knows: every document after one rank up to another.
+type Batch struct {
+	Documents []Document
+	After     int64
+	UpTo      int64
 }
 
-// Offer takes in documents from a source that knows every document up to a
-// revision. It returns how many came into force.
-func (l *Log) Offer(source string, documents []Document, revision int64) int {
+// Offer takes in a batch and returns how many documents came into force.
+//
+// The log's own watermark moves only when the batch joins up with it. Symptom
+// without that check: a peer's answer to an earlier incarnation, or a partial
+// list, skips documents for good, because a watch from the watermark never shows
+// them again.
+func (l *Log) Offer(b Batch) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	count := 0
-	for _, d := range documents {
+	for _, d := range b.Documents {
 		if l.accept(d) {
 			count++
 		}
 	}
-	l.advance(source, revision)
+	if b.After <= l.revision {
+		l.revision = max(l.revision, b.UpTo)
+	}
 	return count
 }
 
 func (l *Log) accept(d Document) bool {
-	if current, ok := l.documents[d.Key]; ok && current.Revision >= d.Revision {
+	current, known := l.documents[d.Key]
+	if known && compare(&current, &d) >= 0 {
 		return false
 	}
-	l.documents[d.Key] = d
-	delete(l.findings, d.Key)
-	return l.enforce(d)
-}
-
-// advance reports a source that is behind what is in force.
-func (l *Log) advance(source string, revision int64) {
-	if source == SourceStore {
-		l.checkStore(revision)
+	bucket := &l.buckets[bucketOf(d.Key)]
+	if known {
+		*bucket ^= current.digest()
 	}
-	l.revision = max(l.revision, revision)
-}
-
-// SourceStore names the platform's store as a source.
-const SourceStore = "store"
-
-func (l *Log) checkStore(revision int64) {
-	if revision >= l.revision {
-		delete(l.findings, SourceStore)
-		return
+	*bucket ^= d.digest()
+	l.documents[d.Key] = d
+	if newest, ok := l.documents[l.last]; !ok || compare(&d, &newest) > 0 {
+		l.last = d.Key
 	}
-	l.findings[SourceStore] = fmt.Sprintf(
-		"the store is at revision %d, revision %d is in force: it came back older and is not obeyed", revision, l.revision)
+	return l.enforce(d)
 }
 
 func (l *Log) enforce(d Document) bool {
 	kind, name, ok := service.SplitKey(d.Key)
-	if !ok {
+	if !ok || kind == KindGeneration {
 		return false
 	}
-	if kind == KindWithdrawn {
-		return l.target.Withdraw(name, 0)
+	if kind == KindWithdrawn { // also when the marker was deleted: a withdrawal is for good
+		return l.target.Withdraw(name, writtenAt(d.Nonce))
 	}
+	delete(l.rejected, d.Key)
 	if d.Deleted {
 		l.target.Delete(kind, name)
 		return true
 	}
 	parsed, err := service.Parse(d.Key, d.Value)
-	if err != nil {
-		l.findings[d.Key] = err.Error() // the last good one stays in force
+	switch {
+	case err != nil:
+		l.rejected[d.Key] = err.Error() // the last good one stays in force
+		return false
+	case parsed.Key() != d.Key:
+		l.rejected[d.Key] = fmt.Sprintf("%s: holds the document %s", d.Key, parsed.Key())
 		return false
 	}
 	l.target.Put(parsed)
 	return true
 }
 
-// Revision is the store revision up to which every document is known.
+// Revision is the rank up to which every document is known.
 func (l *Log) Revision() int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.revision
 }
 
-// Since returns the documents written after a revision, in order, and the
-// revision up to which every document is known.
-func (l *Log) Since(revision int64) ([]Document, int64) {
+// Since returns the documents after a rank in order, up to about limit bytes,
+// and whether there are more.
+func (l *Log) Since(after int64, limit int) (Batch, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if revision >= l.revision {
-		return nil, l.revision
+	if after >= l.revision {
+		return Batch{After: after, UpTo: after}, false
 	}
-	var out []Document
+	batch := Batch{After: after, UpTo: l.revision}
 	for _, d := range l.documents {
-		if d.Revision > revision {
-			out = append(out, d)
+		if d.Revision > after && d.Revision <= l.revision {
+			batch.Documents = append(batch.Documents, d)
+		}
+	}
+	return batch.cut(limit)
+}
+
+// cut sorts a batch and shortens it to the limit, between two ranks.
+func (b Batch) cut(limit int) (Batch, bool) {
+	slices.SortFunc(b.Documents, func(a, b Document) int { return compare(&a, &b) })
+	size := 0
+	for n, d := range b.Documents {
+		size += len(d.Key) + len(d.Value)
+		if size > limit && n > 0 && d.Revision > b.Documents[n-1].Revision {
+			b.Documents, b.UpTo = b.Documents[:n], b.Documents[n-1].Revision
+			return b, true
 		}
 	}
-	slices.SortFunc(out, func(a, b Document) int { return cmp.Compare(a.Revision, b.Revision) })
-	return out, l.revision
+	return b, false
+}
+
+// Documents returns every document, lowest rank first.
+func (l *Log) Documents() []Document {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]Document, 0, len(l.documents))
+	for _, d := range l.documents {
+		out = append(out, d)
+	}
+	slices.SortFunc(out, func(a, b Document) int { return cmp.Or(compare(&a, &b), cmp.Compare(a.Key, b.Key)) })
+	return out
+}
+
+// Rejected returns the keys of documents that this process cannot take.
+func (l *Log) Rejected() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]string, 0, len(l.rejected))
+	for key := range l.rejected {
+		out = append(out, key)
+	}
+	slices.Sort(out)
+	return out
 }
 
 // Findings returns what is wrong with documents or with the store.
@@ -142,9 +177,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []string
-	for _, finding := range l.findings {
+	for _, finding := range l.rejected {
 		out = append(out, finding)
 	}
 	slices.Sort(out)
+	if l.store != "" {
+		out = append(out, l.store)
+	}
 	return out
 }
--- /dev/null
+++ b/coordination/configwatch/repair.go
@@ -0,0 +1,127 @@
+package configwatch
+
+import (
+	"slices"
+
+	"github.com/basilroute/basilroute/service"
+)
+
+// Hash names the set of documents. Two instances with the same hash know the same.
+func (l *Log) Hash() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all uint64
+	for n, bucket := range l.buckets {
+		all = all*31 + bucket + uint64(n)
+	}
+	return all
+}
+
+// Buckets returns the hash of each part of the documents.
+func (l *Log) Buckets() []uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.buckets[:])
+}
+
+// Differing returns the documents in the parts whose hash is another one, for a
+// peer that compares its own, up to about limit bytes. The batch moves no
+// watermark: the peer asks again as long as the hashes differ.
+func (l *Log) Differing(buckets []uint64, limit int) Batch {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	batch := Batch{After: l.revision, UpTo: 0}
+	if len(buckets) != bucketCount {
+		return batch
+	}
+	for _, d := range l.documents {
+		if n := bucketOf(d.Key); l.buckets[n] != buckets[n] {
+			batch.Documents = append(batch.Documents, d)
+		}
+	}
+	batch, _ = batch.cut(limit)
+	batch.UpTo = 0
+	return batch
+}
+
+// Withdraw notes a withdrawal that the store does not have yet.
+func (l *Log) Withdraw(keyID, nonce string) Document {
+	d := Document{Key: service.StoreKey(KindWithdrawn, keyID), Nonce: nonce}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if current, ok := l.documents[d.Key]; ok {
+		return current
+	}
+	l.accept(d)
+	return d
+}
+
+// Pending returns the withdrawals that the store is not known to have.
+func (l *Log) Pending() []Document {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []Document
+	for _, d := range l.documents {
+		if _, ok := d.WithdrawnKeyID(); ok && d.Revision == 0 {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// Newest returns the documents that a store has to hold if it has lost nothing:
+// the one of the highest rank and, when that one was deleted, also the highest
+// that was not, because a deletion leaves nothing to be read.
+func (l *Log) Newest() []Document {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	newest, ok := l.documents[l.last]
+	if !ok || newest.Revision == 0 {
+		return nil
+	}
+	if !newest.Deleted {
+		return []Document{newest}
+	}
+	var standing Document
+	for _, d := range l.documents {
+		if !d.Deleted && d.Revision > 0 && compare(&d, &standing) > 0 {
+			standing = d
+		}
+	}
+	if standing.Key == "" {
+		return []Document{newest}
+	}
+	return []Document{standing, newest}
+}
+
+// Found is how a document stands in the store.
+type Found struct {
+	Exists   bool  // false also when it was deleted
+	Deleted  bool  // a list of changes shows the deletion
+	Revision int64 // of the store
+	Nonce    string
+}
+
+// Lost tells whether the store has lost a document that is in force: it holds
+// none, an older one, or another one with the same revision.
+func Lost(d *Document, found Found, g Generations) bool {
+	if !found.Exists && !found.Deleted {
+		return !d.Deleted
+	}
+	stands := Document{Revision: g.Rank(found.Revision), Nonce: found.Nonce}
+	return compare(&stands, d) < 0 || stands.Revision == d.Revision && stands.Nonce != d.Nonce
+}
+
+// KeepFound tells whether a document that stands in a restored store, below the
+// rank of the one in force, was all the same accepted later: between the restore
+// and the moment at which an instance noticed it. The writers' clocks decide.
+func KeepFound(inForce *Document, found Found) bool {
+	return (found.Exists || found.Deleted) && writtenAt(found.Nonce) > writtenAt(inForce.Nonce)
+}
+
+// ReportStore sets what is wrong with the store; empty when nothing is.
+func (l *Log) ReportStore(finding string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.store = finding
+}
--- /dev/null
+++ b/coordination/configwatch/watchers.go
@@ -0,0 +1,44 @@
+package configwatch
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// WatchersPerDomain is how many instances of a failure domain watch the store.
+// The others learn from them, so that watches grow with the domains and not with
+// the fleet.
+const WatchersPerDomain = 2
+
+// Candidate is a live instance of the own failure domain.
+type Candidate struct {
+	ID           string
+	StoreFailing bool // its last call of the store failed
+}
+
+// Watches tells whether the instance with the id is to watch the store. Every
+// instance with the same view comes to the same watchers. One that does not
+// reach the store makes room for another; when none reaches it, the first ones
+// go on trying.
+func Watches(id string, candidates []Candidate) bool {
+	ranked := slices.Clone(candidates)
+	slices.SortFunc(ranked, func(a, b Candidate) int {
+		if a.StoreFailing != b.StoreFailing {
+			if a.StoreFailing {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(watchScore(b.ID), watchScore(a.ID)), cmp.Compare(a.ID, b.ID))
+	})
+	for _, c := range ranked[:min(len(ranked), WatchersPerDomain)] {
+		if c.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+func watchScore(id string) uint64 { return xxhash.Sum64String("configuration watcher\x00" + id) }
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -1,8 +1,10 @@
 // Package membership keeps what an instance knows of the other instances. Each
 // instance writes its own entry and raises its version; entries spread by
-// exchanging digests, and only what the other side lacks travels.
+// exchanges, and only what the other side lacks travels. Liveness is a counter
+// that every instance raises once a round. The members of a failure domain agree
+// on their order, so that a whole domain's counters travel as two bytes each.
 //
-// The package does no I/O: the time comes in with each call.
+// The package does no I/O: the time and the random source come in with each call.
 package membership
 
 import (
@@ -16,103 +18,178 @@
 	"github.com/basilroute/basilroute/protocol/peerpb"
 )
 
-// UnreachableAfter is how long an entry may stay unchanged before its instance
-// counts as unreachable. Every instance raises its version each second.
-const UnreachableAfter = 4 * time.Second
+const (
+	// RoundEvery is how often an instance starts exchanges.
+	RoundEvery = time.Second
+	// UnreachableAfter is how long a counter may stand still before its instance
+	// counts as unreachable: three rounds in a row may be lost.
+	UnreachableAfter = 4 * time.Second
+	// ForgetAfter is how long an unreachable instance stays known. Regions lose
+	// each other for minutes, and then go on where they were.
+	ForgetAfter = 15 * time.Minute
+	// forgetUnlisted applies to an unreachable instance that said it leaves, or
+	// that the platform no longer lists.
+	forgetUnlisted = 30 * time.Second
+	// rememberGone is how long a forgotten instance cannot come back by a rumour.
+	rememberGone = 24 * time.Hour
+	// roundSlack is how late a round may be before the instance takes itself to
+	// have been paused.
+	roundSlack = 2 * RoundEvery
+)
 
 // Member is what is known of one instance.
 type Member struct {
 	Entry     *peerpb.Member // not to be changed
-	Heard     time.Time      // when its version last rose here
+	Heard     time.Time      // when its counter last rose here
 	Reachable bool
 }
 
 // Leaving tells whether the instance said that it stops.
-func (m Member) Leaving() bool {
-	return m.Entry.GetState() == peerpb.MemberState_MEMBER_STATE_LEAVING
-}
+func (m Member) Leaving() bool { return leaving(m.Entry) }
+
+func leaving(m *peerpb.Member) bool { return m.GetState() == peerpb.MemberState_MEMBER_STATE_LEAVING }
 
-// Seed is an instance on the platform's list.
+// Seed is an instance on the platform's list, or an address from the settings,
+// which has no id.
 type Seed struct {
 	ID, PeerAddress, Region, Domain string
 }
 
 type record struct {
-	entry *peerpb.Member
-	heard time.Time
+	entry      *peerpb.Member
+	heartbeat  uint64
+	heard      time.Time
+	loadsHeard time.Time
+}
+
+// goneRecord remembers a forgotten instance, so that an old rumour does not make
+// it live again.
+type goneRecord struct {
+	incarnation, heartbeat uint64
+	address                string
+	until                  time.Time
 }
 
 // Table is safe for concurrent use.
 type Table struct {
-	mu      sync.RWMutex
-	self    string
-	members map[string]*record
-	seeds   map[string]Seed
+	mu       sync.RWMutex
+	self     string
+	members  map[string]*record
+	gone     map[string]goneRecord
+	seeds    []Seed
+	listed   map[string]bool // ids on the platform's list; nil before the first one
+	lastBeat time.Time
+	rounds   uint64
+	index    map[string]*domainIndex // nil after a change of entries
+	hash     uint64
 }
 
 // New returns a table that knows only the instance itself.
 func New(self *peerpb.Member, now time.Time) *Table {
 	return &Table{
-		self:    self.GetId(),
-		members: map[string]*record{self.GetId(): {entry: self, heard: now}},
-		seeds:   make(map[string]Seed),
+		self:     self.GetId(),
+		members:  map[string]*record{self.GetId(): {entry: self, heartbeat: 1, heard: now}},
+		gone:     make(map[string]goneRecord),
+		lastBeat: now,
 	}
 }
 
-// UpdateSelf changes the instance's own entry and raises its version.
+// UpdateSelf changes the instance's own entry. The version rises only with what
+// travels as an entry: load and configuration revision travel with each exchange.
 func (t *Table) UpdateSelf(now time.Time, change func(*peerpb.Member)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.members[t.self]
 	next := proto.CloneOf(r.entry)
 	change(next)
-	next.Version++
+	if !proto.Equal(static(next), static(r.entry)) {
+		next.Version++
+		t.index = nil
+	}
 	r.entry, r.heard = next, now
 }
 
-// SetSeeds takes in the platform's list. It only says whom to try.
+// static is the part of an entry that has a version.
+func static(m *peerpb.Member) *peerpb.Member {
+	out := proto.CloneOf(m)
+	out.Loads, out.ConfigRevision, out.Heartbeat, out.HeardAgoMs = nil, 0, 0, 0
+	return out
+}
+
+// SetSeeds takes in the platform's list. It says whom to try, and which
+// unreachable instances need not be remembered; it never makes a live one dead.
 func (t *Table) SetSeeds(seeds []Seed) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.seeds = make(map[string]Seed, len(seeds))
+	t.seeds, t.listed = nil, nil
 	for _, seed := range seeds {
+		if seed.ID != "" && t.listed == nil {
+			t.listed = make(map[string]bool, len(seeds))
+		}
+		if seed.ID != "" {
+			t.listed[seed.ID] = true
+		}
 		if seed.ID != t.self {
-			t.seeds[seed.ID] = seed
+			t.seeds = append(t.seeds, seed)
 		}
 	}
 }
 
-// Digests says which version of every entry is known here.
-func (t *Table) Digests() []*peerpb.MemberDigest {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	out := make([]*peerpb.MemberDigest, 0, len(t.members))
-	for id, r := range t.members {
-		out = append(out, &peerpb.MemberDigest{Id: id, Incarnation: r.entry.GetIncarnation(), Version: r.entry.GetVersion()})
+// Beat begins a round: it raises the own counter and forgets who has gone.
+//
+// After a pause of this process the silence of the others proves nothing: their
+// counters rose, it just did not look. Without the correction a resumed instance
+// takes all others for dead and refuses what it should forward.
+func (t *Table) Beat(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if late := now.Sub(t.lastBeat) - roundSlack; late > 0 {
+		for _, r := range t.members {
+			r.heard = r.heard.Add(late)
+		}
 	}
-	return out
+	t.lastBeat = now
+	t.rounds++
+	own := t.members[t.self]
+	own.heartbeat++
+	own.heard = now
+	t.sweep(now)
 }
 
-// Newer returns the entries that the sender of the digests lacks.
-func (t *Table) Newer(digests []*peerpb.MemberDigest) []*peerpb.Member {
-	known := make(map[string]*peerpb.MemberDigest, len(digests))
-	for _, d := range digests {
-		known[d.GetId()] = d
-	}
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	var out []*peerpb.Member
+func (t *Table) sweep(now time.Time) {
 	for id, r := range t.members {
-		d := known[id]
-		if d == nil || newer(r.entry, d.GetIncarnation(), d.GetVersion()) {
-			out = append(out, r.entry)
+		if id == t.self || now.Sub(r.heard) < t.keep(id, r) {
+			continue
+		}
+		t.gone[id] = goneRecord{r.entry.GetIncarnation(), r.heartbeat, r.entry.GetPeerAddress(), now.Add(rememberGone)}
+		delete(t.members, id)
+		t.index = nil
+	}
+	for id, g := range t.gone {
+		if now.After(g.until) {
+			delete(t.gone, id)
 		}
 	}
-	return out
 }
 
-func newer(m *peerpb.Member, incarnation, version uint64) bool {
-	return cmp.Or(cmp.Compare(m.GetIncarnation(), incarnation), cmp.Compare(m.GetVersion(), version)) > 0
+func (t *Table) keep(id string, r *record) time.Duration {
+	if leaving(r.entry) || t.listed != nil && !t.listed[id] {
+		return forgetUnlisted
+	}
+	return ForgetAfter
+}
+
+// observed is the time up to which silence counts: not past the instance's own
+// last round, see Beat.
+func (t *Table) observed(now time.Time) time.Time {
+	if limit := t.lastBeat.Add(roundSlack); now.After(limit) {
+		return limit
+	}
+	return now
+}
+
+func (t *Table) reachable(id string, r *record, observed time.Time) bool {
+	return id == t.self || observed.Sub(r.heard) < UnreachableAfter
 }
 
 // Merge takes in entries from a peer.
@@ -125,17 +202,91 @@
 }
 
 func (t *Table) merge(entry *peerpb.Member, now time.Time) {
-	if entry.GetId() == t.self || entry.GetId() == "" {
+	id := entry.GetId()
+	switch {
+	case id == "":
+		return
+	case id == t.self:
+		t.outlive(entry)
 		return
 	}
-	r, ok := t.members[entry.GetId()]
-	if !ok {
-		t.members[entry.GetId()] = &record{entry: entry, heard: now}
+	r, known := t.members[id]
+	if !known && t.rumour(id, entry.GetIncarnation(), entry.GetHeartbeat()) {
 		return
 	}
-	if newer(entry, r.entry.GetIncarnation(), r.entry.GetVersion()) {
-		r.entry, r.heard = entry, now
+	if known && !supersedes(entry, r.entry) {
+		t.hear(r, entry.GetHeartbeat(), entry.GetIncarnation(), entry.GetConfigRevision(), now)
+		return
 	}
+	next := &record{
+		entry: proto.CloneOf(entry), heartbeat: entry.GetHeartbeat(),
+		heard: now.Add(-time.Duration(entry.GetHeardAgoMs()) * time.Millisecond),
+	}
+	if known && r.entry.GetIncarnation() == entry.GetIncarnation() {
+		next.heartbeat = max(next.heartbeat, r.heartbeat)
+		next.heard = later(next.heard, r.heard)
+		next.entry.ConfigRevision = max(entry.GetConfigRevision(), r.entry.GetConfigRevision())
+		next.entry.Loads, next.loadsHeard = r.entry.GetLoads(), r.loadsHeard
+	}
+	next.entry.Heartbeat, next.entry.HeardAgoMs = 0, 0
+	t.members[id] = next
+	delete(t.gone, id)
+	t.index = nil
+}
+
+// rumour tells whether news is old news of an instance that was forgotten.
+func (t *Table) rumour(id string, incarnation, heartbeat uint64) bool {
+	g, ok := t.gone[id]
+	if !ok || incarnation > g.incarnation {
+		return false
+	}
+	return incarnation < g.incarnation || heartbeat <= g.heartbeat
+}
+
+// outlive raises the own incarnation above that of an earlier run. Without it,
+// an instance that starts with a clock behind its predecessor's stays invisible.
+func (t *Table) outlive(entry *peerpb.Member) {
+	own := t.members[t.self]
+	if entry.GetIncarnation() <= own.entry.GetIncarnation() {
+		return
+	}
+	own.entry = proto.CloneOf(own.entry)
+	own.entry.Incarnation = entry.GetIncarnation() + 1
+	own.entry.Version++
+	t.index = nil
+}
+
+// supersedes tells whether an entry is newer than another of the same id. An
+// instance that leaves does not come back in the same incarnation.
+func supersedes(next, current *peerpb.Member) bool {
+	if next.GetIncarnation() != current.GetIncarnation() {
+		return next.GetIncarnation() > current.GetIncarnation()
+	}
+	if leaving(next) != leaving(current) {
+		return leaving(next)
+	}
+	return next.GetVersion() > current.GetVersion()
+}
+
+// hear takes in a counter and the configuration revision that came with it.
+func (t *Table) hear(r *record, heartbeat, incarnation uint64, revision int64, now time.Time) {
+	if incarnation != r.entry.GetIncarnation() {
+		return
+	}
+	if heartbeat > r.heartbeat {
+		r.heartbeat, r.heard = heartbeat, now
+	}
+	if revision > r.entry.GetConfigRevision() {
+		r.entry = proto.CloneOf(r.entry)
+		r.entry.ConfigRevision = revision
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // Self returns the instance's own entry.
@@ -149,31 +300,11 @@
 func (t *Table) Members(now time.Time) []Member {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
+	observed := t.observed(now)
 	out := make([]Member, 0, len(t.members))
 	for id, r := range t.members {
-		reachable := id == t.self || now.Sub(r.heard) < UnreachableAfter
-		out = append(out, Member{Entry: r.entry, Heard: r.heard, Reachable: reachable})
+		out = append(out, Member{Entry: r.entry, Heard: r.heard, Reachable: t.reachable(id, r, observed)})
 	}
 	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Entry.GetId(), b.Entry.GetId()) })
 	return out
 }
-
-// Targets returns the peer addresses to exchange with: every known instance and
-// every seed that is not known yet.
-func (t *Table) Targets() []string {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	var out []string
-	for id, r := range t.members {
-		if id != t.self {
-			out = append(out, r.entry.GetPeerAddress())
-		}
-	}
-	for id, seed := range t.seeds {
-		if t.members[id] == nil {
-			out = append(out, seed.PeerAddress)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -182,7 +182,7 @@
 domain: %s
 callers: {listen: '%s:%d', tls: {plain_text: true}}
 peers: {listen: '%s:%d', tls: {plain_text: true}}
-operator: {listen: '%s:%d', token_sha256: %s}
+operator: {listen: '%s:%d', token_sha256: %s, tls: {plain_text: true}}
 platform: {url: '%s'}
 log: {format: json}
 `, id, m.region, m.domain, m.host, callersPort, m.host, peersPort, m.host, operatorPort, hex.EncodeToString(sum[:]), f.platform)
--- a/instance/exchange.go
+++ b/instance/exchange.go
@@ -2,30 +2,96 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/basilroute/basilroute/coordination/configwatch"
+	"github.com/basilroute/basilroute/coordination/membership"
 	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/protocol/peerpb"
 )
 
 const (
-	exchangeEvery   = time.Second
 	exchangeTimeout = 2 * time.Second
+	exchangeLimit   = 64 // exchanges at once, when all peers are told
 )
 
-// exchange brings the own view and the peers' together.
+// exchange brings the own view and the peers' together, each second and at once
+// after something came into force here.
 func (i *Instance) exchange(ctx context.Context) {
-	every(ctx, exchangeEvery, i.exchangeAll)
+	ticker := time.NewTicker(membership.RoundEvery)
+	defer ticker.Stop()
+	for {
+		i.members.Beat(time.Now())
+		i.exchangeRound(ctx)
+		select {
+		case <-ticker.C:
+		case <-i.news:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// exchangeRound starts the round's exchanges. It does not wait for them: a peer
+// that does not answer would hold up the own heartbeat until the timeout, and
+// the others would take this instance for dead.
+func (i *Instance) exchangeRound(ctx context.Context) {
+	asked := i.listTried.Load()
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	var calls sync.WaitGroup
+	for _, address := range i.members.Round(time.Now(), rng) {
+		if _, busy := i.exchanging.LoadOrStore(address, true); busy {
+			continue
+		}
+		calls.Add(1)
+		i.loops.Go(func() {
+			defer calls.Done()
+			defer i.exchanging.Delete(address)
+			i.exchangeWith(ctx, address)
+		})
+	}
+	if asked && !i.peersAsked.Load() {
+		i.loops.Go(func() {
+			calls.Wait()
+			i.peersAsked.Store(true)
+			i.checkReady("peers")
+		})
+	}
+}
+
+// spread starts a round at once, so that what came into force here reaches the
+// peers without waiting for the next second.
+func (i *Instance) spread() {
+	select {
+	case i.news <- struct{}{}:
+	default:
+	}
 }
 
-func (i *Instance) exchangeAll(ctx context.Context) {
+// exchangeAll exchanges with every known peer and returns how many answered.
+func (i *Instance) exchangeAll(ctx context.Context) int {
+	return i.tellAll(func(address string) bool { return i.exchangeWith(ctx, address) })
+}
+
+func (i *Instance) tellAll(tell func(address string) bool) int {
 	var calls sync.WaitGroup
+	var mu sync.Mutex
+	slots := make(chan struct{}, exchangeLimit)
+	count := 0
 	for _, address := range i.members.Targets() {
-		calls.Go(func() { i.exchangeWith(ctx, address) })
+		slots <- struct{}{}
+		calls.Go(func() {
+			defer func() { <-slots }()
+			if tell(address) {
+				mu.Lock()
+				defer mu.Unlock()
+				count++
+			}
+		})
 	}
 	calls.Wait()
+	return count
 }
 
 func (i *Instance) exchangeWith(ctx context.Context, address string) bool {
@@ -35,60 +101,62 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	resp, err := client.Exchange(ctx, &peerpb.ExchangeRequest{
-		From: i.settings.ID, Digests: i.members.Digests(), Members: []*peerpb.Member{i.members.Self()},
-		ConfigRevision: i.config.Revision(), Withdrawals: i.withdrawals(), Quarantines: i.quarantines(),
-	})
+	peer := i.members.At(address)
+	req := i.members.Request(peer == nil)
+	i.addConfig(req, peer)
+	req.Quarantines = i.quarantines()
+	req.ServersHash = uint64(i.serversState())
+	resp, err := client.Exchange(ctx, req)
 	if err != nil {
 		return false
 	}
-	i.members.Merge(resp.GetMembers(), time.Now())
-	i.takeShared(resp.GetDocuments(), resp.GetConfigRevision(), resp.GetWithdrawals(), resp.GetQuarantines())
+	next := i.members.Finish(resp, time.Now())
+	i.takeQuarantines(resp.GetQuarantines())
+	i.takeServers(resp.GetServers())
+	next = i.finishConfig(resp, next)
+	if next != nil {
+		i.followUp(ctx, client, next)
+	}
+	if resp.GetMore() {
+		i.fetchConfig(ctx, client)
+	}
 	return true
 }
 
+// followUp sends what the first exchange showed that the peer lacks, and asks
+// for what is lacking here.
+func (i *Instance) followUp(ctx context.Context, client peerpb.PeerClient, req *peerpb.ExchangeRequest) {
+	req.ConfigRevision = i.config.Revision()
+	resp, err := client.Exchange(ctx, req)
+	if err != nil {
+		return // the next round tries again
+	}
+	i.members.Finish(resp, time.Now())
+	i.takeDifferent(resp)
+}
+
 // Exchange implements peer.Exchanger.
 func (i *Instance) Exchange(req *peerpb.ExchangeRequest) *peerpb.ExchangeResponse {
-	i.members.Merge(req.GetMembers(), time.Now())
-	i.takeShared(req.GetDocuments(), req.GetConfigRevision(), req.GetWithdrawals(), req.GetQuarantines())
-	documents, revision := i.config.Since(req.GetConfigRevision())
-	resp := &peerpb.ExchangeResponse{
-		Members: i.members.Newer(req.GetDigests()), ConfigRevision: revision,
-		Withdrawals: i.withdrawals(), Quarantines: i.quarantines(),
+	i.takePushed(req)
+	resp := i.members.Respond(req, time.Now())
+	i.answerConfig(req, resp)
+	if req.GetView() == nil {
+		return resp
 	}
-	for _, d := range documents {
-		resp.Documents = append(resp.Documents, &peerpb.Document{Key: d.Key, Revision: d.Revision, Value: d.Value, Deleted: d.Deleted})
+	i.takeQuarantines(req.GetQuarantines())
+	resp.Quarantines = i.quarantines()
+	if req.GetView().GetDomain() == i.settings.Domain {
+		resp.Servers = i.serversFor(serversState(req.GetServersHash()))
 	}
 	return resp
 }
 
-// takeShared takes in what a peer knows. A peer that is ahead but sent no
-// documents is asked at the next exchange.
-func (i *Instance) takeShared(documents []*peerpb.Document, revision int64, withdrawals []*peerpb.Withdrawal, quarantines []*peerpb.Quarantine) {
-	for _, w := range withdrawals {
-		i.catalog.Withdraw(w.GetKeyId(), w.GetAtUnixMs())
-	}
-	for _, q := range quarantines {
+func (i *Instance) takeQuarantines(list []*peerpb.Quarantine) {
+	for _, q := range list {
 		i.quarantine.Merge(quarantine.Record{
 			Fingerprint: q.GetFingerprint(), Crashes: int(q.GetCrashes()), Until: time.UnixMilli(q.GetUntilUnixMs()),
 		})
 	}
-	if len(documents) == 0 {
-		return
-	}
-	offered := make([]configwatch.Document, len(documents))
-	for n, d := range documents {
-		offered[n] = configwatch.Document{Key: d.GetKey(), Revision: d.GetRevision(), Value: d.GetValue(), Deleted: d.GetDeleted()}
-	}
-	i.offer("peer", offered, revision)
-}
-
-func (i *Instance) withdrawals() []*peerpb.Withdrawal {
-	var out []*peerpb.Withdrawal
-	for id, at := range i.catalog.Withdrawn() {
-		out = append(out, &peerpb.Withdrawal{KeyId: id, AtUnixMs: at})
-	}
-	return out
 }
 
 func (i *Instance) quarantines() []*peerpb.Quarantine {
--- /dev/null
+++ b/instance/forwarded.go
@@ -0,0 +1,38 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/basilroute/basilroute/protocol/refusal"
+	"github.com/basilroute/basilroute/transport/dispatch"
+)
+
+const (
+	lagWait = 2 * time.Second // for the configuration that the first instance has
+	lagPoll = 20 * time.Millisecond
+)
+
+// checkForwarded checks the key of a forwarded request again, because the first
+// instance may be the one that has not heard of its withdrawal. A key that is
+// not known here may be new: the request then waits for the configuration that
+// the first instance had in force.
+func (i *Instance) checkForwarded(ctx context.Context, w *dispatch.Work) *refusal.Refusal {
+	deadline := time.After(lagWait)
+	for !i.catalog.Usable(w.KeyID) {
+		if i.catalog.IsWithdrawn(w.KeyID) {
+			return refusal.New(refusal.CodeWithdrawn, "the key was withdrawn")
+		}
+		if w.ConfigRevision <= i.config.Revision() {
+			return refusal.New(refusal.CodeUnauthorized, "the key is not known")
+		}
+		select {
+		case <-time.After(lagPoll):
+		case <-deadline:
+			return refusal.New(refusal.CodePeerUnreachable, "the peer does not have the configuration yet")
+		case <-ctx.Done():
+			return refusal.From(context.Cause(ctx)).WithRun(refusal.NotRun)
+		}
+	}
+	return nil
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -14,7 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/credentials"
 
 	"github.com/basilroute/basilroute/coordination/configwatch"
 	"github.com/basilroute/basilroute/coordination/membership"
@@ -60,12 +60,20 @@
 	peers              *grpc.Server
 	listeners          listeners
 
-	ready     atomic.Bool
-	storeSeen atomic.Bool // the last call of the store succeeded
-	storeRead atomic.Bool // the documents were listed once; a watch goes on from there
-	loops     sync.WaitGroup
-	stopLoops context.CancelFunc
-	failed    chan error // a listener that ended unasked
+	ready      atomic.Bool
+	storeSeen  atomic.Bool // the last call of the store succeeded
+	storeRead  atomic.Bool // the documents in the store were read once
+	listTried  atomic.Bool // the platform's list was asked for once
+	peersAsked atomic.Bool // a round of exchanges with those on the list has ended
+	synced     atomic.Bool // knew the same as a peer that takes callers
+	fetching   atomic.Bool // documents are being read from a peer
+	exchanging sync.Map    // peer addresses with an exchange under way
+	news       chan struct{}
+	backends   backendList
+	withdrawn  sync.Map // ids of keys whose withdrawal this instance took
+	loops      sync.WaitGroup
+	stopLoops  context.CancelFunc
+	failed     chan error // a listener that ended unasked
 }
 
 type listeners struct{ callers, peers, operators net.Listener }
@@ -85,6 +93,7 @@
 		quarantine: quarantine.New(),
 		backend:    backend.New(),
 		failed:     make(chan error, 3),
+		news:       make(chan struct{}, 1),
 	}
 	i.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	i.config = configwatch.New(i.catalog)
@@ -106,15 +115,20 @@
 	for _, l := range []struct {
 		into    *net.Listener
 		address string
+		tls     TLS
 	}{
-		{&i.listeners.callers, i.settings.Callers.Listen},
-		{&i.listeners.peers, i.settings.Peers.Listen},
-		{&i.listeners.operators, i.settings.Operator.Listen},
+		{&i.listeners.callers, i.settings.Callers.Listen, i.settings.Callers.TLS},
+		{&i.listeners.peers, i.settings.Peers.Listen, TLS{PlainText: true}}, // grpc brings its own TLS
+		{&i.listeners.operators, i.settings.Operator.Listen, i.settings.Operator.TLS},
 	} {
 		if *l.into, err = net.Listen("tcp", l.address); err != nil {
 			i.closeListeners()
 			return errors.Wrap(err, "listen")
 		}
+		if *l.into, err = secure(*l.into, l.tls); err != nil {
+			i.closeListeners()
+			return errors.Wrap(err, "listen")
+		}
 	}
 	return nil
 }
@@ -144,26 +158,34 @@
 }
 
 func (i *Instance) wire() error {
-	var err error
+	transport, err := i.platformTransport()
+	if err != nil {
+		return err
+	}
 	i.platform, err = platform.New(platform.Settings{
 		URL: i.settings.Platform.URL, CallTimeout: i.settings.Platform.CallTimeout,
 		CallRate: i.settings.Platform.CallRate, CallBurst: int(i.settings.Platform.CallBurst),
-	}, &http.Transport{MaxIdleConnsPerHost: 8})
+	}, transport)
+	if err != nil {
+		return err
+	}
+	creds, err := i.peerCredentials()
 	if err != nil {
 		return err
 	}
-	i.pool = peer.NewPool(insecure.NewCredentials())
+	i.pool = peer.NewPool(creds)
+	i.pool.Revision = i.config.Revision
 	i.local = &dispatch.Local{Catalog: i.catalog, Servers: i.servers, Backend: i.backend, Quarantine: i.quarantine}
 	i.front = &dispatch.Front{
 		Region: i.settings.Region, Domain: i.settings.Domain, Catalog: i.catalog, Ledger: i.ledger,
 		Retries: i.retries, Quarantine: i.quarantine, Known: i, Local: i.local, Forwarder: i.pool, Log: i.log,
 	}
-	return i.wireServers()
+	return i.wireServers(creds)
 }
 
 const headerTimeout = 10 * time.Second
 
-func (i *Instance) wireServers() error {
+func (i *Instance) wireServers(creds credentials.TransportCredentials) error {
 	callers, err := (&gateway.Gateway{
 		Catalog: i.catalog, Requests: i.requests, Runner: i.front, Entry: i, Ready: i.Ready,
 	}).Handler()
@@ -182,7 +204,7 @@
 	}
 	i.callers = &http.Server{Handler: callers, ReadHeaderTimeout: headerTimeout}
 	i.operators = &http.Server{Handler: operators, ReadHeaderTimeout: headerTimeout}
-	i.peers = grpc.NewServer(grpc.Creds(insecure.NewCredentials()))
+	i.peers = grpc.NewServer(grpc.Creds(creds))
 	peerpb.RegisterPeerServer(i.peers, &peer.Server{Runner: i, Exchanger: i})
 	return nil
 }
@@ -194,7 +216,7 @@
 	go i.serve(func() error { return i.callers.Serve(i.listeners.callers) })
 	go i.serve(func() error { return i.operators.Serve(i.listeners.operators) })
 	go i.serve(func() error { return i.peers.Serve(i.listeners.peers) })
-	for _, loop := range []func(context.Context){i.watchConfig, i.watchList, i.pollServers, i.exchange, i.shareQuotaLoop} {
+	for _, loop := range []func(context.Context){i.watchConfig, i.watchList, i.pollServers, i.exchange, i.shareQuotaLoop, i.storeWithdrawals} {
 		i.loops.Go(func() { loop(ctx) })
 	}
 	i.log.Info("instance started", "region", i.settings.Region, "domain", i.settings.Domain,
@@ -224,14 +246,15 @@
 
 // RunForwarded implements peer.Runner.
 func (i *Instance) RunForwarded(ctx context.Context, w *dispatch.Work, sink dispatch.Sink) error {
-	if !i.catalog.Usable(w.KeyID) {
-		return refusal.New(refusal.CodeWithdrawn, "the key is not usable here")
-	}
 	ctx, request, ok := i.forwarded.Begin(ctx, w.KeyID)
 	if !ok {
 		return refusal.New(refusal.CodeLeaving, "this instance stops")
 	}
 	defer i.forwarded.End(request)
+	// After Begin: a key withdrawn from here on cuts the request.
+	if refused := i.checkForwarded(ctx, w); refused != nil {
+		return refused
+	}
 	return i.local.Run(ctx, w, sink)
 }
 
--- a/instance/poll.go
+++ b/instance/poll.go
@@ -47,11 +47,7 @@
 // publishLoad sums up the own domain's servers in the instance's entry.
 func (i *Instance) publishLoad() {
 	loads := i.ownLoads()
-	revision := i.config.Revision()
-	i.members.UpdateSelf(time.Now(), func(m *peerpb.Member) {
-		m.Loads = loads
-		m.ConfigRevision = revision
-	})
+	i.members.UpdateSelf(time.Now(), func(m *peerpb.Member) { m.Loads = loads })
 }
 
 func (i *Instance) ownLoads() []*peerpb.ServiceLoad {
--- /dev/null
+++ b/instance/secure.go
@@ -0,0 +1,58 @@
+package instance
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/basilroute/basilroute/transport/peer"
+	"github.com/basilroute/basilroute/transport/tlsconf"
+)
+
+func (t TLS) files() tlsconf.Files { return tlsconf.Files{Cert: t.Cert, Key: t.Key, CA: t.CA} }
+
+// secure puts TLS on a listener unless the settings say plain text.
+func secure(listener net.Listener, settings TLS) (net.Listener, error) {
+	if settings.PlainText {
+		return listener, nil
+	}
+	source, err := tlsconf.Open(settings.files())
+	if err != nil {
+		return listener, err
+	}
+	return tls.NewListener(listener, source.Server()), nil
+}
+
+// peerCredentials are those of both ends of a connection between instances.
+func (i *Instance) peerCredentials() (credentials.TransportCredentials, error) {
+	settings := i.settings.Peers.TLS
+	if settings.PlainText {
+		return insecure.NewCredentials(), nil
+	}
+	source, err := tlsconf.Open(settings.files())
+	if err != nil {
+		return nil, errors.Wrap(err, "peers.tls")
+	}
+	return peer.NewCredentials(source), nil
+}
+
+const platformIdleConns = 8
+
+// platformTransport checks the platform's certificate with the CA of the
+// settings, or else with the system's.
+func (i *Instance) platformTransport() (*http.Transport, error) {
+	transport := &http.Transport{MaxIdleConnsPerHost: platformIdleConns}
+	if i.settings.Platform.CA == "" {
+		return transport, nil
+	}
+	source, err := tlsconf.Open(tlsconf.Files{CA: i.settings.Platform.CA})
+	if err != nil {
+		return nil, errors.Wrap(err, "platform.ca")
+	}
+	transport.DialTLSContext = source.Dial
+	return transport, nil
+}
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"net"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/basilroute/basilroute/yamldoc"
@@ -18,6 +19,7 @@
 	Domain   string   `yaml:"domain"`
 	Callers  Listener `yaml:"callers"`
 	Peers    Listener `yaml:"peers"`
+	Seeds    []string `yaml:"seeds"` // peer addresses to try besides the platform's list
 	Operator Operator `yaml:"operator"`
 	Platform Platform `yaml:"platform"`
 	Log      Log      `yaml:"log"`
@@ -44,11 +46,13 @@
 type Operator struct {
 	Listen      string `yaml:"listen"`
 	TokenSHA256 string `yaml:"token_sha256"` // of the operators' token, in hexadecimal
+	TLS         TLS    `yaml:"tls"`
 }
 
 // Platform says where the platform's services are.
 type Platform struct {
 	URL         string        `yaml:"url"`
+	CA          string        `yaml:"ca"` // file that an https URL's certificate is checked with; the system's when empty
 	CallTimeout time.Duration `yaml:"call_timeout"`
 	CallRate    float64       `yaml:"call_rate"` // calls per second of this instance
 	CallBurst   int64         `yaml:"call_burst"`
@@ -89,7 +93,14 @@
 	required(r, "domain", s.Domain)
 	checkListener(r, "callers", s.Callers)
 	checkListener(r, "peers", s.Peers)
+	for n, address := range s.Seeds {
+		checkAddress(r, "seeds."+strconv.Itoa(n), address)
+	}
 	checkAddress(r, "operator.listen", s.Operator.Listen)
+	checkTLS(r, "operator.tls", s.Operator.TLS)
+	if !s.Peers.TLS.PlainText && s.Peers.TLS.CA == "" {
+		r.Addf("peers.tls.ca", "is required: instances check each other's certificates")
+	}
 	if sum, err := hex.DecodeString(s.Operator.TokenSHA256); err != nil || len(sum) != 32 {
 		r.Addf("operator.token_sha256", "want 64 hexadecimal digits")
 	}
@@ -131,11 +142,12 @@
 	if l.Advertise != "" {
 		checkAddress(r, path+".advertise", l.Advertise)
 	}
-	if l.TLS.PlainText {
-		return
-	}
-	if l.TLS.Cert == "" || l.TLS.Key == "" {
-		r.Addf(path+".tls", "cert and key are required, or plain_text: true")
+	checkTLS(r, path+".tls", l.TLS)
+}
+
+func checkTLS(r *yamldoc.Report, path string, t TLS) {
+	if !t.PlainText && (t.Cert == "" || t.Key == "") {
+		r.Addf(path, "cert and key are required, or plain_text: true")
 	}
 }
 
--- a/localfleet/localfleet.go
+++ b/localfleet/localfleet.go
@@ -182,7 +182,7 @@
 	s.ID, s.Region, s.Domain = id, d.Region, d.Name
 	s.Callers = instance.Listener{Listen: anyPort, TLS: plainText}
 	s.Peers = instance.Listener{Listen: anyPort, TLS: plainText}
-	s.Operator = instance.Operator{Listen: anyPort, TokenSHA256: hex.EncodeToString(sum[:])}
+	s.Operator = instance.Operator{Listen: anyPort, TokenSHA256: hex.EncodeToString(sum[:]), TLS: plainText}
 	s.Platform.URL = f.URL
 	if f.config.Adjust != nil {
 		f.config.Adjust(&s)
--- a/protocol/operatorapi/oas_json_gen.go
+++ b/protocol/operatorapi/oas_json_gen.go
@@ -207,9 +207,19 @@
 		e.FieldStart("age_ms")
 		e.Int64(s.AgeMs)
 	}
+	{
+		if s.Rejected != nil {
+			e.FieldStart("rejected")
+			e.ArrStart()
+			for _, elem := range s.Rejected {
+				e.Str(elem)
+			}
+			e.ArrEnd()
+		}
+	}
 }
 
-var jsonFieldsNameOfInstanceStatus = [8]string{
+var jsonFieldsNameOfInstanceStatus = [9]string{
 	0: "id",
 	1: "region",
 	2: "domain",
@@ -218,6 +228,7 @@
 	5: "incarnation",
 	6: "config_revision",
 	7: "age_ms",
+	8: "rejected",
 }
 
 // Decode decodes InstanceStatus from json.
@@ -225,7 +236,7 @@
 	if s == nil {
 		return errors.New("invalid: unable to decode InstanceStatus to nil")
 	}
-	var requiredBitSet [1]uint8
+	var requiredBitSet [2]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
@@ -323,6 +334,25 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"age_ms\"")
 			}
+		case "rejected":
+			if err := func() error {
+				s.Rejected = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Rejected = append(s.Rejected, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"rejected\"")
+			}
 		default:
 			return d.Skip()
 		}
@@ -332,8 +362,9 @@
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
-	for i, mask := range [1]uint8{
+	for i, mask := range [2]uint8{
 		0b11111111,
+		0b00000000,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/protocol/operatorapi/oas_schemas_gen.go
+++ b/protocol/operatorapi/oas_schemas_gen.go
@@ -77,6 +77,8 @@
 	Incarnation    int64               `json:"incarnation"`
 	ConfigRevision int64               `json:"config_revision"`
 	AgeMs          int64               `json:"age_ms"`
+	// Keys of documents that the instance cannot take.
+	Rejected []string `json:"rejected"`
 }
 
 // GetID returns the value of ID.
@@ -119,6 +121,11 @@
 	return s.AgeMs
 }
 
+// GetRejected returns the value of Rejected.
+func (s *InstanceStatus) GetRejected() []string {
+	return s.Rejected
+}
+
 // SetID sets the value of ID.
 func (s *InstanceStatus) SetID(val string) {
 	s.ID = val
@@ -159,6 +166,11 @@
 	s.AgeMs = val
 }
 
+// SetRejected sets the value of Rejected.
+func (s *InstanceStatus) SetRejected(val []string) {
+	s.Rejected = val
+}
+
 type InstanceStatusState string
 
 const (
--- a/service/check.go
+++ b/service/check.go
@@ -105,8 +105,13 @@
 	return d, nil
 }
 
+// ValidName tells whether a name of a document, a key or an operation is well formed.
+func ValidName(name string) bool {
+	return len(name) <= maxNameBytes && namePattern.MatchString(name)
+}
+
 func checkName(r *yamldoc.Report, name string) {
-	if len(name) > maxNameBytes || !namePattern.MatchString(name) {
+	if !ValidName(name) {
 		r.Addf("name", "want 1 to %d lower-case letters, digits and dashes, have %q", maxNameBytes, name)
 	}
 }
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -206,6 +206,15 @@
 	return known && !withdrawn
 }
 
+// IsWithdrawn tells whether a key was withdrawn.
+func (c *Catalog) IsWithdrawn(keyID string) bool {
+	s := c.shard(keyID)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	_, withdrawn := s.withdrawn[keyID]
+	return withdrawn
+}
+
 // CheckKey returns the account that a presented key belongs to.
 func (c *Catalog) CheckKey(presented string) (*service.Account, string, KeyState) {
 	id, ok := KeyID(presented)
--- a/transport/dispatch/work.go
+++ b/transport/dispatch/work.go
@@ -26,6 +26,8 @@
 	MaxWait   time.Duration // in queues
 	Via       string
 
+	ConfigRevision int64 // of the first instance, on forwarded work
+
 	Generation *Generation // exactly one of the two is set
 	Operation  *Operation
 }
--- a/transport/peer/codec.go
+++ b/transport/peer/codec.go
@@ -36,7 +36,7 @@
 	w := &dispatch.Work{
 		RequestID: req.GetRequestId(), Attempt: int(req.GetAttempt()), Hop: int(req.GetHop()),
 		Account: req.GetAccount(), KeyID: req.GetKeyId(), Home: req.GetHomeRegion(), Service: req.GetService(),
-		Class: service.ClassInteractive, Via: req.GetVia(),
+		Class: service.ClassInteractive, Via: req.GetVia(), ConfigRevision: req.GetConfigRevision(),
 		Deadline: time.Now().Add(time.Duration(req.GetDeadlineMs()) * time.Millisecond),
 		MaxWait:  time.Duration(req.GetMaxWaitMs()) * time.Millisecond,
 	}
--- a/transport/peer/forward.go
+++ b/transport/peer/forward.go
@@ -22,7 +22,9 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream, err := client.Forward(ctx, encodeWork(w))
+	req := encodeWork(w)
+	req.ConfigRevision = p.Revision()
+	stream, err := client.Forward(ctx, req)
 	if err != nil {
 		return broken(err, false)
 	}
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -20,6 +20,10 @@
 
 // Pool holds one connection to each peer.
 type Pool struct {
+	// Revision is the configuration in force here. A peer that has an older one
+	// waits for it before it refuses a key that it does not know.
+	Revision func() int64
+
 	creds credentials.TransportCredentials
 
 	mu    sync.Mutex
@@ -28,7 +32,7 @@
 
 // NewPool returns a pool without connections.
 func NewPool(creds credentials.TransportCredentials) *Pool {
-	return &Pool{creds: creds, conns: make(map[string]*grpc.ClientConn)}
+	return &Pool{creds: creds, Revision: func() int64 { return 0 }, conns: make(map[string]*grpc.ClientConn)}
 }
 
 // Get returns a client for the peer at an address. It makes no call.
--- a/transport/platform/platform.go
+++ b/transport/platform/platform.go
@@ -27,6 +27,7 @@
 	Revision int64
 	Lease    int64
 	Deleted  bool
+	Nonce    string // of the write, a UUIDv7; empty when another program wrote the value
 }
 
 // Write is a compare-and-swap.
@@ -131,35 +132,29 @@
 
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, key string) (KeyValue, error) {
-	kv, _, err := c.getWithNonce(ctx, key)
-	return kv, err
-}
-
-func (c *Client) getWithNonce(ctx context.Context, key string) (KeyValue, string, error) {
 	var found *platformapi.KeyValue
 	err := c.call(ctx, 0, func(ctx context.Context) (err error) {
 		found, err = c.api.GetKey(ctx, platformapi.GetKeyParams{Key: key})
 		return err
 	})
 	if err != nil {
-		return KeyValue{}, "", err
+		return KeyValue{}, err
 	}
-	kv, nonce := open(*found)
-	return kv, nonce, nil
+	return open(*found), nil
 }
 
 // open splits a stored value into its nonce and the value itself.
-func open(stored platformapi.KeyValue) (KeyValue, string) {
+func open(stored platformapi.KeyValue) KeyValue {
 	kv := KeyValue{
 		Key: stored.Key, Value: stored.Value, Revision: stored.Revision,
 		Lease: stored.Lease.Or(0), Deleted: stored.Deleted.Or(false),
 	}
 	nonce, value, ok := bytes.Cut(stored.Value, []byte{nonceEnd})
 	if !ok || len(nonce) != nonceBytes {
-		return kv, ""
+		return kv
 	}
-	kv.Value = value
-	return kv, string(nonce)
+	kv.Value, kv.Nonce = value, string(nonce)
+	return kv
 }
 
 func seal(nonce string, value []byte) []byte {
@@ -172,7 +167,7 @@
 func openAll(list *platformapi.KeyList) ([]KeyValue, int64) {
 	out := make([]KeyValue, len(list.Items))
 	for i, item := range list.Items {
-		out[i], _ = open(item)
+		out[i] = open(item)
 	}
 	return out, list.Revision
 }
@@ -211,7 +206,11 @@
 // write again with the same nonce: a compare-and-swap takes effect once, and a
 // conflict is settled by reading which nonce stands.
 func (c *Client) Put(ctx context.Context, w Write) (int64, error) {
-	nonce := uuid.NewString()
+	id, err := uuid.NewV7() // tells when it was made, which settles writes around a restore of the store
+	if err != nil {
+		return 0, errors.Wrap(err, "nonce")
+	}
+	nonce := id.String()
 	backoff := minBackoff
 	for first := true; ; first = false {
 		revision, err := c.putOnce(ctx, w, nonce)
@@ -245,15 +244,15 @@
 	return result.Revision, nil
 }
 
+// settle finds out which write stands after a conflict that may be with the own
+// write.
 func (c *Client) settle(ctx context.Context, w Write, nonce string) (int64, error) {
 	for {
-		kv, found, err := c.getWithNonce(ctx, w.Key)
+		kv, err := c.standing(ctx, w)
 		switch {
-		case err == nil && found == nonce:
+		case err == nil && kv.Nonce == nonce:
 			return kv.Revision, nil
-		case err == nil:
-			return 0, ErrConflict
-		case errors.Is(err, ErrNotFound):
+		case err == nil, errors.Is(err, ErrNotFound):
 			return 0, ErrConflict
 		}
 		if !sleep(ctx, minBackoff) {
@@ -262,6 +261,24 @@
 	}
 }
 
+// standing reads what stands in place of a write. A deletion leaves nothing to
+// get, only a marker in the list of changes.
+func (c *Client) standing(ctx context.Context, w Write) (KeyValue, error) {
+	if !w.Delete {
+		return c.Get(ctx, w.Key)
+	}
+	changes, _, err := c.List(ctx, w.Key, w.Expect)
+	if err != nil {
+		return KeyValue{}, err
+	}
+	for _, kv := range changes {
+		if kv.Key == w.Key {
+			return kv, nil
+		}
+	}
+	return KeyValue{}, ErrNotFound
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
