Queue, place and retry requests by what servers and domains can take

Cause: requests went straight to one of two random servers. Nothing waited, nothing was refused in time, a retry could go to the server that had just failed, and a request refused in its second attempt was reported as not run although its first may have run.

Admission: a queue for each service at the dispatching instance with classes, a floor for bulk, deficit round robin over accounts, refusal at once when the latest start cannot be met, and a limit for each server that adapts by additive growth and multiplicative shrinking. Routing: servers are read without copies, scored by the expected time to the first token, prefix index from cache events and own dispatches, outlier ejection, spill with hysteresis into reported room. Quarantine: crashes are a set of (server, boot id), told from broken connections by a probe; suspects run on one designated instance, apart. The backoff between attempts ends with the caller.

Ruled out: one shared limit for the instances of a domain (they do not talk about it); refusing by a fixed queue length only (the wait it means differs tenfold between services).

--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -57,12 +57,22 @@
 	return r.Run == refusal.NotRun || (repeatable && r.Run == refusal.Unknown)
 }
 
-// Take spends a retry and returns how long to wait before it. attempt is the
-// number of attempts made.
-func (b *Budget) Take(s *service.Service, attempt int, left time.Duration, rng *rand.Rand) (time.Duration, bool) {
+// placed tells whether the refusal came after a backend server was tried. What
+// only a queue or a routing decision refused put no load on servers.
+func placed(code refusal.Code) bool {
+	return code == refusal.CodeBackendFailed || code == refusal.CodePeerUnreachable
+}
+
+// Take spends a retry after a refusal and returns how long to wait before it.
+// attempt is the number of attempts made. Going elsewhere after a queue refused
+// costs nothing of the budget; the number of attempts bounds it.
+func (b *Budget) Take(s *service.Service, code refusal.Code, attempt int, left time.Duration, rng *rand.Rand) (time.Duration, bool) {
 	if attempt >= int(s.Retry.Attempts) {
 		return 0, false
 	}
+	if !placed(code) {
+		return 0, left > 0
+	}
 	ceiling := min(minBackoff<<attempt, maxBackoff)
 	wait := time.Duration(rng.Int64N(int64(ceiling)))
 	if wait >= left {
--- /dev/null
+++ b/coordination/routing/domain.go
@@ -0,0 +1,179 @@
+package routing
+
+import (
+	"sync"
+	"time"
+
+	"github.com/basilroute/basilroute/service"
+)
+
+const (
+	// domainGain is what another failure domain of the region has to be better by.
+	domainGain = 20 * time.Millisecond
+	// costGainFactor multiplies the gain that a spill needs under the cost
+	// policy: a request that leaves its region computes its prompt again.
+	costGainFactor = 3
+	// stayDivisor lowers the gain that is needed to go on spilling. Without the
+	// gap requests alternate between regions at the threshold, and each side's
+	// caches lose.
+	stayDivisor = 2
+	// roomShare is the part of a domain's reported room that one instance uses
+	// before the next report: others see the same room at the same time.
+	roomShare = 4
+)
+
+type sentKey struct{ service, peer string }
+
+type sent struct {
+	report uint64
+	count  int
+}
+
+// Router chooses failure domains for one instance. It is safe for concurrent use.
+type Router struct {
+	region, domain string
+
+	mu       sync.Mutex
+	spilling map[string]bool // by service
+	sent     map[sentKey]sent
+}
+
+// NewRouter returns the router of an instance in a failure domain.
+func NewRouter(region, domain string) *Router {
+	return &Router{region: region, domain: domain, spilling: make(map[string]bool), sent: make(map[sentKey]sent)}
+}
+
+// ChooseDomain returns where to run: own, one of others, or nil. A request
+// leaves its region only when the expected time won exceeds the service's
+// setting and the far side has said that it has room.
+func (t *Router) ChooseDomain(r *Request, own *Domain, others []Domain) *Domain {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var near, far *Domain
+	if t.candidate(r, own) {
+		near = own
+	}
+	for i := range others {
+		d := &others[i]
+		if d.Name == t.domain || !t.candidate(r, d) {
+			continue
+		}
+		if d.Region == t.region {
+			near = t.better(r, near, d)
+		} else {
+			far = t.better(r, far, d)
+		}
+	}
+	chosen := t.spill(r, near, far)
+	if chosen != nil && chosen != own {
+		t.count(r, chosen)
+	}
+	return chosen
+}
+
+// Designate returns the one instance that runs a suspected request: the first by
+// rendezvous hashing of all that may. Instances that know the same members name
+// the same one, so copies sent through several instances meet there.
+func Designate(r *Request, fingerprint uint64, own *Domain, others []Domain) *Domain {
+	var chosen *Domain
+	consider := func(d *Domain) {
+		if !Allowed(r, d.Region, d.Name) || d.Servers == 0 || r.Exclude[d.PeerID] {
+			return
+		}
+		if chosen == nil || affinity(fingerprint, d.PeerHash) > affinity(fingerprint, chosen.PeerHash) {
+			chosen = d
+		}
+	}
+	consider(own)
+	for i := range others {
+		consider(&others[i])
+	}
+	return chosen
+}
+
+func (t *Router) candidate(r *Request, d *Domain) bool {
+	if !Allowed(r, d.Region, d.Name) || d.Servers == 0 || r.Exclude[d.Name] || r.Exclude[d.PeerID] {
+		return false
+	}
+	if d.Name == t.domain {
+		return true
+	}
+	if r.Hop >= MaxHops || !d.HasRoom || !t.roomLeft(r, d) {
+		return false
+	}
+	return d.Region == t.region || !r.Service.Spill.Disabled
+}
+
+// roomLeft counts what this instance sent since the domain's report: a report is
+// a second old, and a burst would otherwise go to one place as a whole.
+func (t *Router) roomLeft(r *Request, d *Domain) bool {
+	s := t.sent[sentKey{r.Service.Name, d.PeerID}]
+	return s.report != d.Report || s.count < max(d.Room/roomShare, 1)
+}
+
+func (t *Router) count(r *Request, d *Domain) {
+	key := sentKey{r.Service.Name, d.PeerID}
+	s := t.sent[key]
+	if s.report != d.Report {
+		s = sent{report: d.Report}
+	}
+	s.count++
+	t.sent[key] = s
+}
+
+// better returns the better of two candidates. Among instances of one domain it
+// is the one that the account's hash prefers, so that accounts spread over all
+// of them and each account's requests meet.
+func (t *Router) better(r *Request, a, b *Domain) *Domain {
+	if a == nil {
+		return b
+	}
+	if a.Name == b.Name {
+		if affinity(r.Account, b.PeerHash) > affinity(r.Account, a.PeerHash) {
+			return b
+		}
+		return a
+	}
+	if t.nearCost(b) < t.nearCost(a) {
+		return b
+	}
+	return a
+}
+
+func (t *Router) nearCost(d *Domain) time.Duration {
+	cost := d.ExpectedWait + 2*d.LinkDelay
+	if d.Name != t.domain && d.Region == t.region {
+		cost += domainGain
+	}
+	return cost
+}
+
+func (t *Router) spill(r *Request, near, far *Domain) *Domain {
+	if near == nil {
+		return far
+	}
+	if far == nil {
+		return near
+	}
+	threshold := r.Service.Spill.Gain
+	if r.Service.Policy == service.PolicyCost {
+		threshold *= costGainFactor
+	}
+	if t.spilling[r.Service.Name] {
+		threshold /= stayDivisor
+	}
+	spills := t.nearCost(near)-t.nearCost(far) > threshold
+	t.spilling[r.Service.Name] = spills
+	if spills {
+		return far
+	}
+	return near
+}
+
+// affinity mixes two hashes (the finalizer of splitmix64).
+func affinity(account, peer uint64) uint64 {
+	x := account ^ peer
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/instance/domains.go
+++ b/instance/domains.go
@@ -1,34 +1,73 @@
 package instance
 
 import (
+	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/basilroute/basilroute/coordination/membership"
 	"github.com/basilroute/basilroute/coordination/routing"
 )
 
-// Domains implements dispatch.Domains.
-func (i *Instance) Domains(name string) []routing.Domain {
-	own := routing.Domain{Name: i.settings.Domain, Region: i.settings.Region, HasRoom: true}
-	for _, s := range i.servers.Of(name) {
-		if s.Usable() {
+// domainsFresh is how long a view of the other instances is used. Reports of
+// their load come once a second.
+const domainsFresh = 100 * time.Millisecond
+
+// domainViews holds what the other instances said of each service, so that a
+// request does not go through the membership.
+type domainViews struct {
+	mu    sync.Mutex
+	views map[string]domainView
+}
+
+type domainView struct {
+	built   time.Time
+	domains []routing.Domain
+}
+
+// Own implements dispatch.Domains.
+func (i *Instance) Own(name string) routing.Domain {
+	own := routing.Domain{
+		Name: i.settings.Domain, Region: i.settings.Region,
+		PeerID: i.settings.ID, PeerHash: xxhash.Sum64String(i.settings.ID), HasRoom: true,
+	}
+	for _, e := range i.servers.Entries(name) {
+		if e.View().Usable() {
 			own.Servers++
-			own.InFlight += s.InFlight
+			own.InFlight += e.InFlight()
 		}
 	}
-	out := []routing.Domain{own}
-	for _, m := range i.members.Members(time.Now()) {
-		if !m.Reachable || m.Leaving() || m.Entry.GetDomain() == i.settings.Domain {
-			continue
+	if svc := i.catalog.Service(name); svc != nil {
+		stats := i.local.Admission.Stats(svc)
+		own.ExpectedWait, own.Room = stats.ExpectedWait, stats.Room
+	}
+	return own
+}
+
+// Others implements dispatch.Domains.
+func (i *Instance) Others(name string) []routing.Domain {
+	now := time.Now()
+	i.views.mu.Lock()
+	defer i.views.mu.Unlock()
+	view, ok := i.views.views[name]
+	if ok && now.Sub(view.built) < domainsFresh {
+		return view.domains
+	}
+	view = domainView{built: now}
+	for _, m := range i.members.Members(now) {
+		if m.Reachable && !m.Leaving() && m.Entry.GetId() != i.settings.ID {
+			view.domains = append(view.domains, i.remote(m, name))
 		}
-		out = append(out, i.remote(m, name))
 	}
-	return out
+	i.views.views[name] = view
+	return view.domains
 }
 
 func (i *Instance) remote(m membership.Member, name string) routing.Domain {
 	d := routing.Domain{
 		Name: m.Entry.GetDomain(), Region: m.Entry.GetRegion(), PeerID: m.Entry.GetId(),
+		PeerHash: xxhash.Sum64String(m.Entry.GetId()), Report: m.Entry.GetVersion(),
 		Peer: m.Entry.GetPeerAddress(), LinkDelay: i.settings.Links.Domain,
 	}
 	if d.Region != i.settings.Region {
@@ -38,7 +77,7 @@
 		if load.GetService() == name {
 			d.Servers, d.InFlight = int(load.GetServers()), int(load.GetInFlight())
 			d.ExpectedWait = time.Duration(load.GetExpectedWaitMs()) * time.Millisecond
-			d.HasRoom = load.GetHasRoom()
+			d.HasRoom, d.Room = load.GetHasRoom(), int(load.GetRoom())
 		}
 	}
 	return d
@@ -46,7 +85,10 @@
 
 // Serves tells whether some failure domain has a usable server of the service.
 func (i *Instance) Serves(name string) bool {
-	for _, d := range i.Domains(name) {
+	if i.Own(name).Servers > 0 {
+		return true
+	}
+	for _, d := range i.Others(name) {
 		if d.Servers > 0 {
 			return true
 		}
--- a/instance/exchange.go
+++ b/instance/exchange.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/basilroute/basilroute/coordination/configwatch"
-	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/protocol/peerpb"
 )
 
@@ -69,9 +68,7 @@
 		i.catalog.Withdraw(w.GetKeyId(), w.GetAtUnixMs())
 	}
 	for _, q := range quarantines {
-		i.quarantine.Merge(quarantine.Record{
-			Fingerprint: q.GetFingerprint(), Crashes: int(q.GetCrashes()), Until: time.UnixMilli(q.GetUntilUnixMs()),
-		})
+		i.quarantine.Merge(decodeQuarantine(q))
 	}
 	if len(documents) == 0 {
 		return
@@ -90,11 +87,3 @@
 	}
 	return out
 }
-
-func (i *Instance) quarantines() []*peerpb.Quarantine {
-	var out []*peerpb.Quarantine
-	for _, r := range i.quarantine.Records(time.Now()) {
-		out = append(out, &peerpb.Quarantine{Fingerprint: r.Fingerprint, Crashes: uint32(r.Crashes), UntilUnixMs: r.Until.UnixMilli()})
-	}
-	return out
-}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -21,6 +21,7 @@
 	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/coordination/quota"
 	"github.com/basilroute/basilroute/coordination/retry"
+	"github.com/basilroute/basilroute/coordination/routing"
 	"github.com/basilroute/basilroute/protocol/peerpb"
 	"github.com/basilroute/basilroute/protocol/refusal"
 	"github.com/basilroute/basilroute/state/catalog"
@@ -65,6 +66,8 @@
 	storeRead atomic.Bool // the documents were listed once; a watch goes on from there
 	loops     sync.WaitGroup
 	stopLoops context.CancelFunc
+	crashes   chan struct{} // capacity 1: a crash is to be announced
+	views     domainViews
 	failed    chan error // a listener that ended unasked
 }
 
@@ -84,10 +87,13 @@
 		retries:    retry.NewBudget(),
 		quarantine: quarantine.New(),
 		backend:    backend.New(),
+		crashes:    make(chan struct{}, 1),
+		views:      domainViews{views: make(map[string]domainView)},
 		failed:     make(chan error, 3),
 	}
 	i.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	i.config = configwatch.New(i.catalog)
+	i.quarantine.OnCrash(i.announceCrash)
 	i.catalog.OnWithdraw(i.requests.Withdraw)
 	i.catalog.OnWithdraw(i.forwarded.Withdraw)
 	if err := i.listen(); err != nil {
@@ -153,10 +159,15 @@
 		return err
 	}
 	i.pool = peer.NewPool(insecure.NewCredentials())
-	i.local = &dispatch.Local{Catalog: i.catalog, Servers: i.servers, Backend: i.backend, Quarantine: i.quarantine}
+	i.local = &dispatch.Local{
+		Catalog: i.catalog, Servers: i.servers, Backend: i.backend, Quarantine: i.quarantine,
+		Admission: dispatch.NewAdmission(i.servers), Prefixes: dispatch.NewPrefixes(i.settings.Region),
+		Apart: quarantine.NewApart(),
+	}
 	i.front = &dispatch.Front{
 		Region: i.settings.Region, Domain: i.settings.Domain, Catalog: i.catalog, Ledger: i.ledger,
-		Retries: i.retries, Quarantine: i.quarantine, Known: i, Local: i.local, Forwarder: i.pool, Log: i.log,
+		Retries: i.retries, Quarantine: i.quarantine, Known: i, Router: routing.NewRouter(i.settings.Region, i.settings.Domain),
+		Local: i.local, Forwarder: i.pool, Log: i.log,
 	}
 	return i.wireServers()
 }
@@ -194,7 +205,7 @@
 	go i.serve(func() error { return i.callers.Serve(i.listeners.callers) })
 	go i.serve(func() error { return i.operators.Serve(i.listeners.operators) })
 	go i.serve(func() error { return i.peers.Serve(i.listeners.peers) })
-	for _, loop := range []func(context.Context){i.watchConfig, i.watchList, i.pollServers, i.exchange, i.shareQuotaLoop} {
+	for _, loop := range []func(context.Context){i.watchConfig, i.watchList, i.pollServers, i.exchange, i.exchangeCrashes, i.shareQuotaLoop} {
 		i.loops.Go(func() { loop(ctx) })
 	}
 	i.log.Info("instance started", "region", i.settings.Region, "domain", i.settings.Domain,
--- a/instance/poll.go
+++ b/instance/poll.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"github.com/basilroute/basilroute/service"
 	"sync"
 	"time"
 
+	"github.com/basilroute/basilroute/coordination/routing"
 	"github.com/basilroute/basilroute/protocol/peerpb"
+	"github.com/basilroute/basilroute/service"
 	"github.com/basilroute/basilroute/state/servers"
 )
 
@@ -23,6 +24,7 @@
 			polls.Go(func() { i.poll(ctx, server) })
 		}
 		polls.Wait()
+		i.review(time.Now())
 		i.publishLoad()
 	})
 }
@@ -42,6 +44,36 @@
 		return
 	}
 	i.servers.Report(server.Service, server.ID, load)
+	i.quarantine.Reported(server.ID, load.BootID, time.Now())
+	entry := i.servers.Entry(server.Service, server.ID)
+	if entry == nil {
+		return
+	}
+	i.local.Admission.Reported(entry, svc, time.Now())
+	if svc.Type == service.TypeModel {
+		i.pollCache(ctx, entry)
+	}
+}
+
+// pollCache takes in what the engine stored and evicted since the last poll.
+func (i *Instance) pollCache(ctx context.Context, entry *servers.Entry) {
+	server := entry.View()
+	index := i.local.Prefixes.Index(server.Service)
+	index.Booted(entry.Slot(), server.Load.BootID)
+	events, err := i.backend.CacheEvents(ctx, server.Address, index.After(entry.Slot()))
+	if err != nil {
+		return // asked again with the next poll
+	}
+	index.Apply(entry.Slot(), events)
+}
+
+// review applies the policies that look at all servers of a service.
+func (i *Instance) review(now time.Time) {
+	for _, svc := range i.catalog.Services() {
+		routing.EjectSlow(i.servers, svc.Name, now)
+		i.local.Admission.Refresh(svc, now)
+	}
+	i.local.Admission.Forget()
 }
 
 // publishLoad sums up the own domain's servers in the instance's entry.
@@ -54,21 +86,40 @@
 	})
 }
 
+// roomShare is the part of the slots that has to be free for the domain to take
+// work from others: the last ones are for its own callers.
+const roomShare = 8
+
 func (i *Instance) ownLoads() []*peerpb.ServiceLoad {
-	sums := make(map[string]*peerpb.ServiceLoad)
 	var out []*peerpb.ServiceLoad
-	for _, server := range i.servers.All() {
-		sum := sums[server.Service]
-		if sum == nil {
-			sum = &peerpb.ServiceLoad{Service: server.Service, HasRoom: true}
-			sums[server.Service] = sum
-			out = append(out, sum)
-		}
-		if server.Usable() {
-			sum.Servers++
-			sum.InFlight += uint32(server.Load.Running)
-			sum.Queued += uint32(server.Load.Waiting)
+	for _, svc := range i.catalog.Services() {
+		if load := i.ownLoad(svc); load != nil {
+			out = append(out, load)
 		}
 	}
 	return out
 }
+
+// ownLoad sums up the service's servers here, or returns nil when there are none.
+func (i *Instance) ownLoad(svc *service.Service) *peerpb.ServiceLoad {
+	entries := i.servers.Entries(svc.Name)
+	if len(entries) == 0 {
+		return nil
+	}
+	sum := &peerpb.ServiceLoad{Service: svc.Name}
+	for _, e := range entries {
+		server := e.View()
+		if !server.Usable() || !svc.AllowsVersion(server.Version) {
+			continue
+		}
+		sum.Servers++
+		sum.InFlight += uint32(server.Load.Running)
+		sum.Queued += uint32(server.Load.Waiting)
+	}
+	stats := i.local.Admission.Stats(svc)
+	sum.Queued += uint32(stats.Waiting)
+	sum.ExpectedWaitMs = uint32(stats.ExpectedWait.Milliseconds())
+	sum.Room = uint32(stats.Room)
+	sum.HasRoom = sum.Servers > 0 && stats.Waiting == 0 && stats.Room*roomShare >= stats.Capacity && stats.Room > 0
+	return sum
+}
--- a/protocol/tokens/tokens.go
+++ b/protocol/tokens/tokens.go
@@ -13,7 +13,8 @@
 	bytesPerToken = 4
 	// BlockTokens is how many prompt tokens one cache block covers.
 	BlockTokens = 64
-	blockBytes  = BlockTokens * bytesPerToken
+	// BlockBytes is how many bytes of a prompt one cache block covers.
+	BlockBytes = BlockTokens * bytesPerToken
 )
 
 // Estimate returns an upper estimate of a prompt's tokens.
@@ -40,12 +41,12 @@
 func AppendBlocks(dst []Block, prompt string) []Block {
 	var chain [8]byte
 	var previous uint64
-	for start := 0; start+blockBytes <= len(prompt); start += blockBytes {
+	for start := 0; start+BlockBytes <= len(prompt); start += BlockBytes {
 		binary.LittleEndian.PutUint64(chain[:], previous)
 		var digest xxhash.Digest
 		digest.Reset()
 		_, _ = digest.Write(chain[:])
-		_, _ = digest.WriteString(prompt[start : start+blockBytes])
+		_, _ = digest.WriteString(prompt[start : start+BlockBytes])
 		previous = digest.Sum64()
 		dst = append(dst, Block(previous))
 	}
--- /dev/null
+++ b/state/servers/entry.go
@@ -0,0 +1,99 @@
+package servers
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// initialLimit is how many requests a server gets from this instance before
+// anything is known of it. The limit then doubles with every round of answers.
+const initialLimit = 4
+
+// Entry is one backend server in the table. Decisions read it without a lock:
+// the view is replaced as a whole, the counters are atomic.
+type Entry struct {
+	slot int
+	mu   sync.Mutex // held by writers of the view
+	view atomic.Pointer[Server]
+
+	inFlight atomic.Int64
+	pending  atomic.Int64
+	limit    atomic.Int64
+}
+
+func newEntry(id string, slot int, now time.Time) *Entry {
+	e := &Entry{slot: slot}
+	e.view.Store(&Server{ID: id, Since: now, LatencyFactor: 1})
+	e.limit.Store(initialLimit)
+	return e
+}
+
+// View returns what is known of the server. It is shared and not to be changed;
+// InFlight and Limit are only set in copies.
+func (e *Entry) View() *Server { return e.view.Load() }
+
+// Slot is a small number that no other server of the service has now.
+func (e *Entry) Slot() int { return e.slot }
+
+// Copy returns the view with the counters filled in.
+func (e *Entry) Copy() Server {
+	server := *e.View()
+	server.InFlight, server.Limit = e.InFlight(), e.Limit()
+	return server
+}
+
+func (e *Entry) change(change func(*Server)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	next := *e.view.Load()
+	change(&next)
+	e.view.Store(&next)
+}
+
+// Begin counts a request of this instance and the prompt tokens that the server
+// has to compute for it.
+func (e *Entry) Begin(promptTokens int) {
+	e.inFlight.Add(1)
+	e.pending.Add(int64(promptTokens))
+}
+
+// Started takes off the prompt tokens: the first token has come, or never will.
+func (e *Entry) Started(promptTokens int) { e.pending.Add(-int64(promptTokens)) }
+
+// End is the counterpart of Begin.
+func (e *Entry) End() { e.inFlight.Add(-1) }
+
+// InFlight returns how many requests of this instance the server has.
+func (e *Entry) InFlight() int { return int(e.inFlight.Load()) }
+
+// PendingTokens returns the prompt tokens of this instance that wait for their first token.
+func (e *Entry) PendingTokens() int { return int(e.pending.Load()) }
+
+// Limit returns how many requests of this instance the server may have.
+func (e *Entry) Limit() int { return int(e.limit.Load()) }
+
+// SetLimit replaces the limit.
+func (e *Entry) SetLimit(limit int) { e.limit.Store(int64(limit)) }
+
+// Measured replaces what this instance measured of the server: how long a
+// request lasts, and how the time to the first token compares with the expected one.
+func (e *Entry) Measured(duration time.Duration, factor float64) {
+	e.change(func(server *Server) {
+		server.MeanDuration, server.LatencyFactor = duration, factor
+	})
+}
+
+// Erred counts a failed request and returns how many failed in a row.
+func (e *Entry) Erred() int {
+	e.change(func(server *Server) { server.Errors++ })
+	return e.View().Errors
+}
+
+// Recovered notes an answer: the server is no outlier any more.
+func (e *Entry) Recovered() {
+	if v := e.View(); v.Ejections == 0 && v.Errors == 0 {
+		return
+	}
+	e.change(func(server *Server) { server.Ejections, server.Errors = 0, 0 })
+}
--- a/state/servers/servers.go
+++ b/state/servers/servers.go
@@ -27,29 +27,40 @@
 	Leaving       bool
 }
 
-// Server is a copy of what is known of one backend server.
+// Server is what is known of one backend server.
 type Server struct {
-	ID       string
-	Service  string
-	Version  string
-	Address  string // base URL
-	Region   string
-	Domain   string
-	Listed   bool // on the platform's list as live
-	Leaving  bool // by the list or its own word
-	Since    time.Time
-	Load     Load
-	InFlight int // of this instance
-	Failures int // in a row
-	Polled   bool
+	ID            string
+	Service       string
+	Version       string
+	Address       string // base URL
+	Region        string
+	Domain        string
+	Listed        bool // on the platform's list as live
+	Leaving       bool // by the list or its own word
+	Since         time.Time
+	Load          Load
+	OwnAtReport   int // requests of this instance in flight when Load came in
+	Failures      int // polls in a row
+	Errors        int // requests in a row
+	Polled        bool
+	EjectedUntil  time.Time // as an outlier
+	Ejections     int       // in a row
+	InFlight      int       // of this instance; set in copies only
+	Limit         int       // of InFlight; set in copies only
+	MeanDuration  time.Duration
+	LatencyFactor float64
 }
 
 // Usable tells whether the server may get new work.
 func (s *Server) Usable() bool { return s.Listed && !s.Leaving && s.Polled }
 
+// Ejected tells whether the server is set aside as an outlier.
+func (s *Server) Ejected(now time.Time) bool { return now.Before(s.EjectedUntil) }
+
 type shard struct {
-	mu      sync.RWMutex
-	servers map[string]*Server
+	mu       sync.RWMutex
+	servers  map[string]*Entry
+	services map[string][]*Entry // ordered by id; replaced, never changed in place
 }
 
 // Table is safe for concurrent use.
@@ -61,7 +72,8 @@
 func New() *Table {
 	t := &Table{}
 	for i := range t.shards {
-		t.shards[i].servers = make(map[string]*Server)
+		t.shards[i].servers = make(map[string]*Entry)
+		t.shards[i].services = make(map[string][]*Entry)
 	}
 	return t
 }
@@ -93,47 +105,85 @@
 	s := t.shard(identity.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	server, ok := s.servers[identity.ID]
-	if !ok || server.Address != identity.Address {
-		server = &Server{ID: identity.ID, Since: now}
-		s.servers[identity.ID] = server
+	entry, ok := s.servers[identity.ID]
+	if !ok || entry.View().Address != identity.Address {
+		entry = newEntry(identity.ID, s.freeSlot(identity.Service), now)
+		s.servers[identity.ID] = entry
+	}
+	entry.change(func(server *Server) {
+		server.Service, server.Version, server.Address = identity.Service, identity.Version, identity.Address
+		server.Region, server.Domain = identity.Region, identity.Domain
+		server.Listed = true
+		server.Leaving = identity.Leaving || server.Load.Leaving
+	})
+	s.regroup()
+}
+
+// freeSlot returns the lowest number that no server of the service has.
+func (s *shard) freeSlot(service string) int {
+	taken := make(map[int]bool)
+	for _, entry := range s.servers {
+		if entry.View().Service == service {
+			taken[entry.Slot()] = true
+		}
+	}
+	slot := 0
+	for taken[slot] {
+		slot++
 	}
-	server.Service, server.Version, server.Address = identity.Service, identity.Version, identity.Address
-	server.Region, server.Domain = identity.Region, identity.Domain
-	server.Listed = true
-	server.Leaving = identity.Leaving || server.Load.Leaving
+	return slot
 }
 
 func (s *shard) unlist(listed map[string]bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, server := range s.servers {
+	for id, entry := range s.servers {
 		if listed[id] {
 			continue
 		}
-		server.Listed = false
-		if server.InFlight == 0 {
+		entry.change(func(server *Server) { server.Listed = false })
+		if entry.InFlight() == 0 {
 			delete(s.servers, id)
 		}
 	}
+	s.regroup()
+}
+
+// regroup builds the lists that decisions read without copying.
+func (s *shard) regroup() {
+	groups := make(map[string][]*Entry, len(s.services))
+	for _, entry := range s.servers {
+		service := entry.View().Service
+		groups[service] = append(groups[service], entry)
+	}
+	for _, group := range groups {
+		slices.SortFunc(group, func(a, b *Entry) int { return cmp.Compare(a.View().ID, b.View().ID) })
+	}
+	s.services = groups
 }
 
 func (t *Table) update(service, id string, change func(*Server)) {
 	s := t.shard(service)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if server, ok := s.servers[id]; ok {
-		change(server)
+	s.mu.RLock()
+	entry, ok := s.servers[id]
+	s.mu.RUnlock()
+	if ok {
+		entry.change(change)
 	}
 }
 
 // Report takes in a server's load. Another boot id means that it restarted.
 func (t *Table) Report(service, id string, load Load) {
-	t.update(service, id, func(server *Server) {
+	entry := t.Entry(service, id)
+	if entry == nil {
+		return
+	}
+	own := entry.InFlight()
+	entry.change(func(server *Server) {
 		if server.Load.BootID != load.BootID {
 			server.Since = load.At
 		}
-		server.Load = load
+		server.Load, server.OwnAtReport = load, own
 		server.Polled = true
 		server.Leaving = server.Leaving || load.Leaving
 		server.Failures = 0
@@ -151,41 +201,67 @@
 	})
 }
 
-// Begin counts a request in flight, End takes it off.
-func (t *Table) Begin(service, id string) {
-	t.update(service, id, func(server *Server) { server.InFlight++ })
+// Eject sets a server aside until a time, unless more than half of the
+// service's usable servers would then be set aside.
+func (t *Table) Eject(service, id string, now, until time.Time) bool {
+	s := t.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	usable, ejected := 0, 1
+	for _, entry := range s.services[service] {
+		server := entry.View()
+		if !server.Usable() {
+			continue
+		}
+		usable++
+		if server.ID != id && server.Ejected(now) {
+			ejected++
+		}
+	}
+	entry, ok := s.servers[id]
+	if !ok || ejected*2 > usable {
+		return false
+	}
+	entry.change(func(server *Server) {
+		server.EjectedUntil = until
+		server.Ejections++
+	})
+	return true
 }
 
-// End is the counterpart of Begin.
-func (t *Table) End(service, id string) {
-	t.update(service, id, func(server *Server) { server.InFlight-- })
+// Entries returns a service's servers, ordered by id. The slice is shared and
+// not to be changed.
+func (t *Table) Entries(service string) []*Entry {
+	s := t.shard(service)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.services[service]
 }
 
-// Of returns copies of a service's servers, ordered by id.
-func (t *Table) Of(service string) []Server {
+// Entry returns one server, or nil.
+func (t *Table) Entry(service, id string) *Entry {
 	s := t.shard(service)
 	s.mu.RLock()
 	defer s.mu.RUnlock()
+	return s.servers[id]
+}
+
+// Of returns copies of a service's servers, ordered by id.
+func (t *Table) Of(service string) []Server {
 	var out []Server
-	for _, server := range s.servers {
-		if server.Service == service {
-			out = append(out, *server)
-		}
+	for _, entry := range t.Entries(service) {
+		out = append(out, entry.Copy())
 	}
-	slices.SortFunc(out, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
 // Find returns a copy of one server.
 func (t *Table) Find(service, id string) (Server, bool) {
-	s := t.shard(service)
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	server, ok := s.servers[id]
-	if !ok {
+	entry := t.Entry(service, id)
+	if entry == nil {
 		return Server{}, false
 	}
-	return *server, true
+	return entry.Copy(), true
 }
 
 // All returns copies of every server.
@@ -194,8 +270,8 @@
 	for i := range t.shards {
 		s := &t.shards[i]
 		s.mu.RLock()
-		for _, server := range s.servers {
-			out = append(out, *server)
+		for _, entry := range s.servers {
+			out = append(out, entry.Copy())
 		}
 		s.mu.RUnlock()
 	}
--- a/transport/dispatch/front.go
+++ b/transport/dispatch/front.go
@@ -5,19 +5,26 @@
 	"log/slog"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/coordination/quota"
 	"github.com/basilroute/basilroute/coordination/retry"
 	"github.com/basilroute/basilroute/coordination/routing"
 	"github.com/basilroute/basilroute/protocol/frame"
 	"github.com/basilroute/basilroute/protocol/refusal"
+	"github.com/basilroute/basilroute/protocol/tokens"
 	"github.com/basilroute/basilroute/service"
 	"github.com/basilroute/basilroute/state/catalog"
 )
 
 // Domains tells what is known of the failure domains for a service.
 type Domains interface {
-	Domains(service string) []routing.Domain
+	// Own returns the own failure domain as it is now.
+	Own(service string) routing.Domain
+	// Others returns the other live instances, those of the own failure domain
+	// included. The slice is shared and not to be changed.
+	Others(service string) []routing.Domain
 }
 
 // Front runs the requests of callers: it charges them, chooses the failure
@@ -29,6 +36,7 @@
 	Retries        *retry.Budget
 	Quarantine     *quarantine.List
 	Known          Domains
+	Router         *routing.Router
 	Local          *Local
 	Forwarder      Forwarder
 	Log            *slog.Logger
@@ -60,9 +68,8 @@
 	if svc == nil {
 		return refusal.New(refusal.CodeNotFound, "no service %q", w.Service)
 	}
-	fingerprint := quarantine.Fingerprint(w.Account, w.Service, w.body())
-	if until, refused := f.Quarantine.Refused(fingerprint, time.Now()); refused {
-		return refusal.New(refusal.CodeQuarantined, "this request crashed backend servers").After(time.Until(until))
+	if until, refused := f.Quarantine.Refused(w.fingerprint(), time.Now()); refused {
+		return quarantined(until)
 	}
 	cost := w.Cost(svc)
 	if refused := f.charge(account, cost); refused != nil {
@@ -77,53 +84,123 @@
 func (f *Front) attempts(ctx context.Context, svc *service.Service, w *Work, u *usage) error {
 	f.Retries.Request(svc)
 	rng := newRand()
-	request := &routing.Request{Service: svc, Home: w.Home, Hop: w.Hop, Exclude: make(map[string]bool)}
+	request := f.request(svc, w)
+	run := refusal.NotRun
+	var last *refusal.Refusal
 	for w.Attempt = 1; ; w.Attempt++ {
+		sent := time.Now()
 		err := f.attempt(ctx, request, w, u)
-		if err == nil || ctx.Err() != nil {
-			return f.final(ctx, err)
+		if err == nil {
+			return nil
 		}
 		refused := refusal.From(err)
+		if refused.Code == refusal.CodeNoServer && last != nil {
+			return last // nowhere else to go: the first reason and its time to come back stand
+		}
+		run = worse(run, refused.Run)
 		if u.frames > 0 {
-			return refused.WithRun(refusal.Ran)
+			run = refusal.Ran
+		}
+		refused = refused.WithRun(run)
+		if ctx.Err() != nil {
+			return f.cut(ctx, refused)
 		}
-		if !retry.Retryable(refused, w.Repeatable(svc)) {
-			return err
+		if u.frames > 0 || !retry.Retryable(refused, w.Repeatable(svc)) {
+			return refused
 		}
-		wait, ok := f.Retries.Take(svc, w.Attempt, time.Until(w.Deadline), rng)
+		wait, ok := f.Retries.Take(svc, refused.Code, w.Attempt, time.Until(w.Deadline), rng)
 		if !ok {
-			return err
+			return refused
 		}
-		time.Sleep(wait)
+		if refused.Code == refusal.CodeOverloaded {
+			w.MaxWait = max(w.MaxWait-time.Since(sent), 0)
+		}
+		if !pause(ctx, wait) {
+			return f.cut(ctx, refused)
+		}
+		last = refused
 	}
 }
 
-// final prefers the reason for which the request was cut, such as a withdrawn key.
-func (f *Front) final(ctx context.Context, err error) error {
-	if err == nil {
-		return nil
+func (f *Front) request(svc *service.Service, w *Work) *routing.Request {
+	r := &routing.Request{
+		Service: svc, Account: xxhash.Sum64String(w.Account), Home: w.Home, Hop: w.Hop, Exclude: make(map[string]bool),
 	}
+	if w.Generation != nil {
+		r.PromptTokens = tokens.Estimate(w.Generation.Prompt)
+	}
+	return r
+}
+
+// worse returns what is known after two attempts. Without it a request that may
+// have run in its first attempt and was refused in the second would be reported
+// as not run, and its caller would send it again.
+func worse(a, b refusal.Run) refusal.Run {
+	switch {
+	case a == refusal.Ran || b == refusal.Ran:
+		return refusal.Ran
+	case a == refusal.Unknown || b == refusal.Unknown:
+		return refusal.Unknown
+	}
+	return refusal.NotRun
+}
+
+// cut prefers the reason for which the request was cut, such as a withdrawn key.
+func (f *Front) cut(ctx context.Context, refused *refusal.Refusal) error {
 	if cause := context.Cause(ctx); cause != nil && cause != ctx.Err() {
 		return refusal.From(cause)
 	}
-	return refusal.New(refusal.CodeDeadline, "the request ran out of time").WithRun(refusal.Unknown)
+	return refusal.New(refusal.CodeDeadline, "the request ran out of time").WithRun(refused.Run)
+}
+
+// pause waits, and tells whether the request goes on.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 func (f *Front) attempt(ctx context.Context, request *routing.Request, w *Work, sink Sink) error {
-	domains := f.Known.Domains(w.Service)
-	i := routing.ChooseDomain(request, f.Region, f.Domain, domains)
-	if i < 0 {
+	chosen := f.choose(request, w)
+	if chosen == nil {
 		return refusal.New(refusal.CodeNoServer, "no failure domain can take the request").After(noServerRetry)
 	}
-	chosen := domains[i]
-	if chosen.Name == f.Domain {
-		return f.Local.Run(ctx, w, sink)
+	if chosen.Peer == "" {
+		err := f.Local.Run(ctx, w, sink)
+		f.exclude(request, chosen, err)
+		return err
 	}
 	next := *w
 	next.Hop = w.Hop + 1
 	err := f.Forwarder.Forward(ctx, chosen.Peer, &next, sink)
-	if err != nil && refusal.From(err).Code == refusal.CodePeerUnreachable {
-		request.Exclude[chosen.PeerID] = true
-	}
+	f.exclude(request, chosen, err)
 	return err
 }
+
+func (f *Front) choose(request *routing.Request, w *Work) *routing.Domain {
+	own, others := f.Known.Own(w.Service), f.Known.Others(w.Service)
+	fingerprint := w.fingerprint()
+	if f.Quarantine.Suspected(fingerprint, time.Now()) {
+		return routing.Designate(request, xxhash.Sum64String(fingerprint), &own, others)
+	}
+	return f.Router.ChooseDomain(request, &own, others)
+}
+
+// exclude keeps the request's next attempt from a domain that refused it or an
+// instance that cannot be reached.
+func (f *Front) exclude(request *routing.Request, d *routing.Domain, err error) {
+	if err == nil {
+		return
+	}
+	switch refusal.From(err).Code {
+	case refusal.CodePeerUnreachable, refusal.CodeLeaving:
+		request.Exclude[d.PeerID] = true
+	case refusal.CodeOverloaded, refusal.CodeNoServer:
+		request.Exclude[d.Name] = true
+	}
+}
--- a/transport/dispatch/local.go
+++ b/transport/dispatch/local.go
@@ -5,6 +5,9 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/basilroute/basilroute/coordination/admission"
 	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/coordination/routing"
 	"github.com/basilroute/basilroute/protocol/refusal"
@@ -25,47 +28,191 @@
 	Servers    *servers.Table
 	Backend    *backend.Client
 	Quarantine *quarantine.List
+	Admission  *Admission
+	Prefixes   *Prefixes
+	Apart      *quarantine.Apart
 }
 
-// Run sends the work to one server. The error is a *refusal.Refusal, or the
-// sink's own error.
+// Run waits for a slot and sends the work to one server. The error is a
+// *refusal.Refusal, or the sink's own error.
 func (l *Local) Run(ctx context.Context, w *Work, sink Sink) error {
 	svc := l.Catalog.Service(w.Service)
 	if svc == nil {
 		return refusal.New(refusal.CodeNotFound, "service %q is not known here", w.Service)
 	}
-	server, refused := l.choose(w, svc)
+	if !l.serves(svc) {
+		return noServer(w.Service)
+	}
+	release, refused := l.Admission.acquire(ctx, w, svc, l.weight(w.Account))
+	if refused != nil {
+		return refused
+	}
+	defer release()
+	p, refused := l.place(ctx, w, svc)
 	if refused != nil {
 		return refused
 	}
-	l.Servers.Begin(w.Service, server.ID)
-	defer l.Servers.End(w.Service, server.ID)
+	defer l.Apart.End(p.run)
+	return l.dispatch(ctx, w, p, sink)
+}
+
+func noServer(name string) *refusal.Refusal {
+	return refusal.New(refusal.CodeNoServer, "no backend server of %s can take the request", name).After(noServerRetry)
+}
+
+func (l *Local) serves(svc *service.Service) bool {
+	for _, e := range l.Servers.Entries(svc.Name) {
+		if v := e.View(); v.Usable() && svc.AllowsVersion(v.Version) {
+			return true
+		}
+	}
+	return false
+}
+
+// weight is the account's share in the queue.
+func (l *Local) weight(account string) float64 {
+	if a := l.Catalog.Account(account); a != nil {
+		return a.Rate
+	}
+	return 0
+}
+
+// placed is work that has its server.
+type placed struct {
+	service *service.Service
+	entry   *servers.Entry
+	server  servers.Server
+	request *routing.Request
+	run     quarantine.Run
+	prompt  int // tokens to compute
+}
+
+// place chooses the server. A suspected request waits for one without other
+// suspects; what became known of it while it waited counts.
+func (l *Local) place(ctx context.Context, w *Work, svc *service.Service) (*placed, *refusal.Refusal) {
+	fingerprint := w.fingerprint()
+	request := l.request(w, svc)
+	for {
+		now := time.Now()
+		if until, refused := l.Quarantine.Refused(fingerprint, now); refused {
+			return nil, quarantined(until)
+		}
+		if !l.Quarantine.Suspected(fingerprint, now) {
+			request.Exclude = excluding(nil, w.tried)
+			return l.put(w, request, fingerprint, false, now)
+		}
+		busy, alone, changed := l.Apart.Busy(fingerprint)
+		request.Exclude = excluding(busy, w.tried)
+		if alone {
+			if p, _ := l.put(w, request, fingerprint, true, now); p != nil {
+				return p, nil
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, refusal.New(refusal.CodeDeadline, "the request ended while it waited")
+		}
+	}
+}
+
+func excluding(servers map[string]bool, tried []string) map[string]bool {
+	if servers == nil && len(tried) > 0 {
+		servers = make(map[string]bool, len(tried))
+	}
+	for _, id := range tried {
+		servers[id] = true
+	}
+	return servers
+}
+
+func quarantined(until time.Time) *refusal.Refusal {
+	return refusal.New(refusal.CodeQuarantined, "this request crashed backend servers").After(time.Until(until))
+}
+
+func (l *Local) request(w *Work, svc *service.Service) *routing.Request {
+	r := &routing.Request{Service: svc, Account: xxhash.Sum64String(w.Account), Home: w.Home, Hop: w.Hop}
 	if w.Generation != nil {
-		return l.generate(ctx, w, server, sink)
+		r.PromptTokens, r.Cached = l.Prefixes.match(w)
 	}
-	return l.operate(ctx, w, server, sink)
+	return r
 }
 
-func (l *Local) choose(w *Work, svc *service.Service) (servers.Server, *refusal.Refusal) {
-	list := l.Servers.Of(w.Service)
-	i := routing.ChooseServer(&routing.Request{Service: svc, Home: w.Home, Hop: w.Hop}, list, newRand())
+func (l *Local) put(w *Work, request *routing.Request, fingerprint string, suspect bool, now time.Time) (*placed, *refusal.Refusal) {
+	entry := l.choose(w, request, fingerprint, now)
+	if entry == nil && !suspect && len(w.tried) > 0 {
+		request.Exclude = nil // every server failed it once
+		entry = l.choose(w, request, fingerprint, now)
+	}
+	if entry == nil {
+		return nil, noServer(w.Service)
+	}
+	server := entry.Copy()
+	run, ok := l.Apart.Begin(fingerprint, server.ID, suspect)
+	if !ok {
+		return nil, nil
+	}
+	return &placed{
+		service: request.Service, entry: entry, server: server, request: request, run: run,
+		prompt: request.Uncached(entry),
+	}, nil
+}
+
+func (l *Local) choose(w *Work, request *routing.Request, fingerprint string, now time.Time) *servers.Entry {
+	list := l.Servers.Entries(w.Service)
+	if beside := l.Apart.Beside(fingerprint); beside != "" {
+		e := l.Servers.Entry(w.Service, beside)
+		if e != nil && e.InFlight() < e.Limit() && routing.Permitted(request, e, now) {
+			return e
+		}
+	}
+	i := routing.ChooseServer(request, list, now, newRand())
 	if i < 0 {
-		return servers.Server{}, refusal.New(refusal.CodeNoServer, "no backend server of %s can take the request", w.Service).After(noServerRetry)
+		return nil
 	}
-	return list[i], nil
+	return list[i]
 }
 
 func newRand() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
 
-func (l *Local) failed(ctx context.Context, w *Work, server servers.Server, err error) {
-	r := refusal.From(err)
-	if ctx.Err() != nil || r.Code != refusal.CodeBackendFailed {
-		return
+// dispatch runs the work on its server and takes in what that showed.
+func (l *Local) dispatch(ctx context.Context, w *Work, p *placed, sink Sink) error {
+	m := newMeasured(sink, p)
+	p.entry.Begin(p.prompt)
+	if w.Generation != nil {
+		l.Prefixes.dispatched(w, p.entry.Slot())
 	}
-	l.Servers.Failed(w.Service, server.ID, failureLimit)
-	if r.Run == refusal.Unknown {
-		l.Quarantine.Crashed(quarantine.Fingerprint(w.Account, w.Service, w.body()), time.Now())
+	err := l.send(ctx, w, p, m)
+	m.begin()
+	inFlight := p.entry.InFlight()
+	p.entry.End()
+	l.observe(ctx, w, p, m, inFlight, err)
+	return err
+}
+
+func (l *Local) send(ctx context.Context, w *Work, p *placed, sink Sink) error {
+	if w.Generation != nil {
+		return l.generate(ctx, w, p.server, sink)
+	}
+	return l.operate(ctx, w, p.server, sink)
+}
+
+func (l *Local) observe(ctx context.Context, w *Work, p *placed, m *measured, inFlight int, err error) {
+	now := time.Now()
+	switch {
+	case err == nil:
+		duration := now.Sub(m.sent)
+		answer := admission.Answer{Latency: m.latency, Expected: m.alone, InFlight: inFlight}
+		if w.Generation == nil {
+			answer.Expected = 0
+		}
+		l.Admission.answered(p.entry, p.service, answer, now)
+		routing.Answered(p.entry, m.latency, m.expected, duration)
+	case ctx.Err() == nil && refusal.From(err).Code == refusal.CodeBackendFailed:
+		l.Admission.answered(p.entry, p.service, admission.Answer{Failed: true}, now)
+		routing.Failed(l.Servers, p.entry, now)
+		w.tried = append(w.tried, p.server.ID)
 	}
 }
--- /dev/null
+++ b/transport/dispatch/prefixes.go
@@ -0,0 +1,53 @@
+package dispatch
+
+import (
+	"sync"
+
+	"github.com/basilroute/basilroute/coordination/prefix"
+	"github.com/basilroute/basilroute/protocol/tokens"
+)
+
+// Prefixes holds the prefix index of each service in the own failure domain. It
+// is safe for concurrent use.
+type Prefixes struct {
+	region string
+
+	mu      sync.RWMutex
+	indexes map[string]*prefix.Index
+}
+
+// NewPrefixes returns indexes of servers in a region.
+func NewPrefixes(region string) *Prefixes {
+	return &Prefixes{region: region, indexes: make(map[string]*prefix.Index)}
+}
+
+// Index returns the index of a service.
+func (p *Prefixes) Index(service string) *prefix.Index {
+	p.mu.RLock()
+	x := p.indexes[service]
+	p.mu.RUnlock()
+	if x != nil {
+		return x
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.indexes[service] == nil {
+		p.indexes[service] = prefix.New(p.region)
+	}
+	return p.indexes[service]
+}
+
+func blocksOf(prompt string) []tokens.Block {
+	const longest = prefix.MaxBlocks * tokens.BlockBytes
+	return tokens.AppendBlocks(nil, prompt[:min(len(prompt), longest)])
+}
+
+func (p *Prefixes) match(w *Work) (int, *prefix.Matches) {
+	matches := &prefix.Matches{}
+	p.Index(w.Service).Match(blocksOf(w.Generation.Prompt), w.Home, matches)
+	return tokens.Estimate(w.Generation.Prompt), matches
+}
+
+func (p *Prefixes) dispatched(w *Work, slot int) {
+	p.Index(w.Service).Dispatched(slot, w.Home, blocksOf(w.Generation.Prompt))
+}
--- a/transport/dispatch/work.go
+++ b/transport/dispatch/work.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/protocol/frame"
 	"github.com/basilroute/basilroute/protocol/tokens"
 	"github.com/basilroute/basilroute/service"
@@ -26,6 +27,8 @@
 	MaxWait   time.Duration // in queues
 	Via       string
 
+	tried []string // servers of the own domain that failed this request
+
 	Generation *Generation // exactly one of the two is set
 	Operation  *Operation
 }
@@ -73,6 +76,11 @@
 	return s.Operations[w.Operation.Name].Repeatable
 }
 
+// fingerprint identifies the work in the quarantine.
+func (w *Work) fingerprint() string {
+	return quarantine.Fingerprint(w.Account, w.Service, w.body())
+}
+
 // body is what the work's fingerprint covers.
 func (w *Work) body() string {
 	if w.Generation != nil {
