--- a/instance/exchange.go
+++ b/instance/exchange.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/basilroute/basilroute/coordination/membership"
-	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/protocol/peerpb"
 )
 
@@ -153,16 +152,6 @@
 
 func (i *Instance) takeQuarantines(list []*peerpb.Quarantine) {
 	for _, q := range list {
-		i.quarantine.Merge(quarantine.Record{
-			Fingerprint: q.GetFingerprint(), Crashes: int(q.GetCrashes()), Until: time.UnixMilli(q.GetUntilUnixMs()),
-		})
-	}
-}
-
-func (i *Instance) quarantines() []*peerpb.Quarantine {
-	var out []*peerpb.Quarantine
-	for _, r := range i.quarantine.Records(time.Now()) {
-		out = append(out, &peerpb.Quarantine{Fingerprint: r.Fingerprint, Crashes: uint32(r.Crashes), UntilUnixMs: r.Until.UnixMilli()})
+		i.quarantine.Merge(decodeQuarantine(q))
 	}
-	return out
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -21,6 +21,7 @@
 	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/coordination/quota"
 	"github.com/basilroute/basilroute/coordination/retry"
+	"github.com/basilroute/basilroute/coordination/routing"
 	"github.com/basilroute/basilroute/protocol/peerpb"
 	"github.com/basilroute/basilroute/protocol/refusal"
 	"github.com/basilroute/basilroute/state/catalog"
@@ -75,7 +76,9 @@
 	withdrawn  sync.Map // ids of keys whose withdrawal this instance took
 	loops      sync.WaitGroup
 	stopLoops  context.CancelFunc
-	failed     chan error // a listener that ended unasked
+	failed     chan error    // a listener that ended unasked
+	crashes    chan struct{} // capacity 1: a crash is to be announced
+	views      domainViews
 }
 
 type listeners struct{ callers, peers, operators net.Listener }
@@ -94,12 +97,15 @@
 		retries:    retry.NewBudget(),
 		quarantine: quarantine.New(),
 		backend:    backend.New(),
+		crashes:    make(chan struct{}, 1),
+		views:      domainViews{views: make(map[string]domainView)},
 		failed:     make(chan error, 3),
 		news:       make(chan struct{}, 1),
 	}
 	i.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	i.metrics = metrics.NewRecorder(i.registry)
 	i.config = configwatch.New(i.catalog)
+	i.quarantine.OnCrash(i.announceCrash)
 	i.catalog.OnWithdraw(i.requests.Withdraw)
 	i.catalog.OnWithdraw(i.forwarded.Withdraw)
 	if err := i.listen(); err != nil {
@@ -179,10 +185,15 @@
 	}
 	i.pool = peer.NewPool(creds)
 	i.pool.Revision = i.config.Revision
-	i.local = &dispatch.Local{Catalog: i.catalog, Servers: i.servers, Backend: i.backend, Quarantine: i.quarantine, Metrics: i.metrics}
+	i.local = &dispatch.Local{
+		Catalog: i.catalog, Servers: i.servers, Backend: i.backend, Quarantine: i.quarantine,
+		Admission: dispatch.NewAdmission(i.servers), Prefixes: dispatch.NewPrefixes(i.settings.Region),
+		Apart: quarantine.NewApart(), Metrics: i.metrics,
+	}
 	i.front = &dispatch.Front{
 		Region: i.settings.Region, Domain: i.settings.Domain, Catalog: i.catalog, Ledger: i.ledger,
-		Retries: i.retries, Quarantine: i.quarantine, Known: i, Local: i.local, Forwarder: i.pool, Log: i.log, Metrics: i.metrics,
+		Retries: i.retries, Quarantine: i.quarantine, Known: i, Router: routing.NewRouter(i.settings.Region, i.settings.Domain),
+		Local: i.local, Forwarder: i.pool, Log: i.log, Metrics: i.metrics,
 	}
 	return i.wireServers(creds)
 }
@@ -221,7 +232,7 @@
 	go i.serve(func() error { return i.callers.Serve(i.listeners.callers) })
 	go i.serve(func() error { return i.operators.Serve(i.listeners.operators) })
 	go i.serve(func() error { return i.peers.Serve(i.listeners.peers) })
-	for _, loop := range []func(context.Context){i.watchConfig, i.watchList, i.pollServers, i.exchange, i.shareQuotaLoop, i.storeWithdrawals} {
+	for _, loop := range []func(context.Context){i.watchConfig, i.watchList, i.pollServers, i.exchange, i.exchangeCrashes, i.shareQuotaLoop, i.storeWithdrawals} {
 		i.loops.Go(func() { loop(ctx) })
 	}
 	i.log.Info("instance started", "region", i.settings.Region, "domain", i.settings.Domain,
