Merge at most once, whole answers and slots; send a request on when its only place is full

And where a service runs in one other domain only, a lack of room to spare refused the request with no_server although that domain's queue would have taken it. Seen as 503 no_server in TestOrderSentThroughAllInstancesRunsOnce and TestPlannedStopCutsNothingInFlight when the two matters met.

Ruled out: a larger share of the reported room, which only moves the point at which the burst is refused.

Room filters only while there is another place; without one the request goes to the best domain, whose queue refuses it when it cannot make its waiting limit.

--- a/coordination/routing/domain.go
+++ b/coordination/routing/domain.go
@@ -49,13 +49,30 @@
 func (t *Router) ChooseDomain(r *Request, own *Domain, others []Domain) *Domain {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var near, far *Domain
+	near, far := t.best(r, own, others, (*Router).hasRoom)
+	chosen := t.spill(r, near, far)
+	if chosen == nil {
+		// No place has room to spare. That holds back what could also run
+		// nearer; a request with no other place waits in the queue there, which
+		// refuses it when it cannot make its waiting limit.
+		near, far = t.best(r, own, others, nil)
+		chosen = t.spill(r, near, far)
+	}
+	if chosen != nil && chosen != own {
+		t.count(r, chosen)
+	}
+	return chosen
+}
+
+// best returns the best candidate in the own region and in the others. Other
+// domains have to pass the check of their room, if there is one.
+func (t *Router) best(r *Request, own *Domain, others []Domain, room func(*Router, *Request, *Domain) bool) (near, far *Domain) {
 	if t.candidate(r, own) {
 		near = own
 	}
 	for i := range others {
 		d := &others[i]
-		if d.Name == t.domain || !t.candidate(r, d) {
+		if d.Name == t.domain || !t.candidate(r, d) || (room != nil && !room(t, r, d)) {
 			continue
 		}
 		if d.Region == t.region {
@@ -64,11 +81,7 @@
 			far = t.better(r, far, d)
 		}
 	}
-	chosen := t.spill(r, near, far)
-	if chosen != nil && chosen != own {
-		t.count(r, chosen)
-	}
-	return chosen
+	return near, far
 }
 
 // Designate returns the one instance that runs a suspected request: the first by
@@ -98,12 +111,16 @@
 	if d.Name == t.domain {
 		return true
 	}
-	if r.Hop >= MaxHops || !d.HasRoom || !t.roomLeft(r, d) {
+	if r.Hop >= MaxHops {
 		return false
 	}
 	return d.Region == t.region || !r.Service.Spill.Disabled
 }
 
+func (t *Router) hasRoom(r *Request, d *Domain) bool {
+	return d.HasRoom && t.roomLeft(r, d)
+}
+
 // roomLeft counts what this instance sent since the domain's report: a report is
 // a second old, and a burst would otherwise go to one place as a whole.
 func (t *Router) roomLeft(r *Request, d *Domain) bool {
--- a/transport/dispatch/local.go
+++ b/transport/dispatch/local.go
@@ -15,6 +15,7 @@
 	"github.com/basilroute/basilroute/state/catalog"
 	"github.com/basilroute/basilroute/state/servers"
 	"github.com/basilroute/basilroute/transport/backend"
+	"github.com/basilroute/basilroute/transport/claim"
 	"github.com/basilroute/basilroute/transport/metrics"
 )
 
@@ -33,6 +34,7 @@
 	Prefixes   *Prefixes
 	Apart      *quarantine.Apart
 	Metrics    *metrics.Recorder // may be nil
+	Claims     *claim.Claimer    // of operations that may run at most once
 }
 
 // Run waits for a slot and sends the work to one server. The error is a
@@ -42,6 +44,12 @@
 	if svc == nil {
 		return refusal.New(refusal.CodeNotFound, "service %q is not known here", w.Service)
 	}
+	if server, refused, ok := l.pinned(w); ok {
+		if refused != nil {
+			return refused
+		}
+		return l.resume(ctx, w, server, sink)
+	}
 	if !l.serves(svc) {
 		return noServer(w.Service)
 	}
