--- a/coordination/admission/estimate.go
+++ b/coordination/admission/estimate.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/basilroute/basilroute/service"
 )
 
 // averageWeight is the weight of a new sample once there are some.
@@ -57,16 +55,11 @@
 // Interactive requests take any slot that comes free; bulk only its own.
 func (q *Queue) drainRate(c *class) float64 {
 	if c == &q.interactive {
-		own := c.rate(c.running)
+		own := c.rate(min(c.running, q.capacity))
 		if c.hold.count == 0 {
 			return 0
 		}
 		return own + q.bulk.rate(max(q.bulk.running-q.floorSlots(), 0))
 	}
-	return c.rate(max(c.running, q.floorSlots(), 1))
-}
-
-// Latest returns the latest start of a request that came at a time.
-func Latest(settings service.ClassSettings, came time.Time) time.Time {
-	return came.Add(settings.MaxWait)
+	return c.rate(max(min(c.running, q.capacity), q.floorSlots(), 1))
 }
