Prove the choice of servers and domains, and keep it under 5 µs

The property test of the filter found a fault after 8 tests: the designated instance for a suspected request did not mind the hop limit.

--- a/coordination/routing/domain.go
+++ b/coordination/routing/domain.go
@@ -80,6 +80,9 @@
 		if !Allowed(r, d.Region, d.Name) || d.Servers == 0 || r.Exclude[d.PeerID] {
 			return
 		}
+		if d != own && r.Hop >= MaxHops {
+			return
+		}
 		if chosen == nil || affinity(fingerprint, d.PeerHash) > affinity(fingerprint, chosen.PeerHash) {
 			chosen = d
 		}
--- /dev/null
+++ b/coordination/routing/routing_test.go
@@ -0,0 +1,276 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/basilroute/basilroute/coordination/prefix"
+	"github.com/basilroute/basilroute/protocol/tokens"
+	"github.com/basilroute/basilroute/service"
+	"github.com/basilroute/basilroute/state/servers"
+)
+
+const model = "notice-writer"
+
+var start = time.Unix(1_000_000, 0)
+
+// fill lists n servers in a failure domain that started long ago and report.
+func fill(n int) *servers.Table {
+	table := servers.New()
+	var list []servers.Identity
+	for i := range n {
+		list = append(list, servers.Identity{
+			ID: fmt.Sprintf("s%03d", i), Service: model, Version: "v1", Region: "suva-a", Domain: "suva-a-1",
+		})
+	}
+	table.Replace(list, start.Add(-time.Hour))
+	for _, s := range list {
+		report(table, s.ID, servers.Load{Running: 4, DecodeRate: 400, PrefillRate: 20000})
+	}
+	return table
+}
+
+func report(table *servers.Table, id string, load servers.Load) {
+	load.At, load.BootID = start, "boot"
+	table.Report(model, id, load)
+}
+
+func request() *Request {
+	return &Request{Service: &service.Service{Name: model, Spill: service.Spill{Gain: 250 * time.Millisecond}}, PromptTokens: 4000}
+}
+
+func rng() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// chosen counts what 1000 choices fall on.
+func chosen(r *Request, table *servers.Table, now time.Time) map[string]int {
+	list, random, counts := table.Entries(model), rng(), make(map[string]int)
+	for range 1000 {
+		if i := ChooseServer(r, list, now, random); i >= 0 {
+			counts[list[i].View().ID]++
+		}
+	}
+	return counts
+}
+
+// A caller's long prompt goes where most of it is cached, and elsewhere once
+// that server's queue costs more than computing the prompt again.
+func TestCachedPromptAgainstQueue(t *testing.T) {
+	table := fill(6)
+	r := request()
+	index := prefix.New("suva-a")
+	blocks := tokens.AppendBlocks(nil, string(make([]byte, 4000*4)))
+	index.Dispatched(table.Entry(model, "s002").Slot(), "", blocks)
+	r.Cached = &prefix.Matches{}
+	index.Match(blocks, "", r.Cached)
+	if got := chosen(r, table, start)["s002"]; got != 1000 {
+		t.Errorf("the server with the cached prompt was chosen %d of 1000 times", got)
+	}
+	report(table, "s002", servers.Load{Running: 4, DecodeRate: 400, PrefillRate: 20000, WaitingTokens: 30000})
+	if got := chosen(r, table, start)["s002"]; got != 0 {
+		t.Errorf("the server with 1.5 s of prompts waiting was chosen %d times", got)
+	}
+	if got := chosen(r, table, start.Add(time.Minute))["s002"]; got != 1000 {
+		t.Errorf("a report of a minute ago still keeps requests away: chosen %d times", got)
+	}
+}
+
+// A server that fails its requests is set aside while its polls succeed; when
+// all fail, never more than half of them are.
+func TestFailingServersAreSetAside(t *testing.T) {
+	table := fill(6)
+	now := start
+	for _, id := range []string{"s000", "s001", "s002", "s003", "s004"} {
+		for range errorLimit {
+			Failed(table, table.Entry(model, id), now)
+		}
+	}
+	counts := chosen(request(), table, now)
+	for _, id := range []string{"s000", "s001", "s002"} {
+		if counts[id] > 0 {
+			t.Errorf("%s fails every request and was chosen %d times", id, counts[id])
+		}
+	}
+	if counts["s003"] == 0 || counts["s005"] == 0 {
+		t.Errorf("more than half are set aside: %v", counts)
+	}
+	if later := chosen(request(), table, now.Add(ejectFor)); later["s000"] == 0 {
+		t.Error("a server that was set aside is not tried again")
+	}
+}
+
+// Leaving, unknown and slow-started servers, full ones and those of a version
+// that is not allowed get nothing, or less.
+func TestServersThatMayNotServe(t *testing.T) {
+	table := fill(4)
+	report(table, "s000", servers.Load{Leaving: true})
+	table.Entry(model, "s001").SetLimit(0)
+	table.Replace([]servers.Identity{
+		{ID: "s000", Service: model, Version: "v1", Region: "suva-a", Domain: "suva-a-1"},
+		{ID: "s001", Service: model, Version: "v1", Region: "suva-a", Domain: "suva-a-1"},
+		{ID: "s002", Service: model, Version: "v2", Region: "suva-a", Domain: "suva-a-1"},
+		{ID: "s003", Service: model, Version: "v1", Region: "suva-a", Domain: "suva-a-1"},
+	}, start)
+	r := request()
+	r.Service.Versions = []string{"v1"}
+	if counts := chosen(r, table, start); counts["s003"] != 1000 {
+		t.Errorf("chosen: %v", counts)
+	}
+}
+
+func far(peer string, wait time.Duration, room bool) Domain {
+	return Domain{
+		Name: "labasa-a-1", Region: "labasa-a", Peer: "192.0.2.1:1", PeerID: peer, Report: 1,
+		Servers: 3, LinkDelay: 80 * time.Millisecond, HasRoom: room, Room: 100, ExpectedWait: wait,
+	}
+}
+
+func near(wait time.Duration) *Domain {
+	return &Domain{Name: "suva-a-1", Region: "suva-a", Servers: 3, HasRoom: true, ExpectedWait: wait}
+}
+
+// Requests leave the region when that wins more than the setting, and then go on
+// to until it wins less than half of it. They do not leave without the far
+// side's word, nor in a burst beyond the room that it spoke of.
+func TestSpill(t *testing.T) {
+	router := NewRouter("suva-a", "suva-a-1")
+	r := request()
+	spills := func(wait time.Duration, d Domain) bool {
+		return router.ChooseDomain(r, near(wait), []Domain{d}).Region == "labasa-a"
+	}
+	for _, step := range []struct {
+		wait time.Duration
+		room bool
+		want bool
+	}{
+		{400 * time.Millisecond, true, false}, // wins 240 ms
+		{420 * time.Millisecond, true, true},  // wins 260 ms
+		{300 * time.Millisecond, true, true},  // wins 140 ms: goes on
+		{280 * time.Millisecond, true, false}, // wins 120 ms
+		{300 * time.Millisecond, true, false}, // 140 ms is not enough to begin
+		{5 * time.Second, false, false},
+	} {
+		if got := spills(step.wait, far("p", 0, step.room)); got != step.want {
+			t.Errorf("local wait %s, room %t: spilled %t", step.wait, step.room, got)
+		}
+	}
+	sent := 0
+	burst := far("q", 0, true)
+	burst.Report, burst.Room = 2, 40
+	for range 100 {
+		if spills(5*time.Second, burst) {
+			sent++
+		}
+	}
+	if sent != 40/roomShare {
+		t.Errorf("%d of a burst were sent on one report of room for 40", sent)
+	}
+}
+
+// Several accounts use several instances of a far domain, each account one.
+func TestAccountsSpreadOverPeers(t *testing.T) {
+	router := NewRouter("suva-a", "suva-a-1")
+	var others []Domain
+	for i := range 4 {
+		d := far(fmt.Sprint("p", i), 0, true)
+		d.PeerHash, d.Room = uint64(i+1)*0x9e3779b97f4a7c15, 1<<20
+		others = append(others, d)
+	}
+	used := make(map[string]int)
+	for account := range 200 {
+		r := request()
+		r.Account = uint64(account)
+		first := router.ChooseDomain(r, near(5*time.Second), others).PeerID
+		if again := router.ChooseDomain(r, near(5*time.Second), others).PeerID; again != first {
+			t.Fatalf("account %d went to %s and %s", account, first, again)
+		}
+		used[first]++
+	}
+	for peer, n := range used {
+		if n < 25 || n > 80 {
+			t.Errorf("%s got %d of 200 accounts", peer, n)
+		}
+	}
+}
+
+// Whatever is known of loads, rooms and refusals: a request with a home goes to
+// no other region, a forwarded one to no other domain, and a service stays where
+// its document lets it run. This holds for suspected requests as well.
+func TestNothingPassesTheFilter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		regions := []string{"suva-a", "labasa-a", "lakeba-a"}
+		region := func(label string) string { return rapid.SampledFrom(regions).Draw(t, label) }
+		r := request()
+		r.Home = rapid.SampledFrom(append([]string{""}, regions...)).Draw(t, "home")
+		r.Hop = rapid.IntRange(0, MaxHops).Draw(t, "hop")
+		r.Service.Regions = rapid.SliceOfN(rapid.SampledFrom(regions), 0, 2).Draw(t, "regions")
+		r.Service.Spill.Disabled = rapid.Bool().Draw(t, "disabled")
+		own := Domain{Name: "own", Region: region("own"), Servers: rapid.IntRange(0, 1).Draw(t, "servers"), HasRoom: true,
+			ExpectedWait: time.Duration(rapid.IntRange(0, 9000).Draw(t, "wait")) * time.Millisecond}
+		var others []Domain
+		for i := range rapid.IntRange(0, 6).Draw(t, "others") {
+			at := region("region")
+			others = append(others, Domain{Name: at + "-1", Region: at, PeerID: fmt.Sprint(i), Peer: "x",
+				Servers: 1, HasRoom: rapid.Bool().Draw(t, "room"), Room: 8})
+		}
+		router := NewRouter(own.Region, own.Name)
+		for _, d := range []*Domain{router.ChooseDomain(r, &own, others), Designate(r, 7, &own, others)} {
+			if d == nil {
+				continue
+			}
+			if r.Home != "" && d.Region != r.Home {
+				t.Fatalf("home %s, sent to %s", r.Home, d.Region)
+			}
+			if !r.Service.AllowsRegion(d.Region) {
+				t.Fatalf("the service may not run in %s", d.Region)
+			}
+			if r.Hop >= MaxHops && d.Name != own.Name {
+				t.Fatalf("forwarded twice, to %s", d.Name)
+			}
+		}
+	})
+}
+
+// BenchmarkSizeChooseServer is the decision by the number of servers, with a
+// prompt of which some is cached.
+func BenchmarkSizeChooseServer(b *testing.B) {
+	for _, n := range []int{15, 30, 60, 120, 240} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			table := fill(n)
+			r := request()
+			index := prefix.New("suva-a")
+			blocks := tokens.AppendBlocks(nil, string(make([]byte, 4000*4)))
+			for i := 0; i < n; i += 7 {
+				index.Dispatched(table.Entry(model, fmt.Sprintf("s%03d", i)).Slot(), "", blocks[:20])
+			}
+			r.Cached = &prefix.Matches{}
+			random := rng()
+			b.ReportAllocs()
+			for b.Loop() {
+				index.Match(blocks, "", r.Cached)
+				ChooseServer(r, table.Entries(model), start, random)
+			}
+		})
+	}
+}
+
+// BenchmarkSizeChooseDomain is the decision by the number of other instances.
+func BenchmarkSizeChooseDomain(b *testing.B) {
+	for _, n := range []int{15, 30, 60, 120, 240} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			router := NewRouter("suva-a", "suva-a-1")
+			var others []Domain
+			for i := range n {
+				others = append(others, far(fmt.Sprint(i), 0, i%2 == 0))
+			}
+			r := request()
+			b.ReportAllocs()
+			for b.Loop() {
+				router.ChooseDomain(r, near(0), others)
+			}
+		})
+	}
+}
--- a/coordination/routing/server.go
+++ b/coordination/routing/server.go
@@ -11,14 +11,14 @@
 )
 
 const (
-	defaultPrefillRate = 10000.0                // prompt tokens per second, until a server reports its own
-	fadeAfter          = 2 * time.Second        // age at which a report counts half
-	warmUp             = 10 * time.Second       // after a start, while caches are cold
-	warmUpPenalty      = 100 * time.Millisecond // of a server that has just started
-	perRequest         = 0.001                  // seconds that each running request adds to a step
-	costPrefillFactor  = 3.0                    // weight of prompt tokens under the cost policy
-	nearBestFactor     = 1.2                    // costs up to so much above the best are as good
-	nearBestSlack      = 0.005                  // seconds, the same
+	defaultPrefillRate = 10000.0 // prompt tokens per second, until a server reports its own
+	fadeAfter          = 2e9     // nanoseconds of age at which a report counts half
+	warmUp             = 10e9    // nanoseconds after a start, while caches are cold
+	warmUpPenalty      = 0.1     // seconds, of a server that has just started
+	perRequest         = 0.001   // seconds that each running request adds to a step
+	costPrefillFactor  = 3.0     // weight of prompt tokens under the cost policy
+	nearBestFactor     = 1.2     // costs up to so much above the best are as good
+	nearBestSlack      = 0.005   // seconds, the same
 	scratchServers     = 256
 )
 
@@ -32,10 +32,17 @@
 	if len(list) > len(costs) {
 		costs = make([]float64, len(list))
 	}
-	s := scorer{request: r, now: now, ignoreEjected: tooManyEjected(list, now)}
-	best := s.score(list, costs, false)
+	s := scorer{request: r, now: now.UnixNano()}
+	best := s.score(list, costs)
+	if s.ejected*2 > s.usable {
+		// Others left since. A service whose servers are all slow is better
+		// served slowly than not at all.
+		s.ignoreEjected = true
+		best = s.score(list, costs)
+	}
 	if math.IsInf(best, 1) {
-		best = s.score(list, costs, true)
+		s.full = true
+		best = s.score(list, costs)
 	}
 	if math.IsInf(best, 1) {
 		return -1
@@ -43,51 +50,43 @@
 	return draw(list, costs[:len(list)], best*nearBestFactor+nearBestSlack, rng)
 }
 
-// tooManyEjected tells whether more than half of the usable servers are set
-// aside, as when others left since. Ejection is then ignored: a service whose
-// servers are all slow is better served slowly than not at all.
-func tooManyEjected(list []*servers.Entry, now time.Time) bool {
-	usable, ejected := 0, 0
-	for _, e := range list {
-		v := e.View()
-		if !v.Usable() {
-			continue
-		}
-		usable++
-		if v.Ejected(now) {
-			ejected++
-		}
-	}
-	return ejected*2 > usable
-}
-
 type scorer struct {
-	request       *Request
-	now           time.Time
-	ignoreEjected bool
+	request         *Request
+	now             int64
+	ignoreEjected   bool
+	full            bool // servers at their limit count
+	usable, ejected int
 }
 
-// score fills in the costs and returns the lowest; a server that is not usable
-// costs infinity. full tells whether servers at their limit count.
-func (s *scorer) score(list []*servers.Entry, costs []float64, full bool) float64 {
+// score fills in the costs and returns the lowest; a server that may not be
+// used costs infinity.
+func (s *scorer) score(list []*servers.Entry, costs []float64) float64 {
 	best := math.Inf(1)
+	s.usable, s.ejected = 0, 0
 	for i, e := range list {
-		v := e.View()
 		costs[i] = math.Inf(1)
-		if !s.permitted(v) || (!full && e.InFlight() >= e.Limit()) {
+		v := e.View()
+		f := v.Facts()
+		if !f.Usable {
 			continue
 		}
-		costs[i] = s.cost(e, v)
+		s.usable++
+		if f.EjectedUntil > s.now {
+			s.ejected++
+			if !s.ignoreEjected {
+				continue
+			}
+		}
+		if (!s.full && e.InFlight() >= e.Limit()) || !s.request.permits(v) {
+			continue
+		}
+		costs[i] = s.cost(e, f)
 		best = min(best, costs[i])
 	}
 	return best
 }
 
-func (s *scorer) permitted(v *servers.Server) bool {
-	r := s.request
-	if !v.Usable() || (v.Ejected(s.now) && !s.ignoreEjected) {
-		return false
-	}
+func (r *Request) permits(v *servers.Server) bool {
 	if len(r.Exclude) > 0 && r.Exclude[v.ID] {
 		return false
 	}
@@ -97,54 +96,40 @@
 // Expected is the time to the first token that a server should need for the
 // request, by its reports alone.
 func Expected(r *Request, e *servers.Entry, now time.Time) time.Duration {
-	s := scorer{request: r, now: now}
-	return time.Duration(s.expected(e, e.View()) * float64(time.Second))
+	s := scorer{request: r, now: now.UnixNano()}
+	return time.Duration(s.expected(e, e.View().Facts()) * float64(time.Second))
 }
 
 // Alone is the time to the first token without the requests ahead of it.
 func Alone(r *Request, e *servers.Entry) time.Duration {
-	v := e.View()
-	seconds := float64(r.Uncached(e))/prefillRate(v) + stepTime(v)
+	f := e.View().Facts()
+	seconds := float64(r.Uncached(e))/prefillRate(f) + f.StepTime
 	return time.Duration(seconds * float64(time.Second))
 }
 
-func prefillRate(v *servers.Server) float64 {
-	if v.Load.PrefillRate <= 0 {
+func prefillRate(f *servers.Facts) float64 {
+	if f.PrefillRate <= 0 {
 		return defaultPrefillRate
 	}
-	return v.Load.PrefillRate
+	return f.PrefillRate
 }
 
-// stepTime is how long the server takes to give each running request a token.
-func stepTime(v *servers.Server) float64 {
-	if v.Load.DecodeRate <= 0 {
-		return 0
-	}
-	return float64(v.Load.Running) / v.Load.DecodeRate
-}
-
-func (s *scorer) expected(e *servers.Entry, v *servers.Server) float64 {
-	rate := prefillRate(v)
-	age := s.now.Sub(v.Load.At)
-	fade := 1 / (1 + max(age.Seconds(), 0)/fadeAfter.Seconds())
-	others := fade * float64(max(v.Load.Running+v.Load.Waiting-v.OwnAtReport, 0))
-	pending := fade*float64(v.Load.WaitingTokens) + float64(e.PendingTokens())
-	expected := (pending+float64(s.request.Uncached(e)))/rate + (others+float64(e.InFlight()))*perRequest
-	if v.Load.Waiting > 0 && v.Load.Running > 0 {
-		expected += fade * float64(v.Load.Waiting) * v.MeanDuration.Seconds() / float64(v.Load.Running)
-	}
-	return expected + stepTime(v)
+func (s *scorer) expected(e *servers.Entry, f *servers.Facts) float64 {
+	fade := fadeAfter / (fadeAfter + max(float64(s.now-f.ReportedAt), 0))
+	tokens := fade*f.WaitingTokens + float64(e.PendingTokens()+s.request.Uncached(e))
+	requests := fade*f.Others + float64(e.InFlight())
+	return tokens/prefillRate(f) + requests*perRequest + fade*f.Drain + f.StepTime
 }
 
 // cost is the expected time to the first token in seconds, corrected by what
 // was measured, and what the policy adds.
-func (s *scorer) cost(e *servers.Entry, v *servers.Server) float64 {
-	cost := s.expected(e, v) * v.LatencyFactor
+func (s *scorer) cost(e *servers.Entry, f *servers.Facts) float64 {
+	cost := s.expected(e, f) * f.Factor
 	if s.request.Service.Policy == service.PolicyCost {
-		cost += (costPrefillFactor - 1) * float64(s.request.Uncached(e)) / prefillRate(v)
+		cost += (costPrefillFactor - 1) * float64(s.request.Uncached(e)) / prefillRate(f)
 	}
-	if up := s.now.Sub(v.Since); up < warmUp {
-		cost += warmUpPenalty.Seconds() * (1 - up.Seconds()/warmUp.Seconds())
+	if up := float64(s.now - f.Since); up < warmUp {
+		cost += warmUpPenalty * (1 - up/warmUp)
 	}
 	return cost
 }
@@ -160,8 +145,8 @@
 
 // Permitted tells whether the request may run on the server now.
 func Permitted(r *Request, e *servers.Entry, now time.Time) bool {
-	s := scorer{request: r, now: now}
-	return s.permitted(e.View())
+	v := e.View()
+	return v.Usable() && !v.Ejected(now) && r.permits(v)
 }
 
 func draw(list []*servers.Entry, costs []float64, limit float64, rng *rand.Rand) int {
--- a/state/servers/entry.go
+++ b/state/servers/entry.go
@@ -22,6 +22,42 @@
 	limit    atomic.Int64
 }
 
+// Facts is what decisions read of a server for every request, worked out when
+// the view changes. Times are in nanoseconds since 1970, durations in seconds.
+type Facts struct {
+	Usable        bool
+	EjectedUntil  int64
+	ReportedAt    int64
+	Since         int64
+	PrefillRate   float64 // prompt tokens per second; 0 when not known
+	StepTime      float64 // to give each running request a token
+	Drain         float64 // for what waits in the server to start
+	Others        float64 // requests of other instances
+	WaitingTokens float64
+	Factor        float64 // measured against expected time to the first token
+}
+
+func factsOf(s *Server) Facts {
+	f := Facts{
+		Usable: s.Usable(), EjectedUntil: s.EjectedUntil.UnixNano(), ReportedAt: s.Load.At.UnixNano(),
+		Since: s.Since.UnixNano(), PrefillRate: s.Load.PrefillRate, WaitingTokens: float64(s.Load.WaitingTokens),
+		Others: float64(max(s.Load.Running+s.Load.Waiting-s.OwnAtReport, 0)), Factor: s.LatencyFactor,
+	}
+	if s.EjectedUntil.IsZero() {
+		f.EjectedUntil = 0
+	}
+	if s.Load.DecodeRate > 0 {
+		f.StepTime = float64(s.Load.Running) / s.Load.DecodeRate
+	}
+	if s.Load.Waiting > 0 && s.Load.Running > 0 {
+		f.Drain = float64(s.Load.Waiting) * s.MeanDuration.Seconds() / float64(s.Load.Running)
+	}
+	return f
+}
+
+// Facts returns what decisions read of the server. It is not to be changed.
+func (s *Server) Facts() *Facts { return &s.facts }
+
 func newEntry(id string, slot int, now time.Time) *Entry {
 	e := &Entry{slot: slot}
 	e.view.Store(&Server{ID: id, Since: now, LatencyFactor: 1})
@@ -48,6 +84,7 @@
 	defer e.mu.Unlock()
 	next := *e.view.Load()
 	change(&next)
+	next.facts = factsOf(&next)
 	e.view.Store(&next)
 }
 
--- a/state/servers/servers.go
+++ b/state/servers/servers.go
@@ -29,6 +29,7 @@
 
 // Server is what is known of one backend server.
 type Server struct {
+	facts         Facts
 	ID            string
 	Service       string
 	Version       string
@@ -180,7 +181,7 @@
 	}
 	own := entry.InFlight()
 	entry.change(func(server *Server) {
-		if server.Load.BootID != load.BootID {
+		if server.Load.BootID != "" && server.Load.BootID != load.BootID {
 			server.Since = load.At
 		}
 		server.Load, server.OwnAtReport = load, own
