--- a/instance/instance.go
+++ b/instance/instance.go
@@ -14,13 +14,14 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/credentials"
 
 	"github.com/basilroute/basilroute/coordination/configwatch"
 	"github.com/basilroute/basilroute/coordination/membership"
 	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/coordination/quota"
 	"github.com/basilroute/basilroute/coordination/retry"
+	"github.com/basilroute/basilroute/coordination/routing"
 	"github.com/basilroute/basilroute/coordination/via"
 	"github.com/basilroute/basilroute/protocol/peerpb"
 	"github.com/basilroute/basilroute/protocol/refusal"
@@ -31,6 +32,7 @@
 	"github.com/basilroute/basilroute/transport/claim"
 	"github.com/basilroute/basilroute/transport/dispatch"
 	"github.com/basilroute/basilroute/transport/gateway"
+	"github.com/basilroute/basilroute/transport/metrics"
 	"github.com/basilroute/basilroute/transport/operator"
 	"github.com/basilroute/basilroute/transport/peer"
 	"github.com/basilroute/basilroute/transport/platform"
@@ -41,6 +43,7 @@
 	settings Settings
 	log      *slog.Logger
 	registry *prometheus.Registry
+	metrics  *metrics.Recorder
 
 	catalog    *catalog.Catalog
 	config     *configwatch.Log
@@ -64,13 +67,23 @@
 	listeners          listeners
 
 	ready      atomic.Bool
-	leaving    atomic.Bool
 	storeSeen  atomic.Bool // the last call of the store succeeded
-	storeRead  atomic.Bool // the documents were listed once; a watch goes on from there
+	storeRead  atomic.Bool // the documents in the store were read once
+	listTried  atomic.Bool // the platform's list was asked for once
+	peersAsked atomic.Bool // a round of exchanges with those on the list has ended
+	synced     atomic.Bool // knew the same as a peer that takes callers
+	fetching   atomic.Bool // documents are being read from a peer
+	exchanging sync.Map    // peer addresses with an exchange under way
+	news       chan struct{}
+	backends   backendList
+	withdrawn  sync.Map // ids of keys whose withdrawal this instance took
 	loops      sync.WaitGroup
 	background context.Context // of everything that runs until Kill
 	stopLoops  context.CancelFunc
-	failed     chan error // a listener that ended unasked
+	failed     chan error    // a listener that ended unasked
+	crashes    chan struct{} // capacity 1: a crash is to be announced
+	views      domainViews
+	leaving    atomic.Bool
 }
 
 type listeners struct{ callers, peers, operators net.Listener }
@@ -89,17 +102,23 @@
 		retries:    retry.NewBudget(),
 		quarantine: quarantine.New(),
 		backend:    backend.New(),
+		crashes:    make(chan struct{}, 1),
+		views:      domainViews{views: make(map[string]domainView)},
 		failed:     make(chan error, 3),
+		news:       make(chan struct{}, 1),
 	}
 	i.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	i.metrics = metrics.NewRecorder(i.registry)
 	i.background, i.stopLoops = context.WithCancel(context.Background())
 	i.config = configwatch.New(i.catalog)
+	i.quarantine.OnCrash(i.announceCrash)
 	i.catalog.OnWithdraw(i.requests.Withdraw)
 	i.catalog.OnWithdraw(i.forwarded.Withdraw)
 	if err := i.listen(); err != nil {
 		return nil, err
 	}
 	i.members = membership.New(i.selfEntry(), time.Now())
+	i.registerMetrics()
 	if err := i.wire(); err != nil {
 		i.closeListeners()
 		return nil, err
@@ -112,15 +131,20 @@
 	for _, l := range []struct {
 		into    *net.Listener
 		address string
+		tls     TLS
 	}{
-		{&i.listeners.callers, i.settings.Callers.Listen},
-		{&i.listeners.peers, i.settings.Peers.Listen},
-		{&i.listeners.operators, i.settings.Operator.Listen},
+		{&i.listeners.callers, i.settings.Callers.Listen, i.settings.Callers.TLS},
+		{&i.listeners.peers, i.settings.Peers.Listen, TLS{PlainText: true}}, // grpc brings its own TLS
+		{&i.listeners.operators, i.settings.Operator.Listen, i.settings.Operator.TLS},
 	} {
 		if *l.into, err = net.Listen("tcp", l.address); err != nil {
 			i.closeListeners()
 			return errors.Wrap(err, "listen")
 		}
+		if *l.into, err = secure(*l.into, l.tls); err != nil {
+			i.closeListeners()
+			return errors.Wrap(err, "listen")
+		}
 	}
 	return nil
 }
@@ -150,30 +174,42 @@
 }
 
 func (i *Instance) wire() error {
-	var err error
+	transport, err := i.platformTransport()
+	if err != nil {
+		return err
+	}
 	i.platform, err = platform.New(platform.Settings{
 		URL: i.settings.Platform.URL, CallTimeout: i.settings.Platform.CallTimeout,
 		CallRate: i.settings.Platform.CallRate, CallBurst: int(i.settings.Platform.CallBurst),
-	}, &http.Transport{MaxIdleConnsPerHost: 8})
+	}, i.metrics.CountStore(transport))
+	if err != nil {
+		return err
+	}
+	creds, err := i.peerCredentials()
 	if err != nil {
 		return err
 	}
+	i.pool = peer.NewPool(creds)
+	i.pool.Revision = i.config.Revision
 	i.claims = claim.New(i.background, i.platform, i.settings.ID, i.log)
-	i.pool = peer.NewPool(insecure.NewCredentials())
-	i.local = &dispatch.Local{Catalog: i.catalog, Servers: i.servers, Backend: i.backend, Quarantine: i.quarantine, Claims: i.claims}
-	forwarder := &dispatch.Resumer{Next: i.pool, Peers: i.peersBeside}
+	i.local = &dispatch.Local{
+		Catalog: i.catalog, Servers: i.servers, Backend: i.backend, Quarantine: i.quarantine,
+		Admission: dispatch.NewAdmission(i.servers), Prefixes: dispatch.NewPrefixes(i.settings.Region),
+		Apart: quarantine.NewApart(), Metrics: i.metrics, Claims: i.claims,
+	}
 	i.front = &dispatch.Front{
 		Region: i.settings.Region, Domain: i.settings.Domain, Catalog: i.catalog, Ledger: i.ledger,
-		Retries: i.retries, Quarantine: i.quarantine, Known: i, Local: i.local, Forwarder: forwarder, Log: i.log,
+		Retries: i.retries, Quarantine: i.quarantine, Known: i, Router: routing.NewRouter(i.settings.Region, i.settings.Domain),
+		Local: i.local, Forwarder: &dispatch.Resumer{Next: i.pool, Peers: i.peersBeside}, Log: i.log, Metrics: i.metrics,
 	}
-	return i.wireServers()
+	return i.wireServers(creds)
 }
 
 const headerTimeout = 10 * time.Second
 
-func (i *Instance) wireServers() error {
+func (i *Instance) wireServers(creds credentials.TransportCredentials) error {
 	callers, err := (&gateway.Gateway{
-		Catalog: i.catalog, Requests: i.requests, Runner: i.front, Entry: i, Ready: i.Ready,
+		Catalog: i.catalog, Requests: i.requests, Runner: i.front, Entry: i, Ready: i.Ready, Metrics: i.metrics,
 		Via: via.NewSigner(i.settings.viaSecret()),
 	}).Handler()
 	if err != nil {
@@ -191,7 +227,8 @@
 	}
 	i.callers = &http.Server{Handler: i.closeWhenLeaving(callers), ReadHeaderTimeout: headerTimeout}
 	i.operators = &http.Server{Handler: operators, ReadHeaderTimeout: headerTimeout}
-	i.peers = grpc.NewServer(append(peer.ServerOptions(), grpc.Creds(insecure.NewCredentials()))...)
+	i.peers = grpc.NewServer(append(peer.ServerOptions(), grpc.Creds(creds),
+		grpc.InitialWindowSize(peer.StreamWindow), grpc.InitialConnWindowSize(peer.ConnWindow))...)
 	peerpb.RegisterPeerServer(i.peers, &peer.Server{Runner: i, Exchanger: i})
 	return nil
 }
@@ -201,7 +238,8 @@
 	go i.serve(func() error { return i.callers.Serve(i.listeners.callers) })
 	go i.serve(func() error { return i.operators.Serve(i.listeners.operators) })
 	go i.serve(func() error { return i.peers.Serve(i.listeners.peers) })
-	for _, loop := range []func(context.Context){i.watchConfig, i.watchList, i.pollServers, i.exchange, i.shareQuotaLoop, i.issueOrders} {
+	for _, loop := range []func(context.Context){i.watchConfig, i.watchList, i.pollServers, i.exchange, i.exchangeCrashes,
+		i.shareQuotaLoop, i.storeWithdrawals, i.issueOrders} {
 		i.loops.Go(func() { loop(i.background) })
 	}
 	i.log.Info("instance started", "region", i.settings.Region, "domain", i.settings.Domain,
@@ -232,14 +270,15 @@
 
 // RunForwarded implements peer.Runner.
 func (i *Instance) RunForwarded(ctx context.Context, w *dispatch.Work, sink dispatch.Sink) error {
-	if !i.catalog.Usable(w.KeyID) {
-		return refusal.New(refusal.CodeWithdrawn, "the key is not usable here")
-	}
 	ctx, request, ok := i.forwarded.Begin(ctx, w.KeyID)
 	if !ok {
 		return refusal.New(refusal.CodeLeaving, "this instance stops")
 	}
 	defer i.forwarded.End(request)
+	// After Begin: a key withdrawn from here on cuts the request.
+	if refused := i.checkForwarded(ctx, w); refused != nil {
+		return refused
+	}
 	return i.local.Run(ctx, w, sink)
 }
 
--- a/transport/dispatch/stream.go
+++ b/transport/dispatch/stream.go
@@ -35,6 +35,7 @@
 		generation.Priority = priorityBulk
 	}
 	var stats backend.StreamStats
+	defer l.countDropped(&stats)
 	next := w.Generation.FromSeq
 	forward := func(f *frame.Frame) error { return sink.Frame(server.ID, f) }
 	for resumed := 0; ; resumed++ {
@@ -55,18 +56,6 @@
 	}
 }
 
-// pause waits; it returns false at once when ctx ends.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // giveUp cancels the generation unless the first instance may resume it.
 func (l *Local) giveUp(ctx context.Context, server servers.Server, requestID string) {
 	if errors.Is(context.Cause(ctx), ErrDetached) {
@@ -88,6 +77,16 @@
 	}
 }
 
+// resume goes on with a generation where it runs. It passes the queue, because
+// the generation holds its place on the engine already.
+func (l *Local) resume(ctx context.Context, w *Work, server servers.Server, sink Sink) error {
+	if entry := l.Servers.Entry(w.Service, server.ID); entry != nil {
+		entry.Begin(0)
+		defer entry.End()
+	}
+	return l.generate(ctx, w, server, sink)
+}
+
 // pinned returns the server on which the work has to be resumed, if it names one.
 func (l *Local) pinned(w *Work) (server servers.Server, refused *refusal.Refusal, ok bool) {
 	if w.Generation == nil || w.Generation.Server == "" {
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/basilroute/basilroute/state/requests"
 	"github.com/basilroute/basilroute/transport/dispatch"
 	"github.com/basilroute/basilroute/transport/httpstream"
+	"github.com/basilroute/basilroute/transport/metrics"
 )
 
 const (
@@ -43,6 +44,7 @@
 	Runner   Runner
 	Entry    Entries
 	Ready    func() bool
+	Metrics  *metrics.Recorder // may be nil
 	Via      *via.Signer
 }
 
@@ -50,7 +52,8 @@
 func (g *Gateway) Handler() (http.Handler, error) {
 	api, err := gatewayapi.NewServer(g, g,
 		gatewayapi.WithErrorHandler(g.writeError),
-		gatewayapi.WithNotFound(g.notFound))
+		gatewayapi.WithNotFound(g.notFound),
+		gatewayapi.WithMethodNotAllowed(g.methodNotAllowed))
 	if err != nil {
 		return nil, errors.Wrap(err, "gateway")
 	}
@@ -183,7 +186,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, w.Deadline)
 	defer cancel()
-	if err := g.Runner.Run(ctx, c.account, w, sink); err != nil {
+	if err := g.observe(ctx, c.account, w, sink); err != nil {
 		return err
 	}
 	return whole(sink)
--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -27,6 +27,7 @@
 
 	mu      sync.Mutex
 	buf     []byte
+	encoder jx.Writer // kept, since one a frame would be an allocation a token
 	output  int
 	frames  int
 	whole   bool // the last frame is there
@@ -110,7 +111,8 @@
 func (e *events) Answer(string, []byte) error { return nil }
 
 func (e *events) appendFrame(buf []byte, f *frame.Frame) []byte {
-	w := jx.Writer{Buf: buf}
+	w := &e.encoder
+	w.Buf = buf
 	w.RawStr(`data: {"id":`)
 	w.Str(e.id)
 	w.RawStr(`,"object":`)
@@ -134,7 +136,7 @@
 	} else {
 		w.Str(f.Finish)
 		w.RawStr(`}],"usage":`)
-		e.appendUsage(&w, f)
+		e.appendUsage(w, f)
 		w.RawStr(`}`)
 	}
 	w.RawStr("\n\n")
--- a/transport/peer/forward.go
+++ b/transport/peer/forward.go
@@ -25,7 +25,9 @@
 	}
 	streamCtx, cut := context.WithCancel(context.WithoutCancel(ctx))
 	defer cut()
-	stream, err := client.Forward(streamCtx, encodeWork(w))
+	req := encodeWork(w)
+	req.ConfigRevision = p.Revision()
+	stream, err := client.Forward(streamCtx, req)
 	if err != nil {
 		return broken(err)
 	}
