--- a/instance/fleet_test.go
+++ b/e2e/inprocess/fleet_test.go
@@ -1,4 +1,6 @@
-package instance_test
+// Package inprocess holds end-to-end tests whose instances run in this process,
+// so that faults can be injected without signals and relays.
+package inprocess
 
 import (
 	"context"
--- a/instance/orders_test.go
+++ b/e2e/inprocess/orders_test.go
@@ -1,4 +1,4 @@
-package instance_test
+package inprocess
 
 import (
 	"net/http"
