--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -279,12 +279,51 @@
 	f.awaitServed(f.instances[victim], f.key, "/v1/completions", completion("x", 1, false))
 }
 
+// The link to the peer that forwards a withdrawal order is cut while the order
+// runs. The caller is told that the run state is unknown, and nothing sends the
+// order again. Sent again by the caller under its key, it is refused with 409 and
+// never as not run: the peer made the claim before it dispatched.
+func TestCutLinkUnderAnOrder(t *testing.T) {
+	f := startTwoDomains(t)
+	f.fault(f.backends["ledger"], `{"delay":1000000000}`)
+	key := newKey(t)
+	type result struct {
+		status int
+		answer string
+	}
+	sent := make(chan result)
+	go func() {
+		status, answer := f.order(f.instances[far], key, "tins")
+		sent <- result{status, answer}
+	}()
+	f.await("the order at the server", func() bool {
+		var health struct{ Running int }
+		f.read(f.backends["ledger"]+"/v1/health", &health)
+		return health.Running > 0
+	})
+	f.links[f.forwarder()].cut()
+	if got := <-sent; got.status == http.StatusOK || !strings.Contains(got.answer, `"run":"unknown"`) {
+		t.Errorf("the cut order: %d %s", got.status, got.answer)
+	}
+	for _, id := range []string{far, near1, near2} {
+		status, answer := f.order(f.instances[id], key, "tins")
+		if status != http.StatusConflict || strings.Contains(answer, `"run":"not_run"`) {
+			t.Errorf("%s: %d %s", id, status, answer)
+		}
+	}
+	if n := f.runs("tins"); n > 1 {
+		t.Errorf("%d runs", n)
+	}
+}
+
 // An instance is cut from the platform, and then the store is down for all.
-// Model requests and orders without a key go on. An order that needs a claim is
+// Streams go on whole, and so do new model requests and orders without a key. An order that needs a claim is
 // refused as not run, with a time to come back, and reaches no server; when the
 // fault is over the same key runs, once.
 func TestServesWithoutThePlatform(t *testing.T) {
+	const tokens = 1500
 	f := startTwoDomains(t)
+	lines, first := f.begin(f.instances[far], tokens)
 	f.platform.cut()
 	f.awaitServed(f.instances[far], f.key, "/v1/completions", completion("x", 4, false))
 	f.awaitServed(f.instances[far], f.key, orderPath, `{"id":"no-key"}`)
@@ -301,6 +340,7 @@
 	if n := f.runs("flour"); n != 0 {
 		t.Errorf("%d runs of a refused order", n)
 	}
+	f.checkWhole(lines, first, tokens)
 	f.fault(f.fleet.platform, `{}`)
 	f.platform.heal()
 	f.await("the order", func() bool { status, _ := f.order(f.instances[far], key, "flour"); return status == http.StatusOK })
--- a/e2e/inprocess/stop_test.go
+++ b/e2e/inprocess/stop_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/basilroute/basilroute/instance"
 	"github.com/basilroute/basilroute/standin/plain"
+	"github.com/basilroute/basilroute/standin/platform"
 )
 
 // openForwarded opens streams on an instance without backend servers and returns
@@ -39,7 +40,17 @@
 // are told "not run" and where else to go, on a connection that says it closes;
 // the peers serve on without it, and Stop reports no cut.
 func TestPlannedStopCutsNothingInFlight(t *testing.T) {
+	checkPlannedStop(t, startFleet(t))
+}
+
+// The same holds while the store is down: the stop waits for no call of it.
+func TestPlannedStopWithoutTheStore(t *testing.T) {
 	f := startFleet(t)
+	f.Platform.SetFaults(platform.Faults{Outage: true})
+	checkPlannedStop(t, f)
+}
+
+func checkPlannedStop(t *testing.T, f *testFleet) {
 	const tokens = 1200
 	forwarded, first, id := f.openForwarded(tokens)
 	_, own, ownFirst := f.openStream(id, defaultPrompt, tokens)
