Prove an order at a frozen service and the second signal with real processes

TestFrozenServiceRunsAnOrderOnce: SIGSTOP of the plain service under an order, refused at the deadline with run state unknown, SIGCONT, sent again through every instance: 409, one run at most. TestSecondSignalCuts: two SIGTERMs, an explicit incomplete event and an exit code above 0.

--- /dev/null
+++ b/e2e/order_test.go
@@ -0,0 +1,73 @@
+package e2e
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+const hurriedLedger = `kind: service
+name: recall-ledger
+type: plain
+classes:
+  interactive: {max_wait: 1s, deadline: 3s}
+operations:
+  withdraw-batch: {repeatable: false, cost: 10}
+`
+
+// A plain service freezes with a withdrawal order on its way to it. The caller is
+// told at the deadline that the run state is unknown. The service wakes up and may
+// still run what it was sent; the order, sent again under its key, is never run
+// a second time.
+func TestFrozenServiceRunsAnOrderOnce(t *testing.T) {
+	f := startTwoDomains(t)
+	f.mustCLI("apply", "--wait", "--instance", f.instances[near1].operator(), f.write("hurried", hurriedLedger))
+	key := newKey(t)
+	f.processes["ledger"].signal(t, syscall.SIGSTOP)
+	status, answer := f.order(f.instances[far], key, "tins")
+	if status == http.StatusOK || !strings.Contains(answer, `"run":"unknown"`) {
+		t.Errorf("at the frozen service: %d %s", status, answer)
+	}
+	f.processes["ledger"].signal(t, syscall.SIGCONT)
+	for id, m := range f.instances {
+		f.await("a refusal by "+id, func() bool {
+			status, answer := f.order(m, key, "tins")
+			if status == http.StatusOK || status == http.StatusConflict && strings.Contains(answer, `"run":"not_run"`) {
+				t.Fatalf("%s: %d %s", id, status, answer)
+			}
+			return status == http.StatusConflict
+		})
+	}
+	if n := f.runs("tins"); n > 1 {
+		t.Errorf("%d runs", n)
+	}
+}
+
+// An operator does not want to wait for a long stream and sends SIGTERM twice.
+// The caller is told by an explicit event that its answer is incomplete, and the
+// process says by its exit code that it cut something.
+func TestSecondSignalCuts(t *testing.T) {
+	f := startTwoDomains(t)
+	m := f.instances[near1]
+	lines, _ := f.begin(m, 4000)
+	m.signal(t, syscall.SIGTERM)
+	f.await("the stop", func() bool {
+		status, answer := f.ask(m, f.key, "/v1/completions", completion("x", 1, false))
+		return status == http.StatusServiceUnavailable && strings.Contains(answer, `"code":"leaving"`)
+	})
+	m.signal(t, syscall.SIGTERM)
+	rest, err := io.ReadAll(lines)
+	if err != nil {
+		t.Errorf("the connection broke: %v", err)
+	}
+	if events := string(rest); !strings.Contains(events, "event: incomplete") || strings.Contains(events, "[DONE]") {
+		t.Errorf("ends with %q", events[max(0, len(events)-200):])
+	}
+	err = <-m.ended
+	m.ended <- err
+	if err == nil {
+		t.Error("the process ended with code 0 although it cut a request")
+	}
+}
