--- a/cmd/basilroute/main.go
+++ b/cmd/basilroute/main.go
@@ -53,12 +53,13 @@
 	return &cli.Command{
 		Name:                  "basilroute",
 		Usage:                 "operate a basilroute fleet",
+		Version:               version(),
 		EnableShellCompletion: true,
 		Description:           "Exit codes: 0 done, 1 failed, 2 findings in a document, 3 changed by somebody else, 4 not in force in time.",
 		Commands: []*cli.Command{
 			validateCommand(), applyCommand(), getCommand(), keysCommand(),
 			statusCommand(), stateCommand(), entriesCommand(), demoCommand(), standinCommand(),
-			experimentCommand(), loadCommand(), capacityCommand(),
+			experimentCommand(), loadCommand(), capacityCommand(), versionCommand(),
 		},
 	}
 }
--- a/cmd/basilrouted/main.go
+++ b/cmd/basilrouted/main.go
@@ -28,6 +28,8 @@
 	command := &cli.Command{
 		Name:  "basilrouted",
 		Usage: "run an entry instance of basilroute",
+		Description: "Exit codes: 0 stopped as planned or settings valid, 1 failed, 2 findings in the settings.\n" +
+			"SIGTERM and SIGINT stop it as planned, SIGUSR1 writes its state to the log.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "config", Usage: "YAML file with the instance's settings", Required: true},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
