Report wrong usage on standard error, with the documented code

Cause: the command line library answers a wrong flag or a missing one with help on standard output, which scripts read, and ends the process itself with code 3 for an unknown command; 3 is documented as "changed by somebody else". Seen: `basilroute nonsense` and `basilroute keys nonsense` ended with 3.

strictUsage turns both into errors, for all commands. TestWrongUsage fails without it for all six cases and passes with it.

--- a/cmd/basilroute/main.go
+++ b/cmd/basilroute/main.go
@@ -50,7 +50,7 @@
 }
 
 func root() *cli.Command {
-	return &cli.Command{
+	return strictUsage(&cli.Command{
 		Name:                  "basilroute",
 		Usage:                 "operate a basilroute fleet",
 		Version:               version(),
@@ -61,5 +61,5 @@
 			statusCommand(), stateCommand(), entriesCommand(), demoCommand(), standinCommand(),
 			experimentCommand(), loadCommand(), capacityCommand(), versionCommand(),
 		},
-	}
+	})
 }
--- a/cmd/basilroute/main_test.go
+++ b/cmd/basilroute/main_test.go
@@ -76,3 +76,18 @@
 		t.Errorf("findings: %q", problems)
 	}
 }
+
+// Wrong usage is an error like any other: told on standard error, with code 1.
+func TestWrongUsage(t *testing.T) {
+	for _, args := range [][]string{
+		{"nonsense"}, {"keys", "nonsense"}, {"status", "--nonsense"}, {"apply", "x"}, {"load", "--rate", "many"}, {"standin", "engine"},
+	} {
+		out, problems, code := runCLI(t, args...)
+		if out != "" || code != exitFailed || !strings.Contains(problems, "--help") {
+			t.Errorf("%v: code %d, standard output %q, standard error %q", args, code, out, problems)
+		}
+	}
+	if out, _, code := runCLI(t); code != 0 || !strings.Contains(out, "COMMANDS") {
+		t.Errorf("without a command: code %d, %q", code, out)
+	}
+}
