--- a/capacity/table.go
+++ b/capacity/table.go
@@ -20,6 +20,7 @@
 func Targets() []Target {
 	return []Target{
 		{Size: 120, Of: "backend servers of a failure domain", Words: []string{"domainserver", "routing", "chooseserver"}},
+		{Size: 196, Of: "open streams of an instance", Words: []string{"stream"}}, // 1.5 million tokens/s at 47 ms over 360
 		{Size: 52, Of: "instances of a failure domain", Words: []string{"domaininstance", "slot", "watcher"}},
 		{Size: 11000, Of: "client accounts", Words: []string{"account", "key", "document", "snapshot", "quota", "ledger"}},
 		{Size: 830, Of: "backend servers", Words: []string{"server"}},
--- a/localfleet/stream_bench_test.go
+++ b/localfleet/stream_bench_test.go
@@ -117,7 +117,7 @@
 // readStreams reads b.N tokens over many streams and reports what one token
 // cost the whole process: the paced engine and the reader are in it, so the cost
 // of the gateway is the difference to the direct streams of the same run.
-func readStreams(b *testing.B, open func(ctx context.Context, tokens int) (*http.Request, error)) {
+func readStreams(b *testing.B, open openFunc) {
 	transport := loadgen.NewTransport()
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport}
@@ -154,30 +154,39 @@
 	b.ReportMetric(float64(after.TotalAlloc-before.TotalAlloc)/total, "B/token")
 }
 
+// openFunc makes the request of a stream of some tokens.
+type openFunc func(ctx context.Context, tokens int) (*http.Request, error)
+
+func (f benchFleet) post(ctx context.Context, url, body string) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+f.key)
+	return req, nil
+}
+
+// direct streams from the engine.
+func (f benchFleet) direct() openFunc {
+	return func(ctx context.Context, tokens int) (*http.Request, error) {
+		return f.post(ctx, f.engine+"/v1/generate",
+			`{"request_id":"0193a1b2-7c1e-7f00-8000-0123456789ab","attempt":1,"account":"bench","prompt":"x","priority":0,"max_tokens":`+strconv.Itoa(tokens)+`}`)
+	}
+}
+
+// through streams through an instance.
+func (f benchFleet) through(url string) openFunc {
+	return func(ctx context.Context, tokens int) (*http.Request, error) {
+		return f.post(ctx, url+completions, `{"model":"bench-model","prompt":"x","stream":true,"max_tokens":`+strconv.Itoa(tokens)+`}`)
+	}
+}
+
 // BenchmarkStream measures the path of a token. Use -benchtime 200000x: each
 // stream then has 1,000 tokens and runs for ten seconds.
 func BenchmarkStream(b *testing.B) {
 	f := startBench(b)
-	post := func(ctx context.Context, url, body string) (*http.Request, error) {
-		req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
-		if err != nil {
-			return nil, err
-		}
-		req.Header.Set("Content-Type", "application/json")
-		req.Header.Set("Authorization", "Bearer "+f.key)
-		return req, nil
-	}
-	through := func(url string) func(context.Context, int) (*http.Request, error) {
-		return func(ctx context.Context, tokens int) (*http.Request, error) {
-			return post(ctx, url+completions, `{"model":"bench-model","prompt":"x","stream":true,"max_tokens":`+strconv.Itoa(tokens)+`}`)
-		}
-	}
-	b.Run("direct", func(b *testing.B) {
-		readStreams(b, func(ctx context.Context, tokens int) (*http.Request, error) {
-			return post(ctx, f.engine+"/v1/generate",
-				`{"request_id":"0193a1b2-7c1e-7f00-8000-0123456789ab","attempt":1,"account":"bench","prompt":"x","priority":0,"max_tokens":`+strconv.Itoa(tokens)+`}`)
-		})
-	})
-	b.Run("gateway", func(b *testing.B) { readStreams(b, through(f.beside)) })
-	b.Run("forwarded", func(b *testing.B) { readStreams(b, through(f.away)) })
+	b.Run("direct", func(b *testing.B) { readStreams(b, f.direct()) })
+	b.Run("gateway", func(b *testing.B) { readStreams(b, f.through(f.beside)) })
+	b.Run("forwarded", func(b *testing.B) { readStreams(b, f.through(f.away)) })
 }
