Send events with a small pooled buffer

Cause: an instance held 84 KB an open stream, and the heap profile gave 31% of all to the 32 KiB buffer of the generated server's io.Copy, held as long as the stream is open. SendEvents copies with a pooled 4 KiB buffer before the generated server gets to it.

--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -11,6 +11,7 @@
 	"github.com/basilroute/basilroute/protocol/frame"
 	"github.com/basilroute/basilroute/protocol/refusal"
 	"github.com/basilroute/basilroute/transport/dispatch"
+	"github.com/basilroute/basilroute/transport/httpstream"
 )
 
 // maxBuffered is how many bytes of events may wait for a slow caller before the
@@ -60,7 +61,7 @@
 		cancel()
 		return nil, failed
 	}
-	return e, nil
+	return httpstream.SendEvents(ctx, e), nil
 }
 
 func signal(c chan struct{}) {
