--- a/instance/settings.go
+++ b/instance/settings.go
@@ -3,9 +3,12 @@
 package instance
 
 import (
+	"crypto/hmac"
+	"crypto/sha256"
 	"encoding/hex"
 	"net"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/basilroute/basilroute/yamldoc"
@@ -18,11 +21,13 @@
 	Domain   string   `yaml:"domain"`
 	Callers  Listener `yaml:"callers"`
 	Peers    Listener `yaml:"peers"`
+	Seeds    []string `yaml:"seeds"` // peer addresses to try besides the platform's list
 	Operator Operator `yaml:"operator"`
 	Platform Platform `yaml:"platform"`
 	Log      Log      `yaml:"log"`
 	Links    Links    `yaml:"links"`
 	Stop     Stop     `yaml:"stop"`
+	Via      Via      `yaml:"via"`
 }
 
 // Listener is an address that the instance serves.
@@ -44,11 +49,13 @@
 type Operator struct {
 	Listen      string `yaml:"listen"`
 	TokenSHA256 string `yaml:"token_sha256"` // of the operators' token, in hexadecimal
+	TLS         TLS    `yaml:"tls"`
 }
 
 // Platform says where the platform's services are.
 type Platform struct {
 	URL         string        `yaml:"url"`
+	CA          string        `yaml:"ca"` // file that an https URL's certificate is checked with; the system's when empty
 	CallTimeout time.Duration `yaml:"call_timeout"`
 	CallRate    float64       `yaml:"call_rate"` // calls per second of this instance
 	CallBurst   int64         `yaml:"call_burst"`
@@ -71,6 +78,30 @@
 	Limit time.Duration `yaml:"limit"` // requests in flight are cut after it; none when 0
 }
 
+// Via sets the signing of via tokens, which keep requests from looping between
+// services. Every instance of the fleet needs the same secret.
+type Via struct {
+	Secret string `yaml:"secret"` // at least 32 characters; derived from operator.token_sha256 when empty
+}
+
+const minViaSecret = 32
+
+func checkVia(r *yamldoc.Report, v Via) {
+	if v.Secret != "" && len(v.Secret) < minViaSecret {
+		r.Addf("via.secret", "want at least %d characters, have %d", minViaSecret, len(v.Secret))
+	}
+}
+
+// viaSecret returns the secret that signs via tokens.
+func (s *Settings) viaSecret() []byte {
+	if s.Via.Secret != "" {
+		return []byte(s.Via.Secret)
+	}
+	mac := hmac.New(sha256.New, []byte(s.Operator.TokenSHA256))
+	mac.Write([]byte("via"))
+	return mac.Sum(nil)
+}
+
 // DefaultSettings are the settings before the file is read.
 func DefaultSettings() Settings {
 	return Settings{
@@ -89,13 +120,21 @@
 	required(r, "domain", s.Domain)
 	checkListener(r, "callers", s.Callers)
 	checkListener(r, "peers", s.Peers)
+	for n, address := range s.Seeds {
+		checkAddress(r, "seeds."+strconv.Itoa(n), address)
+	}
 	checkAddress(r, "operator.listen", s.Operator.Listen)
+	checkTLS(r, "operator.tls", s.Operator.TLS)
+	if !s.Peers.TLS.PlainText && s.Peers.TLS.CA == "" {
+		r.Addf("peers.tls.ca", "is required: instances check each other's certificates")
+	}
 	if sum, err := hex.DecodeString(s.Operator.TokenSHA256); err != nil || len(sum) != 32 {
 		r.Addf("operator.token_sha256", "want 64 hexadecimal digits")
 	}
 	if u, err := url.Parse(s.Platform.URL); err != nil || u.Host == "" {
 		r.Addf("platform.url", "want a URL such as http://192.0.2.1:7000, have %q", s.Platform.URL)
 	}
+	checkVia(r, s.Via)
 	positive(r, "platform.call_timeout", s.Platform.CallTimeout)
 	if s.Platform.CallRate <= 0 || s.Platform.CallBurst <= 0 {
 		r.Addf("platform.call_rate", "call_rate and call_burst have to be above 0")
@@ -131,11 +170,12 @@
 	if l.Advertise != "" {
 		checkAddress(r, path+".advertise", l.Advertise)
 	}
-	if l.TLS.PlainText {
-		return
-	}
-	if l.TLS.Cert == "" || l.TLS.Key == "" {
-		r.Addf(path+".tls", "cert and key are required, or plain_text: true")
+	checkTLS(r, path+".tls", l.TLS)
+}
+
+func checkTLS(r *yamldoc.Report, path string, t TLS) {
+	if !t.PlainText && (t.Cert == "" || t.Key == "") {
+		r.Addf(path, "cert and key are required, or plain_text: true")
 	}
 }
 
