--- a/transport/metrics/recorder.go
+++ b/transport/metrics/recorder.go
@@ -116,7 +116,7 @@
 	r.firstToken.WithLabelValues(svc, string(class)).Observe(took.Seconds())
 }
 
-// Queued observes how long a request waited in a queue.
+// Queued observes how long a request waited in a queue, also one that was refused there.
 func (r *Recorder) Queued(svc string, class service.Class, took time.Duration) {
 	if r == nil {
 		return
