Prove that configuration never reverts, and settle lost answers of deletions

Writes of a key are now ordered by their nonces (UUIDv7, always after the one replaced); ranks only say up to where the store was read. A deletion of the newest document looked like a loss and was undone ("the deletion is not in force"); the list of changes now tells them apart.

--- a/cmd/basilroute/documents.go
+++ b/cmd/basilroute/documents.go
@@ -126,37 +126,53 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, command.Duration("timeout"))
 	defer cancel()
+	before, err := revisionBefore(ctx, command)
+	if err != nil {
+		return err
+	}
 	accepted := make([]applied, len(documents))
 	for n, d := range documents {
 		revision, err := put(ctx, store, d, contents[n], command.Int64("expect"))
 		if err != nil {
 			return errors.Wrapf(err, "%s %s", d.Kind, d.Name)
 		}
-		accepted[n].key = d.Key()
-		if accepted[n].rank, err = rankOf(ctx, store, revision); err != nil {
-			return errors.Wrapf(err, "%s %s", d.Kind, d.Name)
-		}
+		accepted[n] = applied{key: d.Key(), revision: revision}
 		fmt.Fprintf(command.Root().Writer, "%s %s: accepted at revision %d\n", d.Kind, d.Name, revision)
 	}
 	if command.Bool("wait") {
-		return awaitInForce(ctx, command, accepted)
+		return awaitInForce(ctx, command, store, accepted, before)
 	}
 	return nil
 }
 
 func put(ctx context.Context, store *platform.Client, d *service.Document, content []byte, expect int64) (int64, error) {
+	current, err := standing(ctx, store, d.Key())
+	if err != nil {
+		return 0, err
+	}
 	if expect < 0 {
-		current, err := store.Get(ctx, d.Key())
-		switch {
-		case err == nil:
-			expect = current.Revision
-		case errors.Is(err, platform.ErrNotFound):
-			expect = 0
-		default:
-			return 0, err
+		expect = current.Revision
+	}
+	return store.Put(ctx, platform.Write{Key: d.Key(), Value: content, Expect: expect, After: current.Nonce})
+}
+
+// standing reads what a write of the key replaces: a value, or a deletion, which
+// counts as revision 0 but whose nonce the write has to come after.
+func standing(ctx context.Context, store *platform.Client, key string) (platform.KeyValue, error) {
+	current, err := store.Get(ctx, key)
+	if !errors.Is(err, platform.ErrNotFound) {
+		return current, err
+	}
+	changes, _, err := store.List(ctx, key, 1)
+	if err != nil {
+		return platform.KeyValue{}, err
+	}
+	for _, kv := range changes {
+		if kv.Key == key && kv.Deleted {
+			return platform.KeyValue{Nonce: kv.Nonce}, nil
 		}
 	}
-	return store.Put(ctx, platform.Write{Key: d.Key(), Value: content, Expect: expect})
+	return platform.KeyValue{}, nil
 }
 
 func getCommand() *cli.Command {
--- a/coordination/configwatch/configwatch.go
+++ b/coordination/configwatch/configwatch.go
@@ -1,7 +1,7 @@
 // Package configwatch decides which documents are in force. A document is
-// replaced only by one of a higher rank, whether it comes from the store or from
-// a peer, so that an old answer, a cut-off peer or a store that was restored
-// from a backup cannot bring an old document back.
+// replaced only by a later write, whether that comes from the store or from a
+// peer, so that an old answer, a cut-off peer or a store that was restored from a
+// backup cannot bring an old document back.
 //
 // The package does no I/O.
 package configwatch
@@ -26,8 +26,8 @@
 type Log struct {
 	mu        sync.Mutex
 	target    Target
-	revision  int64 // every document up to it is known
-	last      string
+	revision  int64  // every document up to it is known
+	newest    string // key of the document of the highest rank
 	documents map[string]Document
 	buckets   [bucketCount]uint64 // XOR of the digests of the documents
 	rejected  map[string]string   // key to what is wrong with the document
@@ -70,18 +70,34 @@
 func (l *Log) accept(d Document) bool {
 	current, known := l.documents[d.Key]
 	if known && compare(&current, &d) >= 0 {
+		l.move(current, d)
 		return false
 	}
 	bucket := &l.buckets[bucketOf(d.Key)]
 	if known {
 		*bucket ^= current.digest()
+		d.Revision = max(d.Revision, current.Revision)
 	}
 	*bucket ^= d.digest()
+	l.put(d)
+	return l.enforce(d)
+}
+
+// move takes in a new place in the store of the write that is in force, which is
+// where a write that was lost and written back stands.
+func (l *Log) move(current, d Document) {
+	_, withdrawn := d.WithdrawnKeyID()
+	if d.Revision > current.Revision && (d.Nonce == current.Nonce || withdrawn) {
+		current.Revision = d.Revision
+		l.put(current)
+	}
+}
+
+func (l *Log) put(d Document) {
 	l.documents[d.Key] = d
-	if newest, ok := l.documents[l.last]; !ok || compare(&d, &newest) > 0 {
-		l.last = d.Key
+	if d.Revision >= l.documents[l.newest].Revision {
+		l.newest = d.Key
 	}
-	return l.enforce(d)
 }
 
 func (l *Log) enforce(d Document) bool {
@@ -136,7 +152,7 @@
 
 // cut sorts a batch and shortens it to the limit, between two ranks.
 func (b Batch) cut(limit int) (Batch, bool) {
-	slices.SortFunc(b.Documents, func(a, b Document) int { return compare(&a, &b) })
+	slices.SortFunc(b.Documents, byRank)
 	size := 0
 	for n, d := range b.Documents {
 		size += len(d.Key) + len(d.Value)
@@ -148,6 +164,10 @@
 	return b, false
 }
 
+func byRank(a, b Document) int {
+	return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key))
+}
+
 // Documents returns every document, lowest rank first.
 func (l *Log) Documents() []Document {
 	l.mu.Lock()
@@ -156,7 +176,7 @@
 	for _, d := range l.documents {
 		out = append(out, d)
 	}
-	slices.SortFunc(out, func(a, b Document) int { return cmp.Or(compare(&a, &b), cmp.Compare(a.Key, b.Key)) })
+	slices.SortFunc(out, byRank)
 	return out
 }
 
--- /dev/null
+++ b/coordination/configwatch/configwatch_test.go
@@ -0,0 +1,196 @@
+package configwatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/basilroute/basilroute/service"
+	"github.com/basilroute/basilroute/state/catalog"
+)
+
+func account(name string, rate int, revision int64) Document {
+	return Document{
+		Key: service.StoreKey(service.KindAccount, name), Revision: revision, Nonce: fmt.Sprintf("%036d", revision),
+		Value: fmt.Appendf(nil, "kind: account\nname: %s\nrate: %d\nburst: 1\n", name, rate),
+	}
+}
+
+func all(upTo int64, documents ...Document) Batch { return Batch{Documents: documents, UpTo: upTo} }
+
+// A peer answers what it was asked by an earlier incarnation of this instance:
+// documents after revision 5, up to 9. Taking 9 as known would skip 1 to 5 for
+// good, since the watch goes on from there.
+func TestBatchThatDoesNotJoinMovesNoWatermark(t *testing.T) {
+	log := New(catalog.New())
+	log.Offer(Batch{After: 5, UpTo: 9, Documents: []Document{account("b", 1, 9)}})
+	if log.Revision() != 0 {
+		t.Errorf("revision %d", log.Revision())
+	}
+	log.Offer(all(5, account("a", 1, 5)))
+	log.Offer(Batch{After: 5, UpTo: 9})
+	if log.Revision() != 9 {
+		t.Errorf("revision %d", log.Revision())
+	}
+}
+
+// A newer version of the product writes a document that this one cannot parse.
+// Callers go on with the last good one, operators see a finding, and peers that
+// can parse it get it from here.
+func TestUnreadableDocumentKeepsTheLastGoodOne(t *testing.T) {
+	c := catalog.New()
+	log := New(c)
+	log.Offer(all(1, account("a", 7, 1)))
+	bad := account("a", 0, 2)
+	bad.Value = []byte("kind: account\nname: a\nnew_field: 1\n")
+	log.Offer(all(2, bad))
+	if got := c.Account("a").Rate; got != 7 {
+		t.Errorf("rate %v", got)
+	}
+	if len(log.Findings()) != 1 || !slices.Equal(log.Rejected(), []string{bad.Key}) {
+		t.Errorf("findings %v, rejected %v", log.Findings(), log.Rejected())
+	}
+	if batch, _ := log.Since(1, 1<<20); len(batch.Documents) != 1 {
+		t.Error("the document is not handed on")
+	}
+	log.Offer(all(3, account("a", 8, 3)))
+	if c.Account("a").Rate != 8 || len(log.Rejected()) != 0 {
+		t.Error("the repaired document is not in force")
+	}
+}
+
+// A document that stands under another one's key would replace a document that
+// its team never touched.
+func TestDocumentUnderAnothersKeyIsRejected(t *testing.T) {
+	c := catalog.New()
+	log := New(c)
+	d := account("b", 1, 1)
+	d.Key = service.StoreKey(service.KindAccount, "a")
+	log.Offer(all(1, d))
+	if c.Account("b") != nil || len(log.Findings()) != 1 {
+		t.Errorf("findings %v", log.Findings())
+	}
+}
+
+// A withdrawn key stays withdrawn when the store loses or deletes the marker and
+// when the account's document issues the id again.
+func TestWithdrawalIsForGood(t *testing.T) {
+	c := catalog.New()
+	log := New(c)
+	presented, key := catalog.NewKey("k-1")
+	issued := account("a", 1, 1)
+	issued.Value = fmt.Appendf(issued.Value, "keys:\n  - {id: %s, sha256: %s}\n", key.ID, key.SHA256)
+	log.Offer(all(1, issued))
+	d := log.Withdraw("k-1", "")
+	if _, _, state := c.CheckKey(presented); state != catalog.KeyWithdrawn {
+		t.Fatalf("state %v", state)
+	}
+	if len(log.Pending()) != 1 {
+		t.Error("nothing to write to the store")
+	}
+	issued.Revision, issued.Nonce = 2, "z"
+	log.Offer(all(2, issued))
+	d.Revision, d.Deleted = 3, true
+	log.Offer(all(3, d))
+	if _, _, state := c.CheckKey(presented); state != catalog.KeyWithdrawn {
+		t.Errorf("state %v", state)
+	}
+	if len(log.Pending()) != 0 {
+		t.Error("the withdrawal is in the store and still pending")
+	}
+}
+
+// Two instances took the same withdrawal, one from the store and one without:
+// they know the same and exchange nothing.
+func TestHashOfAWithdrawalIsThatOfItsKey(t *testing.T) {
+	a, b := New(catalog.New()), New(catalog.New())
+	d := a.Withdraw("k-1", nonce1)
+	b.Withdraw("k-1", nonce2)
+	d.Revision = 4
+	b.Offer(all(4, d))
+	if a.Hash() != b.Hash() {
+		t.Error("the hashes differ")
+	}
+}
+
+const (
+	nonce1 = "00000000-0001-7000-8000-000000000000"
+	nonce2 = "00000000-0002-7000-8000-000000000000"
+)
+
+// A new instance reads a large configuration from a peer page by page. Between
+// two pages the peer dies; the watermark must not be past what was read.
+func TestPagesEndAtTheirWatermark(t *testing.T) {
+	full, fresh := New(catalog.New()), New(catalog.New())
+	var documents []Document
+	for n := range int64(20) {
+		documents = append(documents, account(fmt.Sprintf("a%d", n), 1, n+1))
+	}
+	full.Offer(all(20, documents...))
+	pages := 0
+	for more := true; more; pages++ {
+		var batch Batch
+		batch, more = full.Since(fresh.Revision(), 200)
+		fresh.Offer(batch)
+		if known := len(fresh.Documents()); int64(known) != fresh.Revision() {
+			t.Fatalf("%d documents at watermark %d", known, fresh.Revision())
+		}
+	}
+	if pages < 3 || fresh.Hash() != full.Hash() {
+		t.Errorf("%d pages", pages)
+	}
+}
+
+func TestGenerationsRankEarlierRevisions(t *testing.T) {
+	first, err := ParseGenerations(52, Generations{}.Next(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := ParseGenerations(71, first.Next(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for revision, want := range map[int64]int64{40: Rank(0, 40), 60: Rank(1, 60), 71: Rank(2, 71), 90: Rank(2, 90)} {
+		if got := second.Rank(revision); got != want {
+			t.Errorf("%d: %s, want %s", revision, FormatRank(got), FormatRank(want))
+		}
+	}
+	if _, err := ParseGenerations(1, []byte("x\n")); err == nil {
+		t.Error("a marker that is no number was taken")
+	}
+}
+
+// Both watchers of a domain lose the store: two others take over, and when
+// nobody reaches it the first two go on trying.
+func TestWatchersMakeRoom(t *testing.T) {
+	candidates := make([]Candidate, 5)
+	for n := range candidates {
+		candidates[n].ID = fmt.Sprintf("entry-%d", n)
+	}
+	watching := func() (ids []string) {
+		for _, c := range candidates {
+			if Watches(c.ID, candidates) {
+				ids = append(ids, c.ID)
+			}
+		}
+		return ids
+	}
+	first := watching()
+	if len(first) != WatchersPerDomain {
+		t.Fatalf("%v watch", first)
+	}
+	for n := range candidates {
+		candidates[n].StoreFailing = slices.Contains(first, candidates[n].ID)
+	}
+	for _, id := range watching() {
+		if slices.Contains(first, id) {
+			t.Errorf("%s watches a store that it does not reach", id)
+		}
+	}
+	for n := range candidates {
+		candidates[n].StoreFailing = true
+	}
+	if !slices.Equal(watching(), first) {
+		t.Errorf("%v watch", watching())
+	}
+}
--- a/coordination/configwatch/document.go
+++ b/coordination/configwatch/document.go
@@ -17,7 +17,7 @@
 // Document is a stored document.
 type Document struct {
 	Key      string
-	Revision int64 // its rank; 0 for a withdrawal that is not in the store yet
+	Revision int64 // rank of its place in the store; 0 for a withdrawal that is not in the store yet
 	Value    []byte
 	Deleted  bool
 	Nonce    string // of the write, a UUIDv7
@@ -28,11 +28,12 @@
 	return strings.CutPrefix(d.Key, service.StoreKey(KindWithdrawn, ""))
 }
 
-// compare orders two writes of one document. Two writes can have one rank only
-// when a restored store was not noticed at once; the later one then counts
-// everywhere, so that the fleet is not split between them.
+// compare orders the writes of one document by their nonces, each of which comes
+// after the one that it replaced. Ranks would not do: a store that was restored
+// and is written to before an instance notices gives a later write a lower rank.
+// They order only writes of other programs, which have no nonce.
 func compare(a, b *Document) int {
-	return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Nonce, b.Nonce))
+	return cmp.Or(cmp.Compare(a.Nonce, b.Nonce), cmp.Compare(a.Revision, b.Revision))
 }
 
 // writtenAt returns when a nonce was made, in milliseconds since 1970.
@@ -52,8 +53,12 @@
 // digest is what the document adds to its bucket's hash. A withdrawal counts by
 // its key alone: it is the same before and after the store has it.
 func (d *Document) digest() uint64 {
-	if _, ok := d.WithdrawnKeyID(); ok {
+	_, withdrawn := d.WithdrawnKeyID()
+	switch {
+	case withdrawn:
 		return xxhash.Sum64String(d.Key)
+	case d.Nonce == "":
+		return xxhash.Sum64String(d.Key + "\x00" + strconv.FormatInt(d.Revision, 36))
 	}
-	return xxhash.Sum64String(d.Key + "\x00" + strconv.FormatInt(d.Revision, 36) + "\x00" + d.Nonce)
+	return xxhash.Sum64String(d.Key + "\x00" + d.Nonce)
 }
--- a/coordination/configwatch/repair.go
+++ b/coordination/configwatch/repair.go
@@ -75,7 +75,7 @@
 func (l *Log) Newest() []Document {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	newest, ok := l.documents[l.last]
+	newest, ok := l.documents[l.newest]
 	if !ok || newest.Revision == 0 {
 		return nil
 	}
@@ -84,7 +84,7 @@
 	}
 	var standing Document
 	for _, d := range l.documents {
-		if !d.Deleted && d.Revision > 0 && compare(&d, &standing) > 0 {
+		if !d.Deleted && d.Revision > standing.Revision {
 			standing = d
 		}
 	}
@@ -94,29 +94,24 @@
 	return []Document{standing, newest}
 }
 
-// Found is how a document stands in the store.
-type Found struct {
-	Exists   bool  // false also when it was deleted
-	Deleted  bool  // a list of changes shows the deletion
-	Revision int64 // of the store
-	Nonce    string
-}
-
-// Lost tells whether the store has lost a document that is in force: it holds
-// none, an older one, or another one with the same revision.
-func Lost(d *Document, found Found, g Generations) bool {
-	if !found.Exists && !found.Deleted {
+// Lost tells whether the store lacks a document that is in force. stands is what
+// it holds, nil for nothing.
+func Lost(d, stands *Document) bool {
+	if stands == nil {
 		return !d.Deleted
 	}
-	stands := Document{Revision: g.Rank(found.Revision), Nonce: found.Nonce}
-	return compare(&stands, d) < 0 || stands.Revision == d.Revision && stands.Nonce != d.Nonce
+	return compare(stands, d) < 0
 }
 
-// KeepFound tells whether a document that stands in a restored store, below the
-// rank of the one in force, was all the same accepted later: between the restore
-// and the moment at which an instance noticed it. The writers' clocks decide.
-func KeepFound(inForce *Document, found Found) bool {
-	return (found.Exists || found.Deleted) && writtenAt(found.Nonce) > writtenAt(inForce.Nonce)
+// Restored tells whether what a store of the generation holds in place of a
+// document shows that it came back older: the document is lost, or a later write
+// has a lower rank. In a newer generation than the document's, that is known.
+func Restored(d, stands *Document, g Generations) bool {
+	if Lost(d, stands) {
+		return true
+	}
+	generation, _ := SplitRank(d.Revision)
+	return stands != nil && stands.Revision < d.Revision && generation >= g.Current
 }
 
 // ReportStore sets what is wrong with the store; empty when nothing is.
--- a/transport/platform/platform.go
+++ b/transport/platform/platform.go
@@ -9,12 +9,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	"golang.org/x/time/rate"
 
 	"github.com/basilroute/basilroute/protocol/platformapi"
@@ -27,7 +27,9 @@
 	Revision int64
 	Lease    int64
 	Deleted  bool
-	Nonce    string // of the write, a UUIDv7; empty when another program wrote the value
+	Nonce    string // of the write, a UUIDv7 that orders writes; empty when another program wrote the value
+
+	write string // nonce of the write when that is another one
 }
 
 // Write is a compare-and-swap.
@@ -37,6 +39,8 @@
 	Expect int64 // revision the key must have; 0 when it must not exist
 	Lease  int64 // the key ends with the lease; 0 for none
 	Delete bool
+	After  string // nonce that the new one has to come after, by any clock; may be empty
+	Nonce  string // of a value that is written back as it was; a new one when empty
 }
 
 // Errors of the store. Every other error leaves the outcome of a write open.
@@ -75,11 +79,12 @@
 }
 
 const (
-	nonceBytes  = 36 // text form of a UUID
-	minBackoff  = 20 * time.Millisecond
-	maxBackoff  = time.Second
-	nonceEnd    = '\n'
-	emptyHeader = nonceBytes + 1
+	nonceBytes = 36 // text form of a UUID
+	minBackoff = 20 * time.Millisecond
+	maxBackoff = time.Second
+	headerEnd  = '\n'
+	writeStart = ' '
+	maxHeader  = 2*nonceBytes + 1
 )
 
 // Client implements Store and Lister over HTTP.
@@ -143,27 +148,45 @@
 	return open(*found), nil
 }
 
-// open splits a stored value into its nonce and the value itself.
+// open splits a stored value into its header and the value itself.
 func open(stored platformapi.KeyValue) KeyValue {
 	kv := KeyValue{
 		Key: stored.Key, Value: stored.Value, Revision: stored.Revision,
 		Lease: stored.Lease.Or(0), Deleted: stored.Deleted.Or(false),
 	}
-	nonce, value, ok := bytes.Cut(stored.Value, []byte{nonceEnd})
-	if !ok || len(nonce) != nonceBytes {
+	header, value, ok := bytes.Cut(stored.Value, []byte{headerEnd})
+	if !ok || len(header) > maxHeader {
+		return kv
+	}
+	nonce, write, _ := bytes.Cut(header, []byte{writeStart})
+	if len(nonce) != nonceBytes {
 		return kv
 	}
-	kv.Value, kv.Nonce = value, string(nonce)
+	kv.Value, kv.Nonce, kv.write = value, string(nonce), string(write)
 	return kv
 }
 
-func seal(nonce string, value []byte) []byte {
-	sealed := make([]byte, 0, emptyHeader+len(value))
+// seal puts a header in front of the value: the value's nonce, and for one that
+// is written back also the nonce of this very write.
+func seal(nonce, write string, value []byte) []byte {
+	sealed := make([]byte, 0, maxHeader+1+len(value))
 	sealed = append(sealed, nonce...)
-	sealed = append(sealed, nonceEnd)
+	if write != nonce {
+		sealed = append(sealed, writeStart)
+		sealed = append(sealed, write...)
+	}
+	sealed = append(sealed, headerEnd)
 	return append(sealed, value...)
 }
 
+// writer tells whose write the value is.
+func (kv KeyValue) writer() string {
+	if kv.write != "" {
+		return kv.write
+	}
+	return kv.Nonce
+}
+
 func openAll(list *platformapi.KeyList) ([]KeyValue, int64) {
 	out := make([]KeyValue, len(list.Items))
 	for i, item := range list.Items {
@@ -206,11 +229,10 @@
 // write again with the same nonce: a compare-and-swap takes effect once, and a
 // conflict is settled by reading which nonce stands.
 func (c *Client) Put(ctx context.Context, w Write) (int64, error) {
-	id, err := uuid.NewV7() // tells when it was made, which settles writes around a restore of the store
+	nonce, err := newNonce(w.After)
 	if err != nil {
-		return 0, errors.Wrap(err, "nonce")
+		return 0, err
 	}
-	nonce := id.String()
 	backoff := minBackoff
 	for first := true; ; first = false {
 		revision, err := c.putOnce(ctx, w, nonce)
@@ -233,7 +255,7 @@
 	var result *platformapi.PutResult
 	err := c.call(ctx, 0, func(ctx context.Context) (err error) {
 		result, err = c.api.PutKey(ctx, &platformapi.PutRequest{
-			Key: w.Key, Value: seal(nonce, w.Value), Expect: w.Expect,
+			Key: w.Key, Value: seal(cmp.Or(w.Nonce, nonce), nonce, w.Value), Expect: w.Expect,
 			Lease: platformapi.NewOptInt64(w.Lease), Delete: platformapi.NewOptBool(w.Delete),
 		})
 		return err
@@ -250,7 +272,7 @@
 	for {
 		kv, err := c.standing(ctx, w)
 		switch {
-		case err == nil && kv.Nonce == nonce:
+		case err == nil && kv.writer() == nonce:
 			return kv.Revision, nil
 		case err == nil, errors.Is(err, ErrNotFound):
 			return 0, ErrConflict
--- /dev/null
+++ b/transport/platform/platform_test.go
@@ -0,0 +1,132 @@
+package platform_test
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	standin "github.com/basilroute/basilroute/standin/platform"
+	"github.com/basilroute/basilroute/transport/platform"
+)
+
+func settings(url string) platform.Settings {
+	return platform.Settings{URL: url, CallTimeout: 10 * time.Second, CallRate: 1e6, CallBurst: 1e6}
+}
+
+func openAt(t *testing.T) (*standin.Server, *platform.Client, string) {
+	t.Helper()
+	server := standin.New()
+	t.Cleanup(server.Close)
+	handler, err := server.Handler()
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := httptest.NewServer(handler)
+	t.Cleanup(listener.Close)
+	client, err := platform.New(settings(listener.URL), &http.Transport{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return server, client, listener.URL
+}
+
+func open(t *testing.T) (*standin.Server, *platform.Client) {
+	t.Helper()
+	server, client, _ := openAt(t)
+	return server, client
+}
+
+// A write takes effect and its answer is lost, several times over. The writer
+// has to learn that its own write stands, at the revision at which it took
+// effect: as a failure it would be applied twice or reported as somebody else's.
+func TestLostAnswersAreSettled(t *testing.T) {
+	server, client := open(t)
+	server.SetFaults(standin.Faults{LoseAnswers: 1})
+	created, err := client.Put(t.Context(), platform.Write{Key: "k", Value: []byte("1")})
+	if err != nil || created != 1 {
+		t.Fatalf("create: revision %d, %v", created, err)
+	}
+	server.SetFaults(standin.Faults{LoseAnswers: 1})
+	written, err := client.Put(t.Context(), platform.Write{Key: "k", Value: []byte("2"), Expect: created})
+	if err != nil || written != 2 {
+		t.Fatalf("write: revision %d, %v", written, err)
+	}
+	server.SetFaults(standin.Faults{LoseAnswers: 1})
+	deleted, err := client.Put(t.Context(), platform.Write{Key: "k", Expect: written, Delete: true})
+	if err != nil || deleted != 3 {
+		t.Fatalf("delete: revision %d, %v", deleted, err)
+	}
+}
+
+// afterFirst loses the answer of the first call and runs something before the
+// caller hears of it.
+type afterFirst struct{ then func() }
+
+func (a *afterFirst) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if a.then == nil || err != nil {
+		return resp, err
+	}
+	_ = resp.Body.Close()
+	a.then()
+	a.then = nil
+	return nil, errors.New("the answer is lost")
+}
+
+// A write takes effect, its answer is lost, and another operator writes before
+// the second try. What stands is not the own write: the writer has to hear of
+// the conflict, not that its write is in force.
+func TestLostAnswerThenOverwrittenIsAConflict(t *testing.T) {
+	_, other, url := openAt(t)
+	lossy, err := platform.New(settings(url), &afterFirst{then: func() {
+		if _, err := other.Put(t.Context(), platform.Write{Key: "k", Value: []byte("theirs"), Expect: 1}); err != nil {
+			t.Error(err)
+		}
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err = lossy.Put(t.Context(), platform.Write{Key: "k", Value: []byte("mine")}); !errors.Is(err, platform.ErrConflict) {
+		t.Errorf("%v", err)
+	}
+}
+
+// Two operators change a document at the same time: one of them wins, the other
+// is told, and its change is not half in force.
+func TestRacingOperators(t *testing.T) {
+	_, client := open(t)
+	results := make(chan error, 2)
+	for _, value := range []string{"a", "b"} {
+		go func() {
+			_, err := client.Put(t.Context(), platform.Write{Key: "k", Value: []byte(value)})
+			results <- err
+		}()
+	}
+	conflicts := 0
+	for range 2 {
+		if err := <-results; errors.Is(err, platform.ErrConflict) {
+			conflicts++
+		} else if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if conflicts != 1 {
+		t.Errorf("%d conflicts", conflicts)
+	}
+}
+
+// The writer's clock is behind that of the one whose write it replaces. The
+// nonce has to come after all the same, or instances keep the older document.
+func TestNonceComesAfterTheReplacedOne(t *testing.T) {
+	_, client := open(t)
+	const future = "ffff0000-0000-7000-8000-000000000000"
+	if _, err := client.Put(t.Context(), platform.Write{Key: "k", After: future}); err != nil {
+		t.Fatal(err)
+	}
+	kv, err := client.Get(t.Context(), "k")
+	if err != nil || kv.Nonce <= future {
+		t.Errorf("nonce %s, %v", kv.Nonce, err)
+	}
+}
