--- a/coordination/membership/exchange.go
+++ b/coordination/membership/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
 
@@ -11,6 +12,10 @@
 	"github.com/basilroute/basilroute/protocol/peerpb"
 )
 
+// loadFresh is how long a member's own word on its domain's load is preferred to
+// that of another member.
+const loadFresh = 2 * RoundEvery
+
 const heartbeatBytes = 2 // of each member in a view
 
 // domainIndex is the order of a domain's members and the hashes over it.
@@ -54,11 +59,11 @@
 	return rosters.Sum64(), versions.Sum64()
 }
 
-func (t *Table) view() *peerpb.DomainView {
+func (t *Table) view(domain string) *peerpb.DomainView {
 	own := t.members[t.self].entry
-	index := t.indexes()[own.GetDomain()]
+	index := t.indexes()[domain]
 	view := &peerpb.DomainView{
-		Domain: own.GetDomain(), RosterHash: index.rosterHash, VersionHash: index.versionHash,
+		Domain: domain, RosterHash: index.rosterHash, VersionHash: index.versionHash,
 		ConfigRevision: own.GetConfigRevision(), Heartbeats: make([]byte, 0, heartbeatBytes*len(index.ids)),
 	}
 	for n, id := range index.ids {
@@ -72,6 +77,23 @@
 	return view
 }
 
+// otherView returns the view of another domain for a member of the own one, a
+// different one each time. In a large fleet it makes up for exchanges with other
+// domains that are lost; in a small one there is no need.
+func (t *Table) otherView(peerDomain string) *peerpb.DomainView {
+	own := t.members[t.self].entry.GetDomain()
+	if peerDomain != own || len(t.members) <= fullFanout {
+		return nil
+	}
+	domains := slices.Sorted(maps.Keys(t.indexes()))
+	t.relayed++
+	domain := domains[t.relayed%len(domains)]
+	if domain == own {
+		return nil
+	}
+	return t.view(domain)
+}
+
 // applyView takes in a domain's counters and tells whether its entries are the
 // same here.
 func (t *Table) applyView(view *peerpb.DomainView, now time.Time) bool {
@@ -107,19 +129,32 @@
 	return known + uint64(int64(int16(low-uint16(known))))
 }
 
-// Request returns what an exchange begins with. An introduction carries the own
-// entry, for a peer that is not known.
-func (t *Table) Request(introduce bool) *peerpb.ExchangeRequest {
+// Request returns what an exchange with a peer begins with. To one that is not
+// known, nil, it carries the own entry; to one of another domain, or in a small
+// fleet, the load of the own domain.
+func (t *Table) Request(peer *peerpb.Member) *peerpb.ExchangeRequest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	own := t.members[t.self]
-	req := &peerpb.ExchangeRequest{From: t.self, View: t.view(), FleetHash: t.hash, Loads: own.entry.GetLoads()}
-	if introduce {
+	req := &peerpb.ExchangeRequest{From: t.self, View: t.view(own.entry.GetDomain()), FleetHash: t.hash}
+	if peer == nil {
 		req.Members = []*peerpb.Member{t.outgoing(own, own.heard)}
 	}
+	req.Loads = t.loadsFor(peer.GetDomain())
+	req.OtherView = t.otherView(peer.GetDomain())
 	return req
 }
 
+// loadsFor returns the load to tell a peer of a domain. In the own domain it is
+// known: every instance polls the same backend servers.
+func (t *Table) loadsFor(domain string) []*peerpb.ServiceLoad {
+	own := t.members[t.self].entry
+	if domain == own.GetDomain() && len(t.members) > fullFanout {
+		return nil
+	}
+	return own.GetLoads()
+}
+
 // At returns the entry of the instance with a peer address, nil when there is none.
 func (t *Table) At(address string) *peerpb.Member {
 	t.mu.RLock()
@@ -149,8 +184,10 @@
 	}
 	same := t.applyView(req.GetView(), now)
 	t.hearLoads(req.GetFrom(), req.GetLoads(), now)
-	resp.View, resp.FleetHash = t.view(), t.hash
-	resp.Loads = t.members[t.self].entry.GetLoads()
+	t.applyView(req.GetOtherView(), now)
+	resp.View, resp.FleetHash = t.view(t.members[t.self].entry.GetDomain()), t.hash
+	resp.Loads = t.loadsFor(req.GetView().GetDomain())
+	resp.OtherView = t.otherView(req.GetView().GetDomain())
 	if !same {
 		resp.Digests = t.digests([]string{req.GetView().GetDomain()})
 	}
@@ -176,6 +213,7 @@
 	if !t.applyView(resp.GetView(), now) {
 		differing[resp.GetView().GetDomain()] = true
 	}
+	t.applyView(resp.GetOtherView(), now)
 	t.hearLoads(resp.GetFrom(), resp.GetLoads(), now)
 	next := &peerpb.ExchangeRequest{From: t.self}
 	if len(resp.GetDigests()) > 0 || resp.GetDomains() != nil {
@@ -306,7 +344,7 @@
 		if id == t.self || r.entry.GetDomain() != sender.entry.GetDomain() {
 			continue
 		}
-		if r != sender && now.Sub(r.loadsHeard) < UnreachableAfter {
+		if r != sender && now.Sub(r.loadsHeard) < loadFresh {
 			continue
 		}
 		r.entry = proto.CloneOf(r.entry)
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -24,6 +24,9 @@
 	// UnreachableAfter is how long a counter may stand still before its instance
 	// counts as unreachable: three rounds in a row may be lost.
 	UnreachableAfter = 4 * time.Second
+	// unreachableAfterRelayed applies where counters come by way of others: in a
+	// fleet that is too large for everybody to exchange with everybody.
+	unreachableAfterRelayed = 8 * time.Second
 	// ForgetAfter is how long an unreachable instance stays known. Regions lose
 	// each other for minutes, and then go on where they were.
 	ForgetAfter = 15 * time.Minute
@@ -80,6 +83,7 @@
 	listed   map[string]bool // ids on the platform's list; nil before the first one
 	lastBeat time.Time
 	rounds   uint64
+	relayed  int                     // views of other domains that were handed on
 	index    map[string]*domainIndex // nil after a change of entries
 	hash     uint64
 }
@@ -189,7 +193,11 @@
 }
 
 func (t *Table) reachable(id string, r *record, observed time.Time) bool {
-	return id == t.self || observed.Sub(r.heard) < UnreachableAfter
+	limit := UnreachableAfter
+	if len(t.members) > fullFanout {
+		limit = unreachableAfterRelayed
+	}
+	return id == t.self || observed.Sub(r.heard) < limit
 }
 
 // Merge takes in entries from a peer.
--- a/coordination/membership/targets.go
+++ b/coordination/membership/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -12,6 +13,9 @@
 	fullFanout = 16
 	// ownDomainFanout is how many peers of the own domain a round picks in a larger one.
 	ownDomainFanout = 2
+	// otherDomainsEvery is in how many rounds such a fleet's instance exchanges
+	// with one peer of each other domain.
+	otherDomainsEvery = 2
 	// strangerFanout bounds the seeds that a round tries.
 	strangerFanout = 4
 	// lostEvery is how many rounds pass between two tries of a lost instance.
@@ -49,8 +53,8 @@
 }
 
 // Round returns the peer addresses to exchange with in this round: everyone in a
-// small fleet; otherwise a few at random in the own domain and one in each other
-// domain, and now and then one that was lost, so that both sides of a long
+// small fleet; otherwise a few at random in the own domain and one in each of half
+// of the other domains, and now and then one that was lost, so that both sides of a long
 // partition find each other again without the platform.
 func (t *Table) Round(now time.Time, rng *rand.Rand) []string {
 	t.mu.RLock()
@@ -59,16 +63,10 @@
 	shuffle(strangers, rng)
 	out := strangers[:min(len(strangers), strangerFanout)]
 	live, lost := t.split(now)
-	for domain, addresses := range live {
-		fanout := 1
-		switch {
-		case len(t.members) <= fullFanout:
-			fanout = len(addresses)
-		case domain == t.members[t.self].entry.GetDomain():
-			fanout = ownDomainFanout
-		}
+	for n, domain := range slices.Sorted(maps.Keys(live)) {
+		addresses := live[domain]
 		shuffle(addresses, rng)
-		out = append(out, addresses[:min(len(addresses), fanout)]...)
+		out = append(out, addresses[:min(len(addresses), t.fanout(domain, uint64(n)))]...)
 	}
 	if len(lost) > 0 && (len(t.members) <= fullFanout || t.rounds%lostEvery == 0) {
 		out = append(out, lost[rng.IntN(len(lost))])
@@ -77,6 +75,19 @@
 	return slices.Compact(out)
 }
 
+// fanout returns how many peers of the n-th domain a round picks.
+func (t *Table) fanout(domain string, n uint64) int {
+	switch {
+	case len(t.members) <= fullFanout:
+		return fullFanout
+	case domain == t.members[t.self].entry.GetDomain():
+		return ownDomainFanout
+	case (t.rounds+n)%otherDomainsEvery == 0:
+		return 1
+	}
+	return 0
+}
+
 // split returns the addresses of reachable instances by domain, and of the others.
 func (t *Table) split(now time.Time) (live map[string][]string, lost []string) {
 	live = make(map[string][]string)
--- a/instance/exchange.go
+++ b/instance/exchange.go
@@ -102,7 +102,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	peer := i.members.At(address)
-	req := i.members.Request(peer == nil)
+	req := i.members.Request(peer)
 	i.addConfig(req, peer)
 	req.Quarantines = i.quarantines()
 	req.ServersHash = uint64(i.serversState())
