Bound the crashes of one request over the fleet

The first run of the test quarantined innocent requests. Cause, from the trace of one run: suspects were sent to a server that had just crashed, since it counts as usable until its next poll; they failed there and were held to have crashed it with its old boot id. Ruled out: two suspects on one server (the trace shows none), a boot id that differs by the age of the poll (one id in all records). Now the first news of an ended process, own or a peer's, takes the server out until it reports again. Before that fix an earlier one: one instance per domain runs all its suspects, since two that each kept theirs apart put two on one server.

A crash is told to the peers before the request's next attempt. A whole answer of which nothing reached the caller begins anew on another engine.

--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -29,6 +29,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -67,6 +68,11 @@
 // CrashID names the crash of a server that had a boot id.
 func CrashID(server, bootID string) string { return server + "/" + bootID }
 
+func splitCrashID(id string) (server, bootID string) {
+	at := strings.LastIndexByte(id, '/')
+	return id[:max(at, 0)], id[at+1:]
+}
+
 // Record is what is known of one fingerprint.
 type Record struct {
 	Fingerprint string
@@ -87,6 +93,7 @@
 	crashes  map[string]map[string]time.Time // by fingerprint, then crash id: until when
 	presumed map[string][]presumed           // by server
 	onCrash  func()
+	onEnded  func(server, bootID string)
 }
 
 // New returns an empty list.
@@ -101,6 +108,12 @@
 // need not wait for the next exchange. It is set before the list is used.
 func (l *List) OnCrash(notify func()) { l.onCrash = notify }
 
+// OnEnded sets what is called, with the list locked, when a server process is
+// first known to have ended. Without it requests go on to the dead server until
+// it is polled again, fail there, and are held to have crashed it. It is set
+// before the list is used.
+func (l *List) OnEnded(notify func(server, bootID string)) { l.onEnded = notify }
+
 // Refused tells whether the fingerprint is quarantined, and until when.
 func (l *List) Refused(fingerprint string, now time.Time) (time.Time, bool) {
 	untils := l.untils(fingerprint, now)
@@ -173,6 +186,10 @@
 		of = make(map[string]time.Time)
 		l.crashes[fingerprint] = of
 	}
+	if _, known := of[id]; !known && l.onEnded != nil {
+		server, bootID := splitCrashID(id)
+		l.onEnded(server, bootID)
+	}
 	if until.After(of[id]) {
 		of[id] = until
 	}
--- a/coordination/routing/domain.go
+++ b/coordination/routing/domain.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/basilroute/basilroute/service"
 )
 
@@ -71,9 +73,11 @@
 	return chosen
 }
 
-// Designate returns the one instance that runs a suspected request: the first by
-// rendezvous hashing of all that may. Instances that know the same members name
-// the same one, so copies sent through several instances meet there.
+// Designate returns the one instance that runs a suspected request. The
+// fingerprint chooses the failure domain, so that copies sent through several
+// instances meet; in the domain it is the same instance for all suspects, since
+// only one that has them all can keep them apart on its servers. Instances that
+// know the same members name the same one.
 func Designate(r *Request, fingerprint uint64, own *Domain, others []Domain) *Domain {
 	var chosen *Domain
 	consider := func(d *Domain) {
@@ -83,7 +87,7 @@
 		if d != own && r.Hop >= MaxHops {
 			return
 		}
-		if chosen == nil || affinity(fingerprint, d.PeerHash) > affinity(fingerprint, chosen.PeerHash) {
+		if chosen == nil || preferred(fingerprint, d, chosen) {
 			chosen = d
 		}
 	}
@@ -94,6 +98,13 @@
 	return chosen
 }
 
+func preferred(fingerprint uint64, a, b *Domain) bool {
+	if a.Name == b.Name {
+		return affinity(0, a.PeerHash) > affinity(0, b.PeerHash)
+	}
+	return affinity(fingerprint, xxhash.Sum64String(a.Name)) > affinity(fingerprint, xxhash.Sum64String(b.Name))
+}
+
 func (t *Router) candidate(r *Request, d *Domain) bool {
 	if !Allowed(r, d.Region, d.Name) || d.Servers == 0 || r.Exclude[d.Name] || r.Exclude[d.PeerID] {
 		return false
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -66,7 +66,7 @@
 	storeRead atomic.Bool // the documents were listed once; a watch goes on from there
 	loops     sync.WaitGroup
 	stopLoops context.CancelFunc
-	crashes   chan struct{} // capacity 1: a crash is to be announced
+	crashes   chan chan struct{} // crashes to be announced; closed when they are
 	views     domainViews
 	failed    chan error // a listener that ended unasked
 }
@@ -87,13 +87,14 @@
 		retries:    retry.NewBudget(),
 		quarantine: quarantine.New(),
 		backend:    backend.New(),
-		crashes:    make(chan struct{}, 1),
+		crashes:    make(chan chan struct{}),
 		views:      domainViews{views: make(map[string]domainView)},
 		failed:     make(chan error, 3),
 	}
 	i.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	i.config = configwatch.New(i.catalog)
 	i.quarantine.OnCrash(i.announceCrash)
+	i.quarantine.OnEnded(i.servers.Ended)
 	i.catalog.OnWithdraw(i.requests.Withdraw)
 	i.catalog.OnWithdraw(i.forwarded.Withdraw)
 	if err := i.listen(); err != nil {
--- /dev/null
+++ b/localfleet/poison_test.go
@@ -0,0 +1,197 @@
+package localfleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/basilroute/basilroute/instance"
+	"github.com/basilroute/basilroute/standin/engine"
+	"github.com/basilroute/basilroute/state/catalog"
+)
+
+// poison is a fleet whose engines crash, and the key of its account.
+type poison struct {
+	*Fleet
+	key string
+}
+
+// poisonFleet runs two regions with two instances and three engines each. Every
+// engine crashes on a prompt that holds "poison".
+func poisonFleet(t *testing.T) poison {
+	t.Helper()
+	config := engine.DefaultConfig()
+	config.StepBase = 5 * time.Millisecond
+	config.RestartAfter = 300 * time.Millisecond
+	f, err := Start(Config{
+		Domains: []Domain{
+			{Region: "suva-a", Name: "suva-a-1", Instances: 2, Engines: 3},
+			{Region: "labasa-a", Name: "labasa-a-1", Instances: 2, Engines: 3},
+		},
+		ModelService: "notice-writer", Engine: config, Log: slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	key, record := catalog.NewKey("grocers-1")
+	for _, document := range []string{
+		"kind: fleet\nname: fleet\nregions:\n  suva-a: {domains: [suva-a-1]}\n  labasa-a: {domains: [labasa-a-1]}\n",
+		"kind: service\nname: notice-writer\ntype: model\nclasses: {interactive: {max_wait: 5s, deadline: 30s}}\n",
+		"kind: account\nname: grocers\nrate: 1000000\nburst: 10000000\nkeys:\n  - {id: grocers-1, sha256: " + record.SHA256 + "}\n",
+	} {
+		if err := f.Apply(ctx, document); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := f.Await(ctx, func(i *instance.Instance) bool { return i.Ready() && sees(i) && i.Affords("grocers", 100_000) }); err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range f.Engines {
+		e.SetFaults(engine.Faults{CrashOn: "poison"})
+	}
+	return poison{f, key}
+}
+
+// sees tells whether the instance knows usable servers here and in the other region.
+func sees(i *instance.Instance) bool {
+	if i.Own("notice-writer").Servers != 3 {
+		return false
+	}
+	others := 0
+	for _, d := range i.Others("notice-writer") {
+		if d.Servers == 3 {
+			others++
+		}
+	}
+	return others == 3
+}
+
+type answer struct {
+	Status int
+	Code   string `json:"code"`
+	Run    string `json:"run"`
+	Usage  struct {
+		CompletionTokens int `json:"completion_tokens"`
+	} `json:"usage"`
+}
+
+func (f poison) complete(i *instance.Instance, prompt string, maxTokens int) (answer, error) {
+	callers, _, _ := i.Addresses()
+	body := fmt.Sprintf(`{"model":"notice-writer","prompt":%q,"max_tokens":%d}`, prompt, maxTokens)
+	req, err := http.NewRequest(http.MethodPost, "http://"+callers+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return answer{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+f.key)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{}, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return answer{}, err
+	}
+	a := answer{Status: resp.StatusCode}
+	return a, json.Unmarshal(data, &a)
+}
+
+func (f poison) crashes() (total int64) {
+	for _, e := range f.Engines {
+		total += e.Stats().Crashes
+	}
+	return total
+}
+
+// A request crashes each engine that runs it. Its caller gets a refusal and sends
+// it again through every instance, one after the other. Others' requests run on
+// the engines that crash. The first crash makes the request a suspect, the second
+// is the last: all instances refuse it from then on, and every other request gets
+// its whole answer from another engine.
+func TestPoisonRequestSentAgainThroughAllInstances(t *testing.T) {
+	f := poisonFleet(t)
+	var innocent sync.WaitGroup
+	for n := range 12 {
+		i := f.Instances[f.Order[n%len(f.Order)]]
+		innocent.Go(func() {
+			a, err := f.complete(i, fmt.Sprintf("question %d", n), 60)
+			if err != nil || a.Status != http.StatusOK || a.Usage.CompletionTokens != 60 {
+				t.Errorf("innocent request %d: %+v, %v", n, a, err)
+			}
+		})
+	}
+	var last answer
+	for range 2 {
+		for _, id := range f.Order {
+			var err error
+			if last, err = f.complete(f.Instances[id], "the poison", 10); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	innocent.Wait()
+	if last.Code != "quarantined" {
+		t.Errorf("sent eight times, the last answer is %+v", last)
+	}
+	if got := f.crashes(); got > 2 {
+		t.Errorf("%d crashes from one fingerprint", got)
+	}
+}
+
+// The caller sends the request through every instance at the same moment. Copies
+// that are in flight before the news of the first crash may crash a server for
+// each instance, and no more: afterwards every instance refuses it.
+func TestPoisonRequestSentThroughAllInstancesAtOnce(t *testing.T) {
+	f := poisonFleet(t)
+	var copies sync.WaitGroup
+	for n := range 12 {
+		i := f.Instances[f.Order[n%len(f.Order)]]
+		copies.Go(func() {
+			if a, err := f.complete(i, "the poison", 10); err != nil || a.Status == http.StatusOK {
+				t.Errorf("copy %d: %+v, %v", n, a, err)
+			}
+		})
+	}
+	copies.Wait()
+	before := f.crashes()
+	if before > int64(len(f.Order)) {
+		t.Errorf("%d crashes with copies at %d instances", before, len(f.Order))
+	}
+	for _, id := range f.Order {
+		if a, err := f.complete(f.Instances[id], "the poison", 10); err != nil || a.Code != "quarantined" {
+			t.Errorf("%s: %+v, %v", id, a, err)
+		}
+	}
+	if after := f.crashes(); after != before {
+		t.Errorf("%d crashes more after all copies were answered", after-before)
+	}
+}
+
+// Connections break while engines live: a generation that starts and loses its
+// connection is no crash. The request runs elsewhere, again and again, and is
+// never quarantined.
+func TestBrokenConnectionsAreNoCrash(t *testing.T) {
+	f := poisonFleet(t)
+	for range 4 {
+		for _, id := range []string{"suva-a-1-engine-1", "suva-a-1-engine-2", "labasa-a-1-engine-1"} {
+			f.Engines[id].SetFaults(engine.Faults{ResetAfterRead: 1})
+		}
+		for _, id := range f.Order {
+			a, err := f.complete(f.Instances[id], "a question", 5)
+			if err != nil || a.Status != http.StatusOK {
+				t.Fatalf("%s: %+v, %v", id, a, err)
+			}
+		}
+	}
+}
--- a/state/servers/servers.go
+++ b/state/servers/servers.go
@@ -202,6 +202,20 @@
 	})
 }
 
+// Ended notes that the process with a boot id is gone. The server gets no new
+// work until it reports again.
+func (t *Table) Ended(id, bootID string) {
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.RLock()
+		entry, ok := s.servers[id]
+		s.mu.RUnlock()
+		if ok && entry.View().Load.BootID == bootID {
+			entry.change(func(server *Server) { server.Polled = false })
+		}
+	}
+}
+
 // Eject sets a server aside until a time, unless more than half of the
 // service's usable servers would then be set aside.
 func (t *Table) Eject(service, id string, now, until time.Time) bool {
--- a/transport/dispatch/front.go
+++ b/transport/dispatch/front.go
@@ -61,6 +61,20 @@
 	return u.Sink.Frame(server, f)
 }
 
+// restart tells whether the answer may begin anew: nothing of it has reached the
+// caller.
+func (u *usage) restart() bool {
+	if u.frames == 0 {
+		return true
+	}
+	sink, ok := u.Sink.(Restarter)
+	if ok {
+		sink.Restart()
+		*u = usage{Sink: u.Sink}
+	}
+	return ok
+}
+
 // Run carries the work to a backend server and its answer to the sink. The
 // error is a *refusal.Refusal, or the sink's own error.
 func (f *Front) Run(ctx context.Context, account *service.Account, w *Work, sink Sink) error {
@@ -93,19 +107,19 @@
 		if err == nil {
 			return nil
 		}
-		refused := refusal.From(err)
-		if refused.Code == refusal.CodeNoServer && last != nil {
+		own := refusal.From(err)
+		if own.Code == refusal.CodeNoServer && last != nil {
 			return last // nowhere else to go: the first reason and its time to come back stand
 		}
-		run = worse(run, refused.Run)
+		run = worse(run, own.Run)
 		if u.frames > 0 {
 			run = refusal.Ran
 		}
-		refused = refused.WithRun(run)
+		refused := own.WithRun(run)
 		if ctx.Err() != nil {
 			return f.cut(ctx, refused)
 		}
-		if u.frames > 0 || !retry.Retryable(refused, w.Repeatable(svc)) {
+		if !u.restart() || !retry.Retryable(own, w.Repeatable(svc)) {
 			return refused
 		}
 		wait, ok := f.Retries.Take(svc, refused.Code, w.Attempt, time.Until(w.Deadline), rng)
@@ -122,6 +136,7 @@
 	}
 }
 
+// request is what routing needs to know of the work.
 func (f *Front) request(svc *service.Service, w *Work) *routing.Request {
 	r := &routing.Request{
 		Service: svc, Account: xxhash.Sum64String(w.Account), Home: w.Home, Hop: w.Hop, Exclude: make(map[string]bool),
--- a/transport/dispatch/work.go
+++ b/transport/dispatch/work.go
@@ -53,6 +53,12 @@
 	Answer(server string, body []byte) error
 }
 
+// Restarter is a sink of which nothing has reached the caller yet. Restart drops
+// what it holds, so that another server can answer from the beginning.
+type Restarter interface {
+	Restart()
+}
+
 // Forwarder runs work on a peer's failure domain.
 type Forwarder interface {
 	Forward(ctx context.Context, address string, w *Work, sink Sink) error
--- a/transport/gateway/completions.go
+++ b/transport/gateway/completions.go
@@ -41,6 +41,11 @@
 	return nil
 }
 
+// Restart implements dispatch.Restarter.
+func (s *wholeSink) Restart() {
+	*s = wholeSink{}
+}
+
 func (s *wholeSink) usage() gatewayapi.Usage {
 	return gatewayapi.Usage{
 		PromptTokens: s.last.PromptTokens, CompletionTokens: s.out,
