--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -25,7 +25,9 @@
 
 // All returns every experiment in the order of the page.
 func All() []Experiment {
-	return nil
+	var all []Experiment
+	all = append(all, policyExperiments()...)
+	return all
 }
 
 // WriteMarkdown writes the outcome as a section of the page.
--- /dev/null
+++ b/experiment/policy_gateway.go
@@ -0,0 +1,192 @@
+package experiment
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/basilroute/basilroute/coordination/admission"
+	"github.com/basilroute/basilroute/coordination/prefix"
+	"github.com/basilroute/basilroute/coordination/routing"
+	"github.com/basilroute/basilroute/state/servers"
+)
+
+// simGateway is one instance: the product's decisions over the modelled engines
+// of its region.
+type simGateway struct {
+	sim      *policySim
+	id       string
+	region   *simRegion
+	line     line
+	table    *servers.Table
+	limiters map[*servers.Entry]*admission.Limiter
+	index    *prefix.Index
+	router   *routing.Router
+	turn     int // of round robin
+	reported routing.Domain
+	report   uint64
+}
+
+func newSimGateway(sim *policySim, region *simRegion, n int) *simGateway {
+	g := &simGateway{
+		sim: sim, id: fmt.Sprintf("%s-%d", region.name, n), region: region, table: servers.New(),
+		limiters: make(map[*servers.Entry]*admission.Limiter), index: prefix.New(region.name),
+		router: routing.NewRouter(region.name, region.name),
+	}
+	g.line = newQueueLine(sim, sim.service)
+	if sim.policy.fifo {
+		g.line = &fifoLine{sim: sim, service: sim.service}
+	}
+	var list []servers.Identity
+	for _, e := range region.engines {
+		list = append(list, servers.Identity{ID: e.id, Service: sim.service.Name, Region: region.name, Domain: region.name})
+	}
+	g.table.Replace(list, sim.time().Add(-time.Hour))
+	return g
+}
+
+// poll takes in the engines' reports, as the product does each second.
+func (g *simGateway) poll() {
+	now := g.sim.time()
+	for _, e := range g.region.engines {
+		if !e.up {
+			g.table.Failed(g.sim.service.Name, e.id, 1)
+			continue
+		}
+		g.table.Report(g.sim.service.Name, e.id, e.load(now))
+		entry := g.table.Entry(g.sim.service.Name, e.id)
+		g.index.Booted(entry.Slot(), entry.View().Load.BootID)
+		after := g.index.After(entry.Slot())
+		first := len(e.events)
+		for first > 0 && e.events[first-1].Seq > after {
+			first--
+		}
+		g.index.Apply(entry.Slot(), e.events[first:])
+		l := g.limiter(entry)
+		l.Reported(entry.View().Load.BootID, entry.View().Load.Waiting, now)
+		entry.SetLimit(l.Limit(int(g.sim.service.Limits.Concurrency)))
+	}
+	routing.EjectSlow(g.table, g.sim.service.Name, now)
+	g.refresh()
+	g.line.shed()
+	g.publish()
+}
+
+func (g *simGateway) limiter(e *servers.Entry) *admission.Limiter {
+	if g.limiters[e] == nil {
+		g.limiters[e] = admission.NewLimiter()
+	}
+	return g.limiters[e]
+}
+
+func (g *simGateway) refresh() {
+	capacity := 0
+	for _, e := range g.table.Entries(g.sim.service.Name) {
+		if v := e.View(); v.Usable() && !v.Ejected(g.sim.time()) {
+			capacity += e.Limit()
+		}
+	}
+	g.line.configure(capacity)
+}
+
+// publish is what the others know of this gateway until the next poll.
+func (g *simGateway) publish() {
+	g.report++
+	g.reported = g.domain()
+	g.reported.Report, g.reported.Peer = g.report, g.id
+	stats := g.line.stats()
+	g.reported.HasRoom = g.reported.Servers > 0 && stats.Waiting == 0 && stats.Room*8 >= stats.Capacity && stats.Room > 0
+}
+
+func (g *simGateway) domain() routing.Domain {
+	d := routing.Domain{
+		Name: g.region.name, Region: g.region.name, PeerID: g.id, PeerHash: xxhash.Sum64String(g.id),
+		LinkDelay: linkDelay, HasRoom: true,
+	}
+	for _, e := range g.table.Entries(g.sim.service.Name) {
+		if e.View().Usable() {
+			d.Servers++
+		}
+	}
+	stats := g.line.stats()
+	d.ExpectedWait, d.Room = stats.ExpectedWait, stats.Room
+	return d
+}
+
+// place is called when the job has its slot here.
+func (g *simGateway) place(j *job) {
+	list := g.table.Entries(g.sim.service.Name)
+	r := &routing.Request{Service: g.sim.service, PromptTokens: j.prompt, Cached: &prefix.Matches{}}
+	g.index.Match(j.blocks, "", r.Cached)
+	i := g.choose(r, list)
+	if i < 0 {
+		g.line.release(j)
+		g.sim.refused(j)
+		return
+	}
+	j.entry = list[i]
+	now := g.sim.time()
+	j.alone = max(routing.Alone(r, j.entry), minSimExpected)
+	j.expected = max(routing.Expected(r, j.entry, now), minSimExpected)
+	j.uncached = r.Uncached(j.entry)
+	j.sent = now
+	j.entry.Begin(j.uncached)
+	g.index.Dispatched(j.entry.Slot(), "", j.blocks)
+	j.engine = g.region.engines[i]
+	j.engine.enqueue(j)
+}
+
+const minSimExpected = 20 * time.Millisecond
+
+func (g *simGateway) choose(r *routing.Request, list []*servers.Entry) int {
+	now := g.sim.time()
+	if g.sim.policy.route == routeScore {
+		return routing.ChooseServer(r, list, now, g.sim.rng)
+	}
+	var usable []int
+	for i, e := range list {
+		if e.View().Usable() {
+			usable = append(usable, i)
+		}
+	}
+	if len(usable) == 0 {
+		return -1
+	}
+	switch g.sim.policy.route {
+	case routeRandom:
+		return usable[g.sim.rng.IntN(len(usable))]
+	case routeRoundRobin:
+		g.turn++
+		return usable[g.turn%len(usable)]
+	}
+	best := usable[0]
+	for _, i := range usable {
+		if list[i].InFlight() < list[best].InFlight() {
+			best = i
+		}
+	}
+	return best
+}
+
+// leave takes the job off its engine and gives its slot back.
+func (g *simGateway) leave(j *job, answered bool) {
+	now := g.sim.time()
+	if j.generated == 0 {
+		j.entry.Started(j.uncached)
+	}
+	inFlight := j.entry.InFlight()
+	j.entry.End()
+	l := g.limiter(j.entry)
+	ceiling := int(g.sim.service.Limits.Concurrency)
+	if answered {
+		l.Answered(admission.Answer{Latency: j.latency, Expected: j.alone, InFlight: inFlight}, ceiling, now)
+		routing.Answered(j.entry, j.latency, j.expected, now.Sub(j.sent))
+	} else {
+		l.Answered(admission.Answer{Failed: true}, ceiling, now)
+		routing.Failed(g.table, j.entry, now)
+	}
+	j.entry.SetLimit(l.Limit(ceiling))
+	g.refresh()
+	g.line.release(j)
+}
