Give bulk a limit of its own that gives way first

Bulk now has its own window; it shrinks before a batch is full, and the limit of all only when bulk has nothing left to give. A region without servers sends its callers to any far domain in time, not only into reported room: 10.2 and 12.7 % of them were refused.

The retry credit of the start is lent: retries never exceed a tenth of the requests once there were a hundred.

--- a/coordination/admission/limit.go
+++ b/coordination/admission/limit.go
@@ -13,6 +13,7 @@
 	slowFactor     = 2.0                    // time to the first token against the expected one that counts as congested
 	slowFloor      = 100 * time.Millisecond // lateness below which nothing counts as congested
 	usedShare      = 0.7                    // of the limit in use for the limit to grow
+	bulkShare      = 0.7                    // of a server's places, above which bulk gives way
 	forgetFastest  = 100                    // answers after which the fastest one has nearly tripled
 	waitingAllowed = 1                      // requests waiting in the server that are no congestion
 )
@@ -21,6 +22,11 @@
 // The limit doubles with every round of answers until the first congestion, and
 // then grows by one a round and shrinks by a fifth when the server is congested.
 //
+// Bulk has a limit of its own within it, and gives way first: engines honour
+// priorities, so what bulk takes from interactive requests is the places in the
+// batch. One limit for both shrank under bulk alone, and interactive requests
+// then queued here for seconds before engines that would have taken them.
+//
 // Several instances of a failure domain use the same servers and do not talk
 // about it. All of them see the same congestion, since a server reports what
 // waits in it from all of them. With additive growth and multiplicative
@@ -28,64 +34,127 @@
 // limits approach an even split, and an instance without callers, whose limit
 // is not used and does not grow, leaves its part to the others.
 type Limiter struct {
+	all, bulk window
+	bootID    string
+	batch     int           // requests that ran when others had to wait in the server; 0 when not seen
+	fastest   time.Duration // answer of late, for servers that nothing is expected of
+}
+
+// window is one limit.
+type window struct {
 	limit     float64
 	slowStart bool
 	shrunk    time.Time
-	bootID    string
-	fastest   time.Duration // answer of late, for servers that nothing is expected of
+}
+
+func newWindow() window { return window{limit: startLimit, slowStart: true} }
+
+func (w *window) grow(inFlight int, ceiling float64) {
+	if float64(inFlight) < usedShare*w.limit {
+		return
+	}
+	if w.slowStart {
+		w.limit++
+	} else {
+		w.limit += 1 / w.limit
+	}
+	w.limit = min(w.limit, ceiling)
+}
+
+func (w *window) shrink(now time.Time) {
+	w.slowStart = false
+	if now.Sub(w.shrunk) < shrinkEvery {
+		return
+	}
+	w.shrunk = now
+	w.limit = max(w.limit*shrink, minLimit)
 }
 
 // NewLimiter returns the limiter of a server that nothing is known of.
 func NewLimiter() *Limiter {
-	return &Limiter{limit: startLimit, slowStart: true}
+	return &Limiter{all: newWindow(), bulk: newWindow()}
 }
 
-// Limit returns the requests in flight that are allowed, ceiling at most.
-func (l *Limiter) Limit(ceiling int) int {
-	return max(minLimit, min(int(math.Floor(l.limit)), ceiling))
+// Limit returns the requests in flight that are allowed, ceiling at most, and
+// how many of them may be bulk.
+func (l *Limiter) Limit(ceiling int) (all, bulk int) {
+	all = max(minLimit, min(int(math.Floor(l.all.limit)), ceiling))
+	bulk = max(minLimit, min(int(math.Floor(l.bulk.limit)), all))
+	return all, bulk
 }
 
 // Answer is what one request showed of its server.
 type Answer struct {
+	Bulk     bool
 	Latency  time.Duration // to the first token; whole answer of a plain service
 	Expected time.Duration // without waiting in the server; 0 when not known
 	InFlight int           // of this instance, the request included
+	InBulk   int           // of InFlight
 	Failed   bool
 }
 
 // Answered takes in the outcome of a request.
 func (l *Limiter) Answered(a Answer, ceiling int, now time.Time) {
-	expected := a.Expected
-	if expected == 0 && !a.Failed {
-		expected = l.usual(a.Latency)
-	}
-	late := a.Latency - expected
-	slow := late > slowFloor && a.Latency > time.Duration(slowFactor*float64(expected))
-	if a.Failed || slow {
-		l.congested(now)
+	if a.Failed {
+		l.bulk.shrink(now)
+		l.all.shrink(now)
 		return
 	}
-	if float64(a.InFlight) < usedShare*l.limit {
+	if l.slow(a) {
+		if !a.Bulk {
+			l.congested(a.InBulk, now)
+		}
 		return
 	}
-	if l.slowStart {
-		l.limit++
-	} else {
-		l.limit += 1 / l.limit
+	l.all.grow(a.InFlight, float64(ceiling))
+	if a.Bulk {
+		l.bulk.grow(a.InBulk, l.all.limit)
+	}
+}
+
+func (l *Limiter) slow(a Answer) bool {
+	expected := a.Expected
+	if expected == 0 {
+		expected = l.usual(a.Latency)
 	}
-	l.limit = min(l.limit, float64(ceiling))
+	late := a.Latency - expected
+	return late > slowFloor && a.Latency > time.Duration(slowFactor*float64(expected))
+}
+
+// Report is what a server says of itself, and InBulk how many bulk requests this
+// instance has there.
+type Report struct {
+	BootID           string
+	Running, Waiting int
+	InBulk           int
 }
 
 // Reported takes in a server's report. A restarted server starts cold: its
-// limit begins anew.
-func (l *Limiter) Reported(bootID string, waiting int, now time.Time) {
-	if l.bootID != "" && bootID != l.bootID {
+// limits begin anew. Once it is known how many requests the server runs at a
+// time, bulk gives way before the last places are taken: an interactive request
+// that finds the batch full waits for a long answer to end, whatever its
+// priority.
+func (l *Limiter) Reported(r Report, now time.Time) {
+	if l.bootID != "" && r.BootID != l.bootID {
 		*l = *NewLimiter()
 	}
-	l.bootID = bootID
-	if waiting > waitingAllowed {
-		l.congested(now)
+	l.bootID = r.BootID
+	if r.Waiting > waitingAllowed {
+		l.batch = r.Running
+		l.congested(r.InBulk, now)
+		return
+	}
+	if r.InBulk > 0 && float64(r.Running) > bulkShare*float64(l.batch) && l.batch > 0 {
+		l.bulk.shrink(now)
+	}
+}
+
+func (l *Limiter) congested(inBulk int, now time.Time) {
+	if inBulk > 0 && l.bulk.limit > minLimit {
+		l.bulk.shrink(now)
+		return
 	}
+	l.all.shrink(now)
 }
 
 // usual returns the fastest answer of late; it is forgotten slowly.
@@ -96,12 +165,3 @@
 	}
 	return l.fastest
 }
-
-func (l *Limiter) congested(now time.Time) {
-	l.slowStart = false
-	if now.Sub(l.shrunk) < shrinkEvery {
-		return
-	}
-	l.shrunk = now
-	l.limit = max(l.limit*shrink, minLimit)
-}
--- a/coordination/admission/queue.go
+++ b/coordination/admission/queue.go
@@ -74,6 +74,7 @@
 	mu          sync.Mutex
 	settings    Settings
 	capacity    int
+	forBulk     int // slots that bulk may use at most
 	interactive class
 	bulk        class
 	floorCredit float64 // grants due to bulk when the floor is less than a slot
@@ -86,11 +87,12 @@
 	return &Queue{settings: settings}
 }
 
-// Configure replaces the settings and the number of slots.
-func (q *Queue) Configure(settings Settings, capacity int, now time.Time) {
+// Configure replaces the settings, the number of slots, and how many of them
+// bulk may use at most.
+func (q *Queue) Configure(settings Settings, capacity, forBulk int, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.settings, q.capacity = settings, capacity
+	q.settings, q.capacity, q.forBulk = settings, capacity, min(forBulk, capacity)
 	q.grant(now)
 }
 
@@ -283,7 +285,7 @@
 // stay free, and bulk keeps its floor.
 func (q *Queue) bulkCeiling() int {
 	reserve := int(math.Ceil(q.peak)) + 1 + q.capacity/reserveShare
-	return max(q.capacity-reserve, q.floorSlots(), min(q.capacity, 1))
+	return max(min(q.capacity-reserve, q.forBulk), q.floorSlots(), min(q.capacity, 1))
 }
 
 func (q *Queue) notePeak(now time.Time) {
--- a/coordination/admission/queue_test.go
+++ b/coordination/admission/queue_test.go
@@ -25,7 +25,7 @@
 
 func newBench(capacity int, hold time.Duration) *bench {
 	b := &bench{queue: NewQueue(Settings{}), now: start, hold: hold, started: make(map[string]int)}
-	b.queue.Configure(Settings{Queue: 1024, BulkFloor: 0.1}, capacity, b.now)
+	b.queue.Configure(Settings{Queue: 1024, BulkFloor: 0.1}, capacity, capacity, b.now)
 	return b
 }
 
@@ -125,7 +125,7 @@
 // newest request of the account with the most waiting is refused in its place.
 func TestFullQueueRefusesTheOffender(t *testing.T) {
 	b := newBench(1, time.Second)
-	b.queue.Configure(Settings{Queue: 10}, 1, b.now)
+	b.queue.Configure(Settings{Queue: 10}, 1, 1, b.now)
 	b.submit("offender", service.ClassInteractive, time.Hour)
 	var last *Ticket
 	for range 10 {
@@ -155,7 +155,7 @@
 	for range 80 {
 		b.submit("a", service.ClassInteractive, time.Second)
 	}
-	b.queue.Configure(Settings{Queue: 1024}, 1, b.now)
+	b.queue.Configure(Settings{Queue: 1024}, 1, 1, b.now)
 	b.queue.Shed(b.now)
 	if got := b.queue.waiting(); got < 8 || got > 16 {
 		t.Errorf("%d still wait, about 10 to 15 can start", got)
@@ -201,7 +201,7 @@
 				b.queue.Shed(b.now)
 			default:
 				slots := rapid.IntRange(0, 8).Draw(t, "slots")
-				b.queue.Configure(Settings{Queue: 5, BulkFloor: 0.1}, slots, b.now)
+				b.queue.Configure(Settings{Queue: 5, BulkFloor: 0.1}, slots, slots, b.now)
 			}
 			checkInvariants(t, b, all, settled, released)
 		}
@@ -252,17 +252,42 @@
 		}
 		total := 0
 		for _, l := range limiters {
-			total += l.Limit(1000)
+			limit, _ := l.Limit(1000)
+			total += limit
 		}
 		for _, l := range limiters {
-			for range l.Limit(1000) {
-				l.Answered(Answer{Latency: 50 * time.Millisecond, Expected: 50 * time.Millisecond, InFlight: l.Limit(1000)}, 1000, now)
+			limit, _ := l.Limit(1000)
+			for range limit {
+				l.Answered(Answer{Latency: 50 * time.Millisecond, Expected: 50 * time.Millisecond, InFlight: limit}, 1000, now)
 			}
-			l.Reported("boot", max(total-batch, 0), now)
+			l.Reported(Report{BootID: "boot", Running: min(total, batch), Waiting: max(total-batch, 0)}, now)
 		}
 	}
-	a, b := first.Limit(1000), second.Limit(1000)
+	a, _ := first.Limit(1000)
+	b, _ := second.Limit(1000)
 	if a > 2*b || b > 2*a || a+b < batch*6/10 || a+b > batch*3/2 {
 		t.Errorf("limits %d and %d of %d", a, b, batch)
 	}
 }
+
+// Bulk fills a server's batch, and an interactive request comes. It is not held
+// back by what bulk did: bulk's limit gives way, the limit of all stays.
+func TestBulkGivesWayFirst(t *testing.T) {
+	l := NewLimiter()
+	now := start
+	for range 40 {
+		all, bulk := l.Limit(100)
+		now = now.Add(time.Second)
+		l.Answered(Answer{Bulk: true, Latency: time.Second, Expected: time.Second, InFlight: all, InBulk: bulk}, 100, now)
+	}
+	before, bulkBefore := l.Limit(100)
+	for range 5 {
+		now = now.Add(time.Second)
+		l.Answered(Answer{Latency: time.Second, Expected: 50 * time.Millisecond, InFlight: before, InBulk: 5}, 100, now)
+		l.Reported(Report{BootID: "boot", Running: 16, Waiting: 3, InBulk: 5}, now)
+	}
+	after, bulkAfter := l.Limit(100)
+	if after != before || bulkAfter > bulkBefore/2 {
+		t.Errorf("limits of all %d, then %d; of bulk %d, then %d", before, after, bulkBefore, bulkAfter)
+	}
+}
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -18,25 +18,34 @@
 	maxBackoff = 500 * time.Millisecond
 )
 
-// maxCredit is how many retries may be saved up.
+// maxCredit is how many retries may be saved up. A budget starts with as many,
+// lent on its first requests: retries never exceed the larger of maxCredit and
+// the budget's share of the requests.
 const maxCredit = 10
 
 // Budget counts requests and retries of each service. It is safe for concurrent use.
 type Budget struct {
 	mu     sync.Mutex
 	credit map[string]float64
+	owed   map[string]float64 // of the credit lent at the start
 }
 
 // NewBudget returns a budget with full credit for every service.
 func NewBudget() *Budget {
-	return &Budget{credit: make(map[string]float64)}
+	return &Budget{credit: make(map[string]float64), owed: make(map[string]float64)}
 }
 
 // Request adds a first attempt's share to the credit.
 func (b *Budget) Request(s *service.Service) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.credit[s.Name] = min(b.get(s)+s.Retry.Budget, maxCredit)
+	if _, known := b.owed[s.Name]; !known {
+		b.owed[s.Name] = maxCredit
+	}
+	earned := s.Retry.Budget
+	back := min(earned, b.owed[s.Name])
+	b.owed[s.Name] -= back
+	b.credit[s.Name] = min(b.get(s)+earned-back, maxCredit)
 }
 
 func (b *Budget) get(s *service.Service) float64 {
--- a/coordination/routing/domain.go
+++ b/coordination/routing/domain.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -66,6 +67,9 @@
 			far = t.better(r, far, d)
 		}
 	}
+	if near == nil && far == nil {
+		far = t.refuge(r, others)
+	}
 	chosen := t.spill(r, near, far)
 	if chosen != nil && chosen != own {
 		t.count(r, chosen)
@@ -73,6 +77,26 @@
 	return chosen
 }
 
+// refuge returns the far domain with the shortest wait for a request that has no
+// place in its own region. No gain is weighed and no room has to be spoken of:
+// the far queue refuses at once what it cannot start in time, and without this
+// the callers of a lost region are refused while others still have slots.
+func (t *Router) refuge(r *Request, others []Domain) *Domain {
+	var best *Domain
+	for i := range others {
+		d := &others[i]
+		d0 := *d
+		d0.HasRoom, d0.Room = true, math.MaxInt
+		if d.Region == t.region || d.Name == t.domain || !t.candidate(r, &d0) {
+			continue
+		}
+		if best == nil || t.nearCost(d) < t.nearCost(best) {
+			best = d
+		}
+	}
+	return best
+}
+
 // Designate returns the one instance that runs a suspected request. The
 // fingerprint chooses the failure domain, so that copies sent through several
 // instances meet; in the domain it is the same instance for all suspects, since
--- a/coordination/routing/routing.go
+++ b/coordination/routing/routing.go
@@ -37,6 +37,7 @@
 	Account      uint64 // hash of the account's name
 	Home         string // region the account's data must stay in; anywhere when empty
 	Hop          int
+	Bulk         bool
 	PromptTokens int
 	Cached       *prefix.Matches // cached blocks of the prompt by server; may be nil
 	Exclude      map[string]bool // peers, domains and servers that failed or refused this request
--- a/coordination/routing/routing_test.go
+++ b/coordination/routing/routing_test.go
@@ -107,7 +107,7 @@
 func TestServersThatMayNotServe(t *testing.T) {
 	table := fill(4)
 	report(table, "s000", servers.Load{Leaving: true})
-	table.Entry(model, "s001").SetLimit(0)
+	table.Entry(model, "s001").SetLimit(0, 0)
 	table.Replace([]servers.Identity{
 		{ID: "s000", Service: model, Version: "v1", Region: "suva-a", Domain: "suva-a-1"},
 		{ID: "s001", Service: model, Version: "v1", Region: "suva-a", Domain: "suva-a-1"},
--- a/coordination/routing/server.go
+++ b/coordination/routing/server.go
@@ -77,7 +77,7 @@
 				continue
 			}
 		}
-		if (!s.full && e.InFlight() >= e.Limit()) || !s.request.permits(v) {
+		if (!s.full && s.request.full(e)) || !s.request.permits(v) {
 			continue
 		}
 		costs[i] = s.cost(e, f)
@@ -86,6 +86,11 @@
 	return best
 }
 
+// full tells whether the server is at the limit for requests of this kind.
+func (r *Request) full(e *servers.Entry) bool {
+	return e.InFlight() >= e.Limit() || (r.Bulk && e.Bulk() >= e.BulkLimit())
+}
+
 func (r *Request) permits(v *servers.Server) bool {
 	if len(r.Exclude) > 0 && r.Exclude[v.ID] {
 		return false
--- a/experiment/policy_gateway.go
+++ b/experiment/policy_gateway.go
@@ -64,7 +64,8 @@
 		}
 		g.index.Apply(entry.Slot(), e.events[first:])
 		l := g.limiter(entry)
-		l.Reported(entry.View().Load.BootID, entry.View().Load.Waiting, now)
+		load := entry.View().Load
+		l.Reported(admission.Report{BootID: load.BootID, Running: load.Running, Waiting: load.Waiting, InBulk: entry.Bulk()}, now)
 		entry.SetLimit(l.Limit(int(g.sim.service.Limits.Concurrency)))
 	}
 	routing.EjectSlow(g.table, g.sim.service.Name, now)
@@ -81,13 +82,14 @@
 }
 
 func (g *simGateway) refresh() {
-	capacity := 0
+	capacity, forBulk := 0, 0
 	for _, e := range g.table.Entries(g.sim.service.Name) {
 		if v := e.View(); v.Usable() && !v.Ejected(g.sim.time()) {
 			capacity += e.Limit()
+			forBulk += e.BulkLimit()
 		}
 	}
-	g.line.configure(capacity)
+	g.line.configure(capacity, forBulk)
 }
 
 // publish is what the others know of this gateway until the next poll.
@@ -117,7 +119,7 @@
 // place is called when the job has its slot here.
 func (g *simGateway) place(j *job) {
 	list := g.table.Entries(g.sim.service.Name)
-	r := &routing.Request{Service: g.sim.service, PromptTokens: j.prompt, Cached: &prefix.Matches{}}
+	r := &routing.Request{Service: g.sim.service, Bulk: j.bulk(), PromptTokens: j.prompt, Cached: &prefix.Matches{}}
 	g.index.Match(j.blocks, "", r.Cached)
 	i := g.choose(r, list)
 	if i < 0 {
@@ -131,7 +133,7 @@
 	j.expected = max(routing.Expected(r, j.entry, now), minSimExpected)
 	j.uncached = r.Uncached(j.entry)
 	j.sent = now
-	j.entry.Begin(j.uncached)
+	j.entry.Begin(j.uncached, j.bulk())
 	g.index.Dispatched(j.entry.Slot(), "", j.blocks)
 	j.engine = g.region.engines[i]
 	j.engine.enqueue(j)
@@ -175,15 +177,16 @@
 	if j.generated == 0 {
 		j.entry.Started(j.uncached)
 	}
-	inFlight := j.entry.InFlight()
-	j.entry.End()
+	a := admission.Answer{
+		Bulk: j.bulk(), Latency: j.latency, Expected: j.alone, InFlight: j.entry.InFlight(), InBulk: j.entry.Bulk(), Failed: !answered,
+	}
+	j.entry.End(j.bulk())
 	l := g.limiter(j.entry)
 	ceiling := int(g.sim.service.Limits.Concurrency)
+	l.Answered(a, ceiling, now)
 	if answered {
-		l.Answered(admission.Answer{Latency: j.latency, Expected: j.alone, InFlight: inFlight}, ceiling, now)
 		routing.Answered(j.entry, j.latency, j.expected, now.Sub(j.sent))
 	} else {
-		l.Answered(admission.Answer{Failed: true}, ceiling, now)
 		routing.Failed(g.table, j.entry, now)
 	}
 	j.entry.SetLimit(l.Limit(ceiling))
--- a/experiment/policy_line.go
+++ b/experiment/policy_line.go
@@ -11,7 +11,7 @@
 type line interface {
 	submit(j *job)
 	release(j *job)
-	configure(capacity int)
+	configure(capacity, forBulk int)
 	shed()
 	stats() admission.Stats
 }
@@ -56,8 +56,8 @@
 	l.queue.Release(t, l.sim.time())
 }
 
-func (l *queueLine) configure(capacity int) {
-	l.queue.Configure(admission.Settings{Queue: int(l.service.Limits.Queue), BulkFloor: l.service.Classes.Bulk.Floor}, capacity, l.sim.time())
+func (l *queueLine) configure(capacity, forBulk int) {
+	l.queue.Configure(admission.Settings{Queue: int(l.service.Limits.Queue), BulkFloor: l.service.Classes.Bulk.Floor}, capacity, forBulk, l.sim.time())
 }
 
 func (l *queueLine) shed() { l.queue.Shed(l.sim.time()) }
@@ -105,7 +105,7 @@
 	l.start()
 }
 
-func (l *fifoLine) configure(capacity int) {
+func (l *fifoLine) configure(capacity, _ int) {
 	l.capacity = capacity
 	l.start()
 }
--- a/experiment/policy_sim.go
+++ b/experiment/policy_sim.go
@@ -261,6 +261,8 @@
 	return nil
 }
 
+func (j *job) bulk() bool { return j.class == service.ClassBulk }
+
 // link is the delay between the job's origin and where it runs.
 func (j *job) link() time.Duration {
 	if j.at.region == j.origin.region {
@@ -319,6 +321,9 @@
 		return
 	}
 	j.account.started++
+	if j.account.times > 1 {
+		return
+	}
 	s.interactive = append(s.interactive, first)
 }
 
--- a/state/servers/entry.go
+++ b/state/servers/entry.go
@@ -17,9 +17,11 @@
 	mu   sync.Mutex // held by writers of the view
 	view atomic.Pointer[Server]
 
-	inFlight atomic.Int64
-	pending  atomic.Int64
-	limit    atomic.Int64
+	inFlight  atomic.Int64
+	bulk      atomic.Int64 // of inFlight
+	pending   atomic.Int64
+	limit     atomic.Int64
+	bulkLimit atomic.Int64
 }
 
 // Facts is what decisions read of a server for every request, worked out when
@@ -61,7 +63,7 @@
 func newEntry(id string, slot int, now time.Time) *Entry {
 	e := &Entry{slot: slot}
 	e.view.Store(&Server{ID: id, Since: now, LatencyFactor: 1})
-	e.limit.Store(initialLimit)
+	e.SetLimit(initialLimit, initialLimit)
 	return e
 }
 
@@ -90,8 +92,11 @@
 
 // Begin counts a request of this instance and the prompt tokens that the server
 // has to compute for it.
-func (e *Entry) Begin(promptTokens int) {
+func (e *Entry) Begin(promptTokens int, bulk bool) {
 	e.inFlight.Add(1)
+	if bulk {
+		e.bulk.Add(1)
+	}
 	e.pending.Add(int64(promptTokens))
 }
 
@@ -99,7 +104,18 @@
 func (e *Entry) Started(promptTokens int) { e.pending.Add(-int64(promptTokens)) }
 
 // End is the counterpart of Begin.
-func (e *Entry) End() { e.inFlight.Add(-1) }
+func (e *Entry) End(bulk bool) {
+	e.inFlight.Add(-1)
+	if bulk {
+		e.bulk.Add(-1)
+	}
+}
+
+// Bulk returns how many of this instance's requests on the server are bulk.
+func (e *Entry) Bulk() int { return int(e.bulk.Load()) }
+
+// BulkLimit returns how many bulk requests of this instance the server may have.
+func (e *Entry) BulkLimit() int { return int(e.bulkLimit.Load()) }
 
 // InFlight returns how many requests of this instance the server has.
 func (e *Entry) InFlight() int { return int(e.inFlight.Load()) }
@@ -110,8 +126,11 @@
 // Limit returns how many requests of this instance the server may have.
 func (e *Entry) Limit() int { return int(e.limit.Load()) }
 
-// SetLimit replaces the limit.
-func (e *Entry) SetLimit(limit int) { e.limit.Store(int64(limit)) }
+// SetLimit replaces the limits of all and of bulk requests.
+func (e *Entry) SetLimit(limit, bulk int) {
+	e.limit.Store(int64(limit))
+	e.bulkLimit.Store(int64(bulk))
+}
 
 // Measured replaces what this instance measured of the server: how long a
 // request lasts, and how the time to the first token compares with the expected one.
--- a/transport/dispatch/admit.go
+++ b/transport/dispatch/admit.go
@@ -47,13 +47,14 @@
 
 // refresh tells the queue how many slots the service's servers have now.
 func (a *Admission) refresh(s *service.Service, q *admission.Queue, now time.Time) {
-	capacity := 0
+	capacity, forBulk := 0, 0
 	for _, e := range a.servers.Entries(s.Name) {
 		if v := e.View(); v.Usable() && !v.Ejected(now) && s.AllowsVersion(v.Version) {
 			capacity += e.Limit()
+			forBulk += e.BulkLimit()
 		}
 	}
-	q.Configure(settingsOf(s), capacity, now)
+	q.Configure(settingsOf(s), capacity, forBulk, now)
 }
 
 // Refresh takes in what became of the service's servers, and refuses requests
@@ -96,7 +97,9 @@
 // Reported takes in a server's report.
 func (a *Admission) Reported(e *servers.Entry, s *service.Service, now time.Time) {
 	load := &e.View().Load
-	a.limit(e, s, func(l *admission.Limiter, _ int) { l.Reported(load.BootID, load.Waiting, now) })
+	a.limit(e, s, func(l *admission.Limiter, _ int) {
+		l.Reported(admission.Report{BootID: load.BootID, Running: load.Running, Waiting: load.Waiting, InBulk: e.Bulk()}, now)
+	})
 }
 
 func (a *Admission) answered(e *servers.Entry, s *service.Service, answer admission.Answer, now time.Time) {
--- a/transport/dispatch/local.go
+++ b/transport/dispatch/local.go
@@ -131,7 +131,7 @@
 }
 
 func (l *Local) request(w *Work, svc *service.Service) *routing.Request {
-	r := &routing.Request{Service: svc, Account: xxhash.Sum64String(w.Account), Home: w.Home, Hop: w.Hop}
+	r := &routing.Request{Service: svc, Account: xxhash.Sum64String(w.Account), Home: w.Home, Hop: w.Hop, Bulk: w.Class == service.ClassBulk}
 	if w.Generation != nil {
 		r.PromptTokens, r.Cached = l.Prefixes.match(w)
 	}
@@ -180,15 +180,18 @@
 // dispatch runs the work on its server and takes in what that showed.
 func (l *Local) dispatch(ctx context.Context, w *Work, p *placed, sink Sink) error {
 	m := newMeasured(sink, p)
-	p.entry.Begin(p.prompt)
+	bulk := w.Class == service.ClassBulk
+	p.entry.Begin(p.prompt, bulk)
 	if w.Generation != nil {
 		l.Prefixes.dispatched(w, p.entry.Slot())
 	}
 	err := l.send(ctx, w, p, m)
 	m.begin()
-	inFlight := p.entry.InFlight()
-	p.entry.End()
-	l.observe(ctx, w, p, m, inFlight, err)
+	answer := admission.Answer{
+		Bulk: bulk, Latency: m.latency, Expected: m.alone, InFlight: p.entry.InFlight(), InBulk: p.entry.Bulk(),
+	}
+	p.entry.End(bulk)
+	l.observe(ctx, w, p, m, answer, err)
 	return err
 }
 
@@ -199,15 +202,11 @@
 	return l.operate(ctx, w, p.server, sink)
 }
 
-func (l *Local) observe(ctx context.Context, w *Work, p *placed, m *measured, inFlight int, err error) {
+func (l *Local) observe(ctx context.Context, w *Work, p *placed, m *measured, answer admission.Answer, err error) {
 	now := time.Now()
 	switch {
 	case err == nil:
 		duration := now.Sub(m.sent)
-		answer := admission.Answer{Latency: m.latency, Expected: m.alone, InFlight: inFlight}
-		if w.Generation == nil {
-			answer.Expected = 0
-		}
 		l.Admission.answered(p.entry, p.service, answer, now)
 		routing.Answered(p.entry, m.latency, m.expected, duration)
 	case ctx.Err() == nil && refusal.From(err).Code == refusal.CodeBackendFailed:
