Let bulk alone pay for what slows interactive requests

Now only bulk's window shrinks for that; the limit of all is bounded by the batch the server showed, and shrinks when answers are three times as late as alone. Interactive requests do not wait here behind bulk beyond its floor, since engines run them first.

--- a/coordination/admission/limit.go
+++ b/coordination/admission/limit.go
@@ -10,12 +10,15 @@
 	startLimit     = 4
 	shrink         = 0.8                    // of the limit, when a server is congested
 	shrinkEvery    = 500 * time.Millisecond // a congestion shows in several samples: it counts once
-	slowFactor     = 2.0                    // time to the first token against the expected one that counts as congested
-	slowFloor      = 100 * time.Millisecond // lateness below which nothing counts as congested
-	usedShare      = 0.7                    // of the limit in use for the limit to grow
-	bulkShare      = 0.7                    // of a server's places, above which bulk gives way
-	forgetFastest  = 100                    // answers after which the fastest one has nearly tripled
-	waitingAllowed = 1                      // requests waiting in the server that are no congestion
+	lateFactor     = 1.5                    // time to the first token against the expected one at which bulk gives way
+	lateFloor      = 100 * time.Millisecond // lateness below which it does not
+	slowFactor     = 3.0                    // the same for the limit of all
+	slowFloor      = 250 * time.Millisecond
+	usedShare      = 0.7              // of the limit in use for the limit to grow
+	bulkShare      = 0.35             // of a server's places, above which bulk gives way
+	sharedFor      = 30 * time.Second // after an interactive answer, bulk leaves places free
+	forgetFastest  = 100              // answers after which the fastest one has nearly tripled
+	waitingAllowed = 1                // requests waiting in the server that are no congestion
 )
 
 // Limiter adapts how many requests one instance keeps in flight on one server.
@@ -34,10 +37,11 @@
 // limits approach an even split, and an instance without callers, whose limit
 // is not used and does not grow, leaves its part to the others.
 type Limiter struct {
-	all, bulk window
-	bootID    string
-	batch     int           // requests that ran when others had to wait in the server; 0 when not seen
-	fastest   time.Duration // answer of late, for servers that nothing is expected of
+	all, bulk   window
+	bootID      string
+	interactive time.Time     // when the last interactive request was answered
+	batch       int           // requests that ran when others had to wait in the server; 0 when not seen
+	fastest     time.Duration // answer of late, for servers that nothing is expected of
 }
 
 // window is one limit.
@@ -100,25 +104,35 @@
 		l.all.shrink(now)
 		return
 	}
-	if l.slow(a) {
-		if !a.Bulk {
-			l.congested(a.InBulk, now)
-		}
+	if !a.Bulk {
+		l.interactive = now
+	}
+	late, ratio := l.lateness(a)
+	switch {
+	case a.Bulk:
+	case late > slowFloor && ratio > slowFactor:
+		l.congested(a.InBulk, now)
+		return
+	case a.InBulk > 0 && late > lateFloor && ratio > lateFactor:
+		l.bulk.shrink(now)
 		return
 	}
+	if l.batch > 0 {
+		ceiling = min(ceiling, l.batch)
+	}
 	l.all.grow(a.InFlight, float64(ceiling))
 	if a.Bulk {
 		l.bulk.grow(a.InBulk, l.all.limit)
 	}
 }
 
-func (l *Limiter) slow(a Answer) bool {
+// lateness compares an answer with the time that its server needs alone.
+func (l *Limiter) lateness(a Answer) (late time.Duration, ratio float64) {
 	expected := a.Expected
 	if expected == 0 {
 		expected = l.usual(a.Latency)
 	}
-	late := a.Latency - expected
-	return late > slowFloor && a.Latency > time.Duration(slowFactor*float64(expected))
+	return a.Latency - expected, float64(a.Latency) / float64(max(expected, 1))
 }
 
 // Report is what a server says of itself, and InBulk how many bulk requests this
@@ -133,18 +147,20 @@
 // limits begin anew. Once it is known how many requests the server runs at a
 // time, bulk gives way before the last places are taken: an interactive request
 // that finds the batch full waits for a long answer to end, whatever its
-// priority.
+// priority. Where no interactive requests came of late, bulk may have it all.
 func (l *Limiter) Reported(r Report, now time.Time) {
 	if l.bootID != "" && r.BootID != l.bootID {
 		*l = *NewLimiter()
 	}
 	l.bootID = r.BootID
 	if r.Waiting > waitingAllowed {
-		l.batch = r.Running
+		l.batch = max(r.Running, 1)
+		l.all.limit = min(l.all.limit, float64(l.batch))
 		l.congested(r.InBulk, now)
 		return
 	}
-	if r.InBulk > 0 && float64(r.Running) > bulkShare*float64(l.batch) && l.batch > 0 {
+	shared := now.Sub(l.interactive) < sharedFor
+	if shared && r.InBulk > 0 && float64(r.Running) > bulkShare*float64(l.batch) && l.batch > 0 {
 		l.bulk.shrink(now)
 	}
 }
--- a/coordination/admission/queue.go
+++ b/coordination/admission/queue.go
@@ -270,13 +270,14 @@
 	}
 }
 
-// free tells whether a request of the class may take a slot now.
+// free tells whether a request of the class may take a slot now. Bulk beyond its
+// floor does not count against interactive requests: servers run those first,
+// and waiting here for a long review to end would only be longer.
 func (q *Queue) free(c service.Class) bool {
-	free := q.capacity - q.running()
 	if c == service.ClassBulk {
-		return free > 0 && q.bulk.running < q.bulkCeiling()
+		return q.running() < q.capacity && q.bulk.running < q.bulkCeiling()
 	}
-	return free > 0
+	return q.interactive.running+min(q.bulk.running, q.floorSlots()) < q.capacity
 }
 
 // bulkCeiling is how many slots bulk may hold. Without it bulk would take every
--- a/coordination/routing/server.go
+++ b/coordination/routing/server.go
@@ -88,7 +88,10 @@
 
 // full tells whether the server is at the limit for requests of this kind.
 func (r *Request) full(e *servers.Entry) bool {
-	return e.InFlight() >= e.Limit() || (r.Bulk && e.Bulk() >= e.BulkLimit())
+	if r.Bulk {
+		return e.InFlight() >= e.Limit() || e.Bulk() >= e.BulkLimit()
+	}
+	return e.InFlight()-e.Bulk() >= e.Limit()
 }
 
 func (r *Request) permits(v *servers.Server) bool {
