--- /dev/null
+++ b/coordination/quarantine/quarantine_test.go
@@ -0,0 +1,86 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// Two instances see the same server die, a third sees another die. All merge
+// what they know: the fingerprint has two crashes, not three, and is refused
+// everywhere until one of them runs out.
+func TestCrashesAreCountedOnce(t *testing.T) {
+	a, b, c := New(), New(), New()
+	a.Crashed("f", "s1", "boot", start)
+	b.Crashed("f", "s1", "boot", start.Add(time.Second))
+	for _, r := range a.Records(start) {
+		b.Merge(r)
+	}
+	if _, refused := b.Refused("f", start); refused || !b.Suspected("f", start) {
+		t.Error("one crash seen by two instances counts as two")
+	}
+	c.Crashed("f", "s2", "boot", start.Add(time.Minute))
+	for _, r := range b.Records(start) {
+		c.Merge(r)
+	}
+	until, refused := c.Refused("f", start)
+	if want := start.Add(time.Second + HoldFor); !refused || !until.Equal(want) {
+		t.Errorf("refused %t until %s, want %s", refused, until, want)
+	}
+	if _, still := c.Refused("f", until); still || !c.Suspected("f", until) {
+		t.Error("one of two crashes ran out, and the fingerprint is not a mere suspect")
+	}
+}
+
+// No answer comes from the server after a connection broke. Until its next report
+// the crash is presumed; the same boot id then clears the request, another one
+// confirms the crash.
+func TestNextReportDecides(t *testing.T) {
+	for _, c := range []struct {
+		boot string
+		want bool
+	}{{"boot", false}, {"another", true}} {
+		l := New()
+		l.Presume("f", "s1", "boot", start)
+		if !l.Suspected("f", start) {
+			t.Error("a presumed crash is not held against the request")
+		}
+		l.Reported("s1", c.boot, start.Add(time.Second))
+		if got := l.Suspected("f", start.Add(time.Minute)); got != c.want {
+			t.Errorf("reported as %q: suspected %t", c.boot, got)
+		}
+	}
+	l := New()
+	l.Presume("f", "s1", "boot", start)
+	if l.Suspected("f", start.Add(presumeFor)) {
+		t.Error("the presumption about a server that is cut off does not run out")
+	}
+}
+
+// Suspects run one to a server, and one copy of each at a time.
+func TestSuspectsRunApart(t *testing.T) {
+	a := NewApart()
+	first, ok := a.Begin("f", "s1", true)
+	if !ok {
+		t.Fatal("the first suspect was turned away")
+	}
+	if _, ok := a.Begin("g", "s1", true); ok {
+		t.Error("two suspects on one server")
+	}
+	if _, ok := a.Begin("f", "s2", true); ok {
+		t.Error("two copies of a suspect")
+	}
+	if _, ok := a.Begin("h", "s1", false); !ok {
+		t.Error("a request that is not suspected was turned away")
+	}
+	busy, alone, changed := a.Busy("g")
+	if !busy["s1"] || !alone {
+		t.Errorf("busy %v, alone %t", busy, alone)
+	}
+	a.End(first)
+	<-changed
+	if _, ok := a.Begin("g", "s1", true); !ok {
+		t.Error("the server is not free after its suspect ended")
+	}
+}
--- a/coordination/routing/server.go
+++ b/coordination/routing/server.go
@@ -15,7 +15,7 @@
 	fadeAfter          = 2e9     // nanoseconds of age at which a report counts half
 	warmUp             = 10e9    // nanoseconds after a start, while caches are cold
 	warmUpPenalty      = 0.1     // seconds, of a server that has just started
-	perRequest         = 0.001   // seconds that each running request adds to a step
+	perRequest         = 0.004   // seconds that each running request adds to a step
 	costPrefillFactor  = 3.0     // weight of prompt tokens under the cost policy
 	nearBestFactor     = 1.2     // costs up to so much above the best are as good
 	nearBestSlack      = 0.005   // seconds, the same
