--- a/transport/dispatch/front.go
+++ b/transport/dispatch/front.go
@@ -82,7 +82,7 @@
 	if svc == nil {
 		return refusal.New(refusal.CodeNotFound, "no service %q", w.Service)
 	}
-	if until, refused := f.Quarantine.Refused(w.fingerprint(), time.Now()); refused {
+	if until, refused := f.Quarantine.Refused(w.print(), time.Now()); refused {
 		return quarantined(until)
 	}
 	cost := w.Cost(svc)
@@ -199,7 +199,7 @@
 
 func (f *Front) choose(request *routing.Request, w *Work) *routing.Domain {
 	own, others := f.Known.Own(w.Service), f.Known.Others(w.Service)
-	fingerprint := w.fingerprint()
+	fingerprint := w.print()
 	if f.Quarantine.Suspected(fingerprint, time.Now()) {
 		return routing.Designate(request, xxhash.Sum64String(fingerprint), &own, others)
 	}
--- a/transport/dispatch/local.go
+++ b/transport/dispatch/local.go
@@ -90,7 +90,7 @@
 // place chooses the server. A suspected request waits for one without other
 // suspects; what became known of it while it waited counts.
 func (l *Local) place(ctx context.Context, w *Work, svc *service.Service) (*placed, *refusal.Refusal) {
-	fingerprint := w.fingerprint()
+	fingerprint := w.print()
 	request := l.request(w, svc)
 	for {
 		now := time.Now()
--- a/transport/dispatch/work.go
+++ b/transport/dispatch/work.go
@@ -27,7 +27,8 @@
 	MaxWait   time.Duration // in queues
 	Via       string
 
-	tried []string // servers of the own domain that failed this request
+	tried       []string // servers of the own domain that failed this request
+	fingerprint string   // set by print
 
 	Generation *Generation // exactly one of the two is set
 	Operation  *Operation
@@ -82,9 +83,12 @@
 	return s.Operations[w.Operation.Name].Repeatable
 }
 
-// fingerprint identifies the work in the quarantine.
-func (w *Work) fingerprint() string {
-	return quarantine.Fingerprint(w.Account, w.Service, w.body())
+// print returns what identifies the work in the quarantine. It is worked out once.
+func (w *Work) print() string {
+	if w.fingerprint == "" {
+		w.fingerprint = quarantine.Fingerprint(w.Account, w.Service, w.body())
+	}
+	return w.fingerprint
 }
 
 // body is what the work's fingerprint covers.
