--- a/coordination/routing/domain.go
+++ b/coordination/routing/domain.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -67,7 +66,7 @@
 			far = t.better(r, far, d)
 		}
 	}
-	if near == nil && far == nil {
+	if near == nil && far == nil && !t.servedHere(r, own, others) {
 		far = t.refuge(r, others)
 	}
 	chosen := t.spill(r, near, far)
@@ -77,17 +76,30 @@
 	return chosen
 }
 
-// refuge returns the far domain with the shortest wait for a request that has no
-// place in its own region. No gain is weighed and no room has to be spoken of:
-// the far queue refuses at once what it cannot start in time, and without this
-// the callers of a lost region are refused while others still have slots.
+// servedHere tells whether the own region has servers for the request, be their
+// queues full or not.
+func (t *Router) servedHere(r *Request, own *Domain, others []Domain) bool {
+	if own.Servers > 0 && Allowed(r, own.Region, own.Name) {
+		return true
+	}
+	for i := range others {
+		d := &others[i]
+		if d.Region == t.region && d.Servers > 0 && Allowed(r, d.Region, d.Name) {
+			return true
+		}
+	}
+	return false
+}
+
+// refuge returns the far domain with the shortest wait for a request whose own
+// region has no servers. No gain is weighed and no room has to be spoken of: the
+// far queue refuses at once what it cannot start in time, and without this the
+// callers of a lost region are refused while others still have slots.
 func (t *Router) refuge(r *Request, others []Domain) *Domain {
 	var best *Domain
 	for i := range others {
 		d := &others[i]
-		d0 := *d
-		d0.HasRoom, d0.Room = true, math.MaxInt
-		if d.Region == t.region || d.Name == t.domain || !t.candidate(r, &d0) {
+		if d.Region == t.region || r.Hop >= MaxHops || !r.reaches(d) {
 			continue
 		}
 		if best == nil || t.nearCost(d) < t.nearCost(best) {
@@ -97,6 +109,11 @@
 	return best
 }
 
+// reaches tells whether the domain may run the request and did not fail it.
+func (r *Request) reaches(d *Domain) bool {
+	return d.Servers > 0 && Allowed(r, d.Region, d.Name) && !r.Exclude[d.Name] && !r.Exclude[d.PeerID]
+}
+
 // Designate returns the one instance that runs a suspected request. The
 // fingerprint chooses the failure domain, so that copies sent through several
 // instances meet; in the domain it is the same instance for all suspects, since
@@ -130,7 +147,7 @@
 }
 
 func (t *Router) candidate(r *Request, d *Domain) bool {
-	if !Allowed(r, d.Region, d.Name) || d.Servers == 0 || r.Exclude[d.Name] || r.Exclude[d.PeerID] {
+	if !r.reaches(d) {
 		return false
 	}
 	if d.Name == t.domain {
--- a/coordination/routing/routing_test.go
+++ b/coordination/routing/routing_test.go
@@ -170,6 +170,27 @@
 	}
 }
 
+// A region lost its servers. Its callers are served by another region that has
+// slots but has not spoken of room; with servers at home, only full, they stay.
+func TestLostRegionFindsRefuge(t *testing.T) {
+	router := NewRouter("suva-a", "suva-a-1")
+	r := request()
+	others := []Domain{far("p", 2*time.Second, false), far("q", time.Second, false)}
+	lost := near(0)
+	lost.Servers = 0
+	if d := router.ChooseDomain(r, lost, others); d == nil || d.PeerID != "q" {
+		t.Errorf("a lost region's request went to %+v", d)
+	}
+	r.Exclude = map[string]bool{"suva-a-1": true}
+	if d := router.ChooseDomain(r, near(time.Second), others); d != nil {
+		t.Errorf("a request that its own region's queue refused went to %+v", d)
+	}
+	r.Hop = MaxHops
+	if d := router.ChooseDomain(r, lost, others); d != nil {
+		t.Errorf("a forwarded request went to %+v", d)
+	}
+}
+
 // Several accounts use several instances of a far domain, each account one.
 func TestAccountsSpreadOverPeers(t *testing.T) {
 	router := NewRouter("suva-a", "suva-a-1")
