Tell the room for interactive and for bulk requests apart

Cause: a domain full of bulk said that it had no room, so interactive requests were not spilled to it although its servers take them first; and a bulk request was judged by the wait of interactive ones, so it waited at home beside a far domain with room.

--- a/coordination/admission/queue.go
+++ b/coordination/admission/queue.go
@@ -184,18 +184,41 @@
 // Stats is what the queue tells of itself.
 type Stats struct {
 	Capacity, Running, Waiting int
-	ExpectedWait               time.Duration // of the next interactive request of a new account
-	Room                       int           // slots that interactive requests can still take
+	Interactive, Bulk          ClassStats
 }
 
+// ClassStats is how a class stands.
+type ClassStats struct {
+	Waiting      int
+	Room         int           // slots that the class can still take
+	ExpectedWait time.Duration // of the next request of a new account
+	HasRoom      bool          // for work from other failure domains
+}
+
+// farShare is the part of the slots that has to be free for a class to take work
+// from other failure domains: the last ones are for the domain's own callers.
+const farShare = 8
+
 // Stats returns the current state.
 func (q *Queue) Stats() Stats {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	newcomer := &Ticket{Item: Item{Class: service.ClassInteractive, Weight: q.interactive.flows.meanWeight()}}
+	interactive := q.capacity - q.interactive.running - min(q.bulk.running, q.floorSlots())
+	bulk := min(q.capacity-q.running(), q.bulkCeiling()-q.bulk.running)
 	return Stats{
 		Capacity: q.capacity, Running: q.running(), Waiting: q.waiting(),
-		ExpectedWait: q.expected(newcomer), Room: max(q.capacity-q.running(), 0),
+		Interactive: q.classStats(service.ClassInteractive, interactive),
+		Bulk:        q.classStats(service.ClassBulk, bulk),
+	}
+}
+
+func (q *Queue) classStats(of service.Class, room int) ClassStats {
+	c := q.class(of)
+	room = max(room, 0)
+	newcomer := &Ticket{Item: Item{Class: of, Weight: c.flows.meanWeight()}}
+	return ClassStats{
+		Waiting: c.flows.count, Room: room, ExpectedWait: q.expected(newcomer),
+		HasRoom: c.flows.count == 0 && room > 0 && room*farShare >= q.capacity,
 	}
 }
 
--- a/coordination/routing/domain.go
+++ b/coordination/routing/domain.go
@@ -24,7 +24,15 @@
 	roomShare = 4
 )
 
-type sentKey struct{ service, peer string }
+type sentKey struct {
+	service, peer string
+	bulk          bool
+}
+
+type spillKey struct {
+	service string
+	bulk    bool
+}
 
 type sent struct {
 	report uint64
@@ -36,13 +44,13 @@
 	region, domain string
 
 	mu       sync.Mutex
-	spilling map[string]bool // by service
+	spilling map[spillKey]bool
 	sent     map[sentKey]sent
 }
 
 // NewRouter returns the router of an instance in a failure domain.
 func NewRouter(region, domain string) *Router {
-	return &Router{region: region, domain: domain, spilling: make(map[string]bool), sent: make(map[sentKey]sent)}
+	return &Router{region: region, domain: domain, spilling: make(map[spillKey]bool), sent: make(map[sentKey]sent)}
 }
 
 // ChooseDomain returns where to run: own, one of others, or nil. A request
@@ -102,7 +110,7 @@
 		if d.Region == t.region || r.Hop >= MaxHops || !r.reaches(d) {
 			continue
 		}
-		if best == nil || t.nearCost(d) < t.nearCost(best) {
+		if best == nil || t.nearCost(r, d) < t.nearCost(r, best) {
 			best = d
 		}
 	}
@@ -153,7 +161,7 @@
 	if d.Name == t.domain {
 		return true
 	}
-	if r.Hop >= MaxHops || !d.HasRoom || !t.roomLeft(r, d) {
+	if r.Hop >= MaxHops || !r.queue(d).HasRoom || !t.roomLeft(r, d) {
 		return false
 	}
 	return d.Region == t.region || !r.Service.Spill.Disabled
@@ -162,12 +170,12 @@
 // roomLeft counts what this instance sent since the domain's report: a report is
 // a second old, and a burst would otherwise go to one place as a whole.
 func (t *Router) roomLeft(r *Request, d *Domain) bool {
-	s := t.sent[sentKey{r.Service.Name, d.PeerID}]
-	return s.report != d.Report || s.count < max(d.Room/roomShare, 1)
+	s := t.sent[sentKey{r.Service.Name, d.PeerID, r.Bulk}]
+	return s.report != d.Report || s.count < max(r.queue(d).Room/roomShare, 1)
 }
 
 func (t *Router) count(r *Request, d *Domain) {
-	key := sentKey{r.Service.Name, d.PeerID}
+	key := sentKey{r.Service.Name, d.PeerID, r.Bulk}
 	s := t.sent[key]
 	if s.report != d.Report {
 		s = sent{report: d.Report}
@@ -189,14 +197,14 @@
 		}
 		return a
 	}
-	if t.nearCost(b) < t.nearCost(a) {
+	if t.nearCost(r, b) < t.nearCost(r, a) {
 		return b
 	}
 	return a
 }
 
-func (t *Router) nearCost(d *Domain) time.Duration {
-	cost := d.ExpectedWait + 2*d.LinkDelay
+func (t *Router) nearCost(r *Request, d *Domain) time.Duration {
+	cost := r.queue(d).ExpectedWait + 2*d.LinkDelay
 	if d.Name != t.domain && d.Region == t.region {
 		cost += domainGain
 	}
@@ -210,15 +218,16 @@
 	if far == nil {
 		return near
 	}
+	key := spillKey{r.Service.Name, r.Bulk}
 	threshold := r.Service.Spill.Gain
 	if r.Service.Policy == service.PolicyCost {
 		threshold *= costGainFactor
 	}
-	if t.spilling[r.Service.Name] {
+	if t.spilling[key] {
 		threshold /= stayDivisor
 	}
-	spills := t.nearCost(near)-t.nearCost(far) > threshold
-	t.spilling[r.Service.Name] = spills
+	spills := t.nearCost(r, near)-t.nearCost(r, far) > threshold
+	t.spilling[key] = spills
 	if spills {
 		return far
 	}
--- a/coordination/routing/routing.go
+++ b/coordination/routing/routing.go
@@ -17,20 +17,34 @@
 // Domain is what is known of a failure domain for one service. A far domain
 // stands once for each of its instances.
 type Domain struct {
-	Name         string
-	Region       string
-	Peer         string // peer address of the instance to forward to; empty for the own domain
-	PeerID       string
-	PeerHash     uint64 // of PeerID
-	Report       uint64 // number of the report that the load is from
-	Servers      int
-	InFlight     int
+	Name        string
+	Region      string
+	Peer        string // peer address of the instance to forward to; empty for the own domain
+	PeerID      string
+	PeerHash    uint64 // of PeerID
+	Report      uint64 // number of the report that the load is from
+	Servers     int
+	InFlight    int
+	LinkDelay   time.Duration // one way
+	Interactive Queue
+	Bulk        Queue
+}
+
+// Queue is how a class of requests stands in a failure domain.
+type Queue struct {
 	ExpectedWait time.Duration
-	LinkDelay    time.Duration // one way
 	HasRoom      bool
 	Room         int // requests that it can start at once
 }
 
+// queue returns the queue that the request would join.
+func (r *Request) queue(d *Domain) *Queue {
+	if r.Bulk {
+		return &d.Bulk
+	}
+	return &d.Interactive
+}
+
 // Request is what routing needs to know of a request.
 type Request struct {
 	Service      *service.Service
--- a/coordination/routing/routing_test.go
+++ b/coordination/routing/routing_test.go
@@ -124,12 +124,12 @@
 func far(peer string, wait time.Duration, room bool) Domain {
 	return Domain{
 		Name: "labasa-a-1", Region: "labasa-a", Peer: "192.0.2.1:1", PeerID: peer, Report: 1,
-		Servers: 3, LinkDelay: 80 * time.Millisecond, HasRoom: room, Room: 100, ExpectedWait: wait,
+		Servers: 3, LinkDelay: 80 * time.Millisecond, Interactive: Queue{HasRoom: room, Room: 100, ExpectedWait: wait},
 	}
 }
 
 func near(wait time.Duration) *Domain {
-	return &Domain{Name: "suva-a-1", Region: "suva-a", Servers: 3, HasRoom: true, ExpectedWait: wait}
+	return &Domain{Name: "suva-a-1", Region: "suva-a", Servers: 3, Interactive: Queue{HasRoom: true, ExpectedWait: wait}}
 }
 
 // Requests leave the region when that wins more than the setting, and then go on
@@ -159,7 +159,7 @@
 	}
 	sent := 0
 	burst := far("q", 0, true)
-	burst.Report, burst.Room = 2, 40
+	burst.Report, burst.Interactive.Room = 2, 40
 	for range 100 {
 		if spills(5*time.Second, burst) {
 			sent++
@@ -197,7 +197,7 @@
 	var others []Domain
 	for i := range 4 {
 		d := far(fmt.Sprint("p", i), 0, true)
-		d.PeerHash, d.Room = uint64(i+1)*0x9e3779b97f4a7c15, 1<<20
+		d.PeerHash, d.Interactive.Room = uint64(i+1)*0x9e3779b97f4a7c15, 1<<20
 		others = append(others, d)
 	}
 	used := make(map[string]int)
@@ -229,13 +229,13 @@
 		r.Hop = rapid.IntRange(0, MaxHops).Draw(t, "hop")
 		r.Service.Regions = rapid.SliceOfN(rapid.SampledFrom(regions), 0, 2).Draw(t, "regions")
 		r.Service.Spill.Disabled = rapid.Bool().Draw(t, "disabled")
-		own := Domain{Name: "own", Region: region("own"), Servers: rapid.IntRange(0, 1).Draw(t, "servers"), HasRoom: true,
-			ExpectedWait: time.Duration(rapid.IntRange(0, 9000).Draw(t, "wait")) * time.Millisecond}
+		own := Domain{Name: "own", Region: region("own"), Servers: rapid.IntRange(0, 1).Draw(t, "servers"), Interactive: Queue{HasRoom: true,
+			ExpectedWait: time.Duration(rapid.IntRange(0, 9000).Draw(t, "wait")) * time.Millisecond}}
 		var others []Domain
 		for i := range rapid.IntRange(0, 6).Draw(t, "others") {
 			at := region("region")
 			others = append(others, Domain{Name: at + "-1", Region: at, PeerID: fmt.Sprint(i), Peer: "x",
-				Servers: 1, HasRoom: rapid.Bool().Draw(t, "room"), Room: 8})
+				Servers: 1, Interactive: Queue{HasRoom: rapid.Bool().Draw(t, "room"), Room: 8}})
 		}
 		router := NewRouter(own.Region, own.Name)
 		for _, d := range []*Domain{router.ChooseDomain(r, &own, others), Designate(r, 7, &own, others)} {
--- a/experiment/policy_gateway.go
+++ b/experiment/policy_gateway.go
@@ -97,14 +97,12 @@
 	g.report++
 	g.reported = g.domain()
 	g.reported.Report, g.reported.Peer = g.report, g.id
-	stats := g.line.stats()
-	g.reported.HasRoom = g.reported.Servers > 0 && stats.Waiting == 0 && stats.Room*8 >= stats.Capacity && stats.Room > 0
 }
 
 func (g *simGateway) domain() routing.Domain {
 	d := routing.Domain{
 		Name: g.region.name, Region: g.region.name, PeerID: g.id, PeerHash: xxhash.Sum64String(g.id),
-		LinkDelay: linkDelay, HasRoom: true,
+		LinkDelay: linkDelay,
 	}
 	for _, e := range g.table.Entries(g.sim.service.Name) {
 		if e.View().Usable() {
@@ -112,10 +110,14 @@
 		}
 	}
 	stats := g.line.stats()
-	d.ExpectedWait, d.Room = stats.ExpectedWait, stats.Room
+	d.Interactive, d.Bulk = simQueue(stats.Interactive), simQueue(stats.Bulk)
 	return d
 }
 
+func simQueue(s admission.ClassStats) routing.Queue {
+	return routing.Queue{ExpectedWait: s.ExpectedWait, HasRoom: s.HasRoom, Room: s.Room}
+}
+
 // place is called when the job has its slot here.
 func (g *simGateway) place(j *job) {
 	list := g.table.Entries(g.sim.service.Name)
--- a/experiment/policy_line.go
+++ b/experiment/policy_line.go
@@ -113,9 +113,10 @@
 func (l *fifoLine) shed() {}
 
 func (l *fifoLine) stats() admission.Stats {
-	wait := time.Duration(0)
+	room := max(l.capacity-l.running, 0)
+	c := admission.ClassStats{Waiting: len(l.waiting), Room: room, HasRoom: len(l.waiting) == 0 && room*8 >= l.capacity && room > 0}
 	if len(l.waiting) > 0 {
-		wait = time.Second
+		c.ExpectedWait = time.Second
 	}
-	return admission.Stats{Capacity: l.capacity, Running: l.running, Waiting: len(l.waiting), ExpectedWait: wait, Room: max(l.capacity-l.running, 0)}
+	return admission.Stats{Capacity: l.capacity, Running: l.running, Waiting: len(l.waiting), Interactive: c, Bulk: c}
 }
--- a/experiment/policy_sim.go
+++ b/experiment/policy_sim.go
@@ -236,7 +236,7 @@
 }
 
 func (s *policySim) chooseDomain(j *job, own *routing.Domain, others []routing.Domain) *routing.Domain {
-	r := &routing.Request{Service: s.service, Account: uint64(j.account.number), PromptTokens: j.prompt, Exclude: j.exclude}
+	r := &routing.Request{Service: s.service, Account: uint64(j.account.number), Bulk: j.bulk(), PromptTokens: j.prompt, Exclude: j.exclude}
 	if s.policy.route == routeScore {
 		return j.origin.router.ChooseDomain(r, own, others)
 	}
--- a/instance/domains.go
+++ b/instance/domains.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/basilroute/basilroute/coordination/admission"
 	"github.com/basilroute/basilroute/coordination/membership"
 	"github.com/basilroute/basilroute/coordination/routing"
 )
@@ -30,7 +31,7 @@
 func (i *Instance) Own(name string) routing.Domain {
 	own := routing.Domain{
 		Name: i.settings.Domain, Region: i.settings.Region,
-		PeerID: i.settings.ID, PeerHash: xxhash.Sum64String(i.settings.ID), HasRoom: true,
+		PeerID: i.settings.ID, PeerHash: xxhash.Sum64String(i.settings.ID),
 	}
 	for _, e := range i.servers.Entries(name) {
 		if e.View().Usable() {
@@ -40,11 +41,16 @@
 	}
 	if svc := i.catalog.Service(name); svc != nil {
 		stats := i.local.Admission.Stats(svc)
-		own.ExpectedWait, own.Room = stats.ExpectedWait, stats.Room
+		own.Interactive = queueOf(stats.Interactive)
+		own.Bulk = queueOf(stats.Bulk)
 	}
 	return own
 }
 
+func queueOf(s admission.ClassStats) routing.Queue {
+	return routing.Queue{ExpectedWait: s.ExpectedWait, HasRoom: s.HasRoom, Room: s.Room}
+}
+
 // Others implements dispatch.Domains.
 func (i *Instance) Others(name string) []routing.Domain {
 	now := time.Now()
@@ -76,8 +82,14 @@
 	for _, load := range m.Entry.GetLoads() {
 		if load.GetService() == name {
 			d.Servers, d.InFlight = int(load.GetServers()), int(load.GetInFlight())
-			d.ExpectedWait = time.Duration(load.GetExpectedWaitMs()) * time.Millisecond
-			d.HasRoom, d.Room = load.GetHasRoom(), int(load.GetRoom())
+			d.Interactive = routing.Queue{
+				ExpectedWait: time.Duration(load.GetExpectedWaitMs()) * time.Millisecond,
+				HasRoom:      load.GetHasRoom(), Room: int(load.GetRoom()),
+			}
+			d.Bulk = routing.Queue{
+				ExpectedWait: time.Duration(load.GetBulkWaitMs()) * time.Millisecond,
+				HasRoom:      load.GetBulkHasRoom(), Room: int(load.GetBulkRoom()),
+			}
 		}
 	}
 	return d
--- a/instance/poll.go
+++ b/instance/poll.go
@@ -86,10 +86,6 @@
 	})
 }
 
-// roomShare is the part of the slots that has to be free for the domain to take
-// work from others: the last ones are for its own callers.
-const roomShare = 8
-
 func (i *Instance) ownLoads() []*peerpb.ServiceLoad {
 	var out []*peerpb.ServiceLoad
 	for _, svc := range i.catalog.Services() {
@@ -118,8 +114,11 @@
 	}
 	stats := i.local.Admission.Stats(svc)
 	sum.Queued += uint32(stats.Waiting)
-	sum.ExpectedWaitMs = uint32(stats.ExpectedWait.Milliseconds())
-	sum.Room = uint32(stats.Room)
-	sum.HasRoom = sum.Servers > 0 && stats.Waiting == 0 && stats.Room*roomShare >= stats.Capacity && stats.Room > 0
+	sum.ExpectedWaitMs = uint32(stats.Interactive.ExpectedWait.Milliseconds())
+	sum.HasRoom = stats.Interactive.HasRoom
+	sum.Room = uint32(stats.Interactive.Room)
+	sum.BulkWaitMs = uint32(stats.Bulk.ExpectedWait.Milliseconds())
+	sum.BulkHasRoom = stats.Bulk.HasRoom
+	sum.BulkRoom = uint32(stats.Bulk.Room)
 	return sum
 }
--- a/transport/dispatch/front.go
+++ b/transport/dispatch/front.go
@@ -139,7 +139,8 @@
 // request is what routing needs to know of the work.
 func (f *Front) request(svc *service.Service, w *Work) *routing.Request {
 	r := &routing.Request{
-		Service: svc, Account: xxhash.Sum64String(w.Account), Home: w.Home, Hop: w.Hop, Exclude: make(map[string]bool),
+		Service: svc, Account: xxhash.Sum64String(w.Account), Home: w.Home, Hop: w.Hop,
+		Bulk: w.Class == service.ClassBulk, Exclude: make(map[string]bool),
 	}
 	if w.Generation != nil {
 		r.PromptTokens = tokens.Estimate(w.Generation.Prompt)
--- a/transport/dispatch/front_test.go
+++ b/transport/dispatch/front_test.go
@@ -50,7 +50,7 @@
 func farAt(domain, address string, wait time.Duration) routing.Domain {
 	return routing.Domain{
 		Name: domain, Region: "labasa-a", Peer: address, PeerID: address, Servers: 1,
-		HasRoom: true, Room: 100, ExpectedWait: wait,
+		Interactive: routing.Queue{HasRoom: true, Room: 100, ExpectedWait: wait},
 	}
 }
 
