--- a/coordination/admission/queue.go
+++ b/coordination/admission/queue.go
@@ -74,6 +74,7 @@
 	mu          sync.Mutex
 	settings    Settings
 	capacity    int
+	forBulk     int // slots that bulk may use at most
 	interactive class
 	bulk        class
 	floorCredit float64 // grants due to bulk when the floor is less than a slot
@@ -86,11 +87,12 @@
 	return &Queue{settings: settings}
 }
 
-// Configure replaces the settings and the number of slots.
-func (q *Queue) Configure(settings Settings, capacity int, now time.Time) {
+// Configure replaces the settings, the number of slots, and how many of them
+// bulk may use at most.
+func (q *Queue) Configure(settings Settings, capacity, forBulk int, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.settings, q.capacity = settings, capacity
+	q.settings, q.capacity, q.forBulk = settings, capacity, min(forBulk, capacity)
 	q.grant(now)
 }
 
@@ -182,18 +184,41 @@
 // Stats is what the queue tells of itself.
 type Stats struct {
 	Capacity, Running, Waiting int
-	ExpectedWait               time.Duration // of the next interactive request of a new account
-	Room                       int           // slots that interactive requests can still take
+	Interactive, Bulk          ClassStats
 }
 
+// ClassStats is how a class stands.
+type ClassStats struct {
+	Waiting      int
+	Room         int           // slots that the class can still take
+	ExpectedWait time.Duration // of the next request of a new account
+	HasRoom      bool          // for work from other failure domains
+}
+
+// farShare is the part of the slots that has to be free for a class to take work
+// from other failure domains: the last ones are for the domain's own callers.
+const farShare = 8
+
 // Stats returns the current state.
 func (q *Queue) Stats() Stats {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	newcomer := &Ticket{Item: Item{Class: service.ClassInteractive, Weight: q.interactive.flows.meanWeight()}}
+	interactive := q.capacity - q.interactive.running - min(q.bulk.running, q.floorSlots())
+	bulk := min(q.capacity-q.running(), q.bulkCeiling()-q.bulk.running)
 	return Stats{
 		Capacity: q.capacity, Running: q.running(), Waiting: q.waiting(),
-		ExpectedWait: q.expected(newcomer), Room: max(q.capacity-q.running(), 0),
+		Interactive: q.classStats(service.ClassInteractive, interactive),
+		Bulk:        q.classStats(service.ClassBulk, bulk),
+	}
+}
+
+func (q *Queue) classStats(of service.Class, room int) ClassStats {
+	c := q.class(of)
+	room = max(room, 0)
+	newcomer := &Ticket{Item: Item{Class: of, Weight: c.flows.meanWeight()}}
+	return ClassStats{
+		Waiting: c.flows.count, Room: room, ExpectedWait: q.expected(newcomer),
+		HasRoom: c.flows.count == 0 && room > 0 && room*farShare >= q.capacity,
 	}
 }
 
@@ -268,13 +293,14 @@
 	}
 }
 
-// free tells whether a request of the class may take a slot now.
+// free tells whether a request of the class may take a slot now. Bulk beyond its
+// floor does not count against interactive requests: servers run those first,
+// and waiting here for a long review to end would only be longer.
 func (q *Queue) free(c service.Class) bool {
-	free := q.capacity - q.running()
 	if c == service.ClassBulk {
-		return free > 0 && q.bulk.running < q.bulkCeiling()
+		return q.running() < q.capacity && q.bulk.running < q.bulkCeiling()
 	}
-	return free > 0
+	return q.interactive.running+min(q.bulk.running, q.floorSlots()) < q.capacity
 }
 
 // bulkCeiling is how many slots bulk may hold. Without it bulk would take every
@@ -283,7 +309,7 @@
 // stay free, and bulk keeps its floor.
 func (q *Queue) bulkCeiling() int {
 	reserve := int(math.Ceil(q.peak)) + 1 + q.capacity/reserveShare
-	return max(q.capacity-reserve, q.floorSlots(), min(q.capacity, 1))
+	return max(min(q.capacity-reserve, q.forBulk), q.floorSlots(), min(q.capacity, 1))
 }
 
 func (q *Queue) notePeak(now time.Time) {
--- a/coordination/routing/domain.go
+++ b/coordination/routing/domain.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/basilroute/basilroute/service"
 )
 
@@ -22,7 +24,15 @@
 	roomShare = 4
 )
 
-type sentKey struct{ service, peer string }
+type sentKey struct {
+	service, peer string
+	bulk          bool
+}
+
+type spillKey struct {
+	service string
+	bulk    bool
+}
 
 type sent struct {
 	report uint64
@@ -34,13 +44,13 @@
 	region, domain string
 
 	mu       sync.Mutex
-	spilling map[string]bool // by service
+	spilling map[spillKey]bool
 	sent     map[sentKey]sent
 }
 
 // NewRouter returns the router of an instance in a failure domain.
 func NewRouter(region, domain string) *Router {
-	return &Router{region: region, domain: domain, spilling: make(map[string]bool), sent: make(map[sentKey]sent)}
+	return &Router{region: region, domain: domain, spilling: make(map[spillKey]bool), sent: make(map[sentKey]sent)}
 }
 
 // ChooseDomain returns where to run: own, one of others, or nil. A request
@@ -50,14 +60,17 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	near, far := t.best(r, own, others, (*Router).hasRoom)
-	chosen := t.spill(r, near, far)
-	if chosen == nil {
-		// No place has room to spare. That holds back what could also run
-		// nearer; a request with no other place waits in the queue there, which
-		// refuses it when it cannot make its waiting limit.
-		near, far = t.best(r, own, others, nil)
-		chosen = t.spill(r, near, far)
+	if near == nil && far == nil {
+		// No place has room to spare, which only holds back what could also run
+		// elsewhere. A request that may run in one other domain of the region
+		// waits in the queue there, which refuses it at once when it cannot make
+		// its waiting limit.
+		near, _ = t.best(r, own, others, nil)
+	}
+	if near == nil && far == nil && !t.servedHere(r, own, others) {
+		far = t.refuge(r, others)
 	}
+	chosen := t.spill(r, near, far)
 	if chosen != nil && chosen != own {
 		t.count(r, chosen)
 	}
@@ -84,9 +97,49 @@
 	return near, far
 }
 
-// Designate returns the one instance that runs a suspected request: the first by
-// rendezvous hashing of all that may. Instances that know the same members name
-// the same one, so copies sent through several instances meet there.
+// servedHere tells whether the own region has servers for the request, be their
+// queues full or not.
+func (t *Router) servedHere(r *Request, own *Domain, others []Domain) bool {
+	if own.Servers > 0 && Allowed(r, own.Region, own.Name) {
+		return true
+	}
+	for i := range others {
+		d := &others[i]
+		if d.Region == t.region && d.Servers > 0 && Allowed(r, d.Region, d.Name) {
+			return true
+		}
+	}
+	return false
+}
+
+// refuge returns the far domain with the shortest wait for a request whose own
+// region has no servers. No gain is weighed and no room has to be spoken of: the
+// far queue refuses at once what it cannot start in time, and without this the
+// callers of a lost region are refused while others still have slots.
+func (t *Router) refuge(r *Request, others []Domain) *Domain {
+	var best *Domain
+	for i := range others {
+		d := &others[i]
+		if d.Region == t.region || r.Hop >= MaxHops || !r.reaches(d) {
+			continue
+		}
+		if best == nil || t.nearCost(r, d) < t.nearCost(r, best) {
+			best = d
+		}
+	}
+	return best
+}
+
+// reaches tells whether the domain may run the request and did not fail it.
+func (r *Request) reaches(d *Domain) bool {
+	return d.Servers > 0 && Allowed(r, d.Region, d.Name) && !r.Exclude[d.Name] && !r.Exclude[d.PeerID]
+}
+
+// Designate returns the one instance that runs a suspected request. The
+// fingerprint chooses the failure domain, so that copies sent through several
+// instances meet; in the domain it is the same instance for all suspects, since
+// only one that has them all can keep them apart on its servers. Instances that
+// know the same members name the same one.
 func Designate(r *Request, fingerprint uint64, own *Domain, others []Domain) *Domain {
 	var chosen *Domain
 	consider := func(d *Domain) {
@@ -96,7 +149,7 @@
 		if d != own && r.Hop >= MaxHops {
 			return
 		}
-		if chosen == nil || affinity(fingerprint, d.PeerHash) > affinity(fingerprint, chosen.PeerHash) {
+		if chosen == nil || preferred(fingerprint, d, chosen) {
 			chosen = d
 		}
 	}
@@ -107,8 +160,15 @@
 	return chosen
 }
 
+func preferred(fingerprint uint64, a, b *Domain) bool {
+	if a.Name == b.Name {
+		return affinity(0, a.PeerHash) > affinity(0, b.PeerHash)
+	}
+	return affinity(fingerprint, xxhash.Sum64String(a.Name)) > affinity(fingerprint, xxhash.Sum64String(b.Name))
+}
+
 func (t *Router) candidate(r *Request, d *Domain) bool {
-	if !Allowed(r, d.Region, d.Name) || d.Servers == 0 || r.Exclude[d.Name] || r.Exclude[d.PeerID] {
+	if !r.reaches(d) {
 		return false
 	}
 	if d.Name == t.domain {
@@ -121,18 +181,18 @@
 }
 
 func (t *Router) hasRoom(r *Request, d *Domain) bool {
-	return d.HasRoom && t.roomLeft(r, d)
+	return r.queue(d).HasRoom && t.roomLeft(r, d)
 }
 
 // roomLeft counts what this instance sent since the domain's report: a report is
 // a second old, and a burst would otherwise go to one place as a whole.
 func (t *Router) roomLeft(r *Request, d *Domain) bool {
-	s := t.sent[sentKey{r.Service.Name, d.PeerID}]
-	return s.report != d.Report || s.count < max(d.Room/roomShare, 1)
+	s := t.sent[sentKey{r.Service.Name, d.PeerID, r.Bulk}]
+	return s.report != d.Report || s.count < max(r.queue(d).Room/roomShare, 1)
 }
 
 func (t *Router) count(r *Request, d *Domain) {
-	key := sentKey{r.Service.Name, d.PeerID}
+	key := sentKey{r.Service.Name, d.PeerID, r.Bulk}
 	s := t.sent[key]
 	if s.report != d.Report {
 		s = sent{report: d.Report}
@@ -154,14 +214,14 @@
 		}
 		return a
 	}
-	if t.nearCost(b) < t.nearCost(a) {
+	if t.nearCost(r, b) < t.nearCost(r, a) {
 		return b
 	}
 	return a
 }
 
-func (t *Router) nearCost(d *Domain) time.Duration {
-	cost := d.ExpectedWait + 2*d.LinkDelay
+func (t *Router) nearCost(r *Request, d *Domain) time.Duration {
+	cost := r.queue(d).ExpectedWait + 2*d.LinkDelay
 	if d.Name != t.domain && d.Region == t.region {
 		cost += domainGain
 	}
@@ -175,15 +235,16 @@
 	if far == nil {
 		return near
 	}
+	key := spillKey{r.Service.Name, r.Bulk}
 	threshold := r.Service.Spill.Gain
 	if r.Service.Policy == service.PolicyCost {
 		threshold *= costGainFactor
 	}
-	if t.spilling[r.Service.Name] {
+	if t.spilling[key] {
 		threshold /= stayDivisor
 	}
-	spills := t.nearCost(near)-t.nearCost(far) > threshold
-	t.spilling[r.Service.Name] = spills
+	spills := t.nearCost(r, near)-t.nearCost(r, far) > threshold
+	t.spilling[key] = spills
 	if spills {
 		return far
 	}
--- a/coordination/routing/routing_test.go
+++ b/coordination/routing/routing_test.go
@@ -107,7 +107,7 @@
 func TestServersThatMayNotServe(t *testing.T) {
 	table := fill(4)
 	report(table, "s000", servers.Load{Leaving: true})
-	table.Entry(model, "s001").SetLimit(0)
+	table.Entry(model, "s001").SetLimit(0, 0)
 	table.Replace([]servers.Identity{
 		{ID: "s000", Service: model, Version: "v1", Region: "suva-a", Domain: "suva-a-1"},
 		{ID: "s001", Service: model, Version: "v1", Region: "suva-a", Domain: "suva-a-1"},
@@ -124,12 +124,12 @@
 func far(peer string, wait time.Duration, room bool) Domain {
 	return Domain{
 		Name: "labasa-a-1", Region: "labasa-a", Peer: "192.0.2.1:1", PeerID: peer, Report: 1,
-		Servers: 3, LinkDelay: 80 * time.Millisecond, HasRoom: room, Room: 100, ExpectedWait: wait,
+		Servers: 3, LinkDelay: 80 * time.Millisecond, Interactive: Queue{HasRoom: room, Room: 100, ExpectedWait: wait},
 	}
 }
 
 func near(wait time.Duration) *Domain {
-	return &Domain{Name: "suva-a-1", Region: "suva-a", Servers: 3, HasRoom: true, ExpectedWait: wait}
+	return &Domain{Name: "suva-a-1", Region: "suva-a", Servers: 3, Interactive: Queue{HasRoom: true, ExpectedWait: wait}}
 }
 
 // Requests leave the region when that wins more than the setting, and then go on
@@ -159,7 +159,7 @@
 	}
 	sent := 0
 	burst := far("q", 0, true)
-	burst.Report, burst.Room = 2, 40
+	burst.Report, burst.Interactive.Room = 2, 40
 	for range 100 {
 		if spills(5*time.Second, burst) {
 			sent++
@@ -170,13 +170,34 @@
 	}
 }
 
+// A region lost its servers. Its callers are served by another region that has
+// slots but has not spoken of room; with servers at home, only full, they stay.
+func TestLostRegionFindsRefuge(t *testing.T) {
+	router := NewRouter("suva-a", "suva-a-1")
+	r := request()
+	others := []Domain{far("p", 2*time.Second, false), far("q", time.Second, false)}
+	lost := near(0)
+	lost.Servers = 0
+	if d := router.ChooseDomain(r, lost, others); d == nil || d.PeerID != "q" {
+		t.Errorf("a lost region's request went to %+v", d)
+	}
+	r.Exclude = map[string]bool{"suva-a-1": true}
+	if d := router.ChooseDomain(r, near(time.Second), others); d != nil {
+		t.Errorf("a request that its own region's queue refused went to %+v", d)
+	}
+	r.Hop = MaxHops
+	if d := router.ChooseDomain(r, lost, others); d != nil {
+		t.Errorf("a forwarded request went to %+v", d)
+	}
+}
+
 // Several accounts use several instances of a far domain, each account one.
 func TestAccountsSpreadOverPeers(t *testing.T) {
 	router := NewRouter("suva-a", "suva-a-1")
 	var others []Domain
 	for i := range 4 {
 		d := far(fmt.Sprint("p", i), 0, true)
-		d.PeerHash, d.Room = uint64(i+1)*0x9e3779b97f4a7c15, 1<<20
+		d.PeerHash, d.Interactive.Room = uint64(i+1)*0x9e3779b97f4a7c15, 1<<20
 		others = append(others, d)
 	}
 	used := make(map[string]int)
@@ -208,13 +229,13 @@
 		r.Hop = rapid.IntRange(0, MaxHops).Draw(t, "hop")
 		r.Service.Regions = rapid.SliceOfN(rapid.SampledFrom(regions), 0, 2).Draw(t, "regions")
 		r.Service.Spill.Disabled = rapid.Bool().Draw(t, "disabled")
-		own := Domain{Name: "own", Region: region("own"), Servers: rapid.IntRange(0, 1).Draw(t, "servers"), HasRoom: true,
-			ExpectedWait: time.Duration(rapid.IntRange(0, 9000).Draw(t, "wait")) * time.Millisecond}
+		own := Domain{Name: "own", Region: region("own"), Servers: rapid.IntRange(0, 1).Draw(t, "servers"), Interactive: Queue{HasRoom: true,
+			ExpectedWait: time.Duration(rapid.IntRange(0, 9000).Draw(t, "wait")) * time.Millisecond}}
 		var others []Domain
 		for i := range rapid.IntRange(0, 6).Draw(t, "others") {
 			at := region("region")
 			others = append(others, Domain{Name: at + "-1", Region: at, PeerID: fmt.Sprint(i), Peer: "x",
-				Servers: 1, HasRoom: rapid.Bool().Draw(t, "room"), Room: 8})
+				Servers: 1, Interactive: Queue{HasRoom: rapid.Bool().Draw(t, "room"), Room: 8}})
 		}
 		router := NewRouter(own.Region, own.Name)
 		for _, d := range []*Domain{router.ChooseDomain(r, &own, others), Designate(r, 7, &own, others)} {
--- a/transport/dispatch/front.go
+++ b/transport/dispatch/front.go
@@ -63,6 +63,20 @@
 	return u.Sink.Frame(server, f)
 }
 
+// restart tells whether the answer may begin anew: nothing of it has reached the
+// caller.
+func (u *usage) restart() bool {
+	if u.frames == 0 {
+		return true
+	}
+	sink, ok := u.Sink.(Restarter)
+	if !ok || !sink.Restart() {
+		return false
+	}
+	*u = usage{Sink: u.Sink}
+	return true
+}
+
 // Run carries the work to a backend server and its answer to the sink. The
 // error is a *refusal.Refusal, or the sink's own error.
 func (f *Front) Run(ctx context.Context, account *service.Account, w *Work, sink Sink) error {
@@ -70,7 +84,7 @@
 	if svc == nil {
 		return refusal.New(refusal.CodeNotFound, "no service %q", w.Service)
 	}
-	if until, refused := f.Quarantine.Refused(w.fingerprint(), time.Now()); refused {
+	if until, refused := f.Quarantine.Refused(w.print(), time.Now()); refused {
 		return quarantined(until)
 	}
 	cost := w.Cost(svc)
@@ -96,19 +110,19 @@
 		if err == nil {
 			return nil
 		}
-		refused := refusal.From(err)
-		if refused.Code == refusal.CodeNoServer && last != nil {
+		own := refusal.From(err)
+		if own.Code == refusal.CodeNoServer && last != nil {
 			return last // nowhere else to go: the first reason and its time to come back stand
 		}
-		run = worse(run, refused.Run)
+		run = worse(run, own.Run)
 		if u.frames > 0 {
 			run = refusal.Ran
 		}
-		refused = refused.WithRun(run)
+		refused := own.WithRun(run)
 		if ctx.Err() != nil {
 			return f.cut(ctx, refused)
 		}
-		if u.frames > 0 || !retry.Retryable(refused, w.Repeatable(svc)) {
+		if !u.restart() || !retry.Retryable(own, w.Repeatable(svc)) {
 			return refused
 		}
 		wait, ok := f.Retries.Take(svc, refused.Code, w.Attempt, time.Until(w.Deadline), rng)
@@ -126,9 +140,11 @@
 	}
 }
 
+// request is what routing needs to know of the work.
 func (f *Front) request(svc *service.Service, w *Work) *routing.Request {
 	r := &routing.Request{
-		Service: svc, Account: xxhash.Sum64String(w.Account), Home: w.Home, Hop: w.Hop, Exclude: make(map[string]bool),
+		Service: svc, Account: xxhash.Sum64String(w.Account), Home: w.Home, Hop: w.Hop,
+		Bulk: w.Class == service.ClassBulk, Exclude: make(map[string]bool),
 	}
 	if w.Generation != nil {
 		r.PromptTokens = tokens.Estimate(w.Generation.Prompt)
@@ -197,7 +213,7 @@
 
 func (f *Front) choose(request *routing.Request, w *Work) *routing.Domain {
 	own, others := f.Known.Own(w.Service), f.Known.Others(w.Service)
-	fingerprint := w.fingerprint()
+	fingerprint := w.print()
 	if f.Quarantine.Suspected(fingerprint, time.Now()) {
 		return routing.Designate(request, xxhash.Sum64String(fingerprint), &own, others)
 	}
--- a/transport/dispatch/stream.go
+++ b/transport/dispatch/stream.go
@@ -81,8 +81,8 @@
 // the generation holds its place on the engine already.
 func (l *Local) resume(ctx context.Context, w *Work, server servers.Server, sink Sink) error {
 	if entry := l.Servers.Entry(w.Service, server.ID); entry != nil {
-		entry.Begin(0)
-		defer entry.End()
+		entry.Begin(0, w.Class == service.ClassBulk)
+		defer entry.End(w.Class == service.ClassBulk)
 	}
 	return l.generate(ctx, w, server, sink)
 }
