--- a/cmd/basilrouted/main.go
+++ b/cmd/basilrouted/main.go
@@ -28,6 +28,8 @@
 	command := &cli.Command{
 		Name:  "basilrouted",
 		Usage: "run an entry instance of basilroute",
+		Description: "Exit codes: 0 stopped as planned or settings valid, 1 failed, 2 findings in the settings.\n" +
+			"SIGTERM and SIGINT stop it as planned, SIGUSR1 writes its state to the log.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "config", Usage: "YAML file with the instance's settings", Required: true},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
@@ -78,7 +80,7 @@
 			return err
 		case s := <-signals:
 			if s != syscall.SIGUSR1 {
-				return i.Stop(ctx)
+				return stop(ctx, i, signals)
 			}
 			dump, err := json.Marshal(i.Dump())
 			log.Info("state", "dump", json.RawMessage(dump), "error", err)
@@ -86,6 +88,24 @@
 	}
 }
 
+// stop runs the planned stop. A second signal to stop cuts what is in flight.
+func stop(ctx context.Context, i *instance.Instance, signals <-chan os.Signal) error {
+	ctx, cut := context.WithCancel(ctx)
+	defer cut()
+	stopped := make(chan error, 1)
+	go func() { stopped <- i.Stop(ctx) }()
+	for {
+		select {
+		case err := <-stopped:
+			return err
+		case s := <-signals:
+			if s != syscall.SIGUSR1 {
+				cut()
+			}
+		}
+	}
+}
+
 func newLogger(settings instance.Log) *slog.Logger {
 	var level slog.Level
 	_ = level.UnmarshalText([]byte(settings.Level)) // checked with the settings
--- /dev/null
+++ b/coordination/routing/server.go
@@ -0,0 +1,178 @@
+package routing
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/basilroute/basilroute/protocol/tokens"
+	"github.com/basilroute/basilroute/service"
+	"github.com/basilroute/basilroute/state/servers"
+)
+
+const (
+	defaultPrefillRate = 10000.0 // prompt tokens per second, until a server reports its own
+	fadeAfter          = 2e9     // nanoseconds of age at which a report counts half
+	warmUp             = 10e9    // nanoseconds after a start, while caches are cold
+	warmUpPenalty      = 0.1     // seconds, of a server that has just started
+	perRequest         = 0.004   // seconds that each running request adds to a step
+	costPrefillFactor  = 3.0     // weight of prompt tokens under the cost policy
+	nearBestFactor     = 1.2     // costs up to so much above the best are as good
+	nearBestSlack      = 0.005   // seconds, the same
+	scratchServers     = 256
+)
+
+// ChooseServer returns the index of the server to run on, or -1. It scores every
+// usable server by the expected time to the first token and takes the less
+// loaded of two that it draws among the best: instances that know the same
+// would otherwise all send to the same server.
+func ChooseServer(r *Request, list []*servers.Entry, now time.Time, rng *rand.Rand) int {
+	var scratch [scratchServers]float64
+	costs := scratch[:]
+	if len(list) > len(costs) {
+		costs = make([]float64, len(list))
+	}
+	s := scorer{request: r, now: now.UnixNano()}
+	best := s.score(list, costs)
+	if s.ejected*2 > s.usable {
+		// Others left since. A service whose servers are all slow is better
+		// served slowly than not at all.
+		s.ignoreEjected = true
+		best = s.score(list, costs)
+	}
+	if math.IsInf(best, 1) {
+		s.full = true
+		best = s.score(list, costs)
+	}
+	if math.IsInf(best, 1) {
+		return -1
+	}
+	return draw(list, costs[:len(list)], best*nearBestFactor+nearBestSlack, rng)
+}
+
+type scorer struct {
+	request         *Request
+	now             int64
+	ignoreEjected   bool
+	full            bool // servers at their limit count
+	usable, ejected int
+}
+
+// score fills in the costs and returns the lowest; a server that may not be
+// used costs infinity.
+func (s *scorer) score(list []*servers.Entry, costs []float64) float64 {
+	best := math.Inf(1)
+	s.usable, s.ejected = 0, 0
+	for i, e := range list {
+		costs[i] = math.Inf(1)
+		v := e.View()
+		f := v.Facts()
+		if !f.Usable {
+			continue
+		}
+		s.usable++
+		if f.EjectedUntil > s.now {
+			s.ejected++
+			if !s.ignoreEjected {
+				continue
+			}
+		}
+		if (!s.full && s.request.full(e)) || !s.request.permits(v) {
+			continue
+		}
+		costs[i] = s.cost(e, f)
+		best = min(best, costs[i])
+	}
+	return best
+}
+
+// full tells whether the server is at the limit for requests of this kind.
+func (r *Request) full(e *servers.Entry) bool {
+	if r.Bulk {
+		return e.InFlight() >= e.Limit() || e.Bulk() >= e.BulkLimit()
+	}
+	return e.InFlight()-e.Bulk() >= e.Limit()
+}
+
+func (r *Request) permits(v *servers.Server) bool {
+	if len(r.Exclude) > 0 && r.Exclude[v.ID] {
+		return false
+	}
+	return r.Service.AllowsVersion(v.Version) && Allowed(r, v.Region, v.Domain)
+}
+
+// Expected is the time to the first token that a server should need for the
+// request, by its reports alone.
+func Expected(r *Request, e *servers.Entry, now time.Time) time.Duration {
+	s := scorer{request: r, now: now.UnixNano()}
+	return time.Duration(s.expected(e, e.View().Facts()) * float64(time.Second))
+}
+
+// Alone is the time to the first token without the requests ahead of it.
+func Alone(r *Request, e *servers.Entry) time.Duration {
+	f := e.View().Facts()
+	seconds := float64(r.Uncached(e))/prefillRate(f) + f.StepTime
+	return time.Duration(seconds * float64(time.Second))
+}
+
+func prefillRate(f *servers.Facts) float64 {
+	if f.PrefillRate <= 0 {
+		return defaultPrefillRate
+	}
+	return f.PrefillRate
+}
+
+func (s *scorer) expected(e *servers.Entry, f *servers.Facts) float64 {
+	fade := fadeAfter / (fadeAfter + max(float64(s.now-f.ReportedAt), 0))
+	tokens := fade*f.WaitingTokens + float64(e.PendingTokens()+s.request.Uncached(e))
+	requests := fade*f.Others + float64(e.InFlight())
+	return tokens/prefillRate(f) + requests*perRequest + fade*f.Drain + f.StepTime
+}
+
+// cost is the expected time to the first token in seconds, corrected by what
+// was measured, and what the policy adds.
+func (s *scorer) cost(e *servers.Entry, f *servers.Facts) float64 {
+	cost := s.expected(e, f) * f.Factor
+	if s.request.Service.Policy == service.PolicyCost {
+		cost += (costPrefillFactor - 1) * float64(s.request.Uncached(e)) / prefillRate(f)
+	}
+	if up := float64(s.now - f.Since); up < warmUp {
+		cost += warmUpPenalty * (1 - up/warmUp)
+	}
+	return cost
+}
+
+// Uncached returns the prompt tokens that the server would have to compute.
+func (r *Request) Uncached(e *servers.Entry) int {
+	if r.Cached == nil {
+		return r.PromptTokens
+	}
+	cached := r.Cached.Of(e.Slot()) * tokens.BlockTokens
+	return max(r.PromptTokens-cached, 0)
+}
+
+// Permitted tells whether the request may run on the server now.
+func Permitted(r *Request, e *servers.Entry, now time.Time) bool {
+	v := e.View()
+	return v.Usable() && !v.Ejected(now) && r.permits(v)
+}
+
+func draw(list []*servers.Entry, costs []float64, limit float64, rng *rand.Rand) int {
+	first, second, count := -1, -1, 0
+	for i, cost := range costs {
+		if cost > limit {
+			continue
+		}
+		count++
+		switch place := rng.IntN(count); {
+		case first < 0 || (second >= 0 && place == 0):
+			first = i
+		case second < 0 || place == 1:
+			second = i
+		}
+	}
+	if second >= 0 && list[second].InFlight() < list[first].InFlight() {
+		return second
+	}
+	return first
+}
--- /dev/null
+++ b/imports_test.go
@@ -0,0 +1,131 @@
+package basilroute
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const module = "github.com/basilroute/basilroute/"
+
+// layers are the directories from the top down. A package may import what stands
+// below its own layer, and packages of its own layer.
+var layers = [][]string{
+	{"cmd", "e2e"},
+	{"localfleet", "experiment", "examples"},
+	{"instance", "loadgen", "capacity"},
+	{"standin"},
+	{"transport"},
+	{"coordination"},
+	{"state"},
+	{"service"},
+	{"yamldoc"},
+	{"protocol"},
+}
+
+func layerOf(path string) int {
+	top, _, _ := strings.Cut(strings.TrimPrefix(path, module), "/")
+	for depth, names := range layers {
+		for _, name := range names {
+			if name == top {
+				return depth
+			}
+		}
+	}
+	return -1
+}
+
+// packageImports are the imports of a package without its tests.
+type packageImports struct {
+	ImportPath string
+	Imports    []string
+}
+
+// packages parses the sources itself: go test does not see what a command that
+// it starts reads, and would hand out a stored result after a change.
+func packages(t *testing.T) []*packageImports {
+	t.Helper()
+	known := make(map[string]*packageImports)
+	var all []*packageImports
+	err := filepath.WalkDir(".", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() {
+			if path != "." && (strings.HasPrefix(entry.Name(), ".") || entry.Name() == "tools" || entry.Name() == "testdata") {
+				return filepath.SkipDir
+			}
+			return nil
+		}
+		if !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+		if err != nil {
+			return err
+		}
+		dir := filepath.ToSlash(filepath.Dir(path))
+		if known[dir] == nil {
+			known[dir] = &packageImports{ImportPath: module + dir}
+			all = append(all, known[dir])
+		}
+		for _, spec := range file.Imports {
+			known[dir].Imports = append(known[dir].Imports, strings.Trim(spec.Path.Value, `"`))
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(all) < len(layers) {
+		t.Fatalf("only %d packages found", len(all))
+	}
+	return all
+}
+
+// Decisions stay testable without a network only as long as nothing below the
+// transport imports it, and a cycle of layers would make each part impossible to
+// read alone. Stand-ins and the load tool are never part of the product's daemon.
+func TestImportsPointOneWay(t *testing.T) {
+	for _, p := range packages(t) {
+		from := layerOf(p.ImportPath)
+		if from < 0 {
+			t.Errorf("%s stands in no layer", p.ImportPath)
+		}
+		for _, imported := range p.Imports {
+			if !strings.HasPrefix(imported, module) {
+				continue
+			}
+			if to := layerOf(imported); to < from {
+				t.Errorf("%s imports %s, which stands above it", p.ImportPath, imported)
+			}
+			if strings.HasPrefix(p.ImportPath, module+"instance") && strings.HasPrefix(imported, module+"standin") {
+				t.Errorf("%s imports the stand-in %s", p.ImportPath, imported)
+			}
+		}
+	}
+}
+
+// forbidden are packages that decisions have no use for.
+var forbidden = []string{"net", "net/http", "os", "os/exec", "google.golang.org/grpc"}
+
+// A decision that reads the network or the wall's files cannot be run in virtual
+// time, and a test of it would prove nothing about the product.
+func TestDecisionsDoNoIO(t *testing.T) {
+	for _, p := range packages(t) {
+		top := strings.HasPrefix(p.ImportPath, module+"coordination/") || strings.HasPrefix(p.ImportPath, module+"state/")
+		if !top {
+			continue
+		}
+		for _, imported := range p.Imports {
+			for _, name := range forbidden {
+				if imported == name {
+					t.Errorf("%s imports %s", p.ImportPath, name)
+				}
+			}
+		}
+	}
+}
--- a/instance/status.go
+++ b/instance/status.go
@@ -32,7 +32,7 @@
 		status.Instances = append(status.Instances, operatorapi.InstanceStatus{
 			ID: m.Entry.GetId(), Region: m.Entry.GetRegion(), Domain: m.Entry.GetDomain(),
 			Address: m.Entry.GetCallerAddress(), State: state, Incarnation: int64(m.Entry.GetIncarnation()),
-			ConfigRevision: revision, AgeMs: now.Sub(m.Heard).Milliseconds(),
+			ConfigRevision: revision, AgeMs: now.Sub(m.Heard).Milliseconds(), Rejected: m.Entry.GetRejected(),
 		})
 	}
 	return status
@@ -59,3 +59,6 @@
 		Slots: i.slots.machine.Records(), Minting: i.Minting(),
 	}
 }
+
+// Busy tells whether requests of callers or of peers are in flight.
+func (d Dump) Busy() bool { return d.InFlight+d.Forwarded > 0 }
--- a/service/document.go
+++ b/service/document.go
@@ -91,9 +91,16 @@
 	Spill      Spill                `yaml:"spill"`
 	Operations map[string]Operation `yaml:"operations"`
 	Limits     Limits               `yaml:"limits"`
+	Orders     Orders               `yaml:"orders"`
 	Fencing    bool                 `yaml:"fencing"` // engines refuse an order with an old fencing number
 }
 
+// Orders is what the service's engines are to do.
+type Orders struct {
+	Version  string   `yaml:"version"`  // to load; left as it is when empty
+	Draining []string `yaml:"draining"` // ids of servers that take no new work
+}
+
 // Classes holds the settings of each class.
 type Classes struct {
 	Interactive ClassSettings `yaml:"interactive"`
@@ -224,17 +231,18 @@
 // Parse decodes and checks a document of any kind. The error is yamldoc.Findings.
 func Parse(file string, data []byte) (*Document, error) {
 	var head header
-	r := yamldoc.Peek(file, data, &head)
+	source := yamldoc.Read(file, data)
+	r := source.Peek(&head)
 	if err := r.Err(); err != nil {
 		return nil, err
 	}
 	switch head.Kind {
 	case KindService:
-		return parseService(file, data)
+		return parseService(source)
 	case KindAccount:
-		return parseAccount(file, data)
+		return parseAccount(source)
 	case KindFleet:
-		return parseFleet(file, data)
+		return parseFleet(source)
 	}
 	r.Addf("kind", "want service, account or fleet, have %q", head.Kind)
 	return nil, r.Err()
--- a/transport/dispatch/charge.go
+++ b/transport/dispatch/charge.go
@@ -7,6 +7,7 @@
 	"github.com/basilroute/basilroute/coordination/quota"
 	"github.com/basilroute/basilroute/protocol/refusal"
 	"github.com/basilroute/basilroute/service"
+	"github.com/basilroute/basilroute/transport/metrics"
 )
 
 // charge takes the most tokens that the work can use. A request short of tokens
@@ -17,6 +18,7 @@
 		return quota.Charge{}, refusal.New(refusal.CodeTooLarge, "the request may use %.0f tokens, the account's burst is %.0f", cost, account.Burst)
 	}
 	if charge, ok := f.Ledger.Admit(account.Name, cost, time.Now()); ok {
+		f.Metrics.Quota(metrics.QuotaCharged, cost)
 		return charge, nil
 	}
 	limit := min(w.MaxWait, time.Until(w.Deadline))
@@ -24,12 +26,14 @@
 	select {
 	case verdict := <-waiter.Done:
 		if !verdict.OK {
+			f.Metrics.Quota(metrics.QuotaRefused, cost)
 			return quota.Charge{}, refusal.New(refusal.CodeRateLimited, "the account is at its rate").After(verdict.RetryAfter)
 		}
+		f.Metrics.Quota(metrics.QuotaCharged, cost)
 		return verdict.Charge, nil
 	case <-ctx.Done():
 		f.Ledger.Abandon(waiter, time.Now())
-		return quota.Charge{}, refusal.From(f.final(ctx, ctx.Err())).WithRun(refusal.NotRun)
+		return quota.Charge{}, refusal.From(f.cut(ctx, refusal.New(refusal.CodeDeadline, "the request ran out of time"))).WithRun(refusal.NotRun)
 	}
 }
 
@@ -44,5 +48,6 @@
 	}
 	if used < charge.Tokens {
 		f.Ledger.Settle(charge, used, time.Now())
+		f.Metrics.Quota(metrics.QuotaRefunded, charge.Tokens-used)
 	}
 }
--- a/transport/platform/platform.go
+++ b/transport/platform/platform.go
@@ -9,12 +9,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	"golang.org/x/time/rate"
 
 	"github.com/basilroute/basilroute/protocol/platformapi"
@@ -27,6 +27,9 @@
 	Revision int64
 	Lease    int64
 	Deleted  bool
+	Nonce    string // of the write, a UUIDv7 that orders writes; empty when another program wrote the value
+
+	write string // nonce of the write when that is another one
 }
 
 // Write is a compare-and-swap.
@@ -36,6 +39,8 @@
 	Expect int64 // revision the key must have; 0 when it must not exist
 	Lease  int64 // the key ends with the lease; 0 for none
 	Delete bool
+	After  string // nonce that the new one has to come after, by any clock; may be empty
+	Nonce  string // of a value that is written back as it was; a new one when empty
 }
 
 // Errors of the store. Every other error leaves the outcome of a write open.
@@ -74,11 +79,12 @@
 }
 
 const (
-	nonceBytes  = 36 // text form of a UUID
-	minBackoff  = 20 * time.Millisecond
-	maxBackoff  = time.Second
-	nonceEnd    = '\n'
-	emptyHeader = nonceBytes + 1
+	nonceBytes = 36 // text form of a UUID
+	minBackoff = 20 * time.Millisecond
+	maxBackoff = time.Second
+	headerEnd  = '\n'
+	writeStart = ' '
+	maxHeader  = 2*nonceBytes + 1
 )
 
 // Client implements Store and Lister over HTTP.
@@ -131,48 +137,60 @@
 
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, key string) (KeyValue, error) {
-	kv, _, err := c.getWithNonce(ctx, key)
-	return kv, err
-}
-
-func (c *Client) getWithNonce(ctx context.Context, key string) (KeyValue, string, error) {
 	var found *platformapi.KeyValue
 	err := c.call(ctx, 0, func(ctx context.Context) (err error) {
 		found, err = c.api.GetKey(ctx, platformapi.GetKeyParams{Key: key})
 		return err
 	})
 	if err != nil {
-		return KeyValue{}, "", err
+		return KeyValue{}, err
 	}
-	kv, nonce := open(*found)
-	return kv, nonce, nil
+	return open(*found), nil
 }
 
-// open splits a stored value into its nonce and the value itself.
-func open(stored platformapi.KeyValue) (KeyValue, string) {
+// open splits a stored value into its header and the value itself.
+func open(stored platformapi.KeyValue) KeyValue {
 	kv := KeyValue{
 		Key: stored.Key, Value: stored.Value, Revision: stored.Revision,
 		Lease: stored.Lease.Or(0), Deleted: stored.Deleted.Or(false),
 	}
-	nonce, value, ok := bytes.Cut(stored.Value, []byte{nonceEnd})
-	if !ok || len(nonce) != nonceBytes {
-		return kv, ""
+	header, value, ok := bytes.Cut(stored.Value, []byte{headerEnd})
+	if !ok || len(header) > maxHeader {
+		return kv
 	}
-	kv.Value = value
-	return kv, string(nonce)
+	nonce, write, _ := bytes.Cut(header, []byte{writeStart})
+	if len(nonce) != nonceBytes {
+		return kv
+	}
+	kv.Value, kv.Nonce, kv.write = value, string(nonce), string(write)
+	return kv
 }
 
-func seal(nonce string, value []byte) []byte {
-	sealed := make([]byte, 0, emptyHeader+len(value))
+// seal puts a header in front of the value: the value's nonce, and for one that
+// is written back also the nonce of this very write.
+func seal(nonce, write string, value []byte) []byte {
+	sealed := make([]byte, 0, maxHeader+1+len(value))
 	sealed = append(sealed, nonce...)
-	sealed = append(sealed, nonceEnd)
+	if write != nonce {
+		sealed = append(sealed, writeStart)
+		sealed = append(sealed, write...)
+	}
+	sealed = append(sealed, headerEnd)
 	return append(sealed, value...)
 }
 
+// writer tells whose write the value is.
+func (kv KeyValue) writer() string {
+	if kv.write != "" {
+		return kv.write
+	}
+	return kv.Nonce
+}
+
 func openAll(list *platformapi.KeyList) ([]KeyValue, int64) {
 	out := make([]KeyValue, len(list.Items))
 	for i, item := range list.Items {
-		out[i], _ = open(item)
+		out[i] = open(item)
 	}
 	return out, list.Revision
 }
@@ -211,7 +229,10 @@
 // write again with the same nonce: a compare-and-swap takes effect once, and a
 // conflict is settled by reading which nonce stands.
 func (c *Client) Put(ctx context.Context, w Write) (int64, error) {
-	nonce := uuid.NewString()
+	nonce, err := newNonce(w.After)
+	if err != nil {
+		return 0, err
+	}
 	backoff := minBackoff
 	for first := true; ; first = false {
 		revision, err := c.putOnce(ctx, w, nonce)
@@ -234,7 +255,7 @@
 	var result *platformapi.PutResult
 	err := c.call(ctx, 0, func(ctx context.Context) (err error) {
 		result, err = c.api.PutKey(ctx, &platformapi.PutRequest{
-			Key: w.Key, Value: seal(nonce, w.Value), Expect: w.Expect,
+			Key: w.Key, Value: seal(cmp.Or(w.Nonce, nonce), nonce, w.Value), Expect: w.Expect,
 			Lease: platformapi.NewOptInt64(w.Lease), Delete: platformapi.NewOptBool(w.Delete),
 		})
 		return err
@@ -245,15 +266,15 @@
 	return result.Revision, nil
 }
 
+// settle finds out which write stands after a conflict that may be with the own
+// write.
 func (c *Client) settle(ctx context.Context, w Write, nonce string) (int64, error) {
 	for {
-		kv, found, err := c.getWithNonce(ctx, w.Key)
+		kv, err := c.standing(ctx, w)
 		switch {
-		case err == nil && found == nonce:
+		case err == nil && kv.writer() == nonce:
 			return kv.Revision, nil
-		case err == nil:
-			return 0, ErrConflict
-		case errors.Is(err, ErrNotFound):
+		case err == nil, errors.Is(err, ErrNotFound):
 			return 0, ErrConflict
 		}
 		if !sleep(ctx, minBackoff) {
@@ -262,6 +283,24 @@
 	}
 }
 
+// standing reads what stands in place of a write. A deletion leaves nothing to
+// get, only a marker in the list of changes.
+func (c *Client) standing(ctx context.Context, w Write) (KeyValue, error) {
+	if !w.Delete {
+		return c.Get(ctx, w.Key)
+	}
+	changes, _, err := c.List(ctx, w.Key, w.Expect)
+	if err != nil {
+		return KeyValue{}, err
+	}
+	for _, kv := range changes {
+		if kv.Key == w.Key {
+			return kv, nil
+		}
+	}
+	return KeyValue{}, ErrNotFound
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
