Bound what copies of a poison request at several instances can crash

Causes: copies that chose their server before the first of them began went to two servers; a copy that became a suspect while it waited ran on an instance that was not the designated one; and a report asked for before the crash cleared the request.

--- a/coordination/quarantine/apart.go
+++ b/coordination/quarantine/apart.go
@@ -53,15 +53,20 @@
 	return a.running[fingerprint].server
 }
 
-// Begin puts a request on a server. A suspect is turned away when another one,
-// or another copy of it, came first.
-func (a *Apart) Begin(fingerprint, server string, suspect bool) (Run, bool) {
+// Begin puts a request on a server. It tells whether the request may run there: a
+// suspect is turned away when another one, or another copy of it, came first;
+// any other request when a copy of it came first on another server, unless that
+// server cannot take it.
+func (a *Apart) Begin(fingerprint, server string, suspect, elsewhere bool) (Run, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	own := a.running[fingerprint]
 	if suspect && (own.count > 0 || a.servers[server] > 0) {
 		return Run{}, false
 	}
+	if !suspect && !elsewhere && own.count > 0 && own.server != server {
+		return Run{}, false
+	}
 	if suspect {
 		a.servers[server]++
 	}
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -20,10 +20,11 @@
 // count as two. With one crash known a fingerprint is suspected: it runs on one
 // designated instance only, one copy at a time. So the bound is two crashes
 // whenever the news of the first is faster than the next dispatch. What cannot
-// be had without consensus: copies that are in flight at several instances when
-// the first of them crashes its server may crash one server each (copies at one
-// instance go to the same server), and sides of a partition count apart, two
-// crashes each.
+// be had without consensus: copies that are in flight at k instances when the
+// first of them crashes its server may crash one server each (copies at one
+// instance go to the same server), and the designated instance one more, if it
+// runs a suspect while it knows of one crash only. It waits a while before, so
+// that k+1 takes news that is slower than that. Sides of a partition count apart.
 package quarantine
 
 import (
@@ -85,6 +86,7 @@
 type presumed struct {
 	fingerprint string
 	bootID      string
+	at          time.Time
 }
 
 // List is safe for concurrent use.
@@ -155,7 +157,7 @@
 func (l *List) Presume(fingerprint, server, bootID string, now time.Time) {
 	l.mu.Lock()
 	l.add(fingerprint, CrashID(server, bootID), now.Add(presumeFor))
-	l.presumed[server] = append(l.presumed[server], presumed{fingerprint, bootID})
+	l.presumed[server] = append(l.presumed[server], presumed{fingerprint, bootID, now})
 	l.mu.Unlock()
 	l.notify()
 }
@@ -166,18 +168,28 @@
 	}
 }
 
-// Reported takes in a server's boot id and decides on the crashes presumed of it.
-func (l *List) Reported(server, bootID string, now time.Time) {
+// Reported takes in the boot id that a server gave when asked, and decides on the
+// crashes presumed of it before. A report that was asked for earlier may be of
+// the process that then crashed: it would clear the request.
+func (l *List) Reported(server, bootID string, asked, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	var open []presumed
 	for _, p := range l.presumed[server] {
+		if !asked.After(p.at) {
+			open = append(open, p)
+			continue
+		}
 		if p.bootID == bootID {
 			delete(l.crashes[p.fingerprint], CrashID(server, bootID))
 			continue
 		}
 		l.add(p.fingerprint, CrashID(server, p.bootID), now.Add(HoldFor))
 	}
-	delete(l.presumed, server)
+	l.presumed[server] = open
+	if len(open) == 0 {
+		delete(l.presumed, server)
+	}
 }
 
 func (l *List) add(fingerprint, id string, until time.Time) {
--- a/instance/poll.go
+++ b/instance/poll.go
@@ -38,13 +38,14 @@
 	if svc.Type == service.TypePlain {
 		ask = i.backend.PlainLoad
 	}
-	load, err := ask(ctx, server.Address, time.Now())
+	asked := time.Now()
+	load, err := ask(ctx, server.Address, asked)
 	if err != nil {
 		i.servers.Failed(server.Service, server.ID, pollFailureLimit)
 		return
 	}
 	i.servers.Report(server.Service, server.ID, load)
-	i.quarantine.Reported(server.ID, load.BootID, time.Now())
+	i.quarantine.Reported(server.ID, load.BootID, asked, time.Now())
 	entry := i.servers.Entry(server.Service, server.ID)
 	if entry == nil {
 		return
--- a/transport/dispatch/front.go
+++ b/transport/dispatch/front.go
@@ -201,7 +201,8 @@
 func (f *Front) choose(request *routing.Request, w *Work) *routing.Domain {
 	own, others := f.Known.Own(w.Service), f.Known.Others(w.Service)
 	fingerprint := w.print()
-	if f.Quarantine.Suspected(fingerprint, time.Now()) {
+	w.designated = f.Quarantine.Suspected(fingerprint, time.Now())
+	if w.designated {
 		return routing.Designate(request, xxhash.Sum64String(fingerprint), &own, others)
 	}
 	return f.Router.ChooseDomain(request, &own, others)
--- a/transport/dispatch/local.go
+++ b/transport/dispatch/local.go
@@ -20,6 +20,10 @@
 const (
 	failureLimit  = 3 // failures in a row after which a server gets no new work
 	noServerRetry = time.Second
+	// suspectPause is how long a suspect waits before it runs again: copies of it
+	// that other instances dispatched at the same moment have crashed their
+	// servers by then, and the news is here.
+	suspectPause = 300 * time.Millisecond
 )
 
 // Local runs work on the backend servers of the own failure domain.
@@ -92,6 +96,7 @@
 func (l *Local) place(ctx context.Context, w *Work, svc *service.Service) (*placed, *refusal.Refusal) {
 	fingerprint := w.print()
 	request := l.request(w, svc)
+	settled := false
 	for {
 		now := time.Now()
 		if until, refused := l.Quarantine.Refused(fingerprint, now); refused {
@@ -99,7 +104,22 @@
 		}
 		if !l.Quarantine.Suspected(fingerprint, now) {
 			request.Exclude = excluding(nil, w.tried)
-			return l.put(w, request, fingerprint, false, now)
+			if p, refused := l.put(w, request, fingerprint, false, now); p != nil || refused != nil {
+				return p, refused
+			}
+			continue // a copy was faster: this one goes where it went
+		}
+		if w.Hop == 0 && !w.designated {
+			// It was not suspected when the front chose this instance. Run here,
+			// it would be one more that crashes a server at the same moment.
+			return nil, noServer(w.Service)
+		}
+		if !settled {
+			settled = true
+			if !pause(ctx, suspectPause) {
+				return nil, refusal.New(refusal.CodeDeadline, "the request ended while it waited")
+			}
+			continue
 		}
 		busy, alone, changed := l.Apart.Busy(fingerprint)
 		request.Exclude = excluding(busy, w.tried)
@@ -139,16 +159,16 @@
 }
 
 func (l *Local) put(w *Work, request *routing.Request, fingerprint string, suspect bool, now time.Time) (*placed, *refusal.Refusal) {
-	entry := l.choose(w, request, fingerprint, now)
+	entry, elsewhere := l.choose(w, request, fingerprint, now)
 	if entry == nil && !suspect && len(w.tried) > 0 {
 		request.Exclude = nil // every server failed it once
-		entry = l.choose(w, request, fingerprint, now)
+		entry, elsewhere = l.choose(w, request, fingerprint, now)
 	}
 	if entry == nil {
 		return nil, noServer(w.Service)
 	}
 	server := entry.Copy()
-	run, ok := l.Apart.Begin(fingerprint, server.ID, suspect)
+	run, ok := l.Apart.Begin(fingerprint, server.ID, suspect, elsewhere)
 	if !ok {
 		return nil, nil
 	}
@@ -158,19 +178,22 @@
 	}, nil
 }
 
-func (l *Local) choose(w *Work, request *routing.Request, fingerprint string, now time.Time) *servers.Entry {
+// choose returns the server that runs a copy of the work, or the best one, or
+// nil. elsewhere tells that a copy's server cannot take it.
+func (l *Local) choose(w *Work, request *routing.Request, fingerprint string, now time.Time) (entry *servers.Entry, elsewhere bool) {
 	list := l.Servers.Entries(w.Service)
 	if beside := l.Apart.Beside(fingerprint); beside != "" {
 		e := l.Servers.Entry(w.Service, beside)
 		if e != nil && e.InFlight() < e.Limit() && routing.Permitted(request, e, now) {
-			return e
+			return e, false
 		}
+		elsewhere = true
 	}
 	i := routing.ChooseServer(request, list, now, newRand())
 	if i < 0 {
-		return nil
+		return nil, elsewhere
 	}
-	return list[i]
+	return list[i], elsewhere
 }
 
 func newRand() *rand.Rand {
--- a/transport/dispatch/work.go
+++ b/transport/dispatch/work.go
@@ -29,6 +29,7 @@
 
 	tried       []string // servers of the own domain that failed this request
 	fingerprint string   // set by print
+	designated  bool     // this instance is the one that runs the suspect
 
 	Generation *Generation // exactly one of the two is set
 	Operation  *Operation
