Prove when an answer may begin anew

Seen to fail without the restart (1 of 2 tokens), and with one that minds not what the caller has seen (3 of 2 tokens; a stream sent twice).

--- a/transport/dispatch/front_test.go
+++ b/transport/dispatch/front_test.go
@@ -117,6 +117,49 @@
 	})
 }
 
+// whole gathers an answer of which nothing reaches the caller before its end.
+type whole struct {
+	discard
+	tokens int
+}
+
+func (w *whole) Frame(_ string, f *frame.Frame) error {
+	w.tokens += f.Tokens
+	return nil
+}
+
+func (w *whole) Restart() { w.tokens = 0 }
+
+// A server dies after part of an answer. A caller who takes the answer as a whole
+// has seen none of it and gets all of it from another server; one who streams has,
+// and is told that the answer is not whole.
+func TestAnswerBeginsAnewOnlyWhenNoneOfItWasSeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		attempt := 0
+		breaks := func(sink Sink) error {
+			attempt++
+			if err := sink.Frame("s", &frame.Frame{Tokens: 1}); err != nil {
+				return err
+			}
+			if attempt == 1 {
+				return refusal.New(refusal.CodeBackendFailed, "broke").WithRun(refusal.Unknown)
+			}
+			return ok(sink)
+		}
+		p := &peers{domains: []routing.Domain{farAt("a", "a1", 0)}, answer: breaks}
+		seen := &whole{}
+		err := frontOf(p).attempts(t.Context(), modelService, question(), &usage{Sink: seen})
+		if err != nil || seen.tokens != 2 {
+			t.Errorf("whole answer: %d of 2 tokens, %v", seen.tokens, err)
+		}
+		attempt = 0
+		err = frontOf(p).attempts(t.Context(), modelService, question(), &usage{Sink: discard{}})
+		if r := refusal.From(err); r.Run != refusal.Ran || attempt != 1 {
+			t.Errorf("stream: %d attempts, %v", attempt, err)
+		}
+	})
+}
+
 // The caller goes away while the request waits for its next attempt. Nothing is
 // sent any more.
 func TestBackoffEndsWithTheCaller(t *testing.T) {
