--- a/experiment/policy_sim.go
+++ b/experiment/policy_sim.go
@@ -27,22 +27,22 @@
 
 // job is one request in the model.
 type job struct {
-	account                *simAccount
-	class                  service.Class
-	prompt, output         int
-	blocks                 []tokens.Block
-	arrived                time.Duration
-	origin, at             *simGateway
-	attempt                int
-	exclude                map[string]bool
-	engine                 *simEngine
-	entry                  *servers.Entry
-	prefill, generated     int
-	uncached               int
-	sent                   time.Time
-	alone, expected        time.Duration
-	latency                time.Duration
-	answered, gaveUp, left bool
+	account            *simAccount
+	class              service.Class
+	prompt, output     int
+	blocks             []tokens.Block
+	arrived            time.Duration
+	origin, at         *simGateway
+	attempt            int
+	exclude            map[string]bool
+	engine             *simEngine
+	entry              *servers.Entry
+	prefill, generated int
+	uncached           int
+	sent               time.Time
+	alone, expected    time.Duration
+	latency            time.Duration
+	answered           bool
 }
 
 type simAccount struct {
@@ -231,7 +231,7 @@
 	if chosen != &own {
 		target, delay = s.gateway(chosen.PeerID), linkDelay
 	}
-	j.at, j.generated, j.left = target, 0, false
+	j.at, j.generated = target, 0
 	s.after(delay, func() { target.line.submit(j) })
 }
 
