--- a/coordination/routing/domain.go
+++ b/coordination/routing/domain.go
@@ -59,13 +59,33 @@
 func (t *Router) ChooseDomain(r *Request, own *Domain, others []Domain) *Domain {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var near, far *Domain
+	near, far := t.best(r, own, others, (*Router).hasRoom)
+	if near == nil && far == nil {
+		// No place has room to spare, which only holds back what could also run
+		// elsewhere. A request that may run in one other domain of the region
+		// waits in the queue there, which refuses it at once when it cannot make
+		// its waiting limit.
+		near, _ = t.best(r, own, others, nil)
+	}
+	if near == nil && far == nil && !t.servedHere(r, own, others) {
+		far = t.refuge(r, others)
+	}
+	chosen := t.spill(r, near, far)
+	if chosen != nil && chosen != own {
+		t.count(r, chosen)
+	}
+	return chosen
+}
+
+// best returns the best candidate in the own region and in the others. Other
+// domains have to pass the check of their room, if there is one.
+func (t *Router) best(r *Request, own *Domain, others []Domain, room func(*Router, *Request, *Domain) bool) (near, far *Domain) {
 	if t.candidate(r, own) {
 		near = own
 	}
 	for i := range others {
 		d := &others[i]
-		if d.Name == t.domain || !t.candidate(r, d) {
+		if d.Name == t.domain || !t.candidate(r, d) || (room != nil && !room(t, r, d)) {
 			continue
 		}
 		if d.Region == t.region {
@@ -74,14 +94,7 @@
 			far = t.better(r, far, d)
 		}
 	}
-	if near == nil && far == nil && !t.servedHere(r, own, others) {
-		far = t.refuge(r, others)
-	}
-	chosen := t.spill(r, near, far)
-	if chosen != nil && chosen != own {
-		t.count(r, chosen)
-	}
-	return chosen
+	return near, far
 }
 
 // servedHere tells whether the own region has servers for the request, be their
@@ -107,7 +120,7 @@
 	var best *Domain
 	for i := range others {
 		d := &others[i]
-		if d.Region == t.region || r.Hop >= MaxHops || !r.reaches(d) {
+		if d.Region == t.region || r.Hop >= MaxHops || r.Service.Spill.Disabled || !r.reaches(d) {
 			continue
 		}
 		if best == nil || t.nearCost(r, d) < t.nearCost(r, best) {
@@ -133,7 +146,7 @@
 		if !Allowed(r, d.Region, d.Name) || d.Servers == 0 || r.Exclude[d.PeerID] {
 			return
 		}
-		if d != own && r.Hop >= MaxHops {
+		if d != own && r.Hop >= MaxHops || d.Region != own.Region && r.Service.Spill.Disabled {
 			return
 		}
 		if chosen == nil || preferred(fingerprint, d, chosen) {
@@ -161,12 +174,16 @@
 	if d.Name == t.domain {
 		return true
 	}
-	if r.Hop >= MaxHops || !r.queue(d).HasRoom || !t.roomLeft(r, d) {
+	if r.Hop >= MaxHops {
 		return false
 	}
 	return d.Region == t.region || !r.Service.Spill.Disabled
 }
 
+func (t *Router) hasRoom(r *Request, d *Domain) bool {
+	return r.queue(d).HasRoom && t.roomLeft(r, d)
+}
+
 // roomLeft counts what this instance sent since the domain's report: a report is
 // a second old, and a burst would otherwise go to one place as a whole.
 func (t *Router) roomLeft(r *Request, d *Domain) bool {
--- a/instance/config.go
+++ b/instance/config.go
@@ -2,56 +2,69 @@
 
 import (
 	"context"
-	"github.com/basilroute/basilroute/service"
+	"math/rand/v2"
 	"time"
 
 	"github.com/basilroute/basilroute/coordination/configwatch"
-	"github.com/basilroute/basilroute/transport/platform"
 )
 
 const (
-	watchWait  = 20 * time.Second
 	watchPause = 500 * time.Millisecond // after a failed call
+	watchIdle  = time.Second            // between looks whether this instance is to watch
 )
 
-// watchConfig keeps the documents in force up to date with the store.
+// watchConfig keeps the documents in force up to date with the store, as long as
+// the instance is one of its domain's watchers.
 func (i *Instance) watchConfig(ctx context.Context) {
+	w := &storeWatch{
+		store: i.platform, config: i.config, offer: i.offerStored, log: i.log,
+		delay: func(ctx context.Context) { _ = wait(ctx, time.After(rand.N(repairDelay))) },
+	}
 	for ctx.Err() == nil {
-		if err := i.watchOnce(ctx); err != nil {
-			i.storeSeen.Store(false)
+		if !i.watches() {
+			w.listed = false
+			i.storeFailing(false)
+			_ = wait(ctx, time.After(watchIdle))
+			continue
+		}
+		err := w.once(ctx, time.Now())
+		i.storeSeen.Store(err == nil)
+		i.storeFailing(err != nil)
+		if err != nil {
 			_ = wait(ctx, time.After(watchPause))
 		}
 	}
 }
 
-func (i *Instance) watchOnce(ctx context.Context) error {
-	var found []platform.KeyValue
-	var revision int64
-	var err error
-	if known := i.config.Revision(); !i.storeRead.Load() {
-		found, revision, err = i.platform.List(ctx, service.KeyPrefix, known)
-	} else {
-		found, revision, err = i.platform.Watch(ctx, service.KeyPrefix, known, watchWait)
+// watches tells whether this instance is one of the watchers of its domain. An
+// instance without a configuration looks for itself.
+func (i *Instance) watches() bool {
+	if i.config.Revision() == 0 {
+		return true
 	}
-	if err != nil {
-		return err
+	var candidates []configwatch.Candidate
+	for _, m := range i.members.Members(time.Now()) {
+		if m.Reachable && !m.Leaving() && m.Entry.GetDomain() == i.settings.Domain {
+			candidates = append(candidates, configwatch.Candidate{ID: m.Entry.GetId(), StoreFailing: m.Entry.GetStoreUnreachable()})
+		}
 	}
-	i.storeSeen.Store(true)
+	return configwatch.Watches(i.settings.ID, candidates)
+}
+
+func (i *Instance) offerStored(batch configwatch.Batch) {
 	i.storeRead.Store(true)
-	documents := make([]configwatch.Document, len(found))
-	for n, kv := range found {
-		documents[n] = configwatch.Document{Key: kv.Key, Revision: kv.Revision, Value: kv.Value, Deleted: kv.Deleted}
-	}
-	i.offer(configwatch.SourceStore, documents, revision)
-	return nil
+	i.offer("store", batch)
 }
 
-func (i *Instance) offer(source string, documents []configwatch.Document, revision int64) {
-	count := i.config.Offer(source, documents, revision)
-	if i.config.Revision() > 0 && i.ready.CompareAndSwap(false, true) {
-		i.log.Info("ready", "source", source, "revision", i.config.Revision())
-	}
+// configSource names where documents came from, for the log.
+type configSource string
+
+func (i *Instance) offer(source configSource, batch configwatch.Batch) {
+	count := i.config.Offer(batch)
+	i.publishConfig()
+	i.checkReady(source)
 	if count > 0 {
-		i.log.Info("configuration in force", "source", source, "documents", count, "revision", i.config.Revision())
+		i.spread()
+		i.log.Info("configuration in force", "source", string(source), "documents", count, "revision", i.config.Revision())
 	}
 }
--- a/transport/dispatch/front.go
+++ b/transport/dispatch/front.go
@@ -16,6 +16,7 @@
 	"github.com/basilroute/basilroute/protocol/tokens"
 	"github.com/basilroute/basilroute/service"
 	"github.com/basilroute/basilroute/state/catalog"
+	"github.com/basilroute/basilroute/transport/metrics"
 )
 
 // Domains tells what is known of the failure domains for a service.
@@ -40,6 +41,7 @@
 	Local          *Local
 	Forwarder      Forwarder
 	Log            *slog.Logger
+	Metrics        *metrics.Recorder // may be nil
 }
 
 // usage watches an answer on its way to the caller.
@@ -68,11 +70,11 @@
 		return true
 	}
 	sink, ok := u.Sink.(Restarter)
-	if ok {
-		sink.Restart()
-		*u = usage{Sink: u.Sink}
+	if !ok || !sink.Restart() {
+		return false
 	}
-	return ok
+	*u = usage{Sink: u.Sink}
+	return true
 }
 
 // Run carries the work to a backend server and its answer to the sink. The
@@ -86,12 +88,13 @@
 		return quarantined(until)
 	}
 	cost := w.Cost(svc)
-	if refused := f.charge(account, cost); refused != nil {
+	charge, refused := f.charge(ctx, account, w, cost)
+	if refused != nil {
 		return refused
 	}
 	watched := &usage{Sink: sink}
 	err := f.attempts(ctx, svc, w, watched)
-	f.settle(account, w, watched, cost, err)
+	f.settle(charge, w, watched, err)
 	return err
 }
 
@@ -129,6 +132,7 @@
 		if refused.Code == refusal.CodeOverloaded {
 			w.MaxWait = max(w.MaxWait-time.Since(sent), 0)
 		}
+		f.Metrics.Retried(w.Service)
 		if !pause(ctx, wait) {
 			return f.cut(ctx, refused)
 		}
@@ -191,6 +195,7 @@
 		f.exclude(request, chosen, err)
 		return err
 	}
+	f.countForward(w, chosen)
 	next := *w
 	next.Hop = w.Hop + 1
 	err := f.Forwarder.Forward(ctx, chosen.Peer, &next, sink)
@@ -198,6 +203,14 @@
 	return err
 }
 
+func (f *Front) countForward(w *Work, chosen *routing.Domain) {
+	scope := metrics.ScopeRegion
+	if chosen.Region != f.Region {
+		scope = metrics.ScopeSpill
+	}
+	f.Metrics.Forwarded(w.Service, scope)
+}
+
 func (f *Front) choose(request *routing.Request, w *Work) *routing.Domain {
 	own, others := f.Known.Own(w.Service), f.Known.Others(w.Service)
 	fingerprint := w.print()
--- a/transport/dispatch/front_test.go
+++ b/transport/dispatch/front_test.go
@@ -128,7 +128,10 @@
 	return nil
 }
 
-func (w *whole) Restart() { w.tokens = 0 }
+func (w *whole) Restart() bool {
+	w.tokens = 0
+	return true
+}
 
 // A server dies after part of an answer. A caller who takes the answer as a whole
 // has seen none of it and gets all of it from another server; one who streams has,
--- a/transport/dispatch/local.go
+++ b/transport/dispatch/local.go
@@ -15,6 +15,8 @@
 	"github.com/basilroute/basilroute/state/catalog"
 	"github.com/basilroute/basilroute/state/servers"
 	"github.com/basilroute/basilroute/transport/backend"
+	"github.com/basilroute/basilroute/transport/claim"
+	"github.com/basilroute/basilroute/transport/metrics"
 )
 
 const (
@@ -35,6 +37,8 @@
 	Admission  *Admission
 	Prefixes   *Prefixes
 	Apart      *quarantine.Apart
+	Metrics    *metrics.Recorder // may be nil
+	Claims     *claim.Claimer    // of operations that may run at most once
 }
 
 // Run waits for a slot and sends the work to one server. The error is a
@@ -44,10 +48,18 @@
 	if svc == nil {
 		return refusal.New(refusal.CodeNotFound, "service %q is not known here", w.Service)
 	}
+	if server, refused, ok := l.pinned(w); ok {
+		if refused != nil {
+			return refused
+		}
+		return l.resume(ctx, w, server, sink)
+	}
 	if !l.serves(svc) {
 		return noServer(w.Service)
 	}
+	submitted := time.Now()
 	release, refused := l.Admission.acquire(ctx, w, svc, l.weight(w.Account))
+	l.Metrics.Queued(w.Service, w.Class, time.Since(submitted))
 	if refused != nil {
 		return refused
 	}
@@ -238,3 +250,8 @@
 		w.tried = append(w.tried, p.server.ID)
 	}
 }
+
+func (l *Local) countDropped(stats *backend.StreamStats) {
+	l.Metrics.Dropped(metrics.DropForeign, stats.Foreign)
+	l.Metrics.Dropped(metrics.DropRepeated, stats.Repeated)
+}
--- a/transport/dispatch/work.go
+++ b/transport/dispatch/work.go
@@ -27,9 +27,10 @@
 	MaxWait   time.Duration // in queues
 	Via       string
 
-	tried       []string // servers of the own domain that failed this request
-	fingerprint string   // set by print
-	designated  bool     // this instance is the one that runs the suspect
+	ConfigRevision int64    // of the first instance, on forwarded work
+	tried          []string // servers of the own domain that failed this request
+	fingerprint    string   // set by print
+	designated     bool     // this instance is the one that runs the suspect
 
 	Generation *Generation // exactly one of the two is set
 	Operation  *Operation
@@ -45,8 +46,9 @@
 
 // Operation is work for a plain service.
 type Operation struct {
-	Name string
-	Body []byte
+	Name           string
+	Body           []byte
+	IdempotencyKey string // as the caller sent it; empty for none
 }
 
 // Sink takes an answer. Frames come in order and once each.
@@ -55,10 +57,11 @@
 	Answer(server string, body []byte) error
 }
 
-// Restarter is a sink of which nothing has reached the caller yet. Restart drops
-// what it holds, so that another server can answer from the beginning.
+// Restarter is a sink that may still hold all that it took. Restart drops it, so
+// that another server can answer from the beginning, or returns false when some
+// of it has reached the caller.
 type Restarter interface {
-	Restart()
+	Restart() bool
 }
 
 // Forwarder runs work on a peer's failure domain.
--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -11,6 +11,7 @@
 	"github.com/basilroute/basilroute/protocol/frame"
 	"github.com/basilroute/basilroute/protocol/refusal"
 	"github.com/basilroute/basilroute/transport/dispatch"
+	"github.com/basilroute/basilroute/transport/httpstream"
 )
 
 // maxBuffered is how many bytes of events may wait for a slow caller before the
@@ -27,7 +28,10 @@
 
 	mu      sync.Mutex
 	buf     []byte
+	encoder jx.Writer // kept, since one a frame would be an allocation a token
 	output  int
+	frames  int
+	whole   bool // the last frame is there
 	ended   bool
 	wake    chan struct{} // capacity 1: there is something to read
 	drained chan struct{} // capacity 1: there is room again
@@ -54,12 +58,12 @@
 		signal(e.wake)
 	case <-e.finished:
 	}
-	if e.empty() {
+	if !e.begun() {
 		<-e.finished
 		cancel()
 		return nil, failed
 	}
-	return e, nil
+	return httpstream.SendEvents(ctx, e), nil
 }
 
 func signal(c chan struct{}) {
@@ -69,10 +73,17 @@
 	}
 }
 
-func (e *events) empty() bool {
+func (e *events) begun() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.output == 0 && len(e.buf) == 0
+	return e.frames > 0
+}
+
+// Whole tells whether the answer has its end.
+func (e *events) Whole() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.whole
 }
 
 // Frame implements dispatch.Sink.
@@ -81,6 +92,8 @@
 		e.mu.Lock()
 		if len(e.buf) < maxBuffered {
 			e.output += f.Tokens
+			e.frames++
+			e.whole = f.Finish != ""
 			e.buf = e.appendFrame(e.buf, f)
 			e.mu.Unlock()
 			signal(e.wake)
@@ -99,7 +112,8 @@
 func (e *events) Answer(string, []byte) error { return nil }
 
 func (e *events) appendFrame(buf []byte, f *frame.Frame) []byte {
-	w := jx.Writer{Buf: buf}
+	w := &e.encoder
+	w.Buf = buf
 	w.RawStr(`data: {"id":`)
 	w.Str(e.id)
 	w.RawStr(`,"object":`)
@@ -123,7 +137,7 @@
 	} else {
 		w.Str(f.Finish)
 		w.RawStr(`}],"usage":`)
-		e.appendUsage(&w, f)
+		e.appendUsage(w, f)
 		w.RawStr(`}`)
 	}
 	w.RawStr("\n\n")
@@ -151,7 +165,7 @@
 	switch {
 	case err == nil:
 		e.buf = append(e.buf, "data: [DONE]\n\n"...)
-	case e.output > 0:
+	case e.frames > 0:
 		e.buf = appendIncomplete(e.buf, classify(err))
 	}
 	signal(e.wake)
--- a/transport/httpstream/httpstream.go
+++ b/transport/httpstream/httpstream.go
@@ -4,63 +4,101 @@
 package httpstream
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 )
 
-const copyBytes = 4 << 10
-
-var copyBuffers = sync.Pool{New: func() any {
-	buf := make([]byte, copyBytes)
-	return &buf
-}}
+// Content types of bodies that are sent part by part.
+const (
+	typeEvents = "text/event-stream"
+	typeFrames = "application/octet-stream"
+)
 
-// Flush wraps a handler so that each read of a streamed body is sent at once.
+// Flush wraps a handler so that each write of a streamed body is sent at once.
 func Flush(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		next.ServeHTTP(&writer{ResponseWriter: w, flush: http.NewResponseController(w).Flush}, r)
+		out := &writer{ResponseWriter: w}
+		next.ServeHTTP(out, r.WithContext(context.WithValue(r.Context(), writerKey{}, out)))
 	})
 }
 
+// writer flushes in Write and not in ReadFrom: the generated server wraps the
+// writer in one of its own that hides ReadFrom, and io.Copy then calls Write.
+// Symptom of the other way: the first token arrives together with the last.
 type writer struct {
 	http.ResponseWriter
-	flush func() error
+	flusher http.Flusher // set while a streamed body is written
+	sent    bool         // by SendEvents, headers and all
 }
 
-// Unwrap lets http.ResponseController reach the connection.
-func (w *writer) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+type writerKey struct{}
+
+const copyBytes = 4 << 10
 
-// ReadFrom is what io.Copy calls; every part read is written and flushed.
-func (w *writer) ReadFrom(src io.Reader) (int64, error) {
+var copyBuffers = sync.Pool{New: func() any {
+	buf := make([]byte, copyBytes)
+	return &buf
+}}
+
+// SendEvents sends server-sent events to the caller whose handler runs in ctx
+// and closes the body. It returns what the handler gives to the generated server
+// in the body's place: nothing more, or the body itself when ctx is of no handler
+// behind Flush. io.Copy of the generated server would hold 32 KiB for as long as
+// the stream is open, four tenths of what a stream takes in memory.
+func SendEvents(ctx context.Context, body io.ReadCloser) io.ReadCloser {
+	w, ok := ctx.Value(writerKey{}).(*writer)
+	if !ok {
+		return body
+	}
+	w.Header().Set("Content-Type", typeEvents)
+	w.WriteHeader(http.StatusOK)
+	w.sent = true
 	buf := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buf)
-	if err := w.flush(); err != nil { // the caller sees the headers before the first token
-		return 0, err
-	}
-	var total int64
 	for {
-		n, err := src.Read(*buf)
+		n, err := body.Read(*buf)
 		if n > 0 {
-			written, writeErr := w.send((*buf)[:n])
-			total += int64(written)
-			if writeErr != nil {
-				return total, writeErr
+			if _, writeErr := w.Write((*buf)[:n]); writeErr != nil {
+				break // the caller went away
 			}
 		}
-		if err == io.EOF {
-			return total, nil
-		}
 		if err != nil {
-			return total, err
+			break
 		}
 	}
+	_ = body.Close()
+	return io.NopCloser(strings.NewReader(""))
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w *writer) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader sends the headers of a streamed body before its first part.
+func (w *writer) WriteHeader(status int) {
+	if w.sent {
+		return
+	}
+	w.ResponseWriter.WriteHeader(status)
+	if !streamed(w.Header().Get("Content-Type")) {
+		return
+	}
+	if f, ok := w.ResponseWriter.(http.Flusher); ok {
+		w.flusher = f
+		f.Flush()
+	}
+}
+
+func streamed(contentType string) bool {
+	return contentType == typeEvents || contentType == typeFrames
 }
 
-func (w *writer) send(part []byte) (int, error) {
-	n, err := w.Write(part)
-	if err != nil {
-		return n, err
+func (w *writer) Write(part []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(part)
+	if err == nil && w.flusher != nil {
+		w.flusher.Flush()
 	}
-	return n, w.flush()
+	return n, err
 }
--- a/transport/peer/codec.go
+++ b/transport/peer/codec.go
@@ -27,7 +27,7 @@
 		return req
 	}
 	req.Work = &peerpb.ForwardRequest_Operation{Operation: &peerpb.Operation{
-		Name: w.Operation.Name, Body: w.Operation.Body,
+		Name: w.Operation.Name, Body: w.Operation.Body, IdempotencyKey: w.Operation.IdempotencyKey,
 	}}
 	return req
 }
@@ -36,7 +36,7 @@
 	w := &dispatch.Work{
 		RequestID: req.GetRequestId(), Attempt: int(req.GetAttempt()), Hop: int(req.GetHop()),
 		Account: req.GetAccount(), KeyID: req.GetKeyId(), Home: req.GetHomeRegion(), Service: req.GetService(),
-		Class: service.ClassInteractive, Via: req.GetVia(),
+		Class: service.ClassInteractive, Via: req.GetVia(), ConfigRevision: req.GetConfigRevision(),
 		Deadline: time.Now().Add(time.Duration(req.GetDeadlineMs()) * time.Millisecond),
 		MaxWait:  time.Duration(req.GetMaxWaitMs()) * time.Millisecond,
 	}
@@ -49,7 +49,7 @@
 		}
 	}
 	if o := req.GetOperation(); o != nil {
-		w.Operation = &dispatch.Operation{Name: o.GetName(), Body: o.GetBody()}
+		w.Operation = &dispatch.Operation{Name: o.GetName(), Body: o.GetBody(), IdempotencyKey: o.GetIdempotencyKey()}
 	}
 	return w
 }
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -16,10 +16,18 @@
 const (
 	pingAfter   = 10 * time.Second
 	pingTimeout = 3 * time.Second
+	// StreamWindow and ConnWindow are fixed: with grpc's own estimate of the
+	// window, peers answer a ping for nearly every token that is forwarded.
+	StreamWindow = 1 << 20
+	ConnWindow   = 16 << 20 // for 160 ms there and back at 0.8 Gbit/s
 )
 
 // Pool holds one connection to each peer.
 type Pool struct {
+	// Revision is the configuration in force here. A peer that has an older one
+	// waits for it before it refuses a key that it does not know.
+	Revision func() int64
+
 	creds credentials.TransportCredentials
 
 	mu    sync.Mutex
@@ -28,7 +36,7 @@
 
 // NewPool returns a pool without connections.
 func NewPool(creds credentials.TransportCredentials) *Pool {
-	return &Pool{creds: creds, conns: make(map[string]*grpc.ClientConn)}
+	return &Pool{creds: creds, Revision: func() int64 { return 0 }, conns: make(map[string]*grpc.ClientConn)}
 }
 
 // Get returns a client for the peer at an address. It makes no call.
@@ -42,6 +50,8 @@
 			grpc.WithTransportCredentials(p.creds),
 			grpc.WithDisableRetry(), // a forwarded request is retried by the first instance only
 			grpc.WithDisableServiceConfig(),
+			grpc.WithInitialWindowSize(StreamWindow),
+			grpc.WithInitialConnWindowSize(ConnWindow),
 			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingTimeout}))
 		if err != nil {
 			return nil, errors.Wrapf(err, "peer %s", address)
