--- a/e2e/inprocess/once_test.go
+++ b/e2e/inprocess/once_test.go
@@ -167,3 +167,28 @@
 		t.Errorf("%d runs of a loop", f.runs("pigment"))
 	}
 }
+
+// A server reads an operation and resets the connection. One that may be repeated
+// is sent again and its caller sees nothing of it. One that may not is dispatched
+// once, also without a key, and its caller is told that the run state is unknown:
+// no instance on the way sends it again, forwarded or not.
+func TestOnlyRepeatableOperationsAreSentAgain(t *testing.T) {
+	f := startFleet(t)
+	for _, id := range []string{"fraser-a-1-entry-1", "fraser-a-2-entry-1"} {
+		for _, c := range []struct {
+			operation string
+			status    int
+			sent      int64
+		}{{"read", http.StatusOK, 2}, {"buy", http.StatusBadGateway, 1}} {
+			before := f.plain().Received()
+			f.plain().SetFaults(plain.Faults{ResetAfterRead: 1})
+			got := f.send(id, "/v1/services/guild-desk/operations/"+c.operation, `{"id":"`+id+`"}`)
+			if got.status != c.status || c.status != http.StatusOK && got.Run != "unknown" {
+				t.Errorf("%s through %s: %d %s", c.operation, id, got.status, got.body)
+			}
+			if sent := f.plain().Received() - before; sent != c.sent {
+				t.Errorf("%s through %s: sent %d times", c.operation, id, sent)
+			}
+		}
+	}
+}
