Show that a resumed stream is charged once

TestStreamOutlivesTheForwardingPeer now compares the tokens that all instances charged with those of the answer.

--- a/e2e/inprocess/whole_test.go
+++ b/e2e/inprocess/whole_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
+	estimate "github.com/basilroute/basilroute/protocol/tokens"
 	"github.com/basilroute/basilroute/standin/engine"
 )
 
@@ -41,7 +43,8 @@
 
 // The peer that forwards a stream dies in the middle of it. The caller, on an
 // instance of another failure domain, gets the whole answer: the rest comes from
-// the same engine through the other peer, and the generation ran once.
+// the same engine through the other peer. The generation ran once, and the account
+// is charged for exactly the answer's tokens.
 func TestStreamOutlivesTheForwardingPeer(t *testing.T) {
 	f := startFleet(t)
 	const tokens = 600
@@ -69,6 +72,39 @@
 	if started := f.engine().Stats().Started; started != 1 {
 		t.Errorf("%d generations", started)
 	}
+	delete(f.Instances, victim)
+	if used, want := f.used(), float64(estimate.Estimate(defaultPrompt)+tokens); used != want {
+		t.Errorf("the account was charged %g tokens, the answer has %g", used, want)
+	}
+}
+
+// used returns how many tokens all instances have charged and not given back.
+func (f *testFleet) used() float64 {
+	f.t.Helper()
+	total := 0.0
+	for id, i := range f.Instances {
+		_, _, operators := i.Addresses()
+		resp, err := http.Get("http://" + operators + "/metrics")
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		page, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err != nil {
+			f.t.Fatalf("%s: %v", id, err)
+		}
+		total += metric(string(page), `basilroute_quota_tokens_total{result="charged"}`) -
+			metric(string(page), `basilroute_quota_tokens_total{result="refunded"}`)
+	}
+	return total
+}
+
+// metric returns a series' value, 0 when it is not there.
+func metric(page, series string) float64 {
+	_, rest, _ := strings.Cut(page, series+" ")
+	text, _, _ := strings.Cut(rest, "\n")
+	value, _ := strconv.ParseFloat(text, 64)
+	return value
 }
 
 // The engine crashes in the middle of an answer. A caller that reads a stream
