--- a/instance/instance.go
+++ b/instance/instance.go
@@ -52,6 +52,7 @@
 	requests   *requests.Table
 	forwarded  *requests.Table
 	ledger     *quota.Ledger
+	slots      *slotKeeper
 	retries    *retry.Budget
 	quarantine *quarantine.List
 
@@ -98,7 +99,7 @@
 		servers:    servers.New(),
 		requests:   requests.New(),
 		forwarded:  requests.New(),
-		ledger:     quota.New(),
+		ledger:     quota.New(settings.Domain),
 		retries:    retry.NewBudget(),
 		quarantine: quarantine.New(),
 		backend:    backend.New(),
@@ -119,6 +120,7 @@
 	}
 	i.members = membership.New(i.selfEntry(), time.Now())
 	i.registerMetrics()
+	i.slots = newSlotKeeper(i.member())
 	if err := i.wire(); err != nil {
 		i.closeListeners()
 		return nil, err
@@ -229,7 +231,7 @@
 	i.operators = &http.Server{Handler: operators, ReadHeaderTimeout: headerTimeout}
 	i.peers = grpc.NewServer(append(peer.ServerOptions(), grpc.Creds(creds),
 		grpc.InitialWindowSize(peer.StreamWindow), grpc.InitialConnWindowSize(peer.ConnWindow))...)
-	peerpb.RegisterPeerServer(i.peers, &peer.Server{Runner: i, Exchanger: i})
+	peerpb.RegisterPeerServer(i.peers, &peer.Server{Runner: i, Exchanger: i, Quota: i})
 	return nil
 }
 
@@ -238,8 +240,10 @@
 	go i.serve(func() error { return i.callers.Serve(i.listeners.callers) })
 	go i.serve(func() error { return i.operators.Serve(i.listeners.operators) })
 	go i.serve(func() error { return i.peers.Serve(i.listeners.peers) })
-	for _, loop := range []func(context.Context){i.watchConfig, i.watchList, i.pollServers, i.exchange, i.exchangeCrashes,
-		i.shareQuotaLoop, i.storeWithdrawals, i.issueOrders} {
+	for _, loop := range []func(context.Context){
+		i.watchConfig, i.watchList, i.pollServers, i.exchange, i.exchangeCrashes,
+		i.holdSlots, i.readSlots, i.lend, i.storeWithdrawals, i.issueOrders,
+	} {
 		i.loops.Go(func() { loop(i.background) })
 	}
 	i.log.Info("instance started", "region", i.settings.Region, "domain", i.settings.Domain,
--- a/transport/dispatch/local.go
+++ b/transport/dispatch/local.go
@@ -53,7 +53,9 @@
 	if !l.serves(svc) {
 		return noServer(w.Service)
 	}
+	submitted := time.Now()
 	release, refused := l.Admission.acquire(ctx, w, svc, l.weight(w.Account))
+	l.Metrics.Queued(w.Service, w.Class, time.Since(submitted))
 	if refused != nil {
 		return refused
 	}
