Hand forwarded streams on when a peer is made to stop at once

Cause: a second SIGTERM cancelled the generations that the instance forwarded, so their callers elsewhere got an incomplete answer though another peer could go on with it. The peer now says that it is leaving and leaves the generation running; the first instance resumes it. TestCutPeerHandsItsStreamsOn.

--- a/e2e/inprocess/stop_test.go
+++ b/e2e/inprocess/stop_test.go
@@ -118,3 +118,26 @@
 	}
 	delete(f.Instances, id)
 }
+
+// A peer that forwards a stream is made to stop without waiting. The caller, on
+// another instance, notices nothing: the generation goes on, and the rest comes
+// through the other peer.
+func TestCutPeerHandsItsStreamsOn(t *testing.T) {
+	f := startFleet(t)
+	const tokens = 1200
+	lines, first, id := f.openForwarded(tokens)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := f.Instances[id].Stop(ctx); err == nil {
+		t.Error("Stop did not report that it cut a request")
+	}
+	delete(f.Instances, id)
+	rest, err := io.ReadAll(lines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.checkWhole("forwarded", first+string(rest), tokens)
+	if started := f.engine().Stats().Started; started != 1 {
+		t.Errorf("%d generations", started)
+	}
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -283,7 +283,11 @@
 	if refused := i.checkForwarded(ctx, w); refused != nil {
 		return refused
 	}
-	return i.local.Run(ctx, w, sink)
+	err := i.local.Run(ctx, w, sink)
+	if cause := (*refusal.Refusal)(nil); err != nil && errors.As(context.Cause(ctx), &cause) {
+		return cause // the first instance acts on the reason, not on the connection that it broke
+	}
+	return err
 }
 
 // CancelForwarded implements peer.Runner.
--- a/transport/dispatch/stream.go
+++ b/transport/dispatch/stream.go
@@ -45,23 +45,28 @@
 		}
 		broken := refusal.From(err)
 		if ctx.Err() != nil || broken.Code != refusal.CodeBackendFailed {
-			l.giveUp(ctx, server, w.RequestID)
+			l.giveUp(ctx, server, w)
 			return err
 		}
 		if next == 0 || resumed >= resumeLimit || !pause(ctx, resumeBackoff) {
 			l.failed(ctx, w, server, err)
-			l.giveUp(ctx, server, w.RequestID)
+			l.giveUp(ctx, server, w)
 			return err
 		}
 	}
 }
 
-// giveUp cancels the generation unless the first instance may resume it.
-func (l *Local) giveUp(ctx context.Context, server servers.Server, requestID string) {
-	if errors.Is(context.Cause(ctx), ErrDetached) {
+// giveUp cancels the generation unless the first instance may resume it through
+// another peer: the connection to it broke, or this instance is made to stop.
+func (l *Local) giveUp(ctx context.Context, server servers.Server, w *Work) {
+	cause := context.Cause(ctx)
+	if errors.Is(cause, ErrDetached) {
 		return
 	}
-	l.cancel(server, requestID)
+	if w.Hop > 0 && cause != nil && refusal.From(cause).Code == refusal.CodeLeaving {
+		return
+	}
+	l.cancel(server, w.RequestID)
 }
 
 func (l *Local) cancel(server servers.Server, requestID string) {
