--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -25,9 +25,10 @@
 
 // All returns every experiment in the order of the page.
 func All() []Experiment {
-	return []Experiment{
+	all := []Experiment{
 		{Name: "quota", Title: "Fair share: rate and burst across the fleet", Run: quotaExperiment},
 	}
+	return append(all, policyExperiments()...)
 }
 
 // WriteMarkdown writes the outcome as a section of the page.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -81,8 +81,8 @@
 	loops      sync.WaitGroup
 	background context.Context // of everything that runs until Kill
 	stopLoops  context.CancelFunc
-	failed     chan error    // a listener that ended unasked
-	crashes    chan struct{} // capacity 1: a crash is to be announced
+	failed     chan error         // a listener that ended unasked
+	crashes    chan chan struct{} // crashes to be announced; closed when they are
 	views      domainViews
 	leaving    atomic.Bool
 }
@@ -103,7 +103,7 @@
 		retries:    retry.NewBudget(),
 		quarantine: quarantine.New(),
 		backend:    backend.New(),
-		crashes:    make(chan struct{}, 1),
+		crashes:    make(chan chan struct{}),
 		views:      domainViews{views: make(map[string]domainView)},
 		failed:     make(chan error, 3),
 		news:       make(chan struct{}, 1),
@@ -113,6 +113,7 @@
 	i.background, i.stopLoops = context.WithCancel(context.Background())
 	i.config = configwatch.New(i.catalog)
 	i.quarantine.OnCrash(i.announceCrash)
+	i.quarantine.OnEnded(i.servers.Ended)
 	i.catalog.OnWithdraw(i.requests.Withdraw)
 	i.catalog.OnWithdraw(i.forwarded.Withdraw)
 	if err := i.listen(); err != nil {
--- a/instance/quota.go
+++ b/instance/quota.go
@@ -130,14 +130,16 @@
 	return peer.DecodeLent(c, resp)
 }
 
-// lenders returns the reachable holders of slots, the nearest first. Instances
-// differ in the order within a distance, which spreads the calls.
+// lenders returns the reachable holders of slots, the nearest first, by the store
+// or by their own word: an instance that starts while the store is out of reach
+// would else know no lender and refuse every caller. Instances differ in the
+// order within a distance, which spreads the calls.
 func (i *Instance) lenders(now time.Time) []lender {
 	holders := i.slots.holders()
 	var out []lender
 	for _, m := range i.members.Members(now) {
 		member := slots.Member{ID: m.Entry.GetId(), Incarnation: m.Entry.GetIncarnation()}
-		if m.Reachable && holders[member] && member.ID != i.settings.ID {
+		if m.Reachable && (holders[member] || m.Entry.GetSlots() > 0) && member.ID != i.settings.ID {
 			out = append(out, lender{member: member, address: m.Entry.GetPeerAddress(), rank: i.distance(m)})
 		}
 	}
--- a/instance/slots.go
+++ b/instance/slots.go
@@ -89,7 +89,11 @@
 
 func (i *Instance) updateHeld() {
 	now := time.Now()
-	i.ledger.SetHeld(i.slots.machine.Held(now), now)
+	held := i.slots.machine.Held(now)
+	i.ledger.SetHeld(held, now)
+	if count := uint32(len(held)); count != i.members.Self().GetSlots() {
+		i.members.UpdateSelf(now, func(m *peerpb.Member) { m.Slots = count })
+	}
 }
 
 func (i *Instance) liveInDomain(now time.Time) []slots.Member {
--- a/transport/dispatch/work.go
+++ b/transport/dispatch/work.go
@@ -29,6 +29,7 @@
 
 	ConfigRevision int64    // of the first instance, on forwarded work
 	tried          []string // servers of the own domain that failed this request
+	fingerprint    string   // set by print
 
 	Generation *Generation // exactly one of the two is set
 	Operation  *Operation
@@ -55,6 +56,13 @@
 	Answer(server string, body []byte) error
 }
 
+// Restarter is a sink that may still hold all that it took. Restart drops it, so
+// that another server can answer from the beginning, or returns false when some
+// of it has reached the caller.
+type Restarter interface {
+	Restart() bool
+}
+
 // Forwarder runs work on a peer's failure domain.
 type Forwarder interface {
 	Forward(ctx context.Context, address string, w *Work, sink Sink) error
@@ -78,9 +86,12 @@
 	return s.Operations[w.Operation.Name].Repeatable
 }
 
-// fingerprint identifies the work in the quarantine.
-func (w *Work) fingerprint() string {
-	return quarantine.Fingerprint(w.Account, w.Service, w.body())
+// print returns what identifies the work in the quarantine. It is worked out once.
+func (w *Work) print() string {
+	if w.fingerprint == "" {
+		w.fingerprint = quarantine.Fingerprint(w.Account, w.Service, w.body())
+	}
+	return w.fingerprint
 }
 
 // body is what the work's fingerprint covers.
--- a/transport/gateway/observe.go
+++ b/transport/gateway/observe.go
@@ -43,3 +43,9 @@
 	s.tokens += f.Tokens
 	return s.Sink.Frame(server, f)
 }
+
+// Restart implements dispatch.Restarter for a sink that does.
+func (s *observedSink) Restart() bool {
+	inner, ok := s.Sink.(dispatch.Restarter)
+	return ok && inner.Restart()
+}
