--- a/coordination/membership/exchange.go
+++ b/coordination/membership/exchange.go
@@ -6,10 +6,8 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"google.golang.org/protobuf/proto"
-
 	"github.com/basilroute/basilroute/protocol/peerpb"
+	"github.com/cespare/xxhash/v2"
 )
 
 // loadFresh is how long a member's own word on its domain's load is preferred to
@@ -311,7 +309,7 @@
 
 // outgoing is a member's entry as it travels.
 func (t *Table) outgoing(r *record, now time.Time) *peerpb.Member {
-	out := proto.CloneOf(r.entry)
+	out := shallow(r.entry)
 	out.Loads = nil
 	out.Heartbeat = r.heartbeat
 	out.HeardAgoMs = max(0, now.Sub(r.heard).Milliseconds())
@@ -347,7 +345,7 @@
 		if r != sender && now.Sub(r.loadsHeard) < loadFresh {
 			continue
 		}
-		r.entry = proto.CloneOf(r.entry)
+		r.entry = shallow(r.entry)
 		r.entry.Loads = loads
 	}
 }
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"github.com/basilroute/basilroute/protocol/peerpb"
 )
@@ -115,11 +116,24 @@
 
 // static is the part of an entry that has a version.
 func static(m *peerpb.Member) *peerpb.Member {
-	out := proto.CloneOf(m)
+	out := shallow(m)
 	out.Loads, out.ConfigRevision, out.Heartbeat, out.HeardAgoMs = nil, 0, 0, 0
 	return out
 }
 
+// shallow returns a copy that shares the lists. Entries are handed out and never
+// changed, only replaced, and a copy of the lists each second for each member
+// would be most of the cost of an exchange.
+func shallow(m *peerpb.Member) *peerpb.Member {
+	out := &peerpb.Member{}
+	fields := out.ProtoReflect()
+	m.ProtoReflect().Range(func(field protoreflect.FieldDescriptor, value protoreflect.Value) bool {
+		fields.Set(field, value)
+		return true
+	})
+	return out
+}
+
 // SetSeeds takes in the platform's list. It says whom to try, and which
 // unreachable instances need not be remembered; it never makes a live one dead.
 func (t *Table) SetSeeds(seeds []Seed) {
@@ -285,7 +299,7 @@
 		r.heartbeat, r.heard = heartbeat, now
 	}
 	if revision > r.entry.GetConfigRevision() {
-		r.entry = proto.CloneOf(r.entry)
+		r.entry = shallow(r.entry)
 		r.entry.ConfigRevision = revision
 	}
 }
--- a/instance/forwarded.go
+++ b/instance/forwarded.go
@@ -19,11 +19,15 @@
 // the first instance had in force.
 func (i *Instance) checkForwarded(ctx context.Context, w *dispatch.Work) *refusal.Refusal {
 	deadline := time.After(lagWait)
-	for !i.catalog.Usable(w.KeyID) {
+	for {
+		known := i.config.Revision() // before the key is looked up, which may come into force in between
+		if i.catalog.Usable(w.KeyID) {
+			return nil
+		}
 		if i.catalog.IsWithdrawn(w.KeyID) {
 			return refusal.New(refusal.CodeWithdrawn, "the key was withdrawn")
 		}
-		if w.ConfigRevision <= i.config.Revision() {
+		if w.ConfigRevision <= known {
 			return refusal.New(refusal.CodeUnauthorized, "the key is not known")
 		}
 		select {
@@ -34,5 +38,4 @@
 			return refusal.From(context.Cause(ctx)).WithRun(refusal.NotRun)
 		}
 	}
-	return nil
 }
--- a/instance/poll.go
+++ b/instance/poll.go
@@ -13,6 +13,9 @@
 const (
 	pollEvery        = time.Second
 	pollFailureLimit = 3
+	// requestStep rounds the requests in flight that an instance tells the others:
+	// each change of the number is a new version of its entry for all of them.
+	requestStep = 128
 )
 
 // pollServers asks the backend servers of the own domain for their load.
@@ -47,7 +50,8 @@
 // publishLoad sums up the own domain's servers in the instance's entry.
 func (i *Instance) publishLoad() {
 	loads := i.ownLoads()
-	i.members.UpdateSelf(time.Now(), func(m *peerpb.Member) { m.Loads = loads })
+	requests := uint32(i.requests.Count()) / requestStep * requestStep
+	i.members.UpdateSelf(time.Now(), func(m *peerpb.Member) { m.Loads, m.Requests = loads, requests })
 }
 
 func (i *Instance) ownLoads() []*peerpb.ServiceLoad {
--- /dev/null
+++ b/spec/config.pml
@@ -0,0 +1,276 @@
+/*
+ * Configuration that never reverts: a store with compare-and-swap, operators who
+ * write to it, two instances that watch it and learn from each other, answers
+ * that are lost, and a store that comes back from a snapshot and hands out
+ * revisions again.
+ *
+ * A write is known by its nonce; each comes after the one that it replaces
+ * (newNonce in transport/platform). A place in the store is a rank, the store's
+ * generation before its revision (configwatch.Rank).
+ */
+
+// documents are ordered by rank instead of nonce:
+// variant: RANK_ORDER
+// the store's document is taken whatever it is:
+// variant: OBEY_STORE
+// what a restored store lost is not written back:
+// variant: NO_WRITEBACK
+// what is written back gets a nonce of its own:
+// variant: NEW_NONCE
+// a write whose answer was lost is repeated without compare-and-swap:
+// variant: BLIND_RETRY
+// a restored store goes on in its old generation:
+// variant: NO_GENERATION
+// the store is never read as a whole again:
+// variant: NO_WHOLE
+
+#define INSTANCES 2
+#define KEYS 2
+#define WRITES 3
+#define GENERATION 16 /* rank = generation * GENERATION + revision */
+
+typedef Row { byte by[KEYS] };
+
+/* The store and its snapshot. */
+byte revision, generation, marker; /* marker: revision at which the generation began */
+byte nonce[KEYS], at[KEYS];
+byte snapRevision, snapGeneration, snapMarker, snapNonce[KEYS], snapAt[KEYS];
+bool snapped, restored;
+
+/* The instances: the write in force, its rank, the cursor and its generation. */
+Row force[INSTANCES], rank[INSTANCES];
+byte cursor[INSTANCES], seenGeneration[INSTANCES];
+
+byte clock, writes; /* of the writers, who are taken to have one clock */
+
+/* An operator whose answer was lost. */
+bool pending; byte pendingKey, pendingNonce, pendingExpect;
+
+/* A write-back that was decided and not sent yet. */
+bool backPending; byte backKey, backNonce, backExpect;
+
+/* Ghosts: what a write holds, and the newest write of each key that the store
+ * accepted and did not lose by a restore. */
+#define NONCES 10
+byte content[NONCES], accepted[KEYS];
+
+byte k, j, r; bool lost;
+
+inline storeRank(key) {
+	if
+	:: at[key] >= marker -> r = generation * GENERATION + at[key]
+	:: else -> r = at[key]
+	fi
+}
+
+inline write(key, n) {
+	revision++; nonce[key] = n; at[key] = revision;
+	if :: n > accepted[key] -> accepted[key] = n :: else fi
+}
+
+/* Log.accept: an older write never replaces a newer one. */
+inline accept(i, key, n, newRank) {
+	if
+#ifdef RANK_ORDER
+	:: newRank > rank[i].by[key] ->
+#else
+#ifdef OBEY_STORE
+	:: n > 0 ->
+#else
+	:: n >= force[i].by[key] ->
+#endif
+#endif
+		assert(content[n] >= content[force[i].by[key]]); /* never reverts */
+		force[i].by[key] = n;
+		if :: newRank > rank[i].by[key] -> rank[i].by[key] = newRank :: else fi
+	:: else
+	fi
+}
+
+/* storeWatch.storeLost: what stands in place of the newest document in force. */
+inline findLost(i) {
+	lost = false;
+	j = 0;
+	if :: rank[i].by[1] > rank[i].by[0] -> j = 1 :: else fi;
+	storeRank(j);
+	if
+	:: nonce[j] < force[i].by[j] -> lost = true
+	:: nonce[j] >= force[i].by[j] && r < rank[i].by[j] && rank[i].by[j] / GENERATION >= generation -> lost = true
+	:: else
+	fi
+}
+
+/* storeWatch.takeStored: read what changed after the cursor. */
+inline take(i) {
+	k = 0;
+	do
+	:: k < KEYS ->
+		if
+		:: nonce[k] > 0 && at[k] > cursor[i] -> storeRank(k); accept(i, k, nonce[k], r)
+		:: else
+		fi;
+		k++
+	:: else -> break
+	od;
+	k = 0;
+	do
+	:: k < KEYS -> if :: at[k] > cursor[i] -> cursor[i] = at[k] :: else fi; k++
+	:: else -> break
+	od
+}
+
+/* storeWatch.begin: a new generation is read from the start. */
+inline begin(i) {
+	if
+	:: seenGeneration[i] != generation -> seenGeneration[i] = generation; cursor[i] = 0
+	:: else
+	fi
+}
+
+/* storeWatch.repairStore: open a generation above that of what is in force. */
+inline openGeneration(i) {
+#ifndef NO_GENERATION
+	k = rank[i].by[0] / GENERATION;
+	if :: rank[i].by[1] / GENERATION > k -> k = rank[i].by[1] / GENERATION :: else fi;
+	if
+	:: generation <= k -> generation = k + 1; revision++; marker = revision
+	:: else
+	fi
+#endif
+	skip
+}
+
+/* storeWatch.writeBackOne: decide; the write goes out later, by compare-and-swap. */
+inline decideBack(i, key) {
+	if
+	:: !backPending && nonce[key] < force[i].by[key] && clock < NONCES - 1 ->
+		backPending = true; backKey = key; backExpect = at[key];
+#ifdef NEW_NONCE
+		clock++; backNonce = clock; content[clock] = content[force[i].by[key]]
+#else
+		backNonce = force[i].by[key]
+#endif
+	:: else
+	fi
+}
+
+inline sendBack() {
+	if
+	:: at[backKey] == backExpect -> write(backKey, backNonce)
+	:: else /* a conflict: somebody else wrote it */
+	fi;
+	backPending = false
+}
+
+inline watch(i) {
+	begin(i);
+	findLost(i);
+	if
+	:: lost ->
+		openGeneration(i);
+#ifndef NO_WRITEBACK
+		if :: true -> decideBack(i, 0) :: true -> decideBack(i, 1) fi
+#endif
+	:: else -> take(i)
+	fi
+}
+
+/* Log.Since and Log.Differing: learn what a peer has. */
+inline exchange(i, from) {
+	k = 0;
+	do
+	:: k < KEYS -> 
+		if :: force[from].by[k] > 0 -> accept(i, k, force[from].by[k], rank[from].by[k]) :: else fi;
+		k++
+	:: else -> break
+	od
+}
+
+/* The end: no more faults, every instance reads all of the store now and then. */
+inline backBoth(i) {
+#ifndef NO_WRITEBACK
+	decideBack(i, 0); if :: backPending -> sendBack() :: else fi;
+	decideBack(i, 1); if :: backPending -> sendBack() :: else fi
+#endif
+	skip
+}
+
+inline quiet(i) {
+	begin(i);
+#ifndef NO_WHOLE
+	cursor[i] = 0;
+#endif
+	findLost(i);
+	if :: lost -> openGeneration(i) :: else -> take(i) fi;
+	backBoth(i)
+}
+
+/* Scratch and what no longer counts is cleared, so that it tells no states apart. */
+inline clear() {
+	k = 0; j = 0; r = 0; lost = false; key = 0;
+	if :: !pending -> pendingKey = 0; pendingNonce = 0; pendingExpect = 0 :: else fi;
+	if :: !backPending -> backKey = 0; backNonce = 0; backExpect = 0 :: else fi;
+	if
+	:: restored -> accepted[0] = 0; accepted[1] = 0; snapRevision = 0; snapGeneration = 0; snapMarker = 0;
+		snapNonce[0] = 0; snapNonce[1] = 0; snapAt[0] = 0; snapAt[1] = 0
+	:: else
+	fi
+}
+
+active proctype system() {
+	byte key;
+	do
+	/* apply: a write, with its answer or without */
+	:: atomic { writes < WRITES ->
+		if :: key = 0 :: key = 1 fi;
+		clock++; writes++; content[clock] = clock;
+		if
+		:: write(key, clock)
+		:: !pending -> pendingExpect = at[key]; pending = true; pendingKey = key; pendingNonce = clock;
+			if
+			:: write(key, clock)
+			:: true -> skip /* not arrived yet */
+			fi
+		fi; clear() }
+	/* Client.Put tries again with the same nonce, and settles a conflict by reading */
+	:: atomic { pending ->
+#ifdef BLIND_RETRY
+		write(pendingKey, pendingNonce);
+#else
+		if
+		:: at[pendingKey] == pendingExpect && nonce[pendingKey] < pendingNonce -> write(pendingKey, pendingNonce)
+		:: else
+		fi;
+#endif
+		pending = false; clear() }
+	:: atomic { true -> watch(0); clear() }
+	:: atomic { true -> watch(1); clear() }
+	:: atomic { exchange(0, 1); clear() }
+	:: atomic { exchange(1, 0); clear() }
+	:: atomic { backPending -> sendBack(); clear() }
+	:: atomic { !snapped -> snapped = true;
+		snapRevision = revision; snapGeneration = generation; snapMarker = marker;
+		snapNonce[0] = nonce[0]; snapNonce[1] = nonce[1]; snapAt[0] = at[0]; snapAt[1] = at[1] }
+	:: atomic { snapped && !restored -> restored = true;
+		revision = snapRevision; generation = snapGeneration; marker = snapMarker;
+		nonce[0] = snapNonce[0]; nonce[1] = snapNonce[1]; at[0] = snapAt[0]; at[1] = snapAt[1]; clear() }
+	/* an instance is replaced; the other has what it had */
+	:: atomic { force[1].by[0] <= force[0].by[0] && force[1].by[1] <= force[0].by[1] ->
+		force[1].by[0] = 0; force[1].by[1] = 0; rank[1].by[0] = 0; rank[1].by[1] = 0; cursor[1] = 0; seenGeneration[1] = 0 }
+	:: break
+	od;
+	atomic {
+		pending = false; backPending = false;
+		quiet(0); quiet(1); exchange(0, 1); exchange(1, 0);
+		quiet(0); quiet(1); quiet(0); quiet(1); exchange(0, 1); exchange(1, 0);
+		key = 0;
+		do
+		:: key < KEYS ->
+			assert(force[0].by[key] == force[1].by[key]); /* in force everywhere */
+			assert(nonce[key] == force[0].by[key]); /* and in the store */
+			assert(restored || force[0].by[key] >= accepted[key]); /* no accepted write is lost */
+			key++
+		:: else -> break
+		od
+	}
+}
