--- a/cmd/basilroute/await.go
+++ b/cmd/basilroute/await.go
@@ -115,10 +115,12 @@
 	var last progress
 	for {
 		need, begun, err := neededRank(ctx, store, documents, before)
+		var seen progress
 		if err == nil && begun {
-			last, err = look(ctx, client, documents, need)
+			seen, err = look(ctx, client, documents, need)
 		}
-		if err == nil && begun {
+		if err == nil && begun { // otherwise what was seen last is what there is to tell
+			last = seen
 			fmt.Fprintf(out, "\r%d of %d instances have it in force", last.done, last.all())
 			if len(last.waiting) == 0 && last.done > 0 {
 				fmt.Fprintln(out)
--- a/coordination/membership/fleet_test.go
+++ b/coordination/membership/fleet_test.go
@@ -22,6 +22,8 @@
 	cut    func(from, to *peerpb.Member) bool
 	loss   float64
 	bytes  int
+
+	documents bool // exchanges carry them
 }
 
 func newFleet(n int, seed uint64) *fleet {
@@ -109,11 +111,29 @@
 	if f.rng.Float64() < f.loss {
 		return
 	}
+	if f.documents {
+		f.shareConfig(t, peer)
+	}
 	if next := t.Finish(resp, f.now); next != nil {
 		t.Finish(f.call(peer, next), f.now)
 	}
 }
 
+// shareConfig does what the documents in an exchange do: the one that is behind
+// gets what the other has.
+func (f *fleet) shareConfig(a, b *Table) {
+	revision := max(a.Self().GetConfigRevision(), b.Self().GetConfigRevision())
+	for _, t := range []*Table{a, b} {
+		if t.Self().GetConfigRevision() < revision {
+			t.setConfig(revision, f.now)
+		}
+	}
+}
+
+func (t *Table) setConfig(revision int64, now time.Time) {
+	t.UpdateSelf(now, func(m *peerpb.Member) { m.ConfigRevision = revision })
+}
+
 func (f *fleet) call(peer *Table, req *peerpb.ExchangeRequest) *peerpb.ExchangeResponse {
 	resp := peer.Respond(proto.CloneOf(req), f.now)
 	f.bytes += proto.Size(req) + proto.Size(resp)
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -10,23 +10,28 @@
 
 // BenchmarkSizeExchange gives the bytes that a node sends a second, and how many
 // rounds news needs to reach every node: of a node that says it leaves, of one
-// that joins, and of one that dies (UnreachableAfter included).
+// that joins, of one that dies (the time until it counts as unreachable included),
+// of a document that two nodes of each domain have, and that all have it.
 func BenchmarkSizeExchange(b *testing.B) {
 	for _, n := range []int{8, 40, 120, 360} {
 		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
 			const settle, measured = 12, 4
-			var bytes, leave, join, die int
+			var bytes, leave, join, die, config, known int
 			for seed := range b.N {
 				f := newFleet(n, uint64(seed))
 				f.rounds(settle)
 				f.bytes = 0
 				f.rounds(measured)
 				bytes += f.bytes
+				c, k := f.apply()
+				config, known = config+c, known+k
 				leave += f.announceLeaving()
 				die += f.kill(1)
 				join += f.join(n)
 			}
 			b.ReportMetric(float64(bytes)/float64(b.N*measured*n), "B/s/node")
+			b.ReportMetric(float64(config)/float64(b.N), "rounds/config")
+			b.ReportMetric(float64(known)/float64(b.N), "rounds/known")
 			b.ReportMetric(float64(leave)/float64(b.N), "rounds/leave")
 			b.ReportMetric(float64(join)/float64(b.N), "rounds/join")
 			b.ReportMetric(float64(die)/float64(b.N), "rounds/die")
@@ -36,6 +41,25 @@
 
 const roundLimit = 100
 
+// apply brings a revision to two nodes of each domain and returns the rounds until
+// all have it, and until all know that.
+func (f *fleet) apply() (config, known int) {
+	const revision = 200000
+	f.documents = true
+	for _, a := range f.order[:min(len(f.order), 2*testDomains)] {
+		f.tables[a].setConfig(revision, f.now)
+	}
+	config = f.roundsUntil(roundLimit, func(t *Table) bool { return t.Self().GetConfigRevision() == revision })
+	return config, config + f.roundsUntil(roundLimit, func(t *Table) bool {
+		for _, m := range t.Members(f.now) {
+			if m.Entry.GetConfigRevision() != revision {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 func (f *fleet) announceLeaving() int {
 	leaver := f.tables[f.order[0]]
 	leaver.UpdateSelf(f.now, func(m *peerpb.Member) { m.State = peerpb.MemberState_MEMBER_STATE_LEAVING })
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -201,3 +201,37 @@
 		t.Errorf("the document changed: %s", got)
 	}
 }
+
+// An operator issues a key while traffic runs, lists the keys, withdraws the new
+// one and tries to issue its id again. The list tells the three states apart.
+func TestKeysAreListed(t *testing.T) {
+	f, _ := threeRegions(t)
+	f.mustCLI("keys", "issue", "suva-grocers", "till-2")
+	f.mustCLI("keys", "withdraw", "till-2", "--instance", f.instances["lakeba-a-1-entry-1"].operator())
+	list := f.mustCLI("keys", "list", "suva-grocers")
+	for _, want := range []string{"suva-grocers-1  suva-grocers  valid", "till-2          suva-grocers  withdrawn"} {
+		if !strings.Contains(list, want) {
+			t.Errorf("no %q in\n%s", want, list)
+		}
+	}
+	if out, err := f.cli("keys", "issue", "suva-grocers", "till-2"); err == nil {
+		t.Errorf("a withdrawn id was issued again: %s", out)
+	}
+}
+
+// An instance is killed, and a document applied. The command must not report it
+// in force for the dead one, names it, and ends with code 4 at its timeout.
+func TestApplyWaitNamesWhoLacksIt(t *testing.T) {
+	f, _ := threeRegions(t)
+	dead := f.instances["lakeba-a-1-entry-1"]
+	dead.signal(t, syscall.SIGKILL)
+	out, err := f.cli("apply", "--wait", "--timeout", "8s", "--instance", f.instances["suva-a-1-entry-1"].operator(),
+		f.write("model", modelDocument+"policy: cost\n"))
+	var exit interface{ ExitCode() int }
+	if !errors.As(err, &exit) || exit.ExitCode() != 4 {
+		t.Errorf("exit: %v", err)
+	}
+	if !strings.Contains(out, "5 of 6 instances") || !strings.Contains(out, "not in force on lakeba-a-1-entry-1 (unreachable)") {
+		t.Errorf("printed: %s", out)
+	}
+}
