--- a/instance/instance.go
+++ b/instance/instance.go
@@ -21,14 +21,18 @@
 	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/coordination/quota"
 	"github.com/basilroute/basilroute/coordination/retry"
+	"github.com/basilroute/basilroute/coordination/routing"
+	"github.com/basilroute/basilroute/coordination/via"
 	"github.com/basilroute/basilroute/protocol/peerpb"
 	"github.com/basilroute/basilroute/protocol/refusal"
 	"github.com/basilroute/basilroute/state/catalog"
 	"github.com/basilroute/basilroute/state/requests"
 	"github.com/basilroute/basilroute/state/servers"
 	"github.com/basilroute/basilroute/transport/backend"
+	"github.com/basilroute/basilroute/transport/claim"
 	"github.com/basilroute/basilroute/transport/dispatch"
 	"github.com/basilroute/basilroute/transport/gateway"
+	"github.com/basilroute/basilroute/transport/metrics"
 	"github.com/basilroute/basilroute/transport/operator"
 	"github.com/basilroute/basilroute/transport/peer"
 	"github.com/basilroute/basilroute/transport/platform"
@@ -39,6 +43,7 @@
 	settings Settings
 	log      *slog.Logger
 	registry *prometheus.Registry
+	metrics  *metrics.Recorder
 
 	catalog    *catalog.Catalog
 	config     *configwatch.Log
@@ -47,6 +52,7 @@
 	requests   *requests.Table
 	forwarded  *requests.Table
 	ledger     *quota.Ledger
+	slots      *slotKeeper
 	retries    *retry.Budget
 	quarantine *quarantine.List
 
@@ -55,6 +61,7 @@
 	pool     *peer.Pool
 	local    *dispatch.Local
 	front    *dispatch.Front
+	claims   *claim.Claimer
 
 	callers, operators *http.Server
 	peers              *grpc.Server
@@ -72,8 +79,12 @@
 	backends   backendList
 	withdrawn  sync.Map // ids of keys whose withdrawal this instance took
 	loops      sync.WaitGroup
+	background context.Context // of everything that runs until Kill
 	stopLoops  context.CancelFunc
-	failed     chan error // a listener that ended unasked
+	failed     chan error         // a listener that ended unasked
+	crashes    chan chan struct{} // crashes to be announced; closed when they are
+	views      domainViews
+	leaving    atomic.Bool
 }
 
 type listeners struct{ callers, peers, operators net.Listener }
@@ -88,21 +99,29 @@
 		servers:    servers.New(),
 		requests:   requests.New(),
 		forwarded:  requests.New(),
-		ledger:     quota.New(),
+		ledger:     quota.New(settings.Domain),
 		retries:    retry.NewBudget(),
 		quarantine: quarantine.New(),
 		backend:    backend.New(),
+		crashes:    make(chan chan struct{}),
+		views:      domainViews{views: make(map[string]domainView)},
 		failed:     make(chan error, 3),
 		news:       make(chan struct{}, 1),
 	}
 	i.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	i.metrics = metrics.NewRecorder(i.registry)
+	i.background, i.stopLoops = context.WithCancel(context.Background())
 	i.config = configwatch.New(i.catalog)
+	i.quarantine.OnCrash(i.announceCrash)
+	i.quarantine.OnEnded(i.servers.Ended)
 	i.catalog.OnWithdraw(i.requests.Withdraw)
 	i.catalog.OnWithdraw(i.forwarded.Withdraw)
 	if err := i.listen(); err != nil {
 		return nil, err
 	}
 	i.members = membership.New(i.selfEntry(), time.Now())
+	i.registerMetrics()
+	i.slots = newSlotKeeper(i.member())
 	if err := i.wire(); err != nil {
 		i.closeListeners()
 		return nil, err
@@ -165,7 +184,7 @@
 	i.platform, err = platform.New(platform.Settings{
 		URL: i.settings.Platform.URL, CallTimeout: i.settings.Platform.CallTimeout,
 		CallRate: i.settings.Platform.CallRate, CallBurst: int(i.settings.Platform.CallBurst),
-	}, transport)
+	}, i.metrics.CountStore(transport))
 	if err != nil {
 		return err
 	}
@@ -175,10 +194,16 @@
 	}
 	i.pool = peer.NewPool(creds)
 	i.pool.Revision = i.config.Revision
-	i.local = &dispatch.Local{Catalog: i.catalog, Servers: i.servers, Backend: i.backend, Quarantine: i.quarantine}
+	i.claims = claim.New(i.background, i.platform, i.settings.ID, i.log)
+	i.local = &dispatch.Local{
+		Catalog: i.catalog, Servers: i.servers, Backend: i.backend, Quarantine: i.quarantine,
+		Admission: dispatch.NewAdmission(i.servers), Prefixes: dispatch.NewPrefixes(i.settings.Region),
+		Apart: quarantine.NewApart(), Metrics: i.metrics, Claims: i.claims,
+	}
 	i.front = &dispatch.Front{
 		Region: i.settings.Region, Domain: i.settings.Domain, Catalog: i.catalog, Ledger: i.ledger,
-		Retries: i.retries, Quarantine: i.quarantine, Known: i, Local: i.local, Forwarder: i.pool, Log: i.log,
+		Retries: i.retries, Quarantine: i.quarantine, Known: i, Router: routing.NewRouter(i.settings.Region, i.settings.Domain),
+		Local: i.local, Forwarder: &dispatch.Resumer{Next: i.pool, Peers: i.peersBeside}, Log: i.log, Metrics: i.metrics,
 	}
 	return i.wireServers(creds)
 }
@@ -187,7 +212,8 @@
 
 func (i *Instance) wireServers(creds credentials.TransportCredentials) error {
 	callers, err := (&gateway.Gateway{
-		Catalog: i.catalog, Requests: i.requests, Runner: i.front, Entry: i, Ready: i.Ready,
+		Catalog: i.catalog, Requests: i.requests, Runner: i.front, Entry: i, Ready: i.Ready, Metrics: i.metrics,
+		Via: via.NewSigner(i.settings.viaSecret()),
 	}).Handler()
 	if err != nil {
 		return err
@@ -202,22 +228,24 @@
 	if err != nil {
 		return err
 	}
-	i.callers = &http.Server{Handler: callers, ReadHeaderTimeout: headerTimeout}
+	i.callers = &http.Server{Handler: i.closeWhenLeaving(callers), ReadHeaderTimeout: headerTimeout}
 	i.operators = &http.Server{Handler: operators, ReadHeaderTimeout: headerTimeout}
-	i.peers = grpc.NewServer(grpc.Creds(creds))
-	peerpb.RegisterPeerServer(i.peers, &peer.Server{Runner: i, Exchanger: i})
+	i.peers = grpc.NewServer(append(peer.ServerOptions(), grpc.Creds(creds),
+		grpc.InitialWindowSize(peer.StreamWindow), grpc.InitialConnWindowSize(peer.ConnWindow))...)
+	peerpb.RegisterPeerServer(i.peers, &peer.Server{Runner: i, Exchanger: i, Quota: i})
 	return nil
 }
 
 // Start serves and runs the loops until Stop or Kill.
 func (i *Instance) Start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	i.stopLoops = cancel
 	go i.serve(func() error { return i.callers.Serve(i.listeners.callers) })
 	go i.serve(func() error { return i.operators.Serve(i.listeners.operators) })
 	go i.serve(func() error { return i.peers.Serve(i.listeners.peers) })
-	for _, loop := range []func(context.Context){i.watchConfig, i.watchList, i.pollServers, i.exchange, i.shareQuotaLoop, i.storeWithdrawals} {
-		i.loops.Go(func() { loop(ctx) })
+	for _, loop := range []func(context.Context){
+		i.watchConfig, i.watchList, i.pollServers, i.exchange, i.exchangeCrashes,
+		i.holdSlots, i.readSlots, i.lend, i.storeWithdrawals, i.issueOrders,
+	} {
+		i.loops.Go(func() { loop(i.background) })
 	}
 	i.log.Info("instance started", "region", i.settings.Region, "domain", i.settings.Domain,
 		"callers", i.listeners.callers.Addr().String(), "peers", i.listeners.peers.Addr().String())
@@ -240,6 +268,7 @@
 	_ = i.operators.Close()
 	i.peers.Stop()
 	i.loops.Wait()
+	i.claims.Wait()
 	i.pool.Close()
 	i.backend.Close()
 }
@@ -258,6 +287,11 @@
 	return i.local.Run(ctx, w, sink)
 }
 
+// CancelForwarded implements peer.Runner.
+func (i *Instance) CancelForwarded(service, server, requestID string) {
+	i.local.Cancel(service, server, requestID)
+}
+
 // Ready tells whether the instance has a configuration to serve callers with.
 func (i *Instance) Ready() bool { return i.ready.Load() }
 
--- a/transport/dispatch/work.go
+++ b/transport/dispatch/work.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/protocol/frame"
 	"github.com/basilroute/basilroute/protocol/tokens"
 	"github.com/basilroute/basilroute/service"
@@ -26,7 +27,9 @@
 	MaxWait   time.Duration // in queues
 	Via       string
 
-	ConfigRevision int64 // of the first instance, on forwarded work
+	ConfigRevision int64    // of the first instance, on forwarded work
+	tried          []string // servers of the own domain that failed this request
+	fingerprint    string   // set by print
 
 	Generation *Generation // exactly one of the two is set
 	Operation  *Operation
@@ -42,8 +45,9 @@
 
 // Operation is work for a plain service.
 type Operation struct {
-	Name string
-	Body []byte
+	Name           string
+	Body           []byte
+	IdempotencyKey string // as the caller sent it; empty for none
 }
 
 // Sink takes an answer. Frames come in order and once each.
@@ -52,6 +56,13 @@
 	Answer(server string, body []byte) error
 }
 
+// Restarter is a sink that may still hold all that it took. Restart drops it, so
+// that another server can answer from the beginning, or returns false when some
+// of it has reached the caller.
+type Restarter interface {
+	Restart() bool
+}
+
 // Forwarder runs work on a peer's failure domain.
 type Forwarder interface {
 	Forward(ctx context.Context, address string, w *Work, sink Sink) error
@@ -75,6 +86,14 @@
 	return s.Operations[w.Operation.Name].Repeatable
 }
 
+// print returns what identifies the work in the quarantine. It is worked out once.
+func (w *Work) print() string {
+	if w.fingerprint == "" {
+		w.fingerprint = quarantine.Fingerprint(w.Account, w.Service, w.body())
+	}
+	return w.fingerprint
+}
+
 // body is what the work's fingerprint covers.
 func (w *Work) body() string {
 	if w.Generation != nil {
