--- a/instance/fleet_test.go
+++ b/instance/fleet_test.go
@@ -143,8 +143,8 @@
 	if err != nil || done.Stored || done.Peers != 2 {
 		t.Errorf("%+v, %v", done, err)
 	}
-	if rest, _ := io.ReadAll(lines); !strings.Contains(string(rest), "key_withdrawn") {
-		t.Errorf("the stream ended with %s", rest)
+	if rest, err := io.ReadAll(lines); !strings.Contains(string(rest), "key_withdrawn") {
+		t.Errorf("the stream ended with %q, %v", rest, err)
 	}
 	f.await("the cancel", func() bool { return f.Engines["south-1-engine-1"].Stats().Cancelled > 0 })
 	for _, id := range f.Order {
