--- a/loadgen/collect.go
+++ b/loadgen/collect.go
@@ -112,7 +112,7 @@
 	for i := range c.mix.Accounts {
 		a := &c.mix.Accounts[i]
 		if s := c.accounts[a.Name]; s != nil {
-			r.Accounts = append(r.Accounts, accountRow(c.mix, a, s, c.charges[a.Name]))
+			r.Accounts = append(r.Accounts, accountRow(c.mix, a, s, c.charges[a.Name], took))
 		}
 	}
 	return r
--- a/loadgen/report.go
+++ b/loadgen/report.go
@@ -50,7 +50,8 @@
 type AccountRow struct {
 	Row
 	Offered    float64 `json:"offered_tokens"` // at the most, prompt and output
-	Due        float64 `json:"due_tokens"`     // what its rate and burst allow of that; 0 when they are not known
+	Due        float64 `json:"due_tokens"`     // what its rate and burst allow of that while requests start; 0 when they are not known
+	Allowed    float64 `json:"allowed_tokens"` // what they allow until the last answer: requests wait for tokens
 	Served     float64 `json:"served_tokens"`
 	ServedPart float64 `json:"served_part"` // of what is due
 	WithinRate int64   `json:"refused_within_rate"`
@@ -93,7 +94,7 @@
 	return out
 }
 
-func accountRow(m *Mix, a *Account, s *series, charges []charge) AccountRow {
+func accountRow(m *Mix, a *Account, s *series, charges []charge, took time.Duration) AccountRow {
 	out := AccountRow{Row: row(a.Name, s), Offered: s.offered}
 	for _, c := range charges {
 		if c.at >= m.Warmup {
@@ -103,6 +104,7 @@
 	if a.Rate > 0 {
 		measured := (m.Duration - m.Warmup).Seconds()
 		out.Due = min(out.Offered, a.Rate*measured+a.Burst)
+		out.Allowed = a.Rate*(took-m.Warmup).Seconds() + a.Burst
 		out.WithinRate = withinRate(a.Rate, a.Burst, m.Warmup, charges)
 	}
 	if out.Due > 0 {
@@ -124,11 +126,11 @@
 	fmt.Fprintf(table, "seed %d, %s, %d requests of the warm-up not counted\n\n", r.Seed, r.Took.Round(time.Millisecond), r.Warmup)
 	writeRows(table, "ARM", r.Arms)
 	writeRows(table, "CLASS", r.Classes)
-	fmt.Fprintln(table, "ACCOUNT\tSENT\tDONE\tREFUSED\tWITHIN RATE\tBAD\tOFFERED\tSERVED\tDUE\tSERVED/DUE\tFIRST p99")
+	fmt.Fprintln(table, "ACCOUNT\tSENT\tDONE\tREFUSED\tWITHIN RATE\tBAD\tOFFERED\tSERVED\tDUE\tSERVED/DUE\tALLOWED\tFIRST p99")
 	for _, a := range r.Accounts {
-		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%s\t%d\t%.0f\t%.0f\t%s\t%s\t%s\n", a.Name, a.Sent, a.Done, a.Refused,
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%s\t%d\t%.0f\t%.0f\t%s\t%s\t%s\t%s\n", a.Name, a.Sent, a.Done, a.Refused,
 			known(a.Due, "%.0f", float64(a.WithinRate)), a.Bad, a.Offered, a.Served,
-			known(a.Due, "%.0f", a.Due), known(a.Due, "%.3f", a.ServedPart), micros(a.FirstToken.P99))
+			known(a.Due, "%.0f", a.Due), known(a.Due, "%.3f", a.ServedPart), known(a.Due, "%.0f", a.Allowed), micros(a.FirstToken.P99))
 	}
 	fmt.Fprintln(table, "\nSTATUS\tCODE\tRUN\tREASON\tCOUNT")
 	for _, c := range r.Codes {
