--- a/coordination/routing/server.go
+++ b/coordination/routing/server.go
@@ -15,7 +15,7 @@
 	fadeAfter          = 2e9     // nanoseconds of age at which a report counts half
 	warmUp             = 10e9    // nanoseconds after a start, while caches are cold
 	warmUpPenalty      = 0.1     // seconds, of a server that has just started
-	perRequest         = 0.001   // seconds that each running request adds to a step
+	perRequest         = 0.004   // seconds that each running request adds to a step
 	costPrefillFactor  = 3.0     // weight of prompt tokens under the cost policy
 	nearBestFactor     = 1.2     // costs up to so much above the best are as good
 	nearBestSlack      = 0.005   // seconds, the same
@@ -77,7 +77,7 @@
 				continue
 			}
 		}
-		if (!s.full && e.InFlight() >= e.Limit()) || !s.request.permits(v) {
+		if (!s.full && s.request.full(e)) || !s.request.permits(v) {
 			continue
 		}
 		costs[i] = s.cost(e, f)
@@ -86,6 +86,14 @@
 	return best
 }
 
+// full tells whether the server is at the limit for requests of this kind.
+func (r *Request) full(e *servers.Entry) bool {
+	if r.Bulk {
+		return e.InFlight() >= e.Limit() || e.Bulk() >= e.BulkLimit()
+	}
+	return e.InFlight()-e.Bulk() >= e.Limit()
+}
+
 func (r *Request) permits(v *servers.Server) bool {
 	if len(r.Exclude) > 0 && r.Exclude[v.ID] {
 		return false
--- a/transport/gateway/completions.go
+++ b/transport/gateway/completions.go
@@ -54,6 +54,12 @@
 	return nil
 }
 
+// Restart implements dispatch.Restarter.
+func (s *wholeSink) Restart() bool {
+	*s = wholeSink{}
+	return true
+}
+
 func (s *wholeSink) usage() gatewayapi.Usage {
 	return gatewayapi.Usage{
 		PromptTokens: s.last.PromptTokens, CompletionTokens: s.out,
