Regroup a failure domain's servers once a list

Cause: taking in the platform's list, every two seconds, sorted all servers of the service again after each of them. Change: only unlist, which ends every Replace, regroups. Ruled out: skipping servers that did not change; what is left is small.

--- a/state/servers/servers.go
+++ b/state/servers/servers.go
@@ -117,7 +117,6 @@
 		server.Listed = true
 		server.Leaving = identity.Leaving || server.Load.Leaving
 	})
-	s.regroup()
 }
 
 // freeSlot returns the lowest number that no server of the service has.
@@ -135,6 +134,8 @@
 	return slot
 }
 
+// unlist takes in which servers are not listed any more, and regroups once for
+// the whole list: regrouping for each server takes time by its square.
 func (s *shard) unlist(listed map[string]bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
