Bound an answer without max_tokens by the service's limit

Cause: the API gave 256 as the default of max_tokens, so a service with a lower limit refused callers for a value that they never sent.

Change: no default in the API's description; the gateway takes 256 or the service's limit, whichever is lower.

Measured: TestDefaultAnswerFitsServiceLimit fails with the fixed default ("max_tokens is 256, the limit is 100") and passes now.

--- a/protocol/gatewayapi/oas_defaults_gen.go
+++ b/protocol/gatewayapi/oas_defaults_gen.go
@@ -4,10 +4,6 @@
 
 // setDefaults set default value of fields.
 func (s *ChatRequest) setDefaults() {
-	{
-		val := int(256)
-		s.MaxTokens.SetTo(val)
-	}
 	{
 		val := bool(false)
 		s.Stream.SetTo(val)
@@ -16,10 +12,6 @@
 
 // setDefaults set default value of fields.
 func (s *CompletionRequest) setDefaults() {
-	{
-		val := int(256)
-		s.MaxTokens.SetTo(val)
-	}
 	{
 		val := bool(false)
 		s.Stream.SetTo(val)
--- a/protocol/gatewayapi/oas_schemas_gen.go
+++ b/protocol/gatewayapi/oas_schemas_gen.go
@@ -128,10 +128,11 @@
 
 // Ref: #/components/schemas/ChatRequest
 type ChatRequest struct {
-	Model     string    `json:"model"`
-	Messages  []Message `json:"messages"`
-	MaxTokens OptInt    `json:"max_tokens"`
-	Stream    OptBool   `json:"stream"`
+	Model    string    `json:"model"`
+	Messages []Message `json:"messages"`
+	// 256 when not given, or the limit of the service where that is lower.
+	MaxTokens OptInt  `json:"max_tokens"`
+	Stream    OptBool `json:"stream"`
 }
 
 // GetModel returns the value of Model.
@@ -327,8 +328,9 @@
 
 // Ref: #/components/schemas/CompletionRequest
 type CompletionRequest struct {
-	Model     string  `json:"model"`
-	Prompt    string  `json:"prompt"`
+	Model  string `json:"model"`
+	Prompt string `json:"prompt"`
+	// 256 when not given, or the limit of the service where that is lower.
 	MaxTokens OptInt  `json:"max_tokens"`
 	Stream    OptBool `json:"stream"`
 }
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -24,7 +24,9 @@
 
 const (
 	maxBodyBytes = 64 << 20
-	entriesTTL   = 10 * time.Second
+	// defaultMaxTokens bounds an answer for which the caller set no bound.
+	defaultMaxTokens = 256
+	entriesTTL       = 10 * time.Second
 )
 
 // Runner runs a caller's request.
@@ -127,7 +129,7 @@
 		return nil, refusal.New(refusal.CodeTooLarge, "the prompt has about %d tokens, the limit is %d", n, svc.Limits.PromptTokens)
 	}
 	limit := int(svc.Limits.OutputTokens)
-	want := maxTokens.Or(limit)
+	want := maxTokens.Or(min(defaultMaxTokens, limit))
 	if want > limit {
 		return nil, refusal.New(refusal.CodeInvalid, "max_tokens is %d, the limit is %d", want, limit)
 	}
