--- a/coordination/routing/domain.go
+++ b/coordination/routing/domain.go
@@ -120,7 +120,7 @@
 	var best *Domain
 	for i := range others {
 		d := &others[i]
-		if d.Region == t.region || r.Hop >= MaxHops || !r.reaches(d) {
+		if d.Region == t.region || r.Hop >= MaxHops || r.Service.Spill.Disabled || !r.reaches(d) {
 			continue
 		}
 		if best == nil || t.nearCost(r, d) < t.nearCost(r, best) {
@@ -146,7 +146,7 @@
 		if !Allowed(r, d.Region, d.Name) || d.Servers == 0 || r.Exclude[d.PeerID] {
 			return
 		}
-		if d != own && r.Hop >= MaxHops {
+		if d != own && r.Hop >= MaxHops || d.Region != own.Region && r.Service.Spill.Disabled {
 			return
 		}
 		if chosen == nil || preferred(fingerprint, d, chosen) {
