--- a/coordination/routing/routing_test.go
+++ b/coordination/routing/routing_test.go
@@ -242,6 +242,9 @@
 			if d == nil {
 				continue
 			}
+			if d.Region != own.Region && r.Service.Spill.Disabled {
+				t.Fatalf("left the region although the service's document forbids it")
+			}
 			if r.Home != "" && d.Region != r.Home {
 				t.Fatalf("home %s, sent to %s", r.Home, d.Region)
 			}
--- a/instance/poll.go
+++ b/instance/poll.go
@@ -14,6 +14,9 @@
 const (
 	pollEvery        = time.Second
 	pollFailureLimit = 3
+	// requestStep rounds the requests in flight that an instance tells the others:
+	// each change of the number is a new version of its entry for all of them.
+	requestStep = 128
 )
 
 // pollServers asks the backend servers of the own domain for their load.
@@ -38,13 +41,14 @@
 	if svc.Type == service.TypePlain {
 		ask = i.backend.PlainLoad
 	}
-	load, err := ask(ctx, server.Address, time.Now())
+	asked := time.Now()
+	load, err := ask(ctx, server.Address, asked)
 	if err != nil {
 		i.servers.Failed(server.Service, server.ID, pollFailureLimit)
 		return
 	}
 	i.servers.Report(server.Service, server.ID, load)
-	i.quarantine.Reported(server.ID, load.BootID, time.Now())
+	i.quarantine.Reported(server.ID, load.BootID, asked, time.Now())
 	entry := i.servers.Entry(server.Service, server.ID)
 	if entry == nil {
 		return
@@ -79,7 +83,8 @@
 // publishLoad sums up the own domain's servers in the instance's entry.
 func (i *Instance) publishLoad() {
 	loads := i.ownLoads()
-	i.members.UpdateSelf(time.Now(), func(m *peerpb.Member) { m.Loads = loads })
+	requests := uint32(i.requests.Count()) / requestStep * requestStep
+	i.members.UpdateSelf(time.Now(), func(m *peerpb.Member) { m.Loads, m.Requests = loads, requests })
 }
 
 func (i *Instance) ownLoads() []*peerpb.ServiceLoad {
