Tell the first instance why a forwarded request was cut

TestWithdrawalWithoutTheStore failed in 2 of 21 runs: when the withdrawal reached the peer before the first instance, the caller saw 'backend_failed: the stream broke' instead of key_withdrawn, and without a frame sent the first instance would have tried the request again. The peer now hands on the reason of the cut. TestForwardedRequestTellsWhyItWasCut covers the order that the race brings about.

--- a/instance/forwarded.go
+++ b/instance/forwarded.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/basilroute/basilroute/protocol/refusal"
 	"github.com/basilroute/basilroute/transport/dispatch"
 )
@@ -39,3 +41,15 @@
 		}
 	}
 }
+
+// cutBy returns the reason for which a forwarded request was cut in place of the
+// error that the cut caused. Without it, when the withdrawal of a key arrives here
+// before it arrives at the first instance, the caller hears of a broken server,
+// and the first instance tries the request again on another.
+func cutBy(ctx context.Context, err error) error {
+	var reason *refusal.Refusal
+	if err != nil && errors.As(context.Cause(ctx), &reason) {
+		return reason
+	}
+	return err
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -284,7 +284,7 @@
 	if refused := i.checkForwarded(ctx, w); refused != nil {
 		return refused
 	}
-	return i.local.Run(ctx, w, sink)
+	return cutBy(ctx, i.local.Run(ctx, w, sink))
 }
 
 // CancelForwarded implements peer.Runner.
--- a/instance/ready_test.go
+++ b/instance/ready_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/basilroute/basilroute/coordination/configwatch"
 	"github.com/basilroute/basilroute/protocol/peerpb"
+	"github.com/basilroute/basilroute/protocol/refusal"
 	"github.com/basilroute/basilroute/transport/dispatch"
 )
 
@@ -99,3 +100,23 @@
 		t.Errorf("a withdrawn key: %v", r)
 	}
 }
+
+// A key is withdrawn while a forwarded request runs here, and this instance hears
+// of it first. The first instance must get the reason: for a broken server it
+// would try the request again.
+func TestForwardedRequestTellsWhyItWasCut(t *testing.T) {
+	i := newTestInstance(t)
+	ctx, request, _ := i.forwarded.Begin(t.Context(), "k")
+	defer i.forwarded.End(request)
+	broken := refusal.New(refusal.CodeBackendFailed, "the stream broke").WithRun(refusal.Unknown)
+	if got := refusal.From(cutBy(ctx, broken)); got.Code != refusal.CodeBackendFailed {
+		t.Errorf("before the withdrawal: %v", got)
+	}
+	i.config.Withdraw("k", "")
+	if got := refusal.From(cutBy(ctx, broken)); got.Code != refusal.CodeWithdrawn || got.Run != refusal.Unknown {
+		t.Errorf("after the withdrawal: %v", got)
+	}
+	if cutBy(ctx, nil) != nil {
+		t.Error("a whole answer was turned into a refusal")
+	}
+}
