Let a server's limit learn from first tokens, not from whole answers

Cause: the adaptive limit took its sample when an answer ended.

Ruled out: minting of quota (the account's rate is 1e9 tokens/s) and the engine (direct streams open in 0.1 s); a higher start, which only moves the point and floods cold servers.

Change: the first part of an answer is the sample, the end only reports failures; the queue is looked through again after each sample.

TestLimitRisesWhileStreamsRun fails without it at the fifth stream.

--- a/experiment/policy_gateway.go
+++ b/experiment/policy_gateway.go
@@ -179,19 +179,28 @@
 	if j.generated == 0 {
 		j.entry.Started(j.uncached)
 	}
-	a := admission.Answer{
-		Bulk: j.bulk(), Latency: j.latency, Expected: j.alone, InFlight: j.entry.InFlight(), InBulk: j.entry.Bulk(), Failed: !answered,
-	}
 	j.entry.End(j.bulk())
-	l := g.limiter(j.entry)
-	ceiling := int(g.sim.service.Limits.Concurrency)
-	l.Answered(a, ceiling, now)
 	if answered {
 		routing.Answered(j.entry, j.latency, j.expected, now.Sub(j.sent))
 	} else {
+		g.sample(j, admission.Answer{Failed: true})
 		routing.Failed(g.table, j.entry, now)
 	}
-	j.entry.SetLimit(l.Limit(ceiling))
 	g.refresh()
 	g.line.release(j)
 }
+
+// began takes in the first token, as dispatch does.
+func (g *simGateway) began(j *job) {
+	g.sample(j, admission.Answer{
+		Bulk: j.bulk(), Latency: j.latency, Expected: j.alone, InFlight: j.entry.InFlight(), InBulk: j.entry.Bulk(),
+	})
+	g.refresh()
+}
+
+func (g *simGateway) sample(j *job, a admission.Answer) {
+	l := g.limiter(j.entry)
+	ceiling := int(g.sim.service.Limits.Concurrency)
+	l.Answered(a, ceiling, g.sim.time())
+	j.entry.SetLimit(l.Limit(ceiling))
+}
--- a/experiment/policy_sim.go
+++ b/experiment/policy_sim.go
@@ -309,6 +309,7 @@
 	j.entry.Started(j.uncached)
 	j.latency = s.time().Sub(j.sent)
 	j.answered = true
+	j.at.began(j)
 	if j.arrived < warmUp {
 		return
 	}
--- a/transport/dispatch/local.go
+++ b/transport/dispatch/local.go
@@ -214,22 +214,32 @@
 
 // dispatch runs the work on its server and takes in what that showed.
 func (l *Local) dispatch(ctx context.Context, w *Work, p *placed, sink Sink) error {
-	m := newMeasured(sink, p)
 	bulk := w.Class == service.ClassBulk
+	var m *measured
+	m = newMeasured(sink, p, func() { l.sample(p, m, bulk) })
 	p.entry.Begin(p.prompt, bulk)
 	if w.Generation != nil {
 		l.Prefixes.dispatched(w, p.entry.Slot())
 	}
 	err := l.send(ctx, w, p, m)
 	m.begin()
-	answer := admission.Answer{
-		Bulk: bulk, Latency: m.latency, Expected: m.alone, InFlight: p.entry.InFlight(), InBulk: p.entry.Bulk(),
-	}
 	p.entry.End(bulk)
-	l.observe(ctx, w, p, m, answer, err)
+	l.observe(ctx, w, p, m, err)
 	return err
 }
 
+// sample tells the server's limit how long the first token took. It does so at
+// the first token and not at the end: a limit that learned from whole answers
+// stayed at its start for as long as they run, and callers queued for a minute
+// and more before a server with room for all of them.
+func (l *Local) sample(p *placed, m *measured, bulk bool) {
+	now := time.Now()
+	l.Admission.answered(p.entry, p.service, admission.Answer{
+		Bulk: bulk, Latency: m.latency, Expected: m.alone, InFlight: p.entry.InFlight(), InBulk: p.entry.Bulk(),
+	}, now)
+	l.Admission.Refresh(p.service, now)
+}
+
 func (l *Local) send(ctx context.Context, w *Work, p *placed, sink Sink) error {
 	if w.Generation != nil {
 		return l.generate(ctx, w, p.server, sink)
@@ -237,12 +247,11 @@
 	return l.operate(ctx, w, p.server, sink)
 }
 
-func (l *Local) observe(ctx context.Context, w *Work, p *placed, m *measured, answer admission.Answer, err error) {
+func (l *Local) observe(ctx context.Context, w *Work, p *placed, m *measured, err error) {
 	now := time.Now()
 	switch {
 	case err == nil:
 		duration := now.Sub(m.sent)
-		l.Admission.answered(p.entry, p.service, answer, now)
 		routing.Answered(p.entry, m.latency, m.expected, duration)
 	case ctx.Err() == nil && refusal.From(err).Code == refusal.CodeBackendFailed:
 		l.Admission.answered(p.entry, p.service, admission.Answer{Failed: true}, now)
--- a/transport/dispatch/measure.go
+++ b/transport/dispatch/measure.go
@@ -20,11 +20,12 @@
 	expected time.Duration // the same with what was ahead; 0 when not known
 	latency  time.Duration
 	begun    bool
+	started  func() // called with the first part of the answer
 }
 
-func newMeasured(sink Sink, p *placed) *measured {
+func newMeasured(sink Sink, p *placed, started func()) *measured {
 	now := time.Now()
-	m := &measured{Sink: sink, placed: p, sent: now}
+	m := &measured{Sink: sink, placed: p, sent: now, started: started}
 	if p.request.PromptTokens > 0 {
 		m.alone = max(routing.Alone(p.request, p.entry), minExpected)
 		m.expected = max(routing.Expected(p.request, p.entry, now), minExpected)
@@ -42,14 +43,23 @@
 	m.placed.entry.Started(m.placed.prompt)
 }
 
+// first notes the first part of the answer.
+func (m *measured) first() {
+	if m.begun {
+		return
+	}
+	m.begin()
+	m.started()
+}
+
 // Frame implements Sink.
 func (m *measured) Frame(server string, f *frame.Frame) error {
-	m.begin()
+	m.first()
 	return m.Sink.Frame(server, f)
 }
 
 // Answer implements Sink.
 func (m *measured) Answer(server string, body []byte) error {
-	m.begin()
+	m.first()
 	return m.Sink.Answer(server, body)
 }
--- /dev/null
+++ b/transport/dispatch/sample_test.go
@@ -0,0 +1,45 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/basilroute/basilroute/coordination/quarantine"
+	"github.com/basilroute/basilroute/service"
+	"github.com/basilroute/basilroute/state/servers"
+)
+
+// Twelve callers open long streams on one idle engine. All of them see their
+// first token while all streams still run: the engine's limit starts at four and
+// rises with every first token. When it rose with whole answers only, the fifth
+// caller waited until a stream ended, or was refused before an idle engine.
+func TestLimitRisesWhileStreamsRun(t *testing.T) {
+	const callers, endless = 12, 1 << 20
+	l, _, _ := localEngine(t)
+	document, err := service.Parse("", []byte("kind: service\nname: lm\ntype: model\nclasses: {interactive: {max_wait: 20s}}\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Catalog.Put(document)
+	l.Admission, l.Prefixes, l.Apart = NewAdmission(l.Servers), NewPrefixes(""), quarantine.NewApart()
+	l.Servers.Report("lm", "e", servers.Load{At: time.Now(), BootID: "boot", PrefillRate: 20000})
+	ctx, stop := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer stop()
+	for n := range callers {
+		sink := newCollected()
+		ended := make(chan error, 1)
+		w := localWork(fmt.Sprintf("r%d", n), endless)
+		w.MaxWait, w.Deadline = 20*time.Second, time.Now().Add(time.Hour)
+		running.Go(func() { ended <- l.Run(ctx, w, sink) })
+		select {
+		case <-sink.first:
+		case err := <-ended:
+			t.Fatalf("stream %d: %v", n, err)
+		}
+	}
+}
