--- /dev/null
+++ b/transport/peer/size_test.go
@@ -0,0 +1,35 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/basilroute/basilroute/coordination/quota"
+	"github.com/basilroute/basilroute/coordination/slots"
+)
+
+// BenchmarkSizeBorrow reports the bytes of a call for loans and its answer over
+// the number of accounts that share it. Each account wants tokens and reports on
+// the loan before. gRPC adds its headers to each call.
+func BenchmarkSizeBorrow(b *testing.B) {
+	from := slots.Member{ID: "suva-a-1-entry-17", Incarnation: 1764720000000000000}
+	for _, n := range []int{1, 10, 50, 200} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			call, lent := &quota.Call{Lender: from}, make([]quota.Lent, n)
+			for i := range n {
+				account := fmt.Sprintf("account-%05d", i)
+				call.Wants = append(call.Wants, quota.Want{Account: account, Tokens: 1500})
+				call.Reports = append(call.Reports, quota.Report{Account: account, Loan: uint64(100000 + i), Spent: 900, Refunded: 300})
+				lent[i] = quota.Lent{Account: account, Tokens: 1500, Loan: uint64(100000 + i)}
+			}
+			size := 0
+			for b.Loop() {
+				req, resp := EncodeBorrow(from, call), EncodeLent(from, lent)
+				size = proto.Size(req) + proto.Size(resp)
+			}
+			b.ReportMetric(float64(size), "wire-B")
+		})
+	}
+}
