Weigh prompt tokens to compute and running requests by what they cost the others

Cause: the score of a server counted a request's own wait only. A prompt that is computed again holds up the whole batch, and a running request holds a place that the next one may have to wait for; both were counted too low, so requests went to cold servers whose queue looked a little shorter.

--- a/coordination/routing/server.go
+++ b/coordination/routing/server.go
@@ -15,11 +15,20 @@
 	fadeAfter          = 2e9     // nanoseconds of age at which a report counts half
 	warmUp             = 10e9    // nanoseconds after a start, while caches are cold
 	warmUpPenalty      = 0.1     // seconds, of a server that has just started
-	perRequest         = 0.004   // seconds that each running request adds to a step
-	costPrefillFactor  = 3.0     // weight of prompt tokens under the cost policy
 	nearBestFactor     = 1.2     // costs up to so much above the best are as good
 	nearBestSlack      = 0.005   // seconds, the same
 	scratchServers     = 256
+
+	// perRequest is what each running request counts, in seconds: more than the
+	// step it lengthens, because a request that finds the batch full waits until
+	// one of them ends, and reports do not say how large the batch is.
+	perRequest = 0.020
+	// prefillFactor is the weight of prompt tokens that have to be computed. They
+	// hold up every request in the batch and not only their own, so a server with
+	// the prefix in its cache is worth a longer wait.
+	prefillFactor = 3.0
+	// costPrefillFactor is the same under the cost policy.
+	costPrefillFactor = 4.0
 )
 
 // ChooseServer returns the index of the server to run on, or -1. It scores every
@@ -132,10 +141,12 @@
 // cost is the expected time to the first token in seconds, corrected by what
 // was measured, and what the policy adds.
 func (s *scorer) cost(e *servers.Entry, f *servers.Facts) float64 {
-	cost := s.expected(e, f) * f.Factor
+	weight := prefillFactor
 	if s.request.Service.Policy == service.PolicyCost {
-		cost += (costPrefillFactor - 1) * float64(s.request.Uncached(e)) / prefillRate(f)
+		weight = costPrefillFactor
 	}
+	cost := s.expected(e, f) * f.Factor
+	cost += (weight - 1) * float64(s.request.Uncached(e)) / prefillRate(f)
 	if up := float64(s.now - f.Since); up < warmUp {
 		cost += warmUpPenalty * (1 - up/warmUp)
 	}
