--- a/transport/backend/size_test.go
+++ b/transport/backend/size_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"fmt"
 	"net/http/httptest"
 	"syscall"
 	"testing"
@@ -9,29 +10,63 @@
 	"github.com/basilroute/basilroute/standin/engine"
 )
 
-// BenchmarkPoll reports the processor time of one poll of an engine, for its load
-// and its cache events. The engine's own side is in it.
-func BenchmarkPoll(b *testing.B) {
-	e := engine.New(engine.DefaultConfig())
-	defer e.Close()
-	handler, err := e.Handler()
-	if err != nil {
-		b.Fatal(err)
-	}
-	server := httptest.NewServer(handler)
-	defer server.Close()
-	c := New()
-	defer c.Close()
-	before := cpuTime()
-	for b.Loop() {
-		if _, err := c.EngineLoad(b.Context(), server.URL, time.Now()); err != nil {
-			b.Fatal(err)
-		}
-		if _, err := c.CacheEvents(b.Context(), server.URL, 0); err != nil {
+// benchServers starts engines that nobody uses.
+func benchServers(b *testing.B, n int) []string {
+	b.Helper()
+	var urls []string
+	for range n {
+		e := engine.New(engine.DefaultConfig())
+		b.Cleanup(e.Close)
+		handler, err := e.Handler()
+		if err != nil {
 			b.Fatal(err)
 		}
+		server := httptest.NewServer(handler)
+		b.Cleanup(server.Close)
+		urls = append(urls, server.URL)
+	}
+	return urls
+}
+
+// bySize reports the processor time of one call of each server, both sides, over
+// the number of servers.
+func bySize(b *testing.B, call func(c *Client, url string) error) {
+	for _, n := range []int{5, 10, 20, 40} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			urls := benchServers(b, n)
+			c := New()
+			defer c.Close()
+			before := cpuTime()
+			for b.Loop() {
+				for _, url := range urls {
+					if err := call(c, url); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+			b.ReportMetric(float64(cpuTime()-before)/float64(b.N), "cpu-ns/round")
+		})
 	}
-	b.ReportMetric(float64(cpuTime()-before)/float64(b.N), "cpu-ns/poll")
+}
+
+// BenchmarkSizeDomainServerPoll is a round of polls for load and cache events.
+func BenchmarkSizeDomainServerPoll(b *testing.B) {
+	bySize(b, func(c *Client, url string) error {
+		if _, err := c.EngineLoad(b.Context(), url, time.Now()); err != nil {
+			return err
+		}
+		_, err := c.CacheEvents(b.Context(), url, 0)
+		return err
+	})
+}
+
+// BenchmarkSizeDomainServerOrders is a round in which an issuer of orders reads
+// back what every engine obeys.
+func BenchmarkSizeDomainServerOrders(b *testing.B) {
+	bySize(b, func(c *Client, url string) error {
+		_, err := c.EngineState(b.Context(), url)
+		return err
+	})
 }
 
 func cpuTime() time.Duration {
