--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -64,7 +64,7 @@
 
 // Suspects run one to a server, and one copy of each at a time.
 func TestSuspectsRunApart(t *testing.T) {
-	a := NewApart()
+	a := NewIsolation()
 	first, ok := a.Begin("f", "s1", true, false)
 	if !ok {
 		t.Fatal("the first suspect was turned away")
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -198,7 +198,7 @@
 	i.local = &dispatch.Local{
 		Catalog: i.catalog, Servers: i.servers, Backend: i.backend, Quarantine: i.quarantine,
 		Admission: dispatch.NewAdmission(i.servers), Prefixes: dispatch.NewPrefixes(i.settings.Region),
-		Apart: quarantine.NewApart(), Metrics: i.metrics, Claims: i.claims,
+		Isolation: quarantine.NewIsolation(), Metrics: i.metrics, Claims: i.claims,
 	}
 	i.front = &dispatch.Front{
 		Region: i.settings.Region, Domain: i.settings.Domain, Catalog: i.catalog, Ledger: i.ledger,
--- a/transport/dispatch/crash.go
+++ b/transport/dispatch/crash.go
@@ -41,9 +41,9 @@
 	case err == nil && load.BootID == before:
 		return
 	case err == nil || errors.Is(err, syscall.ECONNREFUSED):
-		l.Quarantine.Crashed(w.print(), server.ID, before, now)
+		l.Quarantine.Crashed(w.identity(), server.ID, before, now)
 	default:
-		l.Quarantine.Presume(w.print(), server.ID, before, now)
+		l.Quarantine.Presume(w.identity(), server.ID, before, now)
 	}
 }
 
--- a/transport/dispatch/front.go
+++ b/transport/dispatch/front.go
@@ -84,7 +84,7 @@
 	if svc == nil {
 		return refusal.New(refusal.CodeNotFound, "no service %q", w.Service)
 	}
-	if until, refused := f.Quarantine.Refused(w.print(), time.Now()); refused {
+	if until, refused := f.Quarantine.Refused(w.identity(), time.Now()); refused {
 		return quarantined(until)
 	}
 	cost := w.Cost(svc)
@@ -213,7 +213,7 @@
 
 func (f *Front) choose(request *routing.Request, w *Work) *routing.Domain {
 	own, others := f.Known.Own(w.Service), f.Known.Others(w.Service)
-	fingerprint := w.print()
+	fingerprint := w.identity()
 	w.designated = f.Quarantine.Suspected(fingerprint, time.Now())
 	if w.designated {
 		return routing.Designate(request, xxhash.Sum64String(fingerprint), &own, others)
--- a/transport/dispatch/local.go
+++ b/transport/dispatch/local.go
@@ -36,7 +36,7 @@
 	Quarantine *quarantine.List
 	Admission  *Admission
 	Prefixes   *Prefixes
-	Apart      *quarantine.Apart
+	Isolation  *quarantine.Isolation
 	Metrics    *metrics.Recorder // may be nil
 	Claims     *claim.Claimer    // of operations that may run at most once
 }
@@ -68,7 +68,7 @@
 	if refused != nil {
 		return refused
 	}
-	defer l.Apart.End(p.run)
+	defer l.Isolation.End(p.run)
 	return l.dispatch(ctx, w, p, sink)
 }
 
@@ -106,7 +106,7 @@
 // place chooses the server. A suspected request waits for one without other
 // suspects; what became known of it while it waited counts.
 func (l *Local) place(ctx context.Context, w *Work, svc *service.Service) (*placed, *refusal.Refusal) {
-	fingerprint := w.print()
+	fingerprint := w.identity()
 	request := l.request(w, svc)
 	settled := false
 	for {
@@ -133,7 +133,7 @@
 			}
 			continue
 		}
-		busy, alone, changed := l.Apart.Busy(fingerprint)
+		busy, alone, changed := l.Isolation.Busy(fingerprint)
 		request.Exclude = excluding(busy, w.tried)
 		if alone {
 			if p, _ := l.put(w, request, fingerprint, true, now); p != nil {
@@ -180,7 +180,7 @@
 		return nil, noServer(w.Service)
 	}
 	server := entry.Copy()
-	run, ok := l.Apart.Begin(fingerprint, server.ID, suspect, elsewhere)
+	run, ok := l.Isolation.Begin(fingerprint, server.ID, suspect, elsewhere)
 	if !ok {
 		return nil, nil
 	}
@@ -194,7 +194,7 @@
 // nil. elsewhere tells that a copy's server cannot take it.
 func (l *Local) choose(w *Work, request *routing.Request, fingerprint string, now time.Time) (entry *servers.Entry, elsewhere bool) {
 	list := l.Servers.Entries(w.Service)
-	if beside := l.Apart.Beside(fingerprint); beside != "" {
+	if beside := l.Isolation.ServerOf(fingerprint); beside != "" {
 		e := l.Servers.Entry(w.Service, beside)
 		if e != nil && e.InFlight() < e.Limit() && routing.Permitted(request, e, now) {
 			return e, false
--- a/transport/dispatch/work.go
+++ b/transport/dispatch/work.go
@@ -29,7 +29,7 @@
 
 	ConfigRevision int64    // of the first instance, on forwarded work
 	tried          []string // servers of the own domain that failed this request
-	fingerprint    string   // set by print
+	fingerprint    string   // set by identity
 	designated     bool     // this instance is the one that runs the suspect
 
 	Generation *Generation // exactly one of the two is set
@@ -87,8 +87,8 @@
 	return s.Operations[w.Operation.Name].Repeatable
 }
 
-// print returns what identifies the work in the quarantine. It is worked out once.
-func (w *Work) print() string {
+// identity returns what identifies the work in the quarantine. It is worked out once.
+func (w *Work) identity() string {
 	if w.fingerprint == "" {
 		w.fingerprint = quarantine.Fingerprint(w.Account, w.Service, w.body())
 	}
