--- a/cmd/basilrouted/main.go
+++ b/cmd/basilrouted/main.go
@@ -15,6 +15,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/basilroute/basilroute/instance"
+	"github.com/basilroute/basilroute/platform"
 	"github.com/basilroute/basilroute/yamldoc"
 )
 
@@ -31,10 +32,11 @@
 		Description: "Exit codes: 0 stopped as planned or settings valid, 1 failed, 2 findings in the settings.\n" +
 			"SIGTERM and SIGINT stop it as planned, SIGUSR1 writes its state to the log.",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "config", Usage: "YAML file with the instance's settings", Required: true},
+			&cli.StringFlag{Name: "config", Usage: "YAML file with the instance's settings"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
-		Action: run,
+		Commands: []*cli.Command{platform.Command()},
+		Action:   run,
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -52,6 +54,9 @@
 
 func run(ctx context.Context, command *cli.Command) error {
 	file := command.String("config")
+	if file == "" {
+		return errors.New("--config is required")
+	}
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return errors.Wrap(err, "settings")
--- /dev/null
+++ b/coordination/placement/placement.go
@@ -0,0 +1,420 @@
+// Package placement chooses the backend server of a request, or refuses it.
+//
+// # The load that it answers
+//
+// Most of a prompt is shared with other requests, and reading it again costs an
+// engine ten times what the request's own part costs. Each region's peak is more
+// than twice its mean and more than its servers can read cold; with shared parts
+// in the right caches the same servers carry it. So a prompt's shared parts belong
+// to one server of the region, chosen by rendezvous hashing, which all instances
+// agree on without a word between them and which moves only the prompts of a
+// server that is lost. Load breaks the tie: each server has an expected time to the
+// first byte, and a prompt leaves its server when another would answer sooner
+// although it has to read everything.
+//
+// # Why nothing waits here
+//
+// An engine reads prompts in the order of their urgency. Waiting in front of it
+// gains nothing: the expected time falls by at most a second a second, and so
+// does what is left of the objective. A request that cannot be answered within
+// its objective now cannot be so later either, and the caller is told at once
+// when a request like it would be. Late ones are taken while the backlog is
+// short enough that they still end before their deadline, at the lowest urgency.
+//
+// The package does no I/O. All times come in with each call.
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/basilroute/basilroute/state/backends"
+)
+
+// Settings of a pool. Figures without an origin here are from the design note.
+type Settings struct {
+	Instances   int     // live instances that share the servers
+	Engine      bool    // servers are model engines
+	Slots       int     // requests that a server runs at once; used when an entry does not say
+	CacheTokens int     // prompt capacity of an engine
+	ColdRate    float64 // requests per second of a cold server over all instances; 0 for no limit
+	ColdOwner   func(server string) bool
+}
+
+const (
+	// objectiveShare is the part of the objective that the expected time may take
+	// when a request is placed; the rest is for what the estimate does not see.
+	objectiveShare = 0.8
+	// lateShare is the part of the time to the deadline that a request which misses
+	// its objective may be expected to wait.
+	lateShare = 0.35
+	// defaultReadRate is the prompt tokens per second of an engine until answers
+	// have shown another: the slower of the two engines of the first deployments.
+	defaultReadRate = 40_000.0
+	// baseTime is from a dispatch to the first byte at an idle engine, in seconds:
+	// one step and the connection.
+	baseTime = 0.015
+	// defaultServiceTime of a plain service's request, in seconds, until measured.
+	defaultServiceTime = 0.05
+	// readWeight multiplies prompt tokens that have to be read: they hold up every
+	// other request of the batch and not only their own.
+	readWeight = 2.0
+	// homeCredit is the part of the shared tokens that the server which the hash
+	// names is taken to hold before this instance has sent it the prompt: other
+	// instances send it there too.
+	homeCredit = 0.7
+	// pendingHalfLife is of the average by which the other instances' unread
+	// prompts are guessed from the own.
+	pendingHalfLife = 0.3
+	// reportFade is the age at which a reported load counts half.
+	reportFade = 1.0
+	// queueFactor times the slots is what a plain server may be sent in all; it
+	// queues four times its slots and sheds what is beyond.
+	queueFactor = 3.0
+	// cacheShare of an engine's capacity is taken to hold prompts; the rest is for
+	// what runs.
+	cacheShare = 0.6
+)
+
+// Part is one part of a prompt, in order.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Work is what a choice needs to know of a request.
+type Work struct {
+	Parts     []Part // the last one is the request's own
+	Tokens    int    // of the whole prompt
+	Urgency   int    // 0 is the most urgent
+	Objective time.Duration
+	Arrived   time.Time
+	Deadline  time.Time
+	Exclude   []string // servers that were tried
+	OnTime    bool     // refuse when the objective would be missed
+	Probe     bool     // may run on a server that is set aside, to see whether it has recovered
+}
+
+// subject is the hash of the shared parts; 0 when there are none.
+func (w *Work) subject() uint64 {
+	if len(w.Parts) < 2 {
+		return 0
+	}
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, p := range w.Parts[:len(w.Parts)-1] {
+		var b [8]byte
+		for i := range b {
+			b[i] = byte(p.ID >> (8 * i))
+		}
+		_, _ = digest.Write(b[:]) // writing to a hash does not fail
+	}
+	return digest.Sum64()
+}
+
+func (w *Work) shared() int {
+	total := 0
+	for _, p := range w.Parts[:max(len(w.Parts)-1, 0)] {
+		total += p.Tokens
+	}
+	return total
+}
+
+// Reason says why nothing was chosen.
+type Reason string
+
+// Reasons.
+const (
+	ReasonNone     Reason = ""
+	ReasonNoServer Reason = "no_server" // none that may be used
+	ReasonFull     Reason = "full"      // every server is at its limit or too late
+	ReasonCold     Reason = "cold"      // only cold servers, which take few requests
+)
+
+// Choice is the outcome of a placement.
+type Choice struct {
+	Placement  *Placement // nil when refused
+	Reason     Reason
+	RetryAfter time.Duration // when a request like this may be placed
+	Expected   time.Duration // to the first byte, at the best server
+	Late       bool          // it will miss its objective
+	Cached     int           // prompt tokens that the server is taken to hold
+}
+
+// Placement is a request on a server. It ends with Done.
+type Placement struct {
+	Server   backends.Entry
+	server   *server
+	tokens   float64 // prompt tokens to be read
+	urgency  int
+	sent     time.Time
+	expected float64
+	first    bool // the first byte came
+	done     bool
+}
+
+// Pool places the requests of one service on the servers of one region. It is
+// safe for concurrent use.
+type Pool struct {
+	mu       sync.Mutex
+	settings Settings
+	servers  []*server
+	readRate float64 // tokens per second, as measured
+	work     float64 // seconds, of a plain request, as measured
+}
+
+// New returns a pool without servers.
+func New() *Pool {
+	return &Pool{readRate: defaultReadRate, work: defaultServiceTime}
+}
+
+// Update takes in the settings and the servers that may be used.
+func (p *Pool) Update(settings Settings, entries []backends.Entry) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.settings = settings
+	known := make(map[string]*server, len(p.servers))
+	for _, s := range p.servers {
+		known[s.ID] = s
+	}
+	next := make([]*server, 0, len(entries))
+	for _, e := range entries {
+		s := known[e.ID]
+		if s == nil || s.Lifetime != e.Lifetime {
+			s = newServer()
+			s.hash = xxhash.Sum64String(e.ID)
+		}
+		s.Entry = e
+		next = append(next, s)
+	}
+	p.servers = next
+}
+
+// Place chooses a server. The caller sends the request there at once.
+func (p *Pool) Place(w *Work, now time.Time) Choice {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best, found := p.choose(w, now)
+	if best == nil {
+		return p.refuse(w, found, now)
+	}
+	left := w.Objective - now.Sub(w.Arrived)
+	expected := seconds(best.expected)
+	choice := Choice{Expected: expected, Cached: best.cached}
+	if w.Objective > 0 && expected > share(left, objectiveShare) {
+		choice.Late = true
+		if w.OnTime || expected > share(w.Deadline.Sub(now), lateShare) {
+			choice.Reason = ReasonFull
+			choice.RetryAfter = expected - share(w.Objective, objectiveShare)
+			return choice
+		}
+	}
+	choice.Placement = p.start(best, w, now)
+	return choice
+}
+
+// Expected returns the expected time to the first byte, and false when no server
+// can be used.
+func (p *Pool) Expected(w *Work, now time.Time) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best, _ := p.choose(w, now)
+	if best == nil {
+		return 0, false
+	}
+	return seconds(best.expected), true
+}
+
+// candidate is a server with what it would cost.
+type candidate struct {
+	*server
+	expected float64 // seconds to the first byte
+	cost     float64
+	unread   float64
+	cached   int
+}
+
+// census says why servers were passed over.
+type census struct {
+	usable, full, cold int
+	coldNext           time.Time
+}
+
+func (p *Pool) choose(w *Work, now time.Time) (*candidate, census) {
+	var c census
+	subject := w.subject()
+	home := p.home(subject)
+	aside := p.setAside(now)
+	var best *candidate
+	for _, s := range p.servers {
+		if slices.Contains(w.Exclude, s.ID) || !s.Usable(now) || aside[s] && !(w.Probe && s.probeDue(now)) {
+			continue
+		}
+		c.usable++
+		if now.Before(s.ColdUntil) && p.settings.ColdRate > 0 {
+			if next, ok := p.coldSlot(s, now); !ok {
+				c.cold++
+				if c.coldNext.IsZero() || next.Before(c.coldNext) {
+					c.coldNext = next
+				}
+				continue
+			}
+		}
+		if p.full(s, now) {
+			c.full++
+			continue
+		}
+		next := p.weigh(s, w, home, now)
+		if best == nil || next.cost < best.cost {
+			best = next
+		}
+	}
+	return best, c
+}
+
+// home returns the server that the hash names for a subject.
+func (p *Pool) home(subject uint64) *server {
+	if subject == 0 {
+		return nil
+	}
+	var best *server
+	var top uint64
+	for _, s := range p.servers {
+		score := s.hash ^ subject
+		score *= 0x9e3779b97f4a7c15
+		score ^= score >> 29
+		score *= 0xbf58476d1ce4e5b9
+		if best == nil || score > top {
+			best, top = s, score
+		}
+	}
+	return best
+}
+
+// setAside returns the servers that failed too often; never more than half, since
+// a service whose servers all fail in part is better served in part than not.
+func (p *Pool) setAside(now time.Time) map[*server]bool {
+	var failing []*server
+	for _, s := range p.servers {
+		if now.Before(s.asideUntil) {
+			failing = append(failing, s)
+		}
+	}
+	if len(failing) == 0 {
+		return nil
+	}
+	slices.SortFunc(failing, func(a, b *server) int { return cmp.Compare(b.failures, a.failures) })
+	out := make(map[*server]bool, len(failing))
+	down := 0
+	for _, s := range failing {
+		if s.down {
+			down++
+			out[s] = true
+		}
+	}
+	for _, s := range failing {
+		if !s.down && 2*(len(out)-down) < len(p.servers)-down-1 {
+			out[s] = true
+		}
+	}
+	return out
+}
+
+func (p *Pool) coldSlot(s *server, now time.Time) (time.Time, bool) {
+	if p.settings.ColdOwner != nil && !p.settings.ColdOwner(s.ID) {
+		return s.ColdUntil, false
+	}
+	return s.coldNext, !now.Before(s.coldNext)
+}
+
+func (p *Pool) slots(s *server) float64 {
+	return float64(max(cmp.Or(s.Slots, p.settings.Slots), 1))
+}
+
+// running is how many requests a server is taken to have.
+func (p *Pool) running(s *server, now time.Time) float64 {
+	return float64(s.inFlight) + s.others*fade(now.Sub(s.reportedAt))
+}
+
+func (p *Pool) full(s *server, now time.Time) bool {
+	limit := p.slots(s)
+	if !p.settings.Engine {
+		limit *= queueFactor
+	}
+	return p.running(s, now) >= limit
+}
+
+func (p *Pool) weigh(s *server, w *Work, home *server, now time.Time) *candidate {
+	c := &candidate{server: s}
+	if !p.settings.Engine {
+		slots := p.slots(s)
+		queued := max(p.running(s, now)-slots+1, 0)
+		c.expected = p.work*(1+queued/slots)*s.pace + s.excess(now)
+		c.cost = c.expected + p.running(s, now)*p.work/slots
+		return c
+	}
+	c.cached = s.cache.match(w.Parts)
+	if s == home {
+		c.cached = max(c.cached, int(homeCredit*float64(w.shared())))
+	}
+	c.unread = float64(max(w.Tokens-c.cached, 0))
+	ahead := s.pendingOf(w.Urgency) + float64(max(p.settings.Instances-1, 0))*s.averagePending(now)
+	c.expected = baseTime + (ahead+c.unread)/p.readRate*s.pace + s.excess(now)
+	c.cost = c.expected + (readWeight-1)*c.unread/p.readRate + p.running(s, now)*runningCost
+	return c
+}
+
+// runningCost is what each running request adds to a server's cost, in seconds: the
+// step grows by 16 µs for each, and a full batch takes nobody.
+const runningCost = 0.0003
+
+func (p *Pool) start(c *candidate, w *Work, now time.Time) *Placement {
+	s := c.server
+	s.inFlight++
+	s.addPending(w.Urgency, c.unread, now)
+	if now.Before(s.ColdUntil) && p.settings.ColdRate > 0 {
+		s.coldNext = now.Add(seconds(1 / p.settings.ColdRate))
+	}
+	if now.Before(s.asideUntil) {
+		s.probedAt = now
+	}
+	s.cache.touch(w.Parts, int(cacheShare*float64(p.settings.CacheTokens)))
+	return &Placement{Server: s.Entry, server: s, tokens: c.unread, urgency: w.Urgency, sent: now, expected: c.expected}
+}
+
+// refuse says when to come back.
+func (p *Pool) refuse(w *Work, c census, now time.Time) Choice {
+	switch {
+	case c.usable == 0:
+		return Choice{Reason: ReasonNoServer, RetryAfter: retryNoServer}
+	case c.cold > 0 && c.full == 0:
+		return Choice{Reason: ReasonCold, RetryAfter: max(c.coldNext.Sub(now), retryFull)}
+	}
+	return Choice{Reason: ReasonFull, RetryAfter: retryFull}
+}
+
+const (
+	// retryNoServer is when to come back to a service without servers: a crashed one
+	// starts again within seconds.
+	retryNoServer = time.Second
+	// retryFull is when to come back to a service whose servers all have their fill:
+	// about the time that a request runs.
+	retryFull = 300 * time.Millisecond
+)
+
+func seconds(s float64) time.Duration {
+	return time.Duration(min(s, float64(math.MaxInt32)) * float64(time.Second))
+}
+
+func share(d time.Duration, part float64) time.Duration {
+	return time.Duration(float64(d) * part)
+}
+
+func fade(age time.Duration) float64 {
+	return reportFade / (reportFade + max(age.Seconds(), 0))
+}
--- /dev/null
+++ b/coordination/placement/server.go
@@ -0,0 +1,284 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/basilroute/basilroute/state/backends"
+)
+
+const (
+	urgencies = 10 // classes of urgency that are told apart
+
+	// paceWeight is the weight of a new measurement in a server's pace.
+	paceWeight = 0.15
+	minPace    = 0.5
+	maxPace    = 8.0
+	// excessHalfLife is how fast a wait that nobody expected is forgotten, in seconds.
+	excessHalfLife = 0.7
+	// failureWeight is the weight of a new outcome in a server's share of failures.
+	failureWeight = 0.2
+	// failureLimit is the share of failures from which a server is set aside. A plain
+	// service answers one in seven of some requests with an error of its own, which
+	// is no fault of the server.
+	failureLimit = 0.4
+	// leastOutcomes before a server is judged.
+	leastOutcomes = 4
+	minAside      = 700 * time.Millisecond
+	maxAside      = 5 * time.Second
+	probeEvery    = 400 * time.Millisecond // between requests to a server that is set aside
+)
+
+// server is what one instance knows of a backend server in one lifetime.
+type server struct {
+	backends.Entry
+	hash uint64 // of the id
+
+	inFlight int
+	pending  [urgencies]float64 // prompt tokens of requests whose first byte has not come
+	average  float64            // of all pending
+	averaged time.Time
+
+	others     float64 // requests of other instances, by the last report
+	reportedAt time.Time
+
+	pace       float64 // measured over expected time
+	extra      float64 // seconds that the last requests waited beyond what was expected
+	extraAt    time.Time
+	failures   float64 // share of failures
+	outcomes   int
+	asideUntil time.Time
+	asideFor   time.Duration
+	probedAt   time.Time
+	down       bool // nothing listens there
+	coldNext   time.Time
+	cache      *cache
+}
+
+func newServer() *server { return &server{pace: 1, cache: newCache()} }
+
+func urgencyIndex(urgency int) int { return min(max(urgency, 0), urgencies-1) }
+
+// pendingOf returns the prompt tokens that are read before a request of an urgency.
+func (s *server) pendingOf(urgency int) float64 {
+	total := 0.0
+	for i := 0; i <= urgencyIndex(urgency); i++ {
+		total += s.pending[i]
+	}
+	return total
+}
+
+func (s *server) allPending() float64 { return s.pendingOf(urgencies - 1) }
+
+func (s *server) addPending(urgency int, tokens float64, now time.Time) {
+	s.averagePending(now)
+	i := urgencyIndex(urgency)
+	s.pending[i] = max(s.pending[i]+tokens, 0)
+}
+
+// averagePending is the mean of what is pending over the last moments: the best
+// guess of what each other instance has pending there.
+func (s *server) averagePending(now time.Time) float64 {
+	if s.averaged.IsZero() {
+		s.averaged = now
+	}
+	if elapsed := now.Sub(s.averaged).Seconds(); elapsed > 0 {
+		keep := math.Exp2(-elapsed / pendingHalfLife)
+		s.average = s.average*keep + s.allPending()*(1-keep)
+		s.averaged = now
+	}
+	return s.average
+}
+
+// excess is what answers took beyond what was expected, which fades.
+func (s *server) excess(now time.Time) float64 {
+	return s.extra * math.Exp2(-now.Sub(s.extraAt).Seconds()/excessHalfLife)
+}
+
+func (s *server) probeDue(now time.Time) bool {
+	return now.Sub(s.probedAt) >= probeEvery && now.Sub(s.asideUntil.Add(-s.asideFor)) >= minAside/2
+}
+
+// Load is what a server said of its load in an answer.
+type Load struct{ Running, Waiting, Slots int }
+
+// Outcome says how a request ended at its server.
+type Outcome int
+
+// Outcomes.
+const (
+	OutcomeServed    Outcome = iota
+	OutcomeRefused           // the server said that it did not run the request
+	OutcomeFailed            // broke off, hung, or answered with what is no answer
+	OutcomeDown              // nothing listens there
+	OutcomeErrorCode         // a whole answer with an error status of the server
+	OutcomeCancelled         // given up here: says nothing of the server
+)
+
+// Reported takes in the load that a server gave with an answer.
+func (p *Pool) Reported(pl *Placement, l Load, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := pl.server
+	s.others = max(float64(l.Running+l.Waiting-s.inFlight), 0)
+	s.reportedAt = now
+	if l.Slots > 0 && s.Slots == 0 {
+		s.Slots = l.Slots
+	}
+}
+
+// FirstByte takes in that the answer has begun.
+func (p *Pool) FirstByte(pl *Placement, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.firstByte(pl, now)
+}
+
+func (p *Pool) firstByte(pl *Placement, now time.Time) {
+	if pl.first {
+		return
+	}
+	pl.first = true
+	s := pl.server
+	s.addPending(pl.urgency, -pl.tokens, now)
+	took := now.Sub(pl.sent).Seconds()
+	if pl.expected <= 0 {
+		return
+	}
+	ratio := min(max(took/pl.expected, minPace), maxPace)
+	s.pace += (ratio*s.pace - s.pace) * paceWeight
+	s.pace = min(max(s.pace, minPace), maxPace)
+	s.extra = max(s.excess(now)/2, took-pl.expected)
+	s.extraAt = now
+}
+
+// Done ends a placement.
+func (p *Pool) Done(pl *Placement, outcome Outcome, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pl.done {
+		return
+	}
+	pl.done = true
+	s := pl.server
+	s.inFlight--
+	if !pl.first {
+		pl.first = true
+		s.addPending(pl.urgency, -pl.tokens, now)
+	}
+	if outcome == OutcomeServed && !p.settings.Engine {
+		p.work += (now.Sub(pl.sent).Seconds()/max(s.pace, 1) - p.work) * workWeight
+	}
+	s.judge(outcome, p.settings.Engine, now)
+}
+
+// workWeight is the weight of a new measurement in a plain service's mean time.
+const workWeight = 0.05
+
+// judge counts failures and sets the server aside.
+func (s *server) judge(outcome Outcome, engine bool, now time.Time) {
+	switch outcome {
+	case OutcomeCancelled:
+		return
+	case OutcomeDown:
+		s.down = true
+		s.setAside(now)
+		return
+	case OutcomeErrorCode:
+		if engine {
+			s.count(1, now)
+		}
+		return
+	case OutcomeFailed:
+		s.count(1, now)
+	case OutcomeRefused:
+		s.count(0.5, now)
+	case OutcomeServed:
+		s.count(0, now)
+	}
+}
+
+func (s *server) count(failure float64, now time.Time) {
+	s.outcomes++
+	s.failures += (failure - s.failures) * failureWeight
+	if failure == 0 {
+		s.down = false
+		if now.Before(s.asideUntil) && s.failures < failureLimit/2 {
+			s.asideUntil, s.asideFor = time.Time{}, 0
+		}
+		return
+	}
+	if s.outcomes >= leastOutcomes && s.failures >= failureLimit {
+		s.setAside(now)
+	}
+}
+
+func (s *server) setAside(now time.Time) {
+	if now.Before(s.asideUntil) && now.Sub(s.asideUntil.Add(-s.asideFor)) < minAside {
+		return // failures of requests that were under way say nothing new
+	}
+	s.asideFor = min(max(2*s.asideFor, minAside), maxAside)
+	s.asideUntil = now.Add(s.asideFor)
+}
+
+// Summary is what other regions are told of a service's servers here.
+type Summary struct {
+	Servers  int
+	InFlight int
+	Expected time.Duration // to the first byte of a prompt of ordinary size
+	Room     int           // requests that could start within Expected and a little
+}
+
+// summaryTokens is the size of the prompt that a summary speaks of, in tokens that
+// have to be read: a shared prompt of the first deployments with its own part.
+const summaryTokens = 4000
+
+// Summarize describes the pool for other regions.
+func (p *Pool) Summarize(now time.Time) Summary {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := Work{Tokens: summaryTokens, Urgency: urgencies - 1, Arrived: now}
+	best, c := p.choose(&w, now)
+	out := Summary{Servers: c.usable}
+	room := 0.0
+	for _, s := range p.servers {
+		out.InFlight += s.inFlight
+		room += max(p.slots(s)-p.running(s, now), 0)
+	}
+	if best != nil {
+		out.Expected, out.Room = seconds(best.expected), int(room)
+	}
+	return out
+}
+
+// State is what is known of one server, for operators.
+type State struct {
+	ID, Address string
+	InFlight    int
+	Pending     float64
+	Pace        float64
+	Failures    float64
+	Aside, Down bool
+	Cold        bool
+}
+
+// States returns the state of every server.
+func (p *Pool) States(now time.Time) []State {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]State, len(p.servers))
+	for i, s := range p.servers {
+		out[i] = State{
+			ID: s.ID, Address: s.Address, InFlight: s.inFlight, Pending: s.allPending(), Pace: s.pace,
+			Failures: s.failures, Aside: now.Before(s.asideUntil), Down: s.down, Cold: now.Before(s.ColdUntil),
+		}
+	}
+	return out
+}
+
+// Down takes in that nothing listens at the server of a placement.
+func (p *Pool) Down(pl *Placement, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pl.server.judge(OutcomeDown, p.settings.Engine, now)
+}
--- a/coordination/quota/borrower.go
+++ b/coordination/quota/borrower.go
@@ -326,3 +326,27 @@
 	}
 	return out
 }
+
+// Owes tells whether loans of a lender may still be spent here, whatever its
+// incarnation.
+func (l *Ledger) Owes(lender string, now time.Time) bool {
+	for i := range l.shards {
+		if l.shards[i].owes(lender, now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *shard) owes(lender string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.accounts {
+		for _, b := range a.borrowings {
+			if b.lender.ID == lender && b.tokens > 0 && now.Before(b.until) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/imports_test.go
+++ b/imports_test.go
@@ -15,6 +15,7 @@
 // below its own layer, and packages of its own layer.
 var layers = [][]string{
 	{"cmd", "e2e"},
+	{"platform"},
 	{"localfleet", "experiment", "examples"},
 	{"instance", "loadgen", "capacity"},
 	{"standin"},
--- a/instance/exchange.go
+++ b/instance/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/basilroute/basilroute/coordination/membership"
 	"github.com/basilroute/basilroute/protocol/peerpb"
+	"github.com/basilroute/basilroute/transport/peer"
 )
 
 const (
@@ -100,9 +101,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	peer := i.members.At(address)
-	req := i.members.Request(peer)
-	i.addConfig(req, peer)
+	known := i.members.At(address)
+	req := i.members.Request(known)
+	i.addConfig(req, known)
 	req.Quarantines = i.quarantines()
 	req.ServersHash = uint64(i.serversState())
 	resp, err := client.Exchange(ctx, req)
@@ -152,6 +153,6 @@
 
 func (i *Instance) takeQuarantines(list []*peerpb.Quarantine) {
 	for _, q := range list {
-		i.quarantine.Merge(decodeQuarantine(q))
+		i.quarantine.Merge(peer.DecodeQuarantine(q))
 	}
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -32,6 +32,7 @@
 	"github.com/basilroute/basilroute/transport/claim"
 	"github.com/basilroute/basilroute/transport/dispatch"
 	"github.com/basilroute/basilroute/transport/gateway"
+	"github.com/basilroute/basilroute/transport/lending"
 	"github.com/basilroute/basilroute/transport/metrics"
 	"github.com/basilroute/basilroute/transport/operator"
 	"github.com/basilroute/basilroute/transport/peer"
@@ -53,6 +54,7 @@
 	forwarded  *requests.Table
 	ledger     *quota.Ledger
 	slots      *slotKeeper
+	lending    *lending.Loop
 	retries    *retry.Budget
 	quarantine *quarantine.List
 
@@ -194,6 +196,7 @@
 	}
 	i.pool = peer.NewPool(creds)
 	i.pool.Revision = i.config.Revision
+	i.lending = &lending.Loop{Ledger: i.ledger, Pool: i.pool, Self: i.member, Lenders: i.lenders}
 	i.claims = claim.New(i.background, i.platform, i.settings.ID, i.log)
 	i.local = &dispatch.Local{
 		Catalog: i.catalog, Servers: i.servers, Backend: i.backend, Quarantine: i.quarantine,
--- a/instance/quarantine.go
+++ b/instance/quarantine.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/protocol/peerpb"
+	"github.com/basilroute/basilroute/transport/peer"
 )
 
 // announceLimit bounds how long a request waits for the news of its crash to
@@ -56,24 +56,6 @@
 	}
 }
 
-func decodeQuarantine(q *peerpb.Quarantine) quarantine.Record {
-	r := quarantine.Record{
-		Fingerprint: q.GetFingerprint(), Crashes: int(q.GetCrashes()), Until: time.UnixMilli(q.GetUntilUnixMs()),
-	}
-	for _, c := range q.GetSeen() {
-		r.Seen = append(r.Seen, quarantine.Crash{ID: c.GetId(), Until: time.UnixMilli(c.GetUntilUnixMs())})
-	}
-	return r
-}
-
 func (i *Instance) quarantines() []*peerpb.Quarantine {
-	var out []*peerpb.Quarantine
-	for _, r := range i.quarantine.Records(time.Now()) {
-		q := &peerpb.Quarantine{Fingerprint: r.Fingerprint, Crashes: uint32(r.Crashes), UntilUnixMs: r.Until.UnixMilli()}
-		for _, c := range r.Seen {
-			q.Seen = append(q.Seen, &peerpb.Crash{Id: c.ID, UntilUnixMs: c.Until.UnixMilli()})
-		}
-		out = append(out, q)
-	}
-	return out
+	return peer.EncodeQuarantines(i.quarantine.Records(time.Now()))
 }
--- /dev/null
+++ b/instance/routed/facts.go
@@ -0,0 +1,182 @@
+package routed
+
+import (
+	"slices"
+	"time"
+
+	"github.com/basilroute/basilroute/coordination/placement"
+	"github.com/basilroute/basilroute/protocol/peerpb"
+	"github.com/basilroute/basilroute/service"
+	"github.com/basilroute/basilroute/state/mirror"
+	"github.com/basilroute/basilroute/state/routes"
+)
+
+// configChanged takes in the operators' items. Changes are applied in the order of
+// the store's revisions; the table keeps out what is older than what is in force.
+func (n *Node) configChanged(changed []mirror.Item) {
+	evacuations := false
+	for _, item := range changed {
+		if _, ok := n.source.Evacuation(item.Key); ok {
+			evacuations = true
+			continue
+		}
+		if item.Removed {
+			continue // an operator replaces the configuration and never takes it away
+		}
+		n.offer(item)
+	}
+	if evacuations {
+		n.evacuate()
+	}
+}
+
+func (n *Node) offer(item mirror.Item) {
+	config, ok, err := n.source.Config(item.Key, item.Value)
+	if err != nil {
+		n.unreadable.Inc()
+		n.log.Error("config_unreadable", "key", item.Key, "revision", item.Revision, "error", err.Error())
+		return // the last one stays in force
+	}
+	if !ok || !n.routes.Offer(config) {
+		return
+	}
+	n.log.Info("config_in_force", "version", config.Version, "revision", item.Revision, "routes", len(config.Routes),
+		"services", len(config.Services), "accounts", len(config.Accounts), "keys", len(config.Keys))
+	n.updateAccounts(config)
+	n.refreshPools(time.Now())
+}
+
+// evacuate takes in which failure domains are to get nothing.
+func (n *Node) evacuate() {
+	var domains []string
+	for _, item := range n.config.mirror.Items() {
+		if domain, ok := n.source.Evacuation(item.Key); ok {
+			domains = append(domains, domain)
+		}
+	}
+	now := time.Now()
+	n.backends.SetEvacuated(domains, n.longestColdStart(), now)
+	n.log.Info("evacuations", "domains", domains)
+	n.refreshPools(now)
+}
+
+func (n *Node) longestColdStart() time.Duration {
+	longest := time.Duration(0)
+	if config := n.routes.Current(); config != nil {
+		for _, s := range config.Services {
+			longest = max(longest, s.ColdStart)
+		}
+	}
+	return longest
+}
+
+// serversChanged takes in the entries of backend servers. One that cannot be read
+// names no server.
+func (n *Node) serversChanged(changed []mirror.Item) {
+	now := time.Now()
+	for _, item := range changed {
+		if item.Removed {
+			n.log.Info("server_entry_gone", "server", n.source.ServerID(item.Key), "revision", item.Revision)
+			n.backends.Remove(n.source.ServerID(item.Key), now)
+			continue
+		}
+		server, err := n.source.Server(item.Key, item.Value)
+		if err != nil {
+			n.unreadable.Inc()
+			n.log.Info("server_entry_unreadable", "key", item.Key, "error", err.Error())
+			n.backends.Remove(n.source.ServerID(item.Key), now)
+			continue
+		}
+		server.Region = n.settings.Domains[server.Domain]
+		n.log.Info("server_entry", "server", server.ID, "service", server.Service, "domain", server.Domain, "born", server.Born,
+			"draining", server.Draining, "cold_ms", server.ColdFor.Milliseconds(), "left_ms", server.TimeLeft.Milliseconds(), "revision", item.Revision)
+		n.backends.Put(server, now)
+	}
+	n.refreshPools(now)
+}
+
+// refreshPools hands the servers of the own region to the pools.
+func (n *Node) refreshPools(now time.Time) {
+	config := n.routes.Current()
+	if config == nil {
+		return
+	}
+	n.poolMu.Lock()
+	defer n.poolMu.Unlock()
+	entries := n.backends.InRegion(n.settings.Region, now)
+	_, region := n.Instances()
+	for _, svc := range config.Services {
+		own := entries[:0:0]
+		for _, e := range entries {
+			if e.Service == svc.Name {
+				own = append(own, e)
+			}
+		}
+		settings := placement.Settings{Instances: region, ColdRate: svc.ColdRate, ColdOwner: n.ownsCold}
+		if svc.Engine != nil {
+			settings.Engine, settings.Slots, settings.CacheTokens = true, svc.Engine.Slots, svc.Engine.CacheTokens
+		}
+		n.local.Pool(svc.Name).Update(settings, own)
+	}
+}
+
+// ownsCold tells whether this instance is the one of its region that sends work to a
+// cold server. The server's rate holds over all instances; one sender keeps it
+// without a word between them, and two that do not see each other stay below the
+// bound, which is more than twice the rate.
+func (n *Node) ownsCold(server string) bool {
+	members := *n.regional.Load()
+	if len(members) == 0 {
+		return true
+	}
+	return rendezvousTop(members, server) == n.settings.ID
+}
+
+// updateAccounts hands the accounts and the instances that share them to the ledger.
+func (n *Node) updateAccounts(config *routes.Config) {
+	n.ledgerMu.Lock()
+	defer n.ledgerMu.Unlock()
+	holders := n.shares.Record().Holders
+	if config.Version == n.ledgerConfig && len(holders) == n.ledgerHolders || len(holders) == 0 {
+		return
+	}
+	n.ledgerConfig = config.Version
+	if n.fleet == nil || len(holders) != n.ledgerHolders {
+		n.ledgerHolders = len(holders)
+		// Every instance is a domain of its own with one slot: its part is one in
+		// the number of instances.
+		n.fleet = &service.Fleet{
+			Regions: map[string]service.Region{fleetRegion: {Domains: slices.Clone(holders)}},
+			Slots:   service.Slots{PerDomain: 1},
+		}
+	}
+	var docs []*service.Account
+	for _, a := range config.Accounts {
+		if a.Rate > 0 {
+			docs = append(docs, &service.Account{Name: a.Name, Rate: a.Rate, Burst: a.Burst})
+		}
+	}
+	n.ledger.Update(docs, n.fleet, int64(n.ledgerHolders), time.Now())
+}
+
+// fleetRegion stands for all regions: parts are even over all instances.
+const fleetRegion = "all"
+
+// publishLoads tells the other instances how the services stand here.
+func (n *Node) publishLoads(now time.Time) {
+	config := n.routes.Current()
+	if config == nil {
+		return
+	}
+	var loads []*peerpb.ServiceLoad
+	for _, svc := range config.Services {
+		s := n.local.Pool(svc.Name).Summarize(now)
+		loads = append(loads, &peerpb.ServiceLoad{
+			Service: svc.Name, Servers: uint32(s.Servers), InFlight: uint32(s.InFlight),
+			ExpectedWaitMs: uint32(s.Expected.Milliseconds()), HasRoom: s.Room > 0, Room: uint32(s.Room),
+		})
+	}
+	n.members.UpdateSelf(now, func(m *peerpb.Member) {
+		m.Loads, m.ConfigRevision, m.QuotaVersion = loads, config.Version, uint32(n.shares.Record().Version())
+	})
+}
--- /dev/null
+++ b/instance/routed/follow.go
@@ -0,0 +1,183 @@
+package routed
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/basilroute/basilroute/protocol/peerpb"
+	"github.com/basilroute/basilroute/state/mirror"
+	"github.com/basilroute/basilroute/transport/platform"
+)
+
+const (
+	// watchWait is how long a watch waits for a change. Silence beyond it and a
+	// call's timeout shows that the store is out of reach.
+	watchWait = 3 * time.Second
+	// minBackoff and maxBackoff are between calls that fail. All instances lose the
+	// store at once; without growing pauses they would use up its calls when it is
+	// back.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 800 * time.Millisecond
+	// awayAfter is how long calls fail before the store counts as out of reach.
+	awayAfter = 300 * time.Millisecond
+)
+
+// follower keeps the mirror of one prefix up to date.
+type follower struct {
+	prefix  string
+	mirror  *mirror.Mirror
+	changed func([]mirror.Item)
+	failing atomic.Int64 // since when calls fail, in Unix nanoseconds; 0 while they succeed
+}
+
+// follow lists the prefix and watches it until ctx ends.
+func (n *Node) follow(ctx context.Context, f *follower) {
+	backoff := minBackoff
+	listed := false
+	for ctx.Err() == nil {
+		delta, err := n.read(ctx, f, listed)
+		switch {
+		case err == nil:
+			listed, backoff = true, minBackoff
+			n.storeAnswered(f)
+			n.apply(f, delta, "store")
+			continue
+		case errors.Is(err, platform.ErrCompacted):
+			n.log.Info("store_history_gone", "prefix", f.prefix, "after", f.mirror.Revision())
+			listed = false
+		default:
+			n.storeFailed(f, err)
+		}
+		pause(ctx, backoff/2+rand.N(backoff))
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func (n *Node) read(ctx context.Context, f *follower, listed bool) (mirror.Delta, error) {
+	store := n.source.Store()
+	after := f.mirror.Revision()
+	if !listed || after == 0 {
+		found, revision, err := store.List(ctx, f.prefix, 0)
+		return mirror.Delta{Revision: revision, Items: items(found), Whole: true}, err
+	}
+	found, revision, err := store.Watch(ctx, f.prefix, after, watchWait)
+	return mirror.Delta{After: after, Revision: revision, Items: items(found)}, err
+}
+
+func items(found []platform.KeyValue) []mirror.Item {
+	out := make([]mirror.Item, len(found))
+	for i, kv := range found {
+		out[i] = mirror.Item{Key: kv.Key, Value: kv.Value, Revision: kv.Revision, Removed: kv.Deleted}
+	}
+	return out
+}
+
+func (n *Node) apply(f *follower, d mirror.Delta, from string) {
+	changed := f.mirror.Apply(d)
+	if len(changed) == 0 {
+		return
+	}
+	if from != "store" {
+		n.log.Info("store_items_from_peer", "prefix", f.prefix, "peer", from, "items", len(changed), "revision", d.Revision)
+	}
+	f.changed(changed)
+}
+
+func (n *Node) storeAnswered(f *follower) {
+	since := f.failing.Swap(0)
+	if since == 0 {
+		return
+	}
+	n.log.Info("store_back", "prefix", f.prefix, "away_ms", (time.Now().UnixNano()-since)/1e6)
+	if f == n.servers {
+		n.backends.StoreAway(false, time.Now())
+	}
+}
+
+func (n *Node) storeFailed(f *follower, err error) {
+	now := time.Now()
+	if f.failing.CompareAndSwap(0, now.UnixNano()) {
+		n.log.Info("store_lost", "prefix", f.prefix, "error", err.Error())
+	}
+	if f == n.servers {
+		n.backends.StoreAway(true, now)
+	}
+}
+
+// away tells whether the store has been out of reach for a while.
+func (f *follower) away(now time.Time) bool {
+	since := f.failing.Load()
+	return since != 0 && now.UnixNano()-since > int64(awayAfter)
+}
+
+// storeAway tells whether any part of the store is out of reach.
+func (n *Node) storeAway(now time.Time) bool {
+	for _, f := range n.followers {
+		if f.away(now) || f.mirror.Revision() == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// knowledge says up to which revision each prefix is known here.
+func (n *Node) knowledge() []*peerpb.StoreView {
+	out := make([]*peerpb.StoreView, len(n.followers))
+	for i, f := range n.followers {
+		out[i] = &peerpb.StoreView{Prefix: f.prefix, Revision: f.mirror.Revision()}
+	}
+	return out
+}
+
+// lacking returns what a peer lacks. It is asked for only by one that the store
+// turns away.
+func (n *Node) lacking(asked []*peerpb.StoreView) []*peerpb.StoreView {
+	var out []*peerpb.StoreView
+	for _, view := range asked {
+		for _, f := range n.followers {
+			if f.prefix != view.GetPrefix() || f.mirror.Revision() <= view.GetRevision() {
+				continue
+			}
+			d := f.mirror.Since(view.GetRevision())
+			reply := &peerpb.StoreView{Prefix: f.prefix, Revision: d.Revision, After: d.After, Whole: d.Whole}
+			for _, item := range d.Items {
+				reply.Items = append(reply.Items, &peerpb.Document{
+					Key: item.Key, Revision: item.Revision, Value: item.Value, Deleted: item.Removed,
+				})
+			}
+			out = append(out, reply)
+		}
+	}
+	return out
+}
+
+// takeViews takes in what a peer knows beyond this instance.
+func (n *Node) takeViews(views []*peerpb.StoreView, from string) {
+	for _, view := range views {
+		d := mirror.Delta{After: view.GetAfter(), Revision: view.GetRevision(), Whole: view.GetWhole()}
+		for _, item := range view.GetItems() {
+			d.Items = append(d.Items, mirror.Item{
+				Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Removed: item.GetDeleted(),
+			})
+		}
+		for _, f := range n.followers {
+			if f.prefix == view.GetPrefix() {
+				n.apply(f, d, from)
+			}
+		}
+	}
+}
+
+// pause waits, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/instance/routed/node.go
@@ -0,0 +1,374 @@
+package routed
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/basilroute/basilroute/coordination/membership"
+	"github.com/basilroute/basilroute/coordination/quarantine"
+	"github.com/basilroute/basilroute/coordination/quota"
+	"github.com/basilroute/basilroute/coordination/quotashare"
+	"github.com/basilroute/basilroute/coordination/retry"
+	"github.com/basilroute/basilroute/coordination/slots"
+	"github.com/basilroute/basilroute/protocol/peerpb"
+	"github.com/basilroute/basilroute/service"
+	"github.com/basilroute/basilroute/state/backends"
+	"github.com/basilroute/basilroute/state/mirror"
+	"github.com/basilroute/basilroute/state/routes"
+	"github.com/basilroute/basilroute/transport/backendhttp"
+	"github.com/basilroute/basilroute/transport/httproute"
+	"github.com/basilroute/basilroute/transport/lending"
+	"github.com/basilroute/basilroute/transport/peer"
+)
+
+// Node is one entry instance that serves HTTP routes.
+type Node struct {
+	settings Settings
+	source   Source
+	codec    httproute.Codec
+	log      *slog.Logger
+	registry *prometheus.Registry
+	started  time.Time
+
+	routes     *routes.Table
+	backends   *backends.Table
+	members    *membership.Table
+	ledger     *quota.Ledger
+	shares     *quotashare.Keeper
+	quarantine *quarantine.List
+	local      *httproute.Local
+	front      *httproute.Front
+	relay      *httproute.Peer
+	pool       *peer.Pool
+	lending    *lending.Loop
+
+	config, servers, own *follower
+	followers            []*follower
+
+	poolMu sync.Mutex
+
+	ledgerMu      sync.Mutex
+	fleet         *service.Fleet
+	ledgerConfig  int64
+	ledgerHolders int
+
+	regional   atomic.Pointer[[]string] // live instances of the own region
+	fleetSize  atomic.Int64
+	noLoans    sync.Map // ids of peers that hold nothing a predecessor lent
+	exchanging sync.Map // peer addresses with an exchange under way
+	failures   sync.Map // peer address: exchanges that failed in a row
+	news       chan struct{}
+	unreadable prometheus.Counter
+
+	servicing []*http.Server
+	callers   *http.Server
+	peers     *grpc.Server
+	listeners map[string]net.Listener
+	failed    chan error
+
+	leaving, stopping atomic.Bool
+	inFlight          atomic.Int64 // requests of callers and of peers
+	loops             sync.WaitGroup
+	background        context.Context
+	stopLoops         context.CancelFunc
+}
+
+// Endpoints are the handlers of a deployment's own paths for readiness and the
+// directory, made from what the node answers.
+type Endpoints struct {
+	Ready     func(ready func() bool) http.Handler
+	Directory func(resolve func(Question) Answer) http.Handler
+}
+
+const (
+	serverDialTimeout = 400 * time.Millisecond // in the own region, where the way takes some milliseconds
+	peerDialTimeout   = time.Second
+	// userTimeout is how long bytes stay unacknowledged: several times the longest
+	// way there and back with one lost packet.
+	userTimeout  = 1500 * time.Millisecond
+	maxIdleConns = 48 // for each server: what one instance has under way at a server at most
+)
+
+// New binds the addresses. It serves nothing before Start.
+func New(settings Settings, source Source, codec httproute.Codec, endpoints Endpoints, log *slog.Logger) (*Node, error) {
+	n := &Node{
+		settings: settings, source: source, codec: codec, log: log.With("instance", settings.ID),
+		registry: prometheus.NewRegistry(), started: time.Now(),
+		routes: &routes.Table{}, backends: backends.New(), ledger: quota.New(settings.ID),
+		shares: quotashare.NewKeeper(settings.ID), quarantine: quarantine.New(),
+		pool: peer.NewPool(insecure.NewCredentials()), news: make(chan struct{}, 1),
+		listeners: make(map[string]net.Listener), failed: make(chan error, 8),
+	}
+	n.background, n.stopLoops = context.WithCancel(context.Background())
+	n.members = membership.New(n.selfEntry(), n.started)
+	n.regional.Store(&[]string{settings.ID})
+	n.fleetSize.Store(1)
+	n.members.SetSeeds(n.staticSeeds())
+	n.follow3(source)
+	n.quarantine.OnCrash(n.spread)
+	n.wire()
+	if err := n.listen(endpoints); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) selfEntry() *peerpb.Member {
+	return &peerpb.Member{
+		Id: n.settings.ID, Incarnation: uint64(n.started.UnixNano()), Version: 1,
+		State: peerpb.MemberState_MEMBER_STATE_LIVE, Region: n.settings.Region, Domain: n.settings.Domain,
+		CallerAddress: n.settings.Listen.Callers, PeerAddress: n.settings.Listen.Peers, RelayAddress: n.settings.Listen.Relay,
+	}
+}
+
+func (n *Node) staticSeeds() []membership.Seed {
+	var out []membership.Seed
+	for _, address := range n.settings.Seeds {
+		if address != n.settings.Listen.Peers {
+			out = append(out, membership.Seed{PeerAddress: address})
+		}
+	}
+	return out
+}
+
+func (n *Node) follow3(source Source) {
+	n.config = &follower{prefix: source.ConfigPrefix(), mirror: mirror.New(), changed: n.configChanged}
+	n.servers = &follower{prefix: source.ServersPrefix(), mirror: mirror.New(), changed: n.serversChanged}
+	n.own = &follower{prefix: ownPrefix, mirror: mirror.New(), changed: n.ownChanged}
+	n.followers = []*follower{n.config, n.servers, n.own}
+}
+
+func (n *Node) wire() {
+	n.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	n.unreadable = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: "basilroute", Name: "unreadable_items_total", Help: "Items of the store that could not be read.",
+	})
+	n.registry.MustRegister(n.unreadable)
+	metrics := httproute.NewMetrics(n.registry)
+	n.local = &httproute.Local{
+		Codec: n.codec, Backends: n.backends, Quarantine: n.quarantine, Log: n.log, Metrics: metrics,
+		Client: backendhttp.New(backendhttp.Settings{DialTimeout: serverDialTimeout, UserTimeout: userTimeout, MaxIdle: maxIdleConns}),
+	}
+	n.front = &httproute.Front{
+		Region: n.settings.Region, Codec: n.codec, Routes: n.routes, Ledger: n.ledger, Quarantine: n.quarantine,
+		Retries: retry.NewWindow(retry.WindowSettings{Ratio: n.settings.Retry.Ratio, Slack: n.settings.Retry.Slack, Window: n.settings.Retry.Window}),
+		Remotes: n, Local: n.local, Log: n.log, Metrics: metrics, Stopping: n.stopping.Load, Leaving: n.leaving.Load,
+		Peers: backendhttp.New(backendhttp.Settings{DialTimeout: peerDialTimeout, UserTimeout: userTimeout, MaxIdle: maxIdleConns}),
+	}
+	n.relay = &httproute.Peer{Codec: n.codec, Local: n.local, Routes: n.routes, Stopping: n.stopping.Load}
+	n.lending = &lending.Loop{
+		Ledger: n.ledger, Pool: n.pool, Self: n.member, Lenders: n.lenders,
+		Looked: func(now time.Time) { n.ledger.Acknowledged(int64(n.shares.Record().Version()), now) },
+		Update: n.updateHeld,
+	}
+}
+
+// listenConfig has short keep-alive probes: a caller behind a cut link never closes.
+var listenConfig = net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}}
+
+func (n *Node) bind(name, address string) (net.Listener, error) {
+	l, err := listenConfig.Listen(n.background, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for %s", name)
+	}
+	n.listeners[name] = l
+	return l, nil
+}
+
+const (
+	headerTimeout = 5 * time.Second
+	// idleTimeout of callers' connections is above what operators allow callers, so
+	// that a request never crosses the close of an idle connection.
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+)
+
+func (n *Node) listen(endpoints Endpoints) error {
+	n.callers = &http.Server{
+		Handler: n.counted(n.front), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+	}
+	for _, l := range []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"ready", n.settings.Listen.Ready, endpoints.Ready(n.Ready)},
+		{"directory", n.settings.Listen.Directory, endpoints.Directory(n.Resolve)},
+		{"relay", n.settings.Listen.Relay, n.counted(n.relay)},
+		{"metrics", n.settings.Listen.Metrics, n.operatorHandler()},
+	} {
+		if l.address == "" {
+			continue
+		}
+		if _, err := n.bind(l.name, l.address); err != nil {
+			return err
+		}
+		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: n.callers.ErrorLog}
+		n.servicing = append(n.servicing, server)
+		n.goServe(server, n.listeners[l.name])
+	}
+	if _, err := n.bind("callers", n.settings.Listen.Callers); err != nil {
+		return err
+	}
+	if _, err := n.bind("peers", n.settings.Listen.Peers); err != nil {
+		return err
+	}
+	n.peers = grpc.NewServer(append(peer.ServerOptions(),
+		grpc.InitialWindowSize(peer.StreamWindow), grpc.InitialConnWindowSize(peer.StreamWindow))...)
+	peerpb.RegisterPeerServer(n.peers, &peer.Server{Runner: noGenerations{}, Exchanger: n, Quota: n})
+	return nil
+}
+
+func (n *Node) goServe(server *http.Server, l net.Listener) {
+	go func() {
+		if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			n.failed <- err
+		}
+	}()
+}
+
+func (n *Node) closeListeners() {
+	for _, l := range n.listeners {
+		_ = l.Close() // the instance does not start
+	}
+}
+
+// counted keeps count of the requests in flight, for the planned stop.
+func (n *Node) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.inFlight.Add(1)
+		defer n.inFlight.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Start serves and runs the loops until Stop.
+func (n *Node) Start() {
+	n.goServe(n.callers, n.listeners["callers"])
+	go func() {
+		if err := n.peers.Serve(n.listeners["peers"]); err != nil {
+			n.failed <- err
+		}
+	}()
+	for _, f := range n.followers {
+		n.loops.Go(func() { n.follow(n.background, f) })
+	}
+	for _, loop := range []func(context.Context){n.register, n.joinShares, n.exchange, n.lending.Run, n.housekeep} {
+		n.loops.Go(func() { loop(n.background) })
+	}
+	n.log.Info("started", "region", n.settings.Region, "domain", n.settings.Domain, "callers", n.settings.Listen.Callers,
+		"peers", n.settings.Listen.Peers)
+}
+
+// Failed delivers the error of a listener that ended unasked.
+func (n *Node) Failed() <-chan error { return n.failed }
+
+const (
+	housekeepEvery = 100 * time.Millisecond
+	sweepEvery     = time.Second
+)
+
+// housekeep does what is due by the clock.
+func (n *Node) housekeep(ctx context.Context) {
+	ticker := time.NewTicker(housekeepEvery)
+	defer ticker.Stop()
+	swept, version := time.Time{}, uint64(0)
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		now := time.Now()
+		n.backends.Sweep(now)
+		n.clearLoans(now)
+		due := now.Sub(swept) >= sweepEvery
+		if v := n.backends.Version(); v != version || due {
+			version = v
+			n.refreshPools(now)
+		}
+		if due {
+			swept = now
+			n.lookAtMembers(now)
+			n.local.Client.Sweep()
+			n.front.Peers.Sweep()
+		}
+	}
+}
+
+// Ready tells whether callers can be served: the configuration is known.
+func (n *Node) Ready() bool { return !n.leaving.Load() && n.routes.Current() != nil }
+
+// member names this incarnation.
+func (n *Node) member() slots.Member {
+	self := n.members.Self()
+	return slots.Member{ID: self.GetId(), Incarnation: self.GetIncarnation()}
+}
+
+// forever is until when a part is held: nobody else ever mints it.
+const forever = 365 * 24 * time.Hour
+
+// updateHeld tells the ledger whether this instance mints its part.
+func (n *Node) updateHeld(now time.Time) {
+	var held []slots.Held
+	if n.shares.Mints() {
+		held = []slots.Held{{Slot: 0, Epoch: 1, Until: now.Add(forever)}}
+	}
+	n.ledger.SetHeld(held, now)
+	if count := uint32(len(held)); count != n.members.Self().GetSlots() {
+		n.log.Info("quota_part", "mints", count > 0, "holders", n.shares.Record().Version())
+		n.members.UpdateSelf(now, func(m *peerpb.Member) { m.Slots = count })
+	}
+}
+
+// lenders returns the reachable instances that mint, the nearest first.
+func (n *Node) lenders(now time.Time) []lending.Lender {
+	var out []lending.Lender
+	for _, m := range n.members.Members(now) {
+		if !m.Reachable || m.Entry.GetSlots() == 0 || m.Entry.GetId() == n.settings.ID {
+			continue
+		}
+		rank := 2
+		switch {
+		case m.Entry.GetDomain() == n.settings.Domain:
+			rank = 0
+		case m.Entry.GetRegion() == n.settings.Region:
+			rank = 1
+		}
+		out = append(out, lending.Lender{
+			Member:  slots.Member{ID: m.Entry.GetId(), Incarnation: m.Entry.GetIncarnation()},
+			Address: m.Entry.GetPeerAddress(), Rank: rank,
+		})
+	}
+	lending.Sort(out, n.settings.ID)
+	return out
+}
+
+// Borrow implements peer.Quota.
+func (n *Node) Borrow(req *peerpb.BorrowRequest) *peerpb.BorrowResponse {
+	self := n.member()
+	wants, reports := peer.DecodeBorrow(self, req)
+	return peer.EncodeLent(self, n.ledger.Lend(wants, reports, time.Now()))
+}
+
+// Promise implements peer.Quota: parts of the quota change no hands here.
+func (n *Node) Promise(*peerpb.PromiseRequest) *peerpb.PromiseResponse {
+	return &peerpb.PromiseResponse{}
+}
+
+// Consent implements peer.Quota, like Promise.
+func (n *Node) Consent(*peerpb.ConsentRequest) *peerpb.ConsentResponse {
+	return &peerpb.ConsentResponse{}
+}
--- /dev/null
+++ b/instance/routed/settings.go
@@ -0,0 +1,124 @@
+// Package routed wires an entry instance that serves HTTP routes. Its configuration
+// is one versioned document in the store, its backend servers register themselves
+// there, and it finds the other instances there.
+//
+// The names and formats of a deployment stay outside: a Source reads the store's
+// items, a Codec the headers.
+package routed
+
+import (
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/basilroute/basilroute/yamldoc"
+)
+
+// Settings are read once at the start.
+type Settings struct {
+	ID      string            `yaml:"id"`
+	Region  string            `yaml:"region"`
+	Domain  string            `yaml:"domain"`
+	Domains map[string]string `yaml:"domains"` // region of each failure domain
+	Listen  Listen            `yaml:"listen"`
+	Seeds   []string          `yaml:"seeds"` // peer addresses to try besides the members in the store
+	Store   Store             `yaml:"store"`
+	Memory  int64             `yaml:"memory_mb"` // that the process may use, in MiB
+	Bounds  Bounds            `yaml:"bounds"`
+	Retry   Retry             `yaml:"retry"`
+	Log     Log               `yaml:"log"`
+}
+
+// Listen holds the addresses that the instance serves, IP:port each.
+type Listen struct {
+	Callers   string `yaml:"callers"`
+	Ready     string `yaml:"ready"`
+	Directory string `yaml:"directory"`
+	Peers     string `yaml:"peers"`   // gRPC, from other instances
+	Relay     string `yaml:"relay"`   // forwarded HTTP requests, from other instances
+	Metrics   string `yaml:"metrics"` // metrics and the state dump; none when empty
+}
+
+// Store says where the store is and what it takes.
+type Store struct {
+	Address     string        `yaml:"address"`
+	CallTimeout time.Duration `yaml:"call_timeout"`
+	LeastLease  time.Duration `yaml:"least_lease"` // shortest lease that it grants
+}
+
+// Bounds are the times that the deployment sets.
+type Bounds struct {
+	Grace        time.Duration `yaml:"grace"`         // from SIGTERM to the kill
+	DirectoryTTL time.Duration `yaml:"directory_ttl"` // longest time that an answer of the directory counts
+	RegionDelay  time.Duration `yaml:"region_delay"`  // one way between regions
+}
+
+// Retry bounds repeats over the fleet, for each service.
+type Retry struct {
+	Ratio  float64       `yaml:"ratio"`
+	Slack  float64       `yaml:"slack"`
+	Window time.Duration `yaml:"window"`
+}
+
+// Log sets the log.
+type Log struct {
+	Level string `yaml:"level"` // debug, info, warn or error
+}
+
+// DefaultSettings are the settings before the file is read.
+func DefaultSettings() Settings {
+	return Settings{
+		Store:  Store{CallTimeout: 1500 * time.Millisecond, LeastLease: time.Second},
+		Bounds: Bounds{Grace: 8 * time.Second, DirectoryTTL: 5 * time.Second, RegionDelay: 80 * time.Millisecond},
+		Retry:  Retry{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+		Log:    Log{Level: "info"},
+		Memory: 256,
+	}
+}
+
+// ParseSettings decodes and checks settings. The error is yamldoc.Findings.
+func ParseSettings(file string, data []byte) (Settings, error) {
+	s := DefaultSettings()
+	r := yamldoc.Decode(file, data, &s)
+	for path, value := range map[string]string{"id": s.ID, "region": s.Region, "domain": s.Domain} {
+		if value == "" {
+			r.Addf(path, "is required")
+		}
+	}
+	for path, address := range map[string]string{
+		"listen.callers": s.Listen.Callers, "listen.ready": s.Listen.Ready, "listen.directory": s.Listen.Directory,
+		"listen.peers": s.Listen.Peers, "listen.relay": s.Listen.Relay, "store.address": s.Store.Address,
+	} {
+		checkAddress(r, path, address)
+	}
+	for n, address := range s.Seeds {
+		checkAddress(r, "seeds."+strconv.Itoa(n), address)
+	}
+	for path, d := range map[string]time.Duration{
+		"store.call_timeout": s.Store.CallTimeout, "store.least_lease": s.Store.LeastLease, "bounds.grace": s.Bounds.Grace,
+		"bounds.directory_ttl": s.Bounds.DirectoryTTL, "retry.window": s.Retry.Window,
+	} {
+		if d <= 0 {
+			r.Addf(path, "want above 0, have %s", d)
+		}
+	}
+	if s.Retry.Ratio < 0 || s.Retry.Slack < 0 {
+		r.Addf("retry", "ratio and slack have to be 0 or above")
+	}
+	switch s.Log.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		r.Addf("log.level", "want debug, info, warn or error, have %q", s.Log.Level)
+	}
+	if s.Domains[s.Domain] != s.Region {
+		r.Addf("domains", "want the region %q for the own failure domain %q, have %q", s.Region, s.Domain, s.Domains[s.Domain])
+	}
+	return s, r.Err()
+}
+
+func checkAddress(r *yamldoc.Report, path, address string) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil || net.ParseIP(host) == nil {
+		r.Addf(path, "want IP:port, have %q", address)
+	}
+}
--- /dev/null
+++ b/instance/routed/source.go
@@ -0,0 +1,25 @@
+package routed
+
+import (
+	"github.com/basilroute/basilroute/state/backends"
+	"github.com/basilroute/basilroute/state/routes"
+	"github.com/basilroute/basilroute/transport/platform"
+)
+
+// Source reads what operators and backend servers write to the store. It decides
+// nothing.
+type Source interface {
+	// Store is the store's client.
+	Store() platform.Store
+	// ConfigPrefix and ServersPrefix are where the items stand.
+	ConfigPrefix() string
+	ServersPrefix() string
+	// Config decodes the configuration; ok is false for an item that is none.
+	Config(key string, value []byte) (config *routes.Config, ok bool, err error)
+	// Evacuation returns the failure domain that an item asks to send nothing to.
+	Evacuation(key string) (domain string, ok bool)
+	// Server decodes the entry of a backend server.
+	Server(key string, value []byte) (backends.Server, error)
+	// ServerID returns the id of the server whose entry has a key.
+	ServerID(key string) string
+}
--- /dev/null
+++ b/instance/routed/views.go
@@ -0,0 +1,108 @@
+package routed
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/basilroute/basilroute/coordination/membership"
+	"github.com/basilroute/basilroute/protocol/refusal"
+	"github.com/basilroute/basilroute/transport/dispatch"
+	"github.com/basilroute/basilroute/transport/httproute"
+)
+
+// noGenerations refuses what instances of the other interface forward.
+type noGenerations struct{}
+
+// RunForwarded implements peer.Runner.
+func (noGenerations) RunForwarded(context.Context, *dispatch.Work, dispatch.Sink) error {
+	return refusal.New(refusal.CodeNotFound, "this instance serves HTTP routes")
+}
+
+// CancelForwarded implements peer.Runner.
+func (noGenerations) CancelForwarded(string, string, string) {}
+
+// Remotes implements httproute.Remotes: one reachable instance of each other region,
+// drawn at random so that the calls spread.
+func (n *Node) Remotes(service string) []httproute.Remote {
+	byRegion := make(map[string][]membership.Member)
+	for _, m := range n.members.Members(time.Now()) {
+		if m.Reachable && !m.Leaving() && m.Entry.GetRegion() != n.settings.Region && m.Entry.GetRelayAddress() != "" {
+			byRegion[m.Entry.GetRegion()] = append(byRegion[m.Entry.GetRegion()], m)
+		}
+	}
+	out := make([]httproute.Remote, 0, len(byRegion))
+	for region, members := range byRegion {
+		m := members[rand.IntN(len(members))]
+		remote := httproute.Remote{
+			Region: region, Instance: m.Entry.GetId(), Address: m.Entry.GetRelayAddress(), RoundTrip: 2 * n.settings.Bounds.RegionDelay,
+		}
+		for _, load := range m.Entry.GetLoads() {
+			if load.GetService() == service {
+				remote.Servers = int(load.GetServers())
+				remote.Expected = time.Duration(load.GetExpectedWaitMs()) * time.Millisecond
+			}
+		}
+		out = append(out, remote)
+	}
+	return out
+}
+
+// Question is what a caller asks the directory.
+type Question struct {
+	Host           string
+	Region, Domain string // the caller's; may be empty
+}
+
+// Answer is the directory's.
+type Answer struct {
+	Addresses []string
+	TTL       time.Duration
+}
+
+// maxNamed bounds the instances that an answer names: more than a caller tries.
+const maxNamed = 16
+
+// directoryTTL is how long an answer counts, within what the deployment allows: short
+// enough that a stopping instance is forgotten while it still serves.
+const directoryTTL = 2 * time.Second
+
+// Resolve answers a caller that asks where to connect: live instances of its region,
+// and those of other regions only when it has none, homes of the host first.
+func (n *Node) Resolve(q Question) Answer {
+	region := q.Region
+	if region == "" {
+		region = n.settings.Region
+	}
+	var homes []string
+	if config := n.routes.Current(); config != nil {
+		homes = config.HostHomes(q.Host)
+	}
+	var near, home, far []string
+	for _, m := range n.members.Members(time.Now()) {
+		if !m.Reachable || m.Leaving() {
+			continue
+		}
+		address := m.Entry.GetCallerAddress()
+		switch {
+		case m.Entry.GetRegion() == region:
+			near = append(near, address)
+		case slices.Contains(homes, m.Entry.GetRegion()):
+			home = append(home, address)
+		default:
+			far = append(far, address)
+		}
+	}
+	if homes != nil {
+		far = nil
+	}
+	named := near
+	for _, others := range [][]string{home, far} {
+		if len(named) == 0 {
+			named = others
+		}
+	}
+	rand.Shuffle(len(named), func(a, b int) { named[a], named[b] = named[b], named[a] })
+	return Answer{Addresses: named[:min(len(named), maxNamed)], TTL: min(directoryTTL, n.settings.Bounds.DirectoryTTL)}
+}
--- /dev/null
+++ b/transport/backendhttp/conn.go
@@ -0,0 +1,172 @@
+package backendhttp
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Request is what is sent. The header goes out as it is, with Host and
+// Content-Length added.
+type Request struct {
+	Method string
+	Target string // path and query, unchanged
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// conn is one connection. It carries one request at a time.
+type conn struct {
+	net.Conn
+	raw     syscall.RawConn
+	read    *bufio.Reader
+	idle    time.Time     // since when nothing was under way
+	keep    time.Duration // how long it may be idle
+	reused  bool
+	written int // bytes of the request that were handed to the kernel
+}
+
+const (
+	readBuffer = 4 << 10
+	// smallBody is the size up to which a body is written before the answer is read.
+	// A server may answer before it has read a longer one, and stop reading.
+	smallBody = 8 << 10
+	// maxSurplus bounds the answers to earlier requests that are skipped while an
+	// answer is waited for.
+	maxSurplus = 3
+)
+
+func newConn(c net.Conn) *conn {
+	out := &conn{Conn: c, read: bufio.NewReaderSize(c, readBuffer)}
+	if s, ok := c.(syscall.Conn); ok {
+		raw, err := s.SyscallConn()
+		if err == nil { // without it the connection is not used twice
+			out.raw = raw
+		}
+	}
+	return out
+}
+
+// clean tells whether nothing has arrived since the last answer ended. Bytes that
+// wait belong to no request, and a waiting end means that the server has closed.
+func (c *conn) clean() bool {
+	if c.read.Buffered() > 0 || c.raw == nil {
+		return false
+	}
+	quiet := false
+	err := c.raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written += n
+	return n, err
+}
+
+// head returns the bytes before the body.
+func (r *Request) head() []byte {
+	b := make([]byte, 0, 1024)
+	b = append(b, r.Method...)
+	b = append(b, ' ')
+	b = append(b, r.Target...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, r.Host...)
+	b = append(b, "\r\n"...)
+	for name, values := range r.Header {
+		for _, value := range values {
+			b = append(b, name...)
+			b = append(b, ": "...)
+			b = append(b, value...)
+			b = append(b, "\r\n"...)
+		}
+	}
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+		b = append(b, "\r\n"...)
+	}
+	return append(b, "\r\n"...)
+}
+
+// send writes the request. wait returns the error of a body that is still being
+// written while the answer is read.
+func (c *conn) send(r *Request) (wait <-chan error, err error) {
+	head := r.head()
+	if len(r.Body) <= smallBody {
+		_, err = c.Write(append(head, r.Body...))
+		return nil, err
+	}
+	if _, err = c.Write(head); err != nil {
+		return nil, err
+	}
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Conn.Write(r.Body)
+		done <- err
+	}()
+	return done, nil
+}
+
+// answer reads the head of the answer that belongs to the request. Late answers to
+// earlier requests of the connection are skipped.
+func (c *conn) answer(method string, belongs func(*http.Response) bool) (*http.Response, error) {
+	for range maxSurplus {
+		resp, err := http.ReadResponse(c.read, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue // informational
+		}
+		if belongs(resp) {
+			return resp, nil
+		}
+		if !c.reused || resp.Close {
+			break
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return nil, err
+		}
+	}
+	return nil, errors.Wrap(ErrMalformed, "the answer belongs to another request")
+}
+
+// keepFor returns how long the connection may be idle after an answer, 0 when it
+// may not be used again.
+func keepFor(resp *http.Response) time.Duration {
+	if resp.Close {
+		return 0
+	}
+	keep := defaultKeep
+	for _, part := range strings.Split(resp.Header.Get("Keep-Alive"), ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if !ok || !strings.EqualFold(strings.TrimSpace(name), "timeout") {
+			continue
+		}
+		if n, err := strconv.Atoi(strings.TrimSpace(value)); err == nil && n >= 0 {
+			keep = min(keep, time.Duration(n)*time.Second-keepMargin)
+		}
+	}
+	return max(keep, 0)
+}
+
+// watch closes the connection when ctx ends, which ends every read and write. The
+// server sees the close and drops the request.
+func (c *conn) watch(ctx context.Context) (stop func() bool) {
+	return context.AfterFunc(ctx, func() { _ = c.Close() })
+}
--- /dev/null
+++ b/transport/httproute/front.go
@@ -0,0 +1,292 @@
+package httproute
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/basilroute/basilroute/coordination/placement"
+	"github.com/basilroute/basilroute/coordination/quarantine"
+	"github.com/basilroute/basilroute/coordination/quota"
+	"github.com/basilroute/basilroute/coordination/retry"
+	"github.com/basilroute/basilroute/state/routes"
+	"github.com/basilroute/basilroute/transport/backendhttp"
+)
+
+// Remote is another region as this instance sees it for one service, by way of one
+// of its instances.
+type Remote struct {
+	Region    string
+	Instance  string
+	Address   string        // where the instance takes forwarded requests
+	RoundTrip time.Duration // there and back
+	Servers   int
+	Expected  time.Duration // to the first byte there, of an ordinary request
+}
+
+// Remotes tells what is known of the other regions.
+type Remotes interface {
+	// Remotes returns one reachable instance of each other region.
+	Remotes(service string) []Remote
+	// Instances returns how many instances of the fleet and of the own region live.
+	Instances() (fleet, region int)
+}
+
+// Front serves callers.
+type Front struct {
+	Region     string
+	Codec      Codec
+	Routes     *routes.Table
+	Ledger     *quota.Ledger
+	Quarantine *quarantine.List
+	Retries    *retry.Window
+	Remotes    Remotes
+	Local      *Local
+	Peers      *backendhttp.Client
+	Log        *slog.Logger
+	Metrics    *Metrics
+	// Stopping tells whether this instance is about to end and takes nothing more.
+	Stopping func() bool
+	// Leaving tells whether callers are to leave their connections.
+	Leaving func() bool
+}
+
+// request is one request of a caller on its way.
+type request struct {
+	Call
+	config   *routes.Config
+	route    *routes.Route
+	account  *routes.Account
+	service  string
+	header   http.Header // the caller's, end to end
+	method   string
+	target   string
+	host     string
+	body     []byte
+	arrived  time.Time
+	deadline time.Time
+	print    string // fingerprint
+	work     placement.Work
+	tried    []string // regions that were tried
+	attempts int      // sends to backend servers
+	tries    int      // attempts, sent or not
+}
+
+// accountName returns the name of the request's account, empty when it has none.
+func (r *request) accountName() string {
+	if r.account == nil {
+		return ""
+	}
+	return r.account.Name
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	arrived := time.Now()
+	if f.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	r, refused := f.accept(w, hr, arrived)
+	if refused == nil && r == nil {
+		panic(http.ErrAbortHandler) // the caller has gone; returning would write an empty success
+	}
+	if refused == nil {
+		refused = f.serve(w, hr, r)
+	}
+	f.finish(w, hr, r, refused, arrived)
+}
+
+// finish writes the final answer of a request that was not served, and the line
+// that tells what became of it.
+func (f *Front) finish(w http.ResponseWriter, hr *http.Request, r *request, refused *failure, arrived time.Time) {
+	took := time.Since(arrived)
+	begun := refused != nil && refused.begun
+	if refused != nil && !begun && hr.Context().Err() == nil {
+		refuse(w, refused)
+	}
+	f.Metrics.ended(r, refused, took)
+	f.logEnd(hr, r, refused, took)
+	if refused != nil && (begun || hr.Context().Err() != nil) {
+		// The caller has to see that the answer is not whole: the connection ends
+		// without the end of the body. Returning would write an empty success.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// logEnd writes one line for a request that was not served or was slow.
+func (f *Front) logEnd(hr *http.Request, r *request, refused *failure, took time.Duration) {
+	if r == nil {
+		r = &request{Call: f.Codec.DecodeCall(hr.Header)}
+	}
+	slow := r.route != nil && r.route.Objective > 0 && r.route.Kind != routes.KindStreaming && took > r.route.Objective
+	if refused == nil && !slow {
+		return
+	}
+	attrs := []any{"request", r.RequestID, "ms", took.Milliseconds(), "service", r.service, "account", r.accountName(), "attempts", r.attempts}
+	if r.config != nil {
+		attrs = append(attrs, "config", r.config.Version)
+	}
+	if r.route != nil {
+		attrs = append(attrs, "route", r.route.Name)
+	}
+	if refused == nil {
+		f.Log.Info("request_slow", attrs...)
+		return
+	}
+	attrs = append(attrs, "reason", string(refused.reason), "run", string(refused.run), "server", refused.server,
+		"retry_after_ms", refused.retryAfter.Milliseconds(), "caller_gone", hr.Context().Err() != nil)
+	if refused.cause != nil {
+		attrs = append(attrs, "error", refused.cause.Error())
+	}
+	f.Log.Info("request_refused", attrs...)
+}
+
+// accept reads a request and finds its route and account. Both results are nil when
+// the caller has gone.
+func (f *Front) accept(w http.ResponseWriter, hr *http.Request, arrived time.Time) (*request, *failure) {
+	config := f.Routes.Current()
+	if config == nil {
+		return nil, &failure{run: notRun, reason: reasonNotReady}
+	}
+	if f.Stopping() {
+		return nil, &failure{run: notRun, reason: reasonStopping, retryAfter: leastRetryAfter}
+	}
+	route := config.Match(hr.Host, hr.URL.Path)
+	if route == nil {
+		return nil, &failure{run: notRun, reason: reasonNoRoute}
+	}
+	r := &request{
+		Call: f.Codec.DecodeCall(hr.Header), config: config, route: route, header: EndToEnd(hr.Header),
+		method: hr.Method, target: hr.RequestURI, host: hr.Host, arrived: arrived,
+	}
+	r.service = route.Target(r.RequestID)
+	if len(config.Accounts) > 0 && !route.Public {
+		if r.account = config.Authenticate(r.Key); r.account == nil {
+			return r, &failure{run: notRun, reason: reasonKey}
+		}
+	}
+	var refused *failure
+	if r.body, refused = readBody(w, hr, config.Limits.BodyBytes); refused != nil {
+		return r, refused
+	}
+	if hr.Context().Err() != nil {
+		return nil, nil
+	}
+	f.prepare(r)
+	return r, nil
+}
+
+// readBody reads the whole body. net/http tells that a caller has gone only when
+// its request was read to the end.
+func readBody(w http.ResponseWriter, hr *http.Request, limit int64) ([]byte, *failure) {
+	if hr.ContentLength == 0 {
+		return nil, nil
+	}
+	reader := hr.Body
+	if limit > 0 {
+		reader = http.MaxBytesReader(w, hr.Body, limit)
+	}
+	body, err := io.ReadAll(reader)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, &failure{run: notRun, reason: reasonBody}
+	case err != nil:
+		// The caller broke off, or its framing is wrong: there is nobody to answer.
+		panic(http.ErrAbortHandler)
+	}
+	return body, nil
+}
+
+// defaultWait bounds a request whose caller and route name no limit.
+const defaultWait = time.Minute
+
+// prepare sets the limits of a request and what placement needs to know.
+func (f *Front) prepare(r *request) {
+	wait := defaultWait
+	for _, limit := range []time.Duration{r.route.Timeout, r.Waits} {
+		if limit > 0 {
+			wait = min(wait, limit)
+		}
+	}
+	r.deadline = r.arrived.Add(wait)
+	r.print = quarantine.Fingerprint(r.accountName(), r.service, r.method+" "+r.target+"\n"+string(r.body))
+	urgency := r.route.Priority
+	if r.account != nil && r.account.Priority >= 0 {
+		urgency = r.account.Priority
+	}
+	r.work = placement.Work{
+		Parts: r.Parts, Tokens: r.PromptTokens, Urgency: urgency, Objective: r.route.Objective,
+		Arrived: r.arrived, Deadline: r.deadline, Probe: r.route.Repeatable(),
+	}
+}
+
+// serve charges a request and runs it. The failure is nil when the caller got an
+// answer.
+func (f *Front) serve(w http.ResponseWriter, hr *http.Request, r *request) *failure {
+	if until, bad := f.Quarantine.Refused(r.print, r.arrived); bad {
+		return &failure{run: notRun, reason: reasonQuarantine, retryAfter: time.Until(until)}
+	}
+	ctx, cancel := context.WithDeadline(hr.Context(), r.deadline)
+	defer cancel()
+	charge, refused := f.charge(ctx, r)
+	if refused != nil {
+		return refused
+	}
+	f.Retries.Request(r.service, r.arrived)
+	refused = f.attemptAll(ctx, w, r)
+	if refused != nil && refused.run == notRun && charge.Tokens > 0 {
+		f.Ledger.Settle(charge, 0, time.Now())
+	}
+	return refused
+}
+
+const (
+	// quotaWaitShare is the part of the objective that a request may wait for tokens
+	// lent by another instance.
+	quotaWaitShare = 0.5
+	// quotaWait bounds that wait where a route has no objective, and in all cases:
+	// a loan from another region takes two crossings.
+	quotaWait = 400 * time.Millisecond
+)
+
+// charge takes the request's tokens from its account.
+func (f *Front) charge(ctx context.Context, r *request) (quota.Charge, *failure) {
+	if r.account == nil || r.account.Rate <= 0 {
+		return quota.Charge{}, nil
+	}
+	cost := r.cost()
+	charge, ok := f.Ledger.Admit(r.account.Name, cost, time.Now())
+	if ok {
+		return charge, nil
+	}
+	limit := quotaWait
+	if r.route.Objective > 0 {
+		limit = min(limit, time.Duration(quotaWaitShare*float64(r.route.Objective)))
+	}
+	waiter := f.Ledger.Wait(r.account.Name, cost, limit, time.Now())
+	select {
+	case verdict := <-waiter.Done:
+		if verdict.OK {
+			return verdict.Charge, nil
+		}
+		return quota.Charge{}, &failure{run: notRun, reason: reasonQuota, retryAfter: verdict.RetryAfter}
+	case <-ctx.Done():
+		f.Ledger.Abandon(waiter, time.Now())
+		return quota.Charge{}, &failure{run: notRun, reason: reasonDeadline}
+	}
+}
+
+// cost returns what a request counts against its account's rate.
+func (r *request) cost() float64 {
+	switch {
+	case !r.account.CountTokens:
+		return 1
+	case r.HasTokens:
+		return float64(r.Tokens())
+	}
+	return max(r.account.PlainTokens, 1)
+}
--- /dev/null
+++ b/transport/httproute/local.go
@@ -0,0 +1,228 @@
+package httproute
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/basilroute/basilroute/coordination/placement"
+	"github.com/basilroute/basilroute/coordination/quarantine"
+	"github.com/basilroute/basilroute/state/backends"
+	"github.com/basilroute/basilroute/transport/backendhttp"
+)
+
+// Local sends requests to the backend servers of the own region.
+type Local struct {
+	Codec      Codec
+	Backends   *backends.Table
+	Client     *backendhttp.Client
+	Quarantine *quarantine.List
+	Log        *slog.Logger
+	Metrics    *Metrics
+
+	mu    sync.Mutex
+	pools map[string]*placement.Pool
+}
+
+// Pool returns the pool of a service, made at its first use.
+func (l *Local) Pool(service string) *placement.Pool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.pools == nil {
+		l.pools = make(map[string]*placement.Pool)
+	}
+	p := l.pools[service]
+	if p == nil {
+		p = placement.New()
+		l.pools[service] = p
+	}
+	return p
+}
+
+// outbound is a request to a backend server, from a caller here or from a peer.
+type outbound struct {
+	id          string
+	service     string
+	account     string
+	method      string
+	target      string
+	host        string
+	header      http.Header
+	body        []byte
+	work        *placement.Work
+	deadline    time.Time
+	repeatable  bool
+	print       string
+	lastEventID string
+	config      int64
+}
+
+// reply is the head of an answer, whose body is still to be read.
+type reply struct {
+	*backendhttp.Answer
+	verdict Verdict
+	server  string
+	ended   func(placement.Outcome)
+}
+
+// end closes the answer and says how it ended.
+func (r *reply) end(outcome placement.Outcome) {
+	r.Close()
+	r.ended(outcome)
+}
+
+const (
+	// silenceFactor times the expected time to the first byte is how long a server
+	// that may be replaced may say nothing.
+	silenceFactor = 3
+	// leastSilence is the least such time: answers of a good server take so long
+	// when a batch is full.
+	leastSilence = 1200 * time.Millisecond
+	// silenceShare is the most of the time left that one silent server may take, so
+	// that another one still has time.
+	silenceShare = 0.5
+)
+
+// silence returns how long the server may say nothing; 0 for as long as there is
+// time. A request that may not be repeated gains nothing by giving up.
+func (o *outbound) silence(expected time.Duration, now time.Time) time.Duration {
+	if !o.repeatable {
+		return 0
+	}
+	limit := max(leastSilence, silenceFactor*expected)
+	return min(limit, time.Duration(silenceShare*float64(o.deadline.Sub(now))))
+}
+
+// send sends a request to the server that was chosen and reads the answer's head.
+func (l *Local) send(ctx context.Context, o *outbound, choice placement.Choice) (*reply, *failure) {
+	pool, placed := l.Pool(o.service), choice.Placement
+	now := time.Now()
+	server := placed.Server
+	out := l.Codec.Outbound(o.header, Outbound{
+		Server: server.ID, Account: o.account, Left: o.deadline.Sub(now), Urgency: o.urgency(choice.Late), LastEventID: o.lastEventID,
+	})
+	answer, err := l.Client.Do(ctx, server.Address, &backendhttp.Request{
+		Method: o.method, Target: o.target, Host: o.host, Header: out, Body: o.body,
+	}, backendhttp.Options{
+		Fresh: !o.repeatable, Silence: o.silence(choice.Expected, now),
+		Belongs: func(resp *http.Response) bool {
+			id := l.Codec.Verdict(resp.StatusCode, resp.Header).RequestID
+			return id == o.id
+		},
+	})
+	if err != nil {
+		return nil, l.failed(ctx, o, placed, err)
+	}
+	return l.judge(o, pool, placed, answer)
+}
+
+// lateUrgency is that of a request which will miss its objective whatever is done.
+const lateUrgency = 9
+
+// urgencyStep spreads the urgencies of routes over those of engines, 0 to 9; one
+// that names none has 5.
+const urgencyStep = 2
+
+func (o *outbound) urgency(late bool) int {
+	if late {
+		return lateUrgency
+	}
+	return min(1+urgencyStep*o.work.Urgency, lateUrgency-1)
+}
+
+// judge reads what the server says beside its answer.
+func (l *Local) judge(o *outbound, pool *placement.Pool, placed *placement.Placement, answer *backendhttp.Answer) (*reply, *failure) {
+	now := time.Now()
+	verdict := l.Codec.Verdict(answer.Status, answer.Header)
+	if verdict.Load != nil {
+		pool.Reported(placed, *verdict.Load, now)
+	}
+	r := &reply{Answer: answer, verdict: verdict, server: placed.Server.ID}
+	r.ended = func(outcome placement.Outcome) {
+		pool.Done(placed, outcome, time.Now())
+		if outcome == placement.OutcomeFailed {
+			l.suspect(o, placed)
+		}
+	}
+	switch {
+	case verdict.Misdirected:
+		l.Backends.Misdirected(placed.Server.ID, placed.Server.Lifetime)
+		l.Log.Info("server_gone", "server", placed.Server.ID, "request", o.id, "why", "another server answers at its address")
+		r.end(placement.OutcomeDown)
+		return nil, &failure{run: notRun, reason: reasonShed, server: r.server, sent: true}
+	case verdict.NotRun:
+		r.end(placement.OutcomeRefused)
+		return nil, &failure{run: notRun, reason: reasonShed, server: r.server, sent: true}
+	case answer.Header.Get("Content-Encoding") != "":
+		// Nobody asked for an encoding: these are not the server's bytes.
+		answer.Close()
+		pool.Done(placed, placement.OutcomeFailed, now)
+		return nil, &failure{run: unknown, reason: reasonMalformed, server: r.server, sent: true}
+	}
+	pool.FirstByte(placed, now)
+	return r, nil
+}
+
+// failed takes in that a request got no answer.
+func (l *Local) failed(ctx context.Context, o *outbound, placed *placement.Placement, err error) *failure {
+	pool := l.Pool(o.service)
+	f := &failure{run: unknown, reason: reasonBroken, server: placed.Server.ID, sent: true, cause: err}
+	outcome := placement.OutcomeFailed
+	switch {
+	case errors.Is(err, backendhttp.ErrRefused):
+		f.run, f.reason, f.sent, outcome = notRun, reasonUnreachable, false, placement.OutcomeDown
+	case errors.Is(err, backendhttp.ErrNotSent):
+		f.run, f.reason, f.sent = notRun, reasonUnreachable, false
+	case errors.Is(err, backendhttp.ErrMalformed):
+		f.reason = reasonMalformed
+	case isTimeout(err):
+		f.reason = reasonSilent
+	}
+	if ctx.Err() != nil {
+		outcome = placement.OutcomeCancelled
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			f.reason, outcome = reasonDeadline, placement.OutcomeFailed
+		}
+	}
+	pool.Done(placed, outcome, time.Now())
+	if f.reason == reasonBroken {
+		l.suspect(o, placed)
+	}
+	l.Log.Info("attempt_failed", "request", o.id, "service", o.service, "server", f.server, "reason", string(f.reason),
+		"run", string(f.run), "error", err.Error(), "config", o.config)
+	return f
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// suspect finds out whether the server's process ended with the request in flight:
+// then nothing listens any more. The news is held against the request's fingerprint.
+func (l *Local) suspect(o *outbound, placed *placement.Placement) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		if !l.Client.Refuses(ctx, placed.Server.Address) {
+			return
+		}
+		now := time.Now()
+		l.Pool(o.service).Down(placed, now)
+		l.Quarantine.Crashed(o.print, placed.Server.ID, lifetimeName(placed), now)
+		l.Log.Info("server_crashed", "request", o.id, "server", placed.Server.ID, "fingerprint", o.print)
+	}()
+}
+
+// probeTimeout bounds the question whether a server still listens.
+const probeTimeout = 250 * time.Millisecond
+
+// lifetimeName names a lifetime alike at all instances.
+func lifetimeName(placed *placement.Placement) string {
+	return time.UnixMilli(placed.Server.Born).UTC().Format(time.RFC3339Nano)
+}
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -61,6 +61,16 @@
 	return peerpb.NewPeerClient(conn), nil
 }
 
+// Drop closes the connection to an address; the next call makes a new one.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conn, ok := p.conns[address]; ok {
+		_ = conn.Close() // calls under way fail
+		delete(p.conns, address)
+	}
+}
+
 // Close ends every connection.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/transport/platform/platform.go
+++ b/transport/platform/platform.go
@@ -36,19 +36,23 @@
 type Write struct {
 	Key    string
 	Value  []byte
-	Expect int64 // revision the key must have; 0 when it must not exist
+	Expect int64 // revision the key must have; 0 when it must not exist, ExpectAny for any
 	Lease  int64 // the key ends with the lease; 0 for none
 	Delete bool
 	After  string // nonce that the new one has to come after, by any clock; may be empty
 	Nonce  string // of a value that is written back as it was; a new one when empty
 }
 
+// ExpectAny lets a write stand whatever the key holds.
+const ExpectAny = -1
+
 // Errors of the store. Every other error leaves the outcome of a write open.
 var (
 	ErrNotFound      = errors.New("key not found")
 	ErrConflict      = errors.New("the key has another revision")
 	ErrLeaseNotFound = errors.New("the lease has ended")
 	ErrRejected      = errors.New("the store rejected the call")
+	ErrCompacted     = errors.New("the store has dropped this history")
 )
 
 // Store is the key-value service.
@@ -56,7 +60,8 @@
 	Get(ctx context.Context, key string) (KeyValue, error)
 	// List returns the keys under a prefix that changed after a revision, and the store's revision.
 	List(ctx context.Context, prefix string, after int64) ([]KeyValue, int64, error)
-	// Watch is List, but waits up to wait for a change.
+	// Watch is List, but waits up to wait for a change. A store that drops old changes
+	// answers ErrCompacted when it no longer has all since after.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]KeyValue, int64, error)
 	// Put returns the revision written. It settles lost answers until ctx ends.
 	Put(ctx context.Context, w Write) (int64, error)
