Take no long streams in a planned stop; mint quota at once after a restart

Planned stop. Streams are now refused from 0.3 of the grace on, other requests from 0.6.

Quota after a restart of the whole fleet. Ruled out: the store (configuration is there after 20 to 400 ms).

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -149,10 +149,10 @@
 // Placement is a request on a server. It ends with Done.
 type Placement struct {
 	Server   backends.Entry
+	Sent     time.Time
 	server   *server
 	tokens   float64 // prompt tokens to be read
 	urgency  int
-	sent     time.Time
 	expected float64
 	first    bool // the first byte came
 	done     bool
@@ -384,7 +384,7 @@
 		s.probedAt = now
 	}
 	s.cache.touch(w.Parts, int(cacheShare*float64(p.settings.CacheTokens)))
-	return &Placement{Server: s.Entry, server: s, tokens: c.unread, urgency: w.Urgency, sent: now, expected: c.expected}
+	return &Placement{Server: s.Entry, server: s, tokens: c.unread, urgency: w.Urgency, Sent: now, expected: c.expected}
 }
 
 // refuse says when to come back.
--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -141,7 +141,7 @@
 	pl.first = true
 	s := pl.server
 	s.addPending(pl.urgency, -pl.tokens, now)
-	took := now.Sub(pl.sent).Seconds()
+	took := now.Sub(pl.Sent).Seconds()
 	if pl.expected <= 0 {
 		return
 	}
@@ -167,7 +167,7 @@
 		s.addPending(pl.urgency, -pl.tokens, now)
 	}
 	if outcome == OutcomeServed && !p.settings.Engine {
-		p.work += (now.Sub(pl.sent).Seconds()/max(s.pace, 1) - p.work) * workWeight
+		p.work += (now.Sub(pl.Sent).Seconds()/max(s.pace, 1) - p.work) * workWeight
 	}
 	s.judge(outcome, p.settings.Engine, now)
 }
--- a/coordination/quota/account.go
+++ b/coordination/quota/account.go
@@ -20,8 +20,11 @@
 	// share is the fraction of the account's rate and burst that one slot has.
 	// A larger one waits in grown until those who shrink have acknowledged.
 	share, grown float64
-	grownAt      int64     // configuration revision to be acknowledged; 0 when nothing waits
-	growFrom     time.Time // when it is in force, once acknowledged
+	// provisional is set while a predecessor's loans may be unspent, see
+	// Ledger.SetProvisional.
+	provisional bool
+	grownAt     int64     // configuration revision to be acknowledged; 0 when nothing waits
+	growFrom    time.Time // when it is in force, once acknowledged
 
 	level   float64 // minted tokens
 	at      time.Time
@@ -126,9 +129,29 @@
 
 func (a *account) apply(minting int) {
 	a.part = part{rate: a.doc.Rate * a.share, burst: a.doc.Burst * a.share}
+	if a.provisional {
+		a.part.burst *= 1 - mostLent
+	}
 	a.clamp(minting)
 }
 
+// setProvisional changes the capacity of the bucket.
+func (a *account) setProvisional(provisional bool, minting int) {
+	a.history.note(a.headroom(minting))
+	a.provisional = provisional
+	if a.doc != nil {
+		a.apply(minting)
+	}
+}
+
+// lendable is how much more may be lent.
+func (a *account) lendable(minting int) float64 {
+	if a.provisional {
+		return 0
+	}
+	return max(0, mostLent*a.capacity(minting)-a.lent)
+}
+
 // share returns the fraction of an account's rate and burst that one slot of the
 // failure domain has. Without shares in its document the account's part is even
 // over the domains where it may run.
--- a/coordination/quota/lender.go
+++ b/coordination/quota/lender.go
@@ -35,6 +35,11 @@
 	Refunded float64 // admitted before, but not used
 }
 
+// mostLent is the part of the capacity that may be lent at a time. The rest is what a
+// restarted instance may use at once, while what its predecessor lent may still be
+// spent: together they are no more than the capacity.
+const mostLent = 0.75
+
 // reserveFor is how much of its own demand a lender keeps.
 const reserveFor = 200 * time.Millisecond
 
@@ -64,7 +69,7 @@
 	if len(a.waiters) > 0 {
 		return Lent{Account: w.Account}
 	}
-	tokens := math.Floor(min(w.Tokens, a.level-a.demand*reserveFor.Seconds())) // loans travel as whole tokens
+	tokens := math.Floor(min(w.Tokens, a.level-a.demand*reserveFor.Seconds(), a.lendable(s.minting))) // loans travel as whole tokens
 	if tokens < 1 {
 		return Lent{Account: w.Account}
 	}
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -53,12 +53,13 @@
 // shard holds a part of the accounts and its own copy of the slots held, so that
 // no admission uses a slot that another goroutine has just seen lost.
 type shard struct {
-	mu       sync.Mutex
-	grants   []grant
-	minting  int       // slots that mint now
-	change   time.Time // when minting changes next; zero for never
-	accounts map[string]*account
-	active   []*account // accounts with demand, loans or waiters
+	mu          sync.Mutex
+	grants      []grant
+	minting     int       // slots that mint now
+	change      time.Time // when minting changes next; zero for never
+	accounts    map[string]*account
+	provisional bool
+	active      []*account // accounts with demand, loans or waiters
 }
 
 // grant is a slot with the time in which it mints.
@@ -110,6 +111,28 @@
 	}
 }
 
+// SetProvisional says that loans of a predecessor may be unspent. Until then an
+// instance that mints the same part again holds no more than the rest of the
+// capacity that its predecessor could not lend, and lends nothing, so that a further
+// restart leaves no loans beside the first ones. Without it a restarted instance has
+// to wait for the loans' end before it mints at all, and after a restart of the whole
+// fleet every account is refused for that time.
+func (l *Ledger) SetProvisional(provisional bool, now time.Time) {
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		s.advance(now)
+		if s.provisional != provisional {
+			s.provisional = provisional
+			for _, a := range s.accounts {
+				a.mint(now, s.minting)
+				a.setProvisional(provisional, s.minting)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
 // advance brings the shard to now through every change of the slots that mint.
 func (s *shard) advance(now time.Time) {
 	for !s.change.IsZero() && !now.Before(s.change) {
@@ -149,7 +172,7 @@
 func (s *shard) account(name string, now time.Time) *account {
 	a, ok := s.accounts[name]
 	if !ok {
-		a = &account{name: name, at: now}
+		a = &account{name: name, at: now, provisional: s.provisional}
 		s.accounts[name] = a
 	}
 	return a
--- a/coordination/quotashare/quotashare.go
+++ b/coordination/quotashare/quotashare.go
@@ -9,7 +9,7 @@
 //     longer document.
 //   - A restarted instance finds itself in the document and mints its part again. Its
 //     predecessor is gone, but tokens it lent may still be spent, so the new one
-//     begins when these have expired or no peer has any.
+//     holds only what could not be lent until these have expired or no peer has any.
 //
 // The part of an instance that never comes back is lost to the fleet: one in the
 // number of instances, against which accounts usually have room. Demand that is
@@ -112,7 +112,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	position := slices.Index(k.record.Holders, k.self)
-	if position < 0 || !k.cleared {
+	if position < 0 {
 		return false
 	}
 	for _, earlier := range k.record.Holders[:position] {
--- a/instance/routed/members.go
+++ b/instance/routed/members.go
@@ -36,9 +36,9 @@
 	// dropAfter is how many exchanges in a row fail before the connection is given
 	// up: one that went silent never heals, and a new one may work.
 	dropAfter = 2
-	// askLoansFor is how long a restarted instance lets a borrower's open call to its
-	// predecessor end before the borrower's word counts.
-	askLoansFor = 700 * time.Millisecond
+	// exchangeFirst is between rounds until this instance may mint: after a restart of
+	// the whole fleet every account waits for it.
+	exchangeFirst = 100 * time.Millisecond
 )
 
 // memberItem is what an instance writes of itself.
@@ -201,7 +201,10 @@
 			})
 		}
 		wait := membership.RoundEvery
-		if n.storeAway(now) {
+		switch {
+		case !n.shares.Cleared():
+			wait = exchangeFirst
+		case n.storeAway(now):
 			wait = exchangeSoon
 		}
 		timer := time.NewTimer(wait)
@@ -237,14 +240,13 @@
 	}
 	req.LentBefore = !n.shares.Cleared()
 	req.ConfigRevision = n.members.Self().GetConfigRevision()
-	asked := time.Now()
 	resp, err := client.Exchange(ctx, req)
 	if err != nil {
 		n.exchangeFailed(address, err)
 		return
 	}
 	n.failures.Delete(address)
-	n.takeResponse(ctx, client, resp, asked)
+	n.takeResponse(ctx, client, resp)
 }
 
 // exchangeFailed gives up a connection that has gone silent.
@@ -261,13 +263,13 @@
 	}
 }
 
-func (n *Node) takeResponse(ctx context.Context, client peerpb.PeerClient, resp *peerpb.ExchangeResponse, asked time.Time) {
+func (n *Node) takeResponse(ctx context.Context, client peerpb.PeerClient, resp *peerpb.ExchangeResponse) {
 	next := n.members.Finish(resp, time.Now())
 	n.takeViews(resp.GetStoreViews(), resp.GetFrom())
 	for _, q := range resp.GetQuarantines() {
 		n.quarantine.Merge(peer.DecodeQuarantine(q))
 	}
-	n.hearLoans(resp, asked)
+	n.hearLoans(resp)
 	if next != nil {
 		followed, err := client.Exchange(ctx, next)
 		if err != nil {
@@ -280,14 +282,14 @@
 }
 
 // hearLoans notes that a peer holds nothing that this instance's predecessor lent.
-func (n *Node) hearLoans(resp *peerpb.ExchangeResponse, asked time.Time) {
-	if n.shares.Cleared() || resp.GetOwes() || asked.Sub(n.started) < askLoansFor {
+func (n *Node) hearLoans(resp *peerpb.ExchangeResponse) {
+	if n.shares.Cleared() || resp.GetOwes() {
 		return
 	}
 	n.noLoans.Store(resp.GetFrom(), true)
 }
 
-// clearLoans lets this instance mint when nothing that a predecessor lent can be
+// clearLoans lets this instance use its whole part when nothing that a predecessor lent can be
 // spent any more: every holder of a part says so, or the loans have expired.
 func (n *Node) clearLoans(now time.Time) {
 	if n.shares.Cleared() {
@@ -320,7 +322,7 @@
 	resp.Quarantines = peer.EncodeQuarantines(n.quarantine.Records(now))
 	resp.StoreViews = n.lacking(req.GetStoreViews())
 	if req.GetLentBefore() {
-		resp.Owes = n.ledger.Owes(req.GetFrom(), now)
+		resp.Owes = n.ledger.Owes(req.GetFrom(), now) || n.lending.OpenTo(req.GetFrom())
 	}
 	return resp
 }
--- a/instance/routed/node.go
+++ b/instance/routed/node.go
@@ -77,11 +77,13 @@
 	listeners map[string]net.Listener
 	failed    chan error
 
-	leaving, stopping atomic.Bool
-	inFlight          atomic.Int64 // requests of callers and of peers
-	loops             sync.WaitGroup
-	background        context.Context
-	stopLoops         context.CancelFunc
+	leaving    atomic.Bool  // says that it leaves
+	noStreams  atomic.Bool  // takes no more streams
+	stopping   atomic.Bool  // takes nothing more
+	inFlight   atomic.Int64 // requests of callers and of peers
+	loops      sync.WaitGroup
+	background context.Context
+	stopLoops  context.CancelFunc
 }
 
 // Endpoints are the handlers of a deployment's own paths for readiness and the
@@ -164,10 +166,10 @@
 	n.front = &httproute.Front{
 		Region: n.settings.Region, Codec: n.codec, Routes: n.routes, Ledger: n.ledger, Quarantine: n.quarantine,
 		Retries: retry.NewWindow(retry.WindowSettings{Ratio: n.settings.Retry.Ratio, Slack: n.settings.Retry.Slack, Window: n.settings.Retry.Window}),
-		Remotes: n, Local: n.local, Log: n.log, Metrics: metrics, Stopping: n.stopping.Load, Leaving: n.leaving.Load,
+		Remotes: n, Local: n.local, Log: n.log, Metrics: metrics, Stopping: n.stopping.Load, NoStreams: n.noStreams.Load, Leaving: n.leaving.Load,
 		Peers: backendhttp.New(backendhttp.Settings{DialTimeout: peerDialTimeout, UserTimeout: userTimeout, MaxIdle: maxIdleConns}),
 	}
-	n.relay = &httproute.Peer{Codec: n.codec, Local: n.local, Routes: n.routes, Stopping: n.stopping.Load}
+	n.relay = &httproute.Peer{Codec: n.codec, Local: n.local, Routes: n.routes, Stopping: func() bool { return n.noStreams.Load() }}
 	n.lending = &lending.Loop{
 		Ledger: n.ledger, Pool: n.pool, Self: n.member, Lenders: n.lenders,
 		Looked: func(now time.Time) { n.ledger.Acknowledged(int64(n.shares.Record().Version()), now) },
@@ -326,6 +328,7 @@
 	if n.shares.Mints() {
 		held = []slots.Held{{Slot: 0, Epoch: 1, Until: now.Add(forever)}}
 	}
+	n.ledger.SetProvisional(!n.shares.Cleared(), now)
 	n.ledger.SetHeld(held, now)
 	if count := uint32(len(held)); count != n.members.Self().GetSlots() {
 		n.log.Info("quota_part", "mints", count > 0, "holders", n.shares.Record().Version())
--- a/instance/routed/stop.go
+++ b/instance/routed/stop.go
@@ -12,19 +12,20 @@
 	"github.com/basilroute/basilroute/protocol/peerpb"
 )
 
-// A planned stop has three stages within the grace that the deployment gives. The
-// instance first says that it leaves and goes on serving, so that callers whose
-// directory answer is old find it; then it refuses what is new; then it ends, at the
-// latest a little before it would be killed.
+// A planned stop goes in stages within the grace that the deployment gives. The
+// instance says that it leaves and goes on serving, so that callers whose directory
+// answer is old find it; then it takes no more streams, which may last longer than
+// the grace and would be cut; then it takes nothing; then it ends, at the latest a
+// little before it would be killed.
 const (
-	// servePart is the part of the grace in which new requests are still served.
-	servePart = 0.45
+	// streamsPart and servePart are the parts of the grace in which new streams and
+	// other new requests are taken. The longest streams of the first deployments last
+	// five eighths of the grace.
+	streamsPart = 0.3
+	servePart   = 0.6
 	// endMargin is how long before the end of the grace the process ends.
 	endMargin = 400 * time.Millisecond
-	// leastServe is the least time in which new requests are still served: callers ask
-	// the directory again within its time to live.
-	leastServe = 3 * time.Second
-	drainPoll  = 20 * time.Millisecond
+	drainPoll = 20 * time.Millisecond
 )
 
 // Stop is the planned stop. It returns an error when requests were cut.
@@ -36,7 +37,9 @@
 	n.members.UpdateSelf(began, func(m *peerpb.Member) { m.State = peerpb.MemberState_MEMBER_STATE_LEAVING })
 	n.spread()
 	n.log.Info("stopping", "grace_ms", n.settings.Bounds.Grace.Milliseconds())
-	pause(ctx, max(leastServe, time.Duration(servePart*float64(n.settings.Bounds.Grace))))
+	n.sleepPart(ctx, streamsPart)
+	n.noStreams.Store(true)
+	n.sleepPart(ctx, servePart-streamsPart)
 	n.stopping.Store(true)
 	err := n.callers.Shutdown(ctx)
 	for n.inFlight.Load() > 0 && ctx.Err() == nil {
@@ -48,6 +51,10 @@
 	return err
 }
 
+func (n *Node) sleepPart(ctx context.Context, part float64) {
+	pause(ctx, time.Duration(part*float64(n.settings.Bounds.Grace)))
+}
+
 // Kill ends the instance at once.
 func (n *Node) Kill() {
 	n.stopLoops()
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -145,7 +145,7 @@
 	}
 	return &outbound{
 		id: r.RequestID, service: r.service, account: r.accountName(), method: r.method, target: r.target, host: r.host,
-		header: r.header, body: r.body, work: &r.work, deadline: r.deadline, repeatable: r.route.Repeatable(),
+		header: r.header, body: r.body, work: &r.work, deadline: r.deadline, repeatable: r.route.Repeatable(), last: r.attempts+1 >= max(r.route.MaxAttempts, 1),
 		print: r.print, lastEventID: lastEventID, config: r.config.Version,
 	}
 }
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -31,6 +31,7 @@
 	LeftMs      int64  `json:"left_ms"`      // until its deadline
 	ObjectiveMs int64  `json:"objective_ms"` // left of its objective; 0 for none
 	Repeatable  bool   `json:"repeatable"`
+	Last        bool   `json:"last"`     // no other attempt may follow
 	Detached    bool   `json:"detached"` // runs to its end when the caller has gone
 	Print       string `json:"print"`
 	LastEventID string `json:"last_event_id,omitempty"`
@@ -51,7 +52,7 @@
 	now := time.Now()
 	note, err := json.Marshal(forwarded{
 		Service: o.service, Account: o.account, Urgency: o.work.Urgency, LeftMs: o.deadline.Sub(now).Milliseconds(),
-		ObjectiveMs: max(r.work.Objective-now.Sub(r.arrived), 0).Milliseconds(), Repeatable: o.repeatable,
+		ObjectiveMs: max(r.work.Objective-now.Sub(r.arrived), 0).Milliseconds(), Repeatable: o.repeatable, Last: o.last,
 		Detached: r.route.Kind == routes.KindNonIdempotent, Print: o.print, LastEventID: o.lastEventID, Config: o.config,
 	})
 	if err != nil {
@@ -166,7 +167,7 @@
 	deadline := arrived.Add(time.Duration(said.LeftMs) * time.Millisecond)
 	return &outbound{
 		id: call.RequestID, service: said.Service, account: said.Account, method: hr.Method, target: hr.RequestURI,
-		host: hr.Host, header: header, body: body, deadline: deadline, repeatable: said.Repeatable, print: said.Print,
+		host: hr.Host, header: header, body: body, deadline: deadline, repeatable: said.Repeatable, last: said.Last, print: said.Print,
 		lastEventID: said.LastEventID, config: said.Config,
 		work: &placement.Work{
 			Parts: call.Parts, Tokens: call.PromptTokens, Urgency: said.Urgency, Probe: said.Repeatable,
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -50,6 +50,8 @@
 	Metrics    *Metrics
 	// Stopping tells whether this instance is about to end and takes nothing more.
 	Stopping func() bool
+	// NoStreams tells whether a new stream might be cut by the end of this instance.
+	NoStreams func() bool
 	// Leaving tells whether callers are to leave their connections.
 	Leaving func() bool
 }
@@ -151,13 +153,13 @@
 	if config == nil {
 		return nil, &failure{run: notRun, reason: reasonNotReady}
 	}
-	if f.Stopping() {
-		return nil, &failure{run: notRun, reason: reasonStopping, retryAfter: leastRetryAfter}
-	}
 	route := config.Match(hr.Host, hr.URL.Path)
 	if route == nil {
 		return nil, &failure{run: notRun, reason: reasonNoRoute}
 	}
+	if f.Stopping() || route.Kind == routes.KindStreaming && f.NoStreams() {
+		return nil, &failure{run: notRun, reason: reasonStopping, retryAfter: leastRetryAfter}
+	}
 	r := &request{
 		Call: f.Codec.DecodeCall(hr.Header), config: config, route: route, header: EndToEnd(hr.Header),
 		method: hr.Method, target: hr.RequestURI, host: hr.Host, arrived: arrived,
--- a/transport/httproute/local.go
+++ b/transport/httproute/local.go
@@ -57,6 +57,7 @@
 	work        *placement.Work
 	deadline    time.Time
 	repeatable  bool
+	last        bool // no other attempt may follow
 	print       string
 	lastEventID string
 	config      int64
@@ -91,7 +92,7 @@
 // silence returns how long the server may say nothing; 0 for as long as there is
 // time. A request that may not be repeated gains nothing by giving up.
 func (o *outbound) silence(expected time.Duration, now time.Time) time.Duration {
-	if !o.repeatable {
+	if !o.repeatable || o.last {
 		return 0
 	}
 	limit := max(leastSilence, silenceFactor*expected)
@@ -186,7 +187,10 @@
 	if ctx.Err() != nil {
 		outcome = placement.OutcomeCancelled
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			f.reason, outcome = reasonDeadline, placement.OutcomeFailed
+			f.reason = reasonDeadline
+			if time.Since(placed.Sent) > leastSilence { // a shorter time says nothing of the server
+				outcome = placement.OutcomeFailed
+			}
 		}
 	}
 	pool.Done(placed, outcome, time.Now())
--- a/transport/lending/lending.go
+++ b/transport/lending/lending.go
@@ -92,7 +92,24 @@
 	if l.open == nil {
 		l.open = make(map[slots.Member]bool)
 	}
-	l.open[m] = open
+	if !open {
+		delete(l.open, m)
+		return
+	}
+	l.open[m] = true
+}
+
+// OpenTo tells whether a call to some incarnation of an instance is open: its answer
+// may still bring a loan.
+func (l *Loop) OpenTo(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for m := range l.open {
+		if m.ID == id {
+			return true
+		}
+	}
+	return false
 }
 
 func (l *Loop) isOpen(m slots.Member) bool {
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/keepalive"
 
@@ -22,6 +23,16 @@
 	ConnWindow   = 16 << 20 // for 160 ms there and back at 0.8 Gbit/s
 )
 
+// redial is between tries to connect. After a restart of the whole fleet each
+// instance waits for word from all others, and grpc's own first pause of a second
+// would be most of that wait.
+var redial = backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second}
+
+// connectTimeout bounds one try: three times the longest way there and back. The first
+// packet to an instance that has no power yet is lost, and TCP sends it again only
+// after a second.
+const connectTimeout = 500 * time.Millisecond
+
 // Pool holds one connection to each peer.
 type Pool struct {
 	// Revision is the configuration in force here. A peer that has an older one
@@ -52,6 +63,7 @@
 			grpc.WithDisableServiceConfig(),
 			grpc.WithInitialWindowSize(StreamWindow),
 			grpc.WithInitialConnWindowSize(ConnWindow),
+			grpc.WithConnectParams(grpc.ConnectParams{Backoff: redial, MinConnectTimeout: connectTimeout}),
 			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingTimeout}))
 		if err != nil {
 			return nil, errors.Wrapf(err, "peer %s", address)
