Tell the instances of a region each other's load and dispatches

Each instance saw a third of its region's load (one in twenty in the grown fleets) and guessed the rest from its own; shared prompt parts that others had sent to a server other than the hash's were read again. Ruled out: asking servers for their load (priced, and 200 ms old).

--- /dev/null
+++ b/coordination/placement/digest.go
@@ -0,0 +1,114 @@
+package placement
+
+import "time"
+
+// Instances of a region send to the same servers and each sees only its own part of
+// the load: with twenty of them a server that has half a second of prompts to read
+// looks idle to most. So each tells the others several times a second what it has
+// under way at each server, and which shared parts it sent there.
+
+// peerFresh is how long another instance's word counts: a few of its messages may be
+// lost.
+const peerFresh = 400 * time.Millisecond
+
+// maxDispatches bounds the dispatches that wait for the next digest.
+const maxDispatches = 64
+
+// ServerLoad is what one instance has under way at a server.
+type ServerLoad struct {
+	Server   uint32 // hash of the id
+	Pending  int    // prompt tokens whose reading has not ended
+	Urgent   int    // those of the highest urgency
+	InFlight int
+}
+
+// Dispatch says that a server was sent shared parts.
+type Dispatch struct {
+	Server uint32
+	Parts  []Part
+}
+
+// Digest is what an instance tells the others of its region.
+type Digest struct {
+	Servers    []ServerLoad
+	Dispatches []Dispatch
+}
+
+type peerLoad struct {
+	ServerLoad
+	at time.Time
+}
+
+// peerLoads holds the last word of each other instance on one server.
+type peerLoads map[string]peerLoad
+
+func (l peerLoads) pendingOf(urgency int, now time.Time) float64 {
+	total := 0
+	for _, load := range l {
+		switch {
+		case now.Sub(load.at) > peerFresh:
+		case urgency <= 0:
+			total += load.Urgent
+		default:
+			total += load.Pending
+		}
+	}
+	return float64(total)
+}
+
+func (l peerLoads) inFlight(now time.Time) float64 {
+	total := 0
+	for _, load := range l {
+		if now.Sub(load.at) <= peerFresh {
+			total += load.InFlight
+		}
+	}
+	return float64(total)
+}
+
+// note keeps a dispatch for the next digest.
+func (p *Pool) note(s *server, parts []Part) {
+	if len(parts) < 2 || len(p.sent) >= maxDispatches {
+		return
+	}
+	p.sent = append(p.sent, Dispatch{Server: uint32(s.hash), Parts: parts[:len(parts)-1]})
+}
+
+// Digest returns what the others are to know. Servers at which nothing is under way
+// are left out: what is not named is none.
+func (p *Pool) Digest() Digest {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := Digest{Dispatches: p.sent}
+	p.sent = nil
+	for _, s := range p.servers {
+		if s.inFlight == 0 {
+			continue
+		}
+		d.Servers = append(d.Servers, ServerLoad{
+			Server: uint32(s.hash), Pending: int(s.allPending()), Urgent: int(s.pendingOf(0)), InFlight: s.inFlight,
+		})
+	}
+	return d
+}
+
+// Absorb takes in the digest of another instance.
+func (p *Pool) Absorb(from string, d *Digest, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		delete(s.peers, from)
+	}
+	for _, load := range d.Servers {
+		if s := p.byHash[load.Server]; s != nil {
+			s.peers[from] = peerLoad{ServerLoad: load, at: now}
+		}
+	}
+	for _, sent := range d.Dispatches {
+		if s := p.byHash[sent.Server]; s != nil {
+			s.cache.touch(sent.Parts, p.cacheCapacity())
+		}
+	}
+}
+
+func (p *Pool) cacheCapacity() int { return int(cacheShare * float64(p.settings.CacheTokens)) }
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -38,7 +38,6 @@
 
 // Settings of a pool. Figures without an origin here are from the design note.
 type Settings struct {
-	Instances   int     // live instances that share the servers
 	Engine      bool    // servers are model engines
 	Slots       int     // requests that a server runs at once; used when an entry does not say
 	CacheTokens int     // prompt capacity of an engine
@@ -64,13 +63,10 @@
 	// readWeight multiplies prompt tokens that have to be read: they hold up every
 	// other request of the batch and not only their own.
 	readWeight = 2.0
-	// homeCredit is the part of the shared tokens that the server which the hash
-	// names is taken to hold before this instance has sent it the prompt: other
-	// instances send it there too.
-	homeCredit = 0.7
-	// pendingHalfLife is of the average by which the other instances' unread
-	// prompts are guessed from the own.
-	pendingHalfLife = 0.3
+	// homeShare is the part of the shared tokens by which the server that the hash
+	// names costs less than one that holds as little: the next request with the same
+	// parts goes there too.
+	homeShare = 0.3
 	// reportFade is the age at which a reported load counts half.
 	reportFade = 1.0
 	// queueFactor times the slots is what a plain server may be sent in all; it
@@ -166,6 +162,8 @@
 	servers  []*server
 	readRate float64 // tokens per second, as measured
 	work     float64 // seconds, of a plain request, as measured
+	byHash   map[uint32]*server
+	sent     []Dispatch // since the last digest
 }
 
 // New returns a pool without servers.
@@ -183,6 +181,7 @@
 		known[s.ID] = s
 	}
 	next := make([]*server, 0, len(entries))
+	p.byHash = make(map[uint32]*server, len(entries))
 	for _, e := range entries {
 		s := known[e.ID]
 		if s == nil || s.Lifetime != e.Lifetime {
@@ -190,6 +189,7 @@
 			s.hash = xxhash.Sum64String(e.ID)
 		}
 		s.Entry = e
+		p.byHash[uint32(s.hash)] = s
 		next = append(next, s)
 	}
 	p.servers = next
@@ -338,7 +338,7 @@
 
 // running is how many requests a server is taken to have.
 func (p *Pool) running(s *server, now time.Time) float64 {
-	return float64(s.inFlight) + s.others*fade(now.Sub(s.reportedAt))
+	return float64(s.inFlight) + max(s.others*fade(now.Sub(s.reportedAt)), s.peers.inFlight(now))
 }
 
 func (p *Pool) full(s *server, now time.Time) bool {
@@ -359,13 +359,13 @@
 		return c
 	}
 	c.cached = s.cache.match(w.Parts)
-	if s == home {
-		c.cached = max(c.cached, int(homeCredit*float64(w.shared())))
-	}
 	c.unread = float64(max(w.Tokens-c.cached, 0))
-	ahead := s.pendingOf(w.Urgency) + float64(max(p.settings.Instances-1, 0))*s.averagePending(now)
+	ahead := s.pendingOf(w.Urgency) + s.peers.pendingOf(w.Urgency, now)
 	c.expected = baseTime + (ahead+c.unread)/p.readRate*s.pace + s.excess(now)
 	c.cost = c.expected + (readWeight-1)*c.unread/p.readRate + p.running(s, now)*runningCost
+	if s == home {
+		c.cost -= homeShare * float64(w.shared()) / p.readRate
+	}
 	return c
 }
 
@@ -376,14 +376,15 @@
 func (p *Pool) start(c *candidate, w *Work, now time.Time) *Placement {
 	s := c.server
 	s.inFlight++
-	s.addPending(w.Urgency, c.unread, now)
+	s.addPending(w.Urgency, c.unread)
+	p.note(s, w.Parts)
 	if now.Before(s.ColdUntil) && p.settings.ColdRate > 0 {
 		s.coldNext = now.Add(seconds(1 / p.settings.ColdRate))
 	}
 	if now.Before(s.asideUntil) {
 		s.probedAt = now
 	}
-	s.cache.touch(w.Parts, int(cacheShare*float64(p.settings.CacheTokens)))
+	s.cache.touch(w.Parts, p.cacheCapacity())
 	return &Placement{Server: s.Entry, server: s, tokens: c.unread, urgency: w.Urgency, Sent: now, expected: c.expected}
 }
 
--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -36,8 +36,7 @@
 
 	inFlight int
 	pending  [urgencies]float64 // prompt tokens of requests whose first byte has not come
-	average  float64            // of all pending
-	averaged time.Time
+	peers    peerLoads
 
 	others     float64 // requests of other instances, by the last report
 	reportedAt time.Time
@@ -55,7 +54,7 @@
 	cache      *cache
 }
 
-func newServer() *server { return &server{pace: 1, cache: newCache()} }
+func newServer() *server { return &server{pace: 1, cache: newCache(), peers: make(peerLoads)} }
 
 func urgencyIndex(urgency int) int { return min(max(urgency, 0), urgencies-1) }
 
@@ -70,26 +69,11 @@
 
 func (s *server) allPending() float64 { return s.pendingOf(urgencies - 1) }
 
-func (s *server) addPending(urgency int, tokens float64, now time.Time) {
-	s.averagePending(now)
+func (s *server) addPending(urgency int, tokens float64) {
 	i := urgencyIndex(urgency)
 	s.pending[i] = max(s.pending[i]+tokens, 0)
 }
 
-// averagePending is the mean of what is pending over the last moments: the best
-// guess of what each other instance has pending there.
-func (s *server) averagePending(now time.Time) float64 {
-	if s.averaged.IsZero() {
-		s.averaged = now
-	}
-	if elapsed := now.Sub(s.averaged).Seconds(); elapsed > 0 {
-		keep := math.Exp2(-elapsed / pendingHalfLife)
-		s.average = s.average*keep + s.allPending()*(1-keep)
-		s.averaged = now
-	}
-	return s.average
-}
-
 // excess is what answers took beyond what was expected, which fades.
 func (s *server) excess(now time.Time) float64 {
 	return s.extra * math.Exp2(-now.Sub(s.extraAt).Seconds()/excessHalfLife)
@@ -140,7 +124,7 @@
 	}
 	pl.first = true
 	s := pl.server
-	s.addPending(pl.urgency, -pl.tokens, now)
+	s.addPending(pl.urgency, -pl.tokens)
 	took := now.Sub(pl.Sent).Seconds()
 	if pl.expected <= 0 {
 		return
@@ -164,7 +148,7 @@
 	s.inFlight--
 	if !pl.first {
 		pl.first = true
-		s.addPending(pl.urgency, -pl.tokens, now)
+		s.addPending(pl.urgency, -pl.tokens)
 	}
 	if outcome == OutcomeServed && !p.settings.Engine {
 		p.work += (now.Sub(pl.Sent).Seconds()/max(s.pace, 1) - p.work) * workWeight
--- a/instance/routed/facts.go
+++ b/instance/routed/facts.go
@@ -104,7 +104,6 @@
 	n.poolMu.Lock()
 	defer n.poolMu.Unlock()
 	entries := n.backends.InRegion(n.settings.Region, now)
-	_, region := n.Instances()
 	for _, svc := range config.Services {
 		own := entries[:0:0]
 		for _, e := range entries {
@@ -112,7 +111,7 @@
 				own = append(own, e)
 			}
 		}
-		settings := placement.Settings{Instances: region, ColdRate: svc.ColdRate, ColdOwner: n.ownsCold}
+		settings := placement.Settings{ColdRate: svc.ColdRate, ColdOwner: n.ownsCold}
 		if svc.Engine != nil {
 			settings.Engine, settings.Slots, settings.CacheTokens = true, svc.Engine.Slots, svc.Engine.CacheTokens
 		}
@@ -180,3 +179,25 @@
 		m.Loads, m.ConfigRevision, m.QuotaVersion = loads, config.Version, uint32(n.shares.Record().Version())
 	})
 }
+
+// digest sums up what the other instances of the region are to know of the load.
+func (n *Node) digest() placement.Digest {
+	var all placement.Digest
+	if config := n.routes.Current(); config != nil {
+		for name := range config.Services {
+			d := n.local.Pool(name).Digest()
+			all.Servers = append(all.Servers, d.Servers...)
+			all.Dispatches = append(all.Dispatches, d.Dispatches...)
+		}
+	}
+	return all
+}
+
+// absorb takes in another instance's word. Each pool takes what it knows the servers of.
+func (n *Node) absorb(from string, d *placement.Digest, now time.Time) {
+	if config := n.routes.Current(); config != nil {
+		for name := range config.Services {
+			n.local.Pool(name).Absorb(from, d, now)
+		}
+	}
+}
--- a/instance/routed/members.go
+++ b/instance/routed/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -330,6 +331,7 @@
 // lookAtMembers takes in what the members say of quota shares, and who lives.
 func (n *Node) lookAtMembers(now time.Time) {
 	var regional []string
+	var casts []netip.AddrPort
 	fleet := 0
 	for _, m := range n.members.Members(now) {
 		n.shares.Acknowledged(m.Entry.GetId(), int(m.Entry.GetQuotaVersion()))
@@ -339,8 +341,12 @@
 		fleet++
 		if m.Entry.GetRegion() == n.settings.Region {
 			regional = append(regional, m.Entry.GetId())
+			if address, err := netip.ParseAddrPort(m.Entry.GetRelayAddress()); err == nil && m.Entry.GetId() != n.settings.ID {
+				casts = append(casts, address)
+			}
 		}
 	}
+	n.castTo.Store(&casts)
 	n.regional.Store(&regional)
 	n.fleetSize.Store(int64(max(fleet, n.shares.Record().Version())))
 }
--- a/instance/routed/node.go
+++ b/instance/routed/node.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,7 @@
 	"github.com/basilroute/basilroute/transport/backendhttp"
 	"github.com/basilroute/basilroute/transport/httproute"
 	"github.com/basilroute/basilroute/transport/lending"
+	"github.com/basilroute/basilroute/transport/loadcast"
 	"github.com/basilroute/basilroute/transport/peer"
 )
 
@@ -52,6 +54,7 @@
 	relay      *httproute.Peer
 	pool       *peer.Pool
 	lending    *lending.Loop
+	caster     *loadcast.Caster
 
 	config, servers, own *follower
 	followers            []*follower
@@ -63,7 +66,8 @@
 	ledgerConfig  int64
 	ledgerHolders int
 
-	regional   atomic.Pointer[[]string] // live instances of the own region
+	castTo     atomic.Pointer[[]netip.AddrPort] // live peers of the own region
+	regional   atomic.Pointer[[]string]         // live instances of the own region
 	fleetSize  atomic.Int64
 	noLoans    sync.Map // ids of peers that hold nothing a predecessor lent
 	exchanging sync.Map // peer addresses with an exchange under way
@@ -115,6 +119,7 @@
 	n.background, n.stopLoops = context.WithCancel(context.Background())
 	n.members = membership.New(n.selfEntry(), n.started)
 	n.regional.Store(&[]string{settings.ID})
+	n.castTo.Store(&[]netip.AddrPort{})
 	n.fleetSize.Store(1)
 	n.members.SetSeeds(n.staticSeeds())
 	n.follow3(source)
@@ -175,6 +180,10 @@
 		Looked: func(now time.Time) { n.ledger.Acknowledged(int64(n.shares.Record().Version()), now) },
 		Update: n.updateHeld,
 	}
+	n.caster = &loadcast.Caster{
+		Self: n.settings.ID, Incarnation: n.members.Self().GetIncarnation(),
+		Peers: func() []netip.AddrPort { return *n.castTo.Load() }, Digest: n.digest, Absorb: n.absorb,
+	}
 }
 
 // listenConfig has short keep-alive probes: a caller behind a cut link never closes.
@@ -221,6 +230,9 @@
 		n.servicing = append(n.servicing, server)
 		n.goServe(server, n.listeners[l.name])
 	}
+	if err := n.caster.Listen(n.settings.Listen.Relay); err != nil { // the same number, as datagrams
+		return err
+	}
 	if _, err := n.bind("callers", n.settings.Listen.Callers); err != nil {
 		return err
 	}
@@ -267,7 +279,7 @@
 	for _, f := range n.followers {
 		n.loops.Go(func() { n.follow(n.background, f) })
 	}
-	for _, loop := range []func(context.Context){n.register, n.joinShares, n.exchange, n.lending.Run, n.housekeep} {
+	for _, loop := range []func(context.Context){n.register, n.joinShares, n.exchange, n.lending.Run, n.caster.Run, n.housekeep} {
 		n.loops.Go(func() { loop(n.background) })
 	}
 	n.log.Info("started", "region", n.settings.Region, "domain", n.settings.Domain, "callers", n.settings.Listen.Callers,
