Watch the store from two instances a failure domain; divide quotas over a set that grows

Each instance writes one item of its own without a lease; the set of their names, read after the own was written, is what quotas are divided by (coordination/quotashare says why the parts never exceed the whole). A restarted instance needs no word from instances that are gone, which the document had needed.

A leaving instance takes a stream only when the tokens its caller allows fit into what is left of the grace, so fewer are cut. Times of outages go by the steady clock.

--- a/coordination/configwatch/watchers.go
+++ b/coordination/configwatch/watchers.go
@@ -18,11 +18,10 @@
 	StoreFailing bool // its last call of the store failed
 }
 
-// Watches tells whether the instance with the id is to watch the store. Every
-// instance with the same view comes to the same watchers. One that does not
-// reach the store makes room for another; when none reaches it, the first ones
-// go on trying.
-func Watches(id string, candidates []Candidate) bool {
+// Watchers returns the ids of those that are to watch the store. Every instance with
+// the same view comes to the same watchers. One that does not reach the store makes
+// room for another; when none reaches it, the first ones go on trying.
+func Watchers(candidates []Candidate) []string {
 	ranked := slices.Clone(candidates)
 	slices.SortFunc(ranked, func(a, b Candidate) int {
 		if a.StoreFailing != b.StoreFailing {
@@ -33,12 +32,16 @@
 		}
 		return cmp.Or(cmp.Compare(watchScore(b.ID), watchScore(a.ID)), cmp.Compare(a.ID, b.ID))
 	})
+	var out []string
 	for _, c := range ranked[:min(len(ranked), WatchersPerDomain)] {
-		if c.ID == id {
-			return true
-		}
+		out = append(out, c.ID)
 	}
-	return false
+	return out
+}
+
+// Watches tells whether the instance with the id is to watch the store.
+func Watches(id string, candidates []Candidate) bool {
+	return slices.Contains(Watchers(candidates), id)
 }
 
 func watchScore(id string) uint64 { return xxhash.Sum64String("configuration watcher\x00" + id) }
--- a/coordination/quotashare/quotashare.go
+++ b/coordination/quotashare/quotashare.go
@@ -1,88 +1,93 @@
-// Package quotashare divides every account's rate and burst evenly over the
-// instances that are written in one document of the store. It is the simplest
-// division that holds by itself when instances are cut off, sleep or restart:
+// Package quotashare divides every account's rate and burst evenly over a set of
+// instances that only grows. It is the simplest division that holds by itself when
+// instances are cut off, sleep or restart:
 //
-//   - An instance mints its part for good once it is in the document; nobody else
-//     ever mints it. An instance that is cut off goes on with its own part.
-//   - Parts only get smaller. An instance that joins makes all others' parts smaller,
-//     and mints nothing itself until each of them has said that it goes by the
-//     longer document.
-//   - A restarted instance finds itself in the document and mints its part again. Its
-//     predecessor is gone, but tokens it lent may still be spent, so the new one
-//     holds only what could not be lent until these have expired or no peer has any.
+//   - An instance that joins writes its name into the store and then reads all names.
+//     Of two that join at once, the one that reads later sees the other's name.
+//   - It mints its part only when every instance whose name it read goes by a set that
+//     has its own name. So each of two that mint has the other in its set, every set
+//     has all that mint, and the parts together are at most the whole.
+//   - An instance mints its part for good; nobody else ever mints it. One that is cut
+//     off goes on with its own part, and needs neither the store nor a peer.
+//   - That it has once minted stands in the store. A restarted instance that finds it
+//     there need not ask again: all others counted it before. Tokens that its
+//     predecessor lent may still be spent; see quota.Ledger.SetProvisional.
 //
-// The part of an instance that never comes back is lost to the fleet: one in the
-// number of instances, against which accounts usually have room. Demand that is
-// uneven over instances is met by loans, see package quota.
+// The part of an instance that never comes back is lost to the fleet, one in the
+// number of instances. Demand that is uneven over instances is met by loans, see
+// package quota.
 //
 // The package does no I/O.
 package quotashare
 
 import (
-	"encoding/json"
+	"maps"
 	"slices"
 	"sync"
 
-	"github.com/cockroachdb/errors"
+	"github.com/cespare/xxhash/v2"
 )
 
-// Record is the document: the instances that mint, in the order in which they
-// joined. Its length is its version, since nobody is ever taken out.
-type Record struct {
-	Holders []string `json:"holders"`
-}
-
-// DecodeRecord reads the document; an empty value is the document of nobody.
-func DecodeRecord(value []byte) (Record, error) {
-	var r Record
-	if len(value) == 0 {
-		return r, nil
-	}
-	err := json.Unmarshal(value, &r)
-	return r, errors.Wrap(err, "quota shares")
-}
-
-// Encode is the reverse of DecodeRecord.
-func (r Record) Encode() ([]byte, error) {
-	value, err := json.Marshal(r)
-	return value, errors.Wrap(err, "quota shares")
-}
-
-// With returns the document with an instance added.
-func (r Record) With(id string) Record {
-	return Record{Holders: append(slices.Clone(r.Holders), id)}
-}
-
-// Version of the document.
-func (r Record) Version() int { return len(r.Holders) }
-
 // Keeper decides what one instance may mint. It is safe for concurrent use.
 type Keeper struct {
 	self string
 
-	mu      sync.Mutex
-	record  Record
-	acks    map[string]int // by instance: the longest version that it goes by
-	cleared bool           // tokens that a predecessor lent cannot be spent any more
+	mu          sync.Mutex
+	holders     map[string]bool
+	hash        uint64          // of holders
+	hashes      map[uint64]bool // of all sets with the own name that this instance went by
+	complete    bool            // holders has every instance that mints
+	established bool            // all others counted this instance once
+	acks        map[string]bool // those that go by a set with the own name
+	cleared     bool            // tokens that a predecessor lent cannot be spent any more
 }
 
 // NewKeeper returns a keeper that mints nothing.
-func NewKeeper(self string) *Keeper { return &Keeper{self: self, acks: make(map[string]int)} }
+func NewKeeper(self string) *Keeper {
+	return &Keeper{self: self, holders: make(map[string]bool), hashes: make(map[uint64]bool), acks: make(map[string]bool)}
+}
 
-// Observe takes in the document. A shorter one, from a late read, changes nothing.
-func (k *Keeper) Observe(r Record) {
+// Merge takes in names. complete says that they have every instance that mints: they
+// were read from the store after the own name was written, or come from a peer for
+// whose set that holds and which has the own name.
+func (k *Keeper) Merge(ids []string, complete bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if r.Version() > k.record.Version() {
-		k.record = r
+	for _, id := range ids {
+		if id != "" && !k.holders[id] {
+			k.holders[id] = true
+			k.hash ^= xxhash.Sum64String(id)
+		}
+	}
+	if complete && k.holders[k.self] {
+		k.complete = true
+	}
+	if k.holders[k.self] {
+		k.hashes[k.hash] = true
 	}
 }
 
-// Acknowledged takes in the version that another instance goes by.
-func (k *Keeper) Acknowledged(id string, version int) {
+// Establish takes in that the store says this instance has minted before.
+func (k *Keeper) Establish() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.established = true
+}
+
+// Established tells whether all others have counted this instance.
+func (k *Keeper) Established() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.acks[id] = max(k.acks[id], version)
+	return k.established
+}
+
+// Heard takes in the hash of the set that another instance goes by.
+func (k *Keeper) Heard(id string, hash uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.hashes[hash] {
+		k.acks[id] = true
+	}
 }
 
 // Clear takes in that nothing which a predecessor lent can be spent any more.
@@ -99,26 +104,49 @@
 	return k.cleared
 }
 
-// Record returns the document that this instance goes by.
-func (k *Keeper) Record() Record {
+// Hash names the set that this instance goes by; 0 for the empty one.
+func (k *Keeper) Hash() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.hash
+}
+
+// Complete tells whether the set has every instance that mints.
+func (k *Keeper) Complete() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.record
+	return k.complete
 }
 
-// Mints tells whether this instance mints its part. Those who joined before it have
-// to go by a document that names it; those who joined later wait for it.
+// Holders returns the set, ordered.
+func (k *Keeper) Holders() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Sorted(maps.Keys(k.holders))
+}
+
+// Size returns the number of instances in the set.
+func (k *Keeper) Size() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.holders)
+}
+
+// Mints tells whether this instance mints its part.
 func (k *Keeper) Mints() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	position := slices.Index(k.record.Holders, k.self)
-	if position < 0 {
+	if !k.complete || !k.holders[k.self] {
 		return false
 	}
-	for _, earlier := range k.record.Holders[:position] {
-		if k.acks[earlier] <= position {
+	if k.established {
+		return true
+	}
+	for id := range k.holders {
+		if id != k.self && !k.acks[id] {
 			return false
 		}
 	}
+	k.established = true
 	return true
 }
--- a/instance/routed/facts.go
+++ b/instance/routed/facts.go
@@ -1,7 +1,6 @@
 package routed
 
 import (
-	"slices"
 	"time"
 
 	"github.com/basilroute/basilroute/coordination/placement"
@@ -138,7 +137,7 @@
 func (n *Node) updateAccounts(config *routes.Config) {
 	n.ledgerMu.Lock()
 	defer n.ledgerMu.Unlock()
-	holders := n.shares.Record().Holders
+	holders := n.shares.Holders()
 	if config.Version == n.ledgerConfig && len(holders) == n.ledgerHolders || len(holders) == 0 {
 		return
 	}
@@ -148,7 +147,7 @@
 		// Every instance is a domain of its own with one slot: its part is one in
 		// the number of instances.
 		n.fleet = &service.Fleet{
-			Regions: map[string]service.Region{fleetRegion: {Domains: slices.Clone(holders)}},
+			Regions: map[string]service.Region{fleetRegion: {Domains: holders}},
 			Slots:   service.Slots{PerDomain: 1},
 		}
 	}
@@ -178,8 +177,9 @@
 			ExpectedWaitMs: uint32(s.Expected.Milliseconds()), HasRoom: s.Room > 0, Room: uint32(s.Room),
 		})
 	}
+	away := n.storeAway()
 	n.members.UpdateSelf(now, func(m *peerpb.Member) {
-		m.Loads, m.ConfigRevision, m.QuotaVersion = loads, config.Version, uint32(n.shares.Record().Version())
+		m.Loads, m.ConfigRevision, m.QuotaHash, m.StoreUnreachable = loads, config.Version, n.shares.Hash(), away
 	})
 }
 
--- a/instance/routed/follow.go
+++ b/instance/routed/follow.go
@@ -16,7 +16,7 @@
 const (
 	// watchWait is how long a watch waits for a change. Silence beyond it and a
 	// call's timeout shows that the store is out of reach.
-	watchWait = 3 * time.Second
+	watchWait = 2 * time.Second
 	// minBackoff and maxBackoff are between calls that fail. All instances lose the
 	// store at once; without growing pauses they would use up its calls when it is
 	// back.
@@ -31,7 +31,7 @@
 	prefix  string
 	mirror  *mirror.Mirror
 	changed func([]mirror.Item)
-	failing atomic.Int64 // since when calls fail, in Unix nanoseconds; 0 while they succeed
+	failing atomic.Int64 // since when calls fail, in nanoseconds since the start; 0 while they succeed
 }
 
 // follow lists the prefix and watches it until ctx ends.
@@ -49,6 +49,8 @@
 		case errors.Is(err, platform.ErrCompacted):
 			n.log.Info("store_history_gone", "prefix", f.prefix, "after", f.mirror.Revision())
 			listed = false
+		case ctx.Err() != nil:
+			return
 		default:
 			n.storeFailed(f, err)
 		}
@@ -85,6 +87,7 @@
 		n.log.Info("store_items_from_peer", "prefix", f.prefix, "peer", from, "items", len(changed), "revision", d.Revision)
 	}
 	f.changed(changed)
+	n.announce()
 }
 
 func (n *Node) storeAnswered(f *follower) {
@@ -92,7 +95,7 @@
 	if since == 0 {
 		return
 	}
-	n.log.Info("store_back", "prefix", f.prefix, "away_ms", (time.Now().UnixNano()-since)/1e6)
+	n.log.Info("store_back", "prefix", f.prefix, "away_ms", (n.uptime() - time.Duration(since)).Milliseconds())
 	if f == n.servers {
 		n.backends.StoreAway(false, time.Now())
 	}
@@ -100,7 +103,7 @@
 
 func (n *Node) storeFailed(f *follower, err error) {
 	now := time.Now()
-	if f.failing.CompareAndSwap(0, now.UnixNano()) {
+	if f.failing.CompareAndSwap(0, int64(n.uptime())) {
 		n.log.Info("store_lost", "prefix", f.prefix, "error", err.Error())
 	}
 	if f == n.servers {
@@ -109,15 +112,15 @@
 }
 
 // away tells whether the store has been out of reach for a while.
-func (f *follower) away(now time.Time) bool {
-	since := f.failing.Load()
-	return since != 0 && now.UnixNano()-since > int64(awayAfter)
+func (f *follower) away(uptime time.Duration) bool {
+	since := time.Duration(f.failing.Load())
+	return since != 0 && uptime-since > awayAfter
 }
 
 // storeAway tells whether any part of the store is out of reach.
-func (n *Node) storeAway(now time.Time) bool {
+func (n *Node) storeAway() bool {
 	for _, f := range n.followers {
-		if f.away(now) || f.mirror.Revision() == 0 {
+		if f.away(n.uptime()) || f.mirror.Revision() == 0 {
 			return true
 		}
 	}
@@ -172,6 +175,9 @@
 	}
 }
 
+// uptime is by the steady clock: the time of day may jump.
+func (n *Node) uptime() time.Duration { return time.Since(n.started) }
+
 // pause waits, or until ctx ends.
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- /dev/null
+++ b/instance/routed/join.go
@@ -0,0 +1,144 @@
+package routed
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/basilroute/basilroute/coordination/membership"
+	"github.com/basilroute/basilroute/transport/platform"
+)
+
+// membersPrefix is where each instance writes one item of its own. The items are
+// whom to try at a start, and the set among which quotas are divided; they are never
+// taken away and no lease is on them. Who lives is told by the instances themselves.
+const membersPrefix = "fleet/members/"
+
+// memberItem is what an instance writes of itself.
+type memberItem struct {
+	ID     string `json:"id"`
+	Region string `json:"region"`
+	Domain string `json:"domain"`
+	Peer   string `json:"peer"`
+	Minted bool   `json:"minted"` // it has once minted its part of the quotas
+}
+
+// join writes this instance's item and reads all others', and writes once more when
+// the instance has begun to mint.
+func (n *Node) join(ctx context.Context) {
+	minted := false
+	n.until(ctx, func() (err error) {
+		minted, err = n.enter(ctx)
+		return err
+	})
+	for ctx.Err() == nil && !n.shares.Mints() {
+		pause(ctx, minBackoff)
+	}
+	if minted {
+		return
+	}
+	n.until(ctx, func() error { return n.putMember(ctx, true) })
+}
+
+// until tries until it succeeds or ctx ends.
+func (n *Node) until(ctx context.Context, try func() error) {
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		err := try()
+		if err == nil {
+			return
+		}
+		n.log.Debug("store_call_failed", "error", err.Error())
+		pause(ctx, backoff/2+rand.N(backoff))
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+// enter makes this instance known and learns of the others. minted tells whether it
+// has minted before.
+func (n *Node) enter(ctx context.Context) (minted bool, err error) {
+	own, err := n.source.Store().Get(ctx, membersPrefix+n.settings.ID)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return false, err
+	}
+	item, known := n.decodeMember(own.Key, own.Value)
+	if !known || item.Peer != n.settings.Listen.Peers {
+		if err := n.putMember(ctx, item.Minted); err != nil {
+			return false, err
+		}
+	}
+	found, _, err := n.source.Store().List(ctx, membersPrefix, 0)
+	if err != nil {
+		return false, err
+	}
+	var ids []string
+	var seeds []membership.Seed
+	for _, kv := range found {
+		m, ok := n.decodeMember(kv.Key, kv.Value)
+		if !ok {
+			continue
+		}
+		ids = append(ids, m.ID)
+		seeds = append(seeds, membership.Seed{ID: m.ID, PeerAddress: m.Peer, Region: m.Region, Domain: m.Domain})
+	}
+	n.members.SetSeeds(append(seeds, n.staticSeeds()...))
+	if item.Minted {
+		n.shares.Establish()
+	}
+	n.shares.Merge(ids, true)
+	n.log.Info("joined", "holders", len(ids), "minted_before", item.Minted)
+	n.quotasChanged()
+	n.spread()
+	return item.Minted, nil
+}
+
+func (n *Node) decodeMember(key string, value []byte) (memberItem, bool) {
+	var m memberItem
+	if len(value) == 0 {
+		return m, false
+	}
+	if err := json.Unmarshal(value, &m); err != nil || m.ID != strings.TrimPrefix(key, membersPrefix) {
+		n.log.Info("member_unreadable", "key", key)
+		return memberItem{}, false
+	}
+	return m, true
+}
+
+func (n *Node) putMember(ctx context.Context, minted bool) error {
+	value, err := json.Marshal(memberItem{
+		ID: n.settings.ID, Region: n.settings.Region, Domain: n.settings.Domain, Peer: n.settings.Listen.Peers, Minted: minted,
+	})
+	if err != nil {
+		return errors.Wrap(err, "member")
+	}
+	_, err = n.source.Store().Put(ctx, platform.Write{Key: membersPrefix + n.settings.ID, Value: value, Expect: platform.ExpectAny})
+	return err
+}
+
+// quotasChanged hands a changed set of instances to the ledger.
+func (n *Node) quotasChanged() {
+	if config := n.routes.Current(); config != nil {
+		n.updateAccounts(config)
+	}
+}
+
+// reseedEvery is how often an instance that reaches no other one reads again whom to
+// try: those that it knew may have been replaced.
+const reseedEvery = 5 * time.Second
+
+// reseed reads the members again while this instance is alone.
+func (n *Node) reseed(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, reseedEvery)
+		if fleet, _ := n.reachable(); fleet > 1 || ctx.Err() != nil {
+			continue
+		}
+		if _, err := n.enter(ctx); err != nil {
+			n.log.Debug("store_call_failed", "error", err.Error())
+		}
+	}
+}
--- a/instance/routed/members.go
+++ b/instance/routed/members.go
@@ -2,36 +2,20 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
-	"strings"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 
 	"github.com/basilroute/basilroute/coordination/membership"
 	"github.com/basilroute/basilroute/coordination/quota"
-	"github.com/basilroute/basilroute/coordination/quotashare"
 	"github.com/basilroute/basilroute/protocol/peerpb"
-	"github.com/basilroute/basilroute/state/mirror"
 	"github.com/basilroute/basilroute/transport/peer"
-	"github.com/basilroute/basilroute/transport/platform"
 )
 
-// Keys of the fleet's own items in the store.
 const (
-	ownPrefix     = "fleet/"
-	membersPrefix = ownPrefix + "members/"
-	sharesKey     = ownPrefix + "quota"
-)
-
-const (
-	// memberLease is how long an instance that said nothing stays on the list of
-	// whom to try. The list never makes a live instance dead.
-	memberLease  = 8 * time.Second
-	memberRenew  = memberLease / 4
 	exchangeSoon = 300 * time.Millisecond // between rounds while the store is out of reach
 	exchangeWait = 1500 * time.Millisecond
 	// dropAfter is how many exchanges in a row fail before the connection is given
@@ -42,144 +26,6 @@
 	exchangeFirst = 100 * time.Millisecond
 )
 
-// memberItem is what an instance writes of itself.
-type memberItem struct {
-	ID     string `json:"id"`
-	Region string `json:"region"`
-	Domain string `json:"domain"`
-	Peer   string `json:"peer"`
-}
-
-// register keeps the own item in the store, under a lease.
-func (n *Node) register(ctx context.Context) {
-	for ctx.Err() == nil {
-		lease, err := n.source.Store().Grant(ctx, max(memberLease, n.settings.Store.LeastLease))
-		if err == nil {
-			err = n.putMember(ctx, lease)
-		}
-		if err != nil {
-			n.log.Debug("register", "error", err.Error())
-			pause(ctx, minBackoff+rand.N(maxBackoff))
-			continue
-		}
-		n.log.Info("registered", "lease", lease)
-		n.renew(ctx, lease)
-	}
-}
-
-func (n *Node) putMember(ctx context.Context, lease int64) error {
-	value, err := json.Marshal(memberItem{ID: n.settings.ID, Region: n.settings.Region, Domain: n.settings.Domain, Peer: n.settings.Listen.Peers})
-	if err != nil {
-		return errors.Wrap(err, "member")
-	}
-	_, err = n.source.Store().Put(ctx, platform.Write{Key: membersPrefix + n.settings.ID, Value: value, Expect: platform.ExpectAny, Lease: lease})
-	return err
-}
-
-// renew returns when the lease has ended.
-func (n *Node) renew(ctx context.Context, lease int64) {
-	for ctx.Err() == nil {
-		pause(ctx, memberRenew)
-		err := n.source.Store().KeepAlive(ctx, lease)
-		if errors.Is(err, platform.ErrLeaseNotFound) {
-			n.log.Info("registration_lost", "lease", lease)
-			return
-		}
-	}
-}
-
-// ownChanged takes in the fleet's own items.
-func (n *Node) ownChanged(changed []mirror.Item) {
-	members := false
-	for _, item := range changed {
-		switch {
-		case strings.HasPrefix(item.Key, membersPrefix):
-			members = true
-		case item.Key == sharesKey && !item.Removed:
-			n.takeShares(item.Value)
-		}
-	}
-	if members {
-		n.members.SetSeeds(n.seeds())
-	}
-}
-
-func (n *Node) seeds() []membership.Seed {
-	var out []membership.Seed
-	for _, address := range n.settings.Seeds {
-		if address != n.settings.Listen.Peers {
-			out = append(out, membership.Seed{PeerAddress: address})
-		}
-	}
-	for _, item := range n.own.mirror.Items() {
-		if !strings.HasPrefix(item.Key, membersPrefix) {
-			continue
-		}
-		var m memberItem
-		if err := json.Unmarshal(item.Value, &m); err != nil {
-			n.log.Info("member_unreadable", "key", item.Key, "error", err.Error())
-			continue
-		}
-		out = append(out, membership.Seed{ID: m.ID, PeerAddress: m.Peer, Region: m.Region, Domain: m.Domain})
-	}
-	return out
-}
-
-func (n *Node) takeShares(value []byte) {
-	record, err := quotashare.DecodeRecord(value)
-	if err != nil {
-		n.log.Error("quota_shares_unreadable", "error", err.Error())
-		return
-	}
-	n.shares.Observe(record)
-	if config := n.routes.Current(); config != nil {
-		n.updateAccounts(config)
-	}
-	n.spread()
-}
-
-// joinShares writes this instance into the document of quota shares.
-func (n *Node) joinShares(ctx context.Context) {
-	for ctx.Err() == nil {
-		joined, err := n.tryJoin(ctx)
-		if joined {
-			return
-		}
-		if err != nil {
-			n.log.Debug("join_quota", "error", err.Error())
-		}
-		pause(ctx, minBackoff/2+rand.N(2*minBackoff))
-	}
-}
-
-func (n *Node) tryJoin(ctx context.Context) (bool, error) {
-	store := n.source.Store()
-	kv, err := store.Get(ctx, sharesKey)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return false, err
-	}
-	record, err := quotashare.DecodeRecord(kv.Value)
-	if err != nil {
-		return false, err
-	}
-	for _, holder := range record.Holders {
-		if holder == n.settings.ID {
-			n.takeShares(kv.Value)
-			return true, nil
-		}
-	}
-	value, err := record.With(n.settings.ID).Encode()
-	if err != nil {
-		return false, err
-	}
-	if _, err = store.Put(ctx, platform.Write{Key: sharesKey, Value: value, Expect: kv.Revision}); err != nil {
-		return false, err
-	}
-	n.log.Info("quota_joined", "holders", record.Version()+1)
-	n.takeShares(value)
-	return true, nil
-}
-
 // exchange brings the own view and the peers' together, each second, at once after
 // news, and more often while the store is out of reach.
 func (n *Node) exchange(ctx context.Context) {
@@ -205,7 +51,7 @@
 		switch {
 		case !n.shares.Cleared():
 			wait = exchangeFirst
-		case n.storeAway(now):
+		case n.storeAway():
 			wait = exchangeSoon
 		}
 		timer := time.NewTimer(wait)
@@ -236,10 +82,11 @@
 	defer cancel()
 	req := n.members.Request(n.members.At(address))
 	req.Quarantines = peer.EncodeQuarantines(n.quarantine.Records(time.Now()))
-	if n.storeAway(time.Now()) {
+	if n.storeAway() {
 		req.StoreViews = n.knowledge()
 	}
 	req.LentBefore = !n.shares.Cleared()
+	req.QuotaHash = n.shares.Hash()
 	req.ConfigRevision = n.members.Self().GetConfigRevision()
 	resp, err := client.Exchange(ctx, req)
 	if err != nil {
@@ -271,6 +118,7 @@
 		n.quarantine.Merge(peer.DecodeQuarantine(q))
 	}
 	n.hearLoans(resp)
+	n.takeHolders(resp)
 	if next != nil {
 		followed, err := client.Exchange(ctx, next)
 		if err != nil {
@@ -282,6 +130,19 @@
 	n.lookAtMembers(time.Now())
 }
 
+// takeHolders takes in a peer's set of the instances among which quotas are divided.
+func (n *Node) takeHolders(resp *peerpb.ExchangeResponse) {
+	if len(resp.GetQuotaHolders()) == 0 {
+		return
+	}
+	before := n.shares.Size()
+	n.shares.Merge(resp.GetQuotaHolders(), resp.GetQuotaComplete() && slices.Contains(resp.GetQuotaHolders(), n.settings.ID))
+	if n.shares.Size() != before {
+		n.quotasChanged()
+		n.spread()
+	}
+}
+
 // hearLoans notes that a peer holds nothing that this instance's predecessor lent.
 func (n *Node) hearLoans(resp *peerpb.ExchangeResponse) {
 	if n.shares.Cleared() || resp.GetOwes() {
@@ -297,12 +158,12 @@
 		return
 	}
 	if now.Before(quota.LentUntil(n.started)) {
-		for _, holder := range n.shares.Record().Holders {
+		for _, holder := range n.shares.Holders() {
 			if _, ok := n.noLoans.Load(holder); !ok && holder != n.settings.ID {
 				return
 			}
 		}
-		if n.shares.Record().Version() == 0 {
+		if n.shares.Size() == 0 {
 			return
 		}
 	}
@@ -322,6 +183,9 @@
 	}
 	resp.Quarantines = peer.EncodeQuarantines(n.quarantine.Records(now))
 	resp.StoreViews = n.lacking(req.GetStoreViews())
+	if hash := n.shares.Hash(); hash != 0 && hash != req.GetQuotaHash() {
+		resp.QuotaHolders, resp.QuotaComplete = n.shares.Holders(), n.shares.Complete()
+	}
 	if req.GetLentBefore() {
 		resp.Owes = n.ledger.Owes(req.GetFrom(), now) || n.lending.OpenTo(req.GetFrom())
 	}
@@ -334,7 +198,7 @@
 	var casts []netip.AddrPort
 	fleet := 0
 	for _, m := range n.members.Members(now) {
-		n.shares.Acknowledged(m.Entry.GetId(), int(m.Entry.GetQuotaVersion()))
+		n.shares.Heard(m.Entry.GetId(), m.Entry.GetQuotaHash())
 		if !m.Reachable || m.Leaving() {
 			continue
 		}
@@ -348,7 +212,8 @@
 	}
 	n.castTo.Store(&casts)
 	n.regional.Store(&regional)
-	n.fleetSize.Store(int64(max(fleet, n.shares.Record().Version())))
+	n.fleetSize.Store(int64(max(fleet, n.shares.Size())))
+	n.liveSize.Store(int64(fleet))
 }
 
 // Instances implements httproute.Remotes. The fleet counts those too that cannot be
@@ -357,6 +222,12 @@
 	return int(max(n.fleetSize.Load(), 1)), max(len(*n.regional.Load()), 1)
 }
 
+// reachable returns how many instances of the fleet can be reached, this one included,
+// and how many of them are in the own region.
+func (n *Node) reachable() (fleet, region int) {
+	return int(n.liveSize.Load()), len(*n.regional.Load())
+}
+
 // rendezvousTop returns the member that the hash names for a key.
 func rendezvousTop(members []string, key string) string {
 	top, best := "", uint64(0)
--- a/instance/routed/node.go
+++ b/instance/routed/node.go
@@ -56,8 +56,9 @@
 	lending    *lending.Loop
 	caster     *loadcast.Caster
 
-	config, servers, own *follower
-	followers            []*follower
+	config, servers *follower
+	followers       []*follower
+	subscribers     sync.Map // channels of those who follow this instance
 
 	poolMu sync.Mutex
 
@@ -68,10 +69,11 @@
 
 	castTo     atomic.Pointer[[]netip.AddrPort] // live peers of the own region
 	regional   atomic.Pointer[[]string]         // live instances of the own region
-	fleetSize  atomic.Int64
-	noLoans    sync.Map // ids of peers that hold nothing a predecessor lent
-	exchanging sync.Map // peer addresses with an exchange under way
-	failures   sync.Map // peer address: exchanges that failed in a row
+	fleetSize  atomic.Int64                     // instances that share the retry budget
+	liveSize   atomic.Int64                     // instances that can be reached
+	noLoans    sync.Map                         // ids of peers that hold nothing a predecessor lent
+	exchanging sync.Map                         // peer addresses with an exchange under way
+	failures   sync.Map                         // peer address: exchanges that failed in a row
 	news       chan struct{}
 	unreadable prometheus.Counter
 
@@ -82,7 +84,7 @@
 	failed    chan error
 
 	leaving    atomic.Bool  // says that it leaves
-	noStreams  atomic.Bool  // takes no more streams
+	endsAt     atomic.Int64 // when it ends, in nanoseconds since its start; 0 before it leaves
 	stopping   atomic.Bool  // takes nothing more
 	inFlight   atomic.Int64 // requests of callers and of peers
 	loops      sync.WaitGroup
@@ -122,7 +124,7 @@
 	n.castTo.Store(&[]netip.AddrPort{})
 	n.fleetSize.Store(1)
 	n.members.SetSeeds(n.staticSeeds())
-	n.follow3(source)
+	n.makeFollowers(source)
 	n.quarantine.OnCrash(n.spread)
 	n.wire()
 	if err := n.listen(endpoints); err != nil {
@@ -150,11 +152,10 @@
 	return out
 }
 
-func (n *Node) follow3(source Source) {
+func (n *Node) makeFollowers(source Source) {
 	n.config = &follower{prefix: source.ConfigPrefix(), mirror: mirror.New(), changed: n.configChanged}
 	n.servers = &follower{prefix: source.ServersPrefix(), mirror: mirror.New(), changed: n.serversChanged}
-	n.own = &follower{prefix: ownPrefix, mirror: mirror.New(), changed: n.ownChanged}
-	n.followers = []*follower{n.config, n.servers, n.own}
+	n.followers = []*follower{n.config, n.servers}
 }
 
 func (n *Node) wire() {
@@ -171,13 +172,13 @@
 	n.front = &httproute.Front{
 		Region: n.settings.Region, Codec: n.codec, Routes: n.routes, Ledger: n.ledger, Quarantine: n.quarantine,
 		Retries: retry.NewWindow(retry.WindowSettings{Ratio: n.settings.Retry.Ratio, Slack: n.settings.Retry.Slack, Window: n.settings.Retry.Window}),
-		Remotes: n, Local: n.local, Log: n.log, Metrics: metrics, Stopping: n.stopping.Load, NoStreams: n.noStreams.Load, Leaving: n.leaving.Load,
+		Remotes: n, Local: n.local, Log: n.log, Metrics: metrics, Stopping: n.stopping.Load, Remaining: n.remaining, Leaving: n.leaving.Load,
 		Peers: backendhttp.New(backendhttp.Settings{DialTimeout: peerDialTimeout, UserTimeout: userTimeout, MaxIdle: maxIdleConns}),
 	}
-	n.relay = &httproute.Peer{Codec: n.codec, Local: n.local, Routes: n.routes, Stopping: func() bool { return n.noStreams.Load() }}
+	n.relay = &httproute.Peer{Codec: n.codec, Local: n.local, Routes: n.routes, Stopping: n.leaving.Load}
 	n.lending = &lending.Loop{
 		Ledger: n.ledger, Pool: n.pool, Self: n.member, Lenders: n.lenders,
-		Looked: func(now time.Time) { n.ledger.Acknowledged(int64(n.shares.Record().Version()), now) },
+		Looked: func(now time.Time) { n.ledger.Acknowledged(int64(n.shares.Size()), now) },
 		Update: n.updateHeld,
 	}
 	n.caster = &loadcast.Caster{
@@ -241,7 +242,7 @@
 	}
 	n.peers = grpc.NewServer(append(peer.ServerOptions(),
 		grpc.InitialWindowSize(peer.StreamWindow), grpc.InitialConnWindowSize(peer.StreamWindow))...)
-	peerpb.RegisterPeerServer(n.peers, &peer.Server{Runner: noGenerations{}, Exchanger: n, Quota: n})
+	peerpb.RegisterPeerServer(n.peers, &peer.Server{Runner: noGenerations{}, Exchanger: n, Quota: n, Followed: n})
 	return nil
 }
 
@@ -276,10 +277,7 @@
 			n.failed <- err
 		}
 	}()
-	for _, f := range n.followers {
-		n.loops.Go(func() { n.follow(n.background, f) })
-	}
-	for _, loop := range []func(context.Context){n.register, n.joinShares, n.exchange, n.lending.Run, n.caster.Run, n.housekeep} {
+	for _, loop := range []func(context.Context){n.followStore, n.join, n.reseed, n.exchange, n.lending.Run, n.caster.Run, n.housekeep} {
 		n.loops.Go(func() { loop(n.background) })
 	}
 	n.log.Info("started", "region", n.settings.Region, "domain", n.settings.Domain, "callers", n.settings.Listen.Callers,
@@ -343,7 +341,7 @@
 	n.ledger.SetProvisional(!n.shares.Cleared(), now)
 	n.ledger.SetHeld(held, now)
 	if count := uint32(len(held)); count != n.members.Self().GetSlots() {
-		n.log.Info("quota_part", "mints", count > 0, "holders", n.shares.Record().Version())
+		n.log.Info("quota_part", "mints", count > 0, "holders", n.shares.Size())
 		n.members.UpdateSelf(now, func(m *peerpb.Member) { m.Slots = count })
 	}
 }
--- a/instance/routed/stop.go
+++ b/instance/routed/stop.go
@@ -13,33 +13,37 @@
 )
 
 // A planned stop goes in stages within the grace that the deployment gives. The
-// instance says that it leaves and goes on serving, so that callers whose directory
-// answer is old find it; then it takes no more streams, which may last longer than
-// the grace and would be cut; then it takes nothing; then it ends, at the latest a
-// little before it would be killed.
+// instance says that it leaves and goes on serving callers whose directory answer is
+// old, but takes no stream that might outlast it; then it takes nothing; then it ends,
+// at the latest a little before it would be killed.
 const (
-	// streamsPart and servePart are the parts of the grace in which new streams and
-	// other new requests are taken. The longest streams of the first deployments last
-	// five eighths of the grace.
-	streamsPart = 0.3
-	servePart   = 0.6
+	// servePart is the part of the grace in which new requests are taken.
+	servePart = 0.6
 	// endMargin is how long before the end of the grace the process ends.
 	endMargin = 400 * time.Millisecond
 	drainPoll = 20 * time.Millisecond
 )
 
+// remaining is how long this instance still runs, once it leaves; 0 before.
+func (n *Node) remaining() time.Duration {
+	ends := n.endsAt.Load()
+	if ends == 0 {
+		return 0
+	}
+	return max(time.Duration(ends)-time.Since(n.started), 1)
+}
+
 // Stop is the planned stop. It returns an error when requests were cut.
 func (n *Node) Stop(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, n.settings.Bounds.Grace-endMargin)
 	defer cancel()
 	began := time.Now()
+	n.endsAt.Store(int64(time.Since(n.started) + n.settings.Bounds.Grace - endMargin))
 	n.leaving.Store(true)
 	n.members.UpdateSelf(began, func(m *peerpb.Member) { m.State = peerpb.MemberState_MEMBER_STATE_LEAVING })
 	n.spread()
 	n.log.Info("stopping", "grace_ms", n.settings.Bounds.Grace.Milliseconds())
-	n.sleepPart(ctx, streamsPart)
-	n.noStreams.Store(true)
-	n.sleepPart(ctx, servePart-streamsPart)
+	pause(ctx, time.Duration(servePart*float64(n.settings.Bounds.Grace)))
 	n.stopping.Store(true)
 	err := n.callers.Shutdown(ctx)
 	for n.inFlight.Load() > 0 && ctx.Err() == nil {
@@ -51,10 +55,6 @@
 	return err
 }
 
-func (n *Node) sleepPart(ctx context.Context, part float64) {
-	pause(ctx, time.Duration(part*float64(n.settings.Bounds.Grace)))
-}
-
 // Kill ends the instance at once.
 func (n *Node) Kill() {
 	n.stopLoops()
@@ -101,7 +101,7 @@
 	d := Dump{
 		ID: n.settings.ID, Ready: n.Ready(), Revisions: make(map[string]int64), Members: make(map[string]string),
 		Servers: make(map[string][]placement.State), Evacuated: n.backends.Evacuated(),
-		QuotaHolders: n.shares.Record().Holders, QuotaMints: n.shares.Mints(),
+		QuotaHolders: n.shares.Holders(), QuotaMints: n.shares.Mints(),
 	}
 	for _, f := range n.followers {
 		d.Revisions[f.prefix] = f.mirror.Revision()
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -50,8 +50,8 @@
 	Metrics    *Metrics
 	// Stopping tells whether this instance is about to end and takes nothing more.
 	Stopping func() bool
-	// NoStreams tells whether a new stream might be cut by the end of this instance.
-	NoStreams func() bool
+	// Remaining is how long this instance still runs, once it leaves; 0 before.
+	Remaining func() time.Duration
 	// Leaving tells whether callers are to leave their connections.
 	Leaving func() bool
 }
@@ -157,13 +157,13 @@
 	if route == nil {
 		return nil, &failure{run: notRun, reason: reasonNoRoute}
 	}
-	if f.Stopping() || route.Kind == routes.KindStreaming && f.NoStreams() {
-		return nil, &failure{run: notRun, reason: reasonStopping, retryAfter: leastRetryAfter}
-	}
 	r := &request{
 		Call: f.Codec.DecodeCall(hr.Header), config: config, route: route, header: EndToEnd(hr.Header),
 		method: hr.Method, target: hr.RequestURI, host: hr.Host, arrived: arrived,
 	}
+	if f.Stopping() || f.outlasts(r) {
+		return nil, &failure{run: notRun, reason: reasonStopping, retryAfter: leastRetryAfter}
+	}
 	r.service = route.Target(r.RequestID)
 	if len(config.Accounts) > 0 && !route.Public {
 		if r.account = config.Authenticate(r.Key); r.account == nil {
@@ -181,6 +181,25 @@
 	return r, nil
 }
 
+// A stream's end is guessed from the tokens that its caller allows, so that a leaving
+// instance takes none that would be cut by its end.
+const (
+	tokenTime = 15 * time.Millisecond // twice what an engine with a full batch takes
+	readTime  = time.Second           // until the first token
+	// leastStream is the shortest time in which a stream is taken at all: callers that
+	// allow few tokens may be wrong.
+	leastStream = 4500 * time.Millisecond
+)
+
+// outlasts tells whether a stream may last longer than this instance.
+func (f *Front) outlasts(r *request) bool {
+	left := f.Remaining()
+	if left == 0 || r.route.Kind != routes.KindStreaming {
+		return false
+	}
+	return left < max(leastStream, readTime+time.Duration(r.OutputTokens)*tokenTime)
+}
+
 // readBody reads the whole body. net/http tells that a caller has gone only when
 // its request was read to the end.
 func readBody(w http.ResponseWriter, hr *http.Request, limit int64) ([]byte, *failure) {
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -28,12 +28,18 @@
 	Exchange(req *peerpb.ExchangeRequest) *peerpb.ExchangeResponse
 }
 
+// Followed hands on what changes in the store.
+type Followed interface {
+	Follow(req *peerpb.FollowRequest, stream grpc.ServerStreamingServer[peerpb.FollowUpdate]) error
+}
+
 // Server implements peerpb.PeerServer.
 type Server struct {
 	peerpb.UnimplementedPeerServer
 	Runner    Runner
 	Exchanger Exchanger
 	Quota     Quota
+	Followed  Followed // may be nil
 
 	running running
 }
@@ -56,6 +62,14 @@
 	return s.Exchanger.Exchange(req), nil
 }
 
+// Follow implements peerpb.PeerServer.
+func (s *Server) Follow(req *peerpb.FollowRequest, stream grpc.ServerStreamingServer[peerpb.FollowUpdate]) error {
+	if s.Followed == nil {
+		return status.Error(codes.Unimplemented, "this instance is not followed")
+	}
+	return s.Followed.Follow(req, stream)
+}
+
 // Forward implements peerpb.PeerServer.
 func (s *Server) Forward(req *peerpb.ForwardRequest, stream grpc.ServerStreamingServer[peerpb.ForwardFrame]) error {
 	if req.GetHop() != routing.MaxHops {
