Recognise that a request was not sent

Errors of the backend client are marked by cockroachdb/errors, and the route path asked for them with the standard library's errors.Is, which does not see marks: a refused connection counted as an unknown outcome, so an order that never left got a 502 where it could go on at another server. With it come tests of the client and of the route path over stand-ins: surplus, half and early answers, redirects, dead and closed connections, streams that go on elsewhere, callers that leave, smuggled lengths, what the server gets, statuses by kind.

--- /dev/null
+++ b/transport/backendhttp/client_test.go
@@ -0,0 +1,325 @@
+package backendhttp
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const testTimeout = 10 * time.Second
+
+// server answers connections by a script: the n-th connection by the n-th function,
+// further ones by the last.
+type server struct {
+	address  string
+	arrivals atomic.Int32 // requests read
+	accepted atomic.Int32
+}
+
+func serve(t *testing.T, scripts ...func(c net.Conn, next func() *http.Request)) *server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &server{address: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			script := scripts[min(int(s.accepted.Add(1)), len(scripts))-1]
+			go func() {
+				defer func() { _ = c.Close() }()
+				r := bufio.NewReader(c)
+				script(c, func() *http.Request {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return nil
+					}
+					s.arrivals.Add(1)
+					return req
+				})
+			}()
+		}
+	}()
+	return s
+}
+
+func client() *Client {
+	return New(Settings{DialTimeout: time.Second, UserTimeout: time.Second, MaxIdle: 4})
+}
+
+func get(id string) *Request {
+	return &Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{"Id": {id}}}
+}
+
+func belongs(id string) Options {
+	return Options{Belongs: func(r *http.Response) bool { return r.Header.Get("Id") == id }}
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// ask returns the body of an answer and how reading it ended; nil for whole.
+func ask(t *testing.T, c *Client, address string, r *Request, o Options) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	a, err := c.Do(ctx, address, r, o)
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a)
+	return string(body), err
+}
+
+// A server sends a second answer after the first. The caller of the next request on
+// the kept connection must not get it: the surplus one is told by its id and skipped,
+// whether it arrives before the next request or after it.
+func TestSurplusAnswerGoesToNobody(t *testing.T) {
+	s := serve(t, func(c net.Conn, next func() *http.Request) {
+		for {
+			r := next()
+			if r == nil {
+				return
+			}
+			if id := r.Header.Get("Id"); id == "1" {
+				_, _ = io.WriteString(c, answer("1", "one"))
+			} else { // the surplus answer of the first request comes only now
+				_, _ = io.WriteString(c, answer("1", "surplus")+answer(id, "body of "+id))
+			}
+		}
+	})
+	c := client()
+	for _, id := range []string{"1", "2", "3"} {
+		want := map[string]string{"1": "one", "2": "body of 2", "3": "body of 3"}[id]
+		if body, err := ask(t, c, s.address, get(id), belongs(id)); err != nil || body != want {
+			t.Errorf("request %s: %q, %v", id, body, err)
+		}
+	}
+}
+
+// A connection on which bytes wait after a whole answer is not used again: they
+// belong to no request.
+func TestConnectionWithBytesLeftIsDropped(t *testing.T) {
+	s := serve(t, func(c net.Conn, next func() *http.Request) {
+		for r := next(); r != nil; r = next() {
+			_, _ = io.WriteString(c, answer(r.Header.Get("Id"), "x")+"garbage")
+		}
+	})
+	c := client()
+	for _, id := range []string{"1", "2"} {
+		if body, err := ask(t, c, s.address, get(id), belongs(id)); err != nil || body != "x" {
+			t.Errorf("request %s: %q, %v", id, body, err)
+		}
+	}
+	if n := s.accepted.Load(); n != 2 {
+		t.Errorf("%d connections, want 2", n)
+	}
+}
+
+// Answers that break off must not look whole: shorter than announced, chunked without
+// the last chunk, or delimited by a connection that is reset. One that is delimited by
+// an orderly close is whole.
+func TestHalfAnswersAreNotWhole(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nId: 1\r\n"
+	for name, tc := range map[string]struct {
+		answer string
+		reset  bool
+		whole  bool
+	}{
+		"short":         {answer: head + "Content-Length: 10\r\n\r\nhalf"},
+		"chunk missing": {answer: head + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"},
+		"reset":         {answer: head + "\r\nhalf", reset: true},
+		"closed":        {answer: head + "\r\nwhole", whole: true},
+		"no answer":     {answer: "garbage\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, func(c net.Conn, next func() *http.Request) {
+				next()
+				_, _ = io.WriteString(c, tc.answer)
+				if tc.reset {
+					time.AfterFunc(20*time.Millisecond, func() { _ = c.(*net.TCPConn).SetLinger(0); _ = c.Close() })
+					_, _ = c.Read(make([]byte, 1))
+				}
+			})
+			_, err := ask(t, client(), s.address, get("1"), belongs("1"))
+			if (err == nil) != tc.whole {
+				t.Errorf("ended with %v, whole: %t", err, tc.whole)
+			}
+		})
+	}
+}
+
+// A server reads a request on a kept connection and dies. The request may have run:
+// it is not sent again, and the error does not say that it was not sent.
+func TestRequestIsNotSentAgain(t *testing.T) {
+	s := serve(t, func(c net.Conn, next func() *http.Request) {
+		next()
+		_, _ = io.WriteString(c, answer("1", "x"))
+		next()
+	})
+	c := client()
+	if _, err := ask(t, c, s.address, get("1"), belongs("1")); err != nil {
+		t.Fatal(err)
+	}
+	_, err := ask(t, c, s.address, get("2"), belongs("2"))
+	if err == nil || errors.Is(err, ErrNotSent) {
+		t.Errorf("ended with %v", err)
+	}
+	if n := s.arrivals.Load(); n != 2 {
+		t.Errorf("%d requests arrived, want 2", n)
+	}
+}
+
+// A connection that the server closed while it was idle costs no request: nothing was
+// sent on it, and a new one is made.
+func TestClosedIdleConnectionIsReplaced(t *testing.T) {
+	closed := make(chan struct{})
+	s := serve(t, func(c net.Conn, next func() *http.Request) {
+		next()
+		_, _ = io.WriteString(c, answer("1", "x"))
+		_ = c.Close()
+		close(closed)
+	}, func(c net.Conn, next func() *http.Request) {
+		next()
+		_, _ = io.WriteString(c, answer("2", "y"))
+	})
+	c := client()
+	if _, err := ask(t, c, s.address, get("1"), belongs("1")); err != nil {
+		t.Fatal(err)
+	}
+	<-closed
+	if body, err := ask(t, c, s.address, get("2"), belongs("2")); err != nil || body != "y" {
+		t.Errorf("%q, %v", body, err)
+	}
+}
+
+// A redirect is the server's answer and is handed on; the request is not sent to
+// where it points.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	s := serve(t, func(c net.Conn, next func() *http.Request) {
+		for next() != nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 302 Found\r\nId: 1\r\nLocation: /elsewhere\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	a, err := client().Do(t.Context(), s.address, get("1"), belongs("1"))
+	if err != nil || a.Status != http.StatusFound {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	a.Close()
+	if n := s.arrivals.Load(); n != 1 {
+		t.Errorf("%d requests arrived, want 1", n)
+	}
+}
+
+// A server answers before it has read a long body and keeps the connection. The rest
+// of the body is still due there, so the next request goes over another one: its head
+// would otherwise be read as that rest.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	s := serve(t, func(c net.Conn, next func() *http.Request) {
+		for r := next(); r != nil; r = next() {
+			_, _ = io.WriteString(c, answer(r.Header.Get("Id"), "early"))
+			if r.ContentLength > 0 {
+				_, _ = c.Read(make([]byte, 1))
+				time.Sleep(100 * time.Millisecond) // the sender's buffers are full meanwhile
+				return
+			}
+		}
+	})
+	c := client()
+	long := &Request{Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Id": {"1"}}, Body: []byte(strings.Repeat("b", 64<<20))}
+	if body, err := ask(t, c, s.address, long, belongs("1")); err != nil || body != "early" {
+		t.Fatalf("%q, %v", body, err)
+	}
+	if body, err := ask(t, c, s.address, get("2"), belongs("2")); err != nil || body != "early" {
+		t.Errorf("%q, %v", body, err)
+	}
+	if n := s.accepted.Load(); n != 2 {
+		t.Errorf("%d connections, want 2", n)
+	}
+}
+
+// Nothing listens: the request was not sent, and the caller may try another server.
+func TestRefusedConnectionSendsNothing(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	_, err = ask(t, client(), address, get("1"), belongs("1"))
+	if !errors.Is(err, ErrRefused) || !errors.Is(err, ErrNotSent) {
+		t.Errorf("ended with %v", err)
+	}
+	if !client().Refuses(t.Context(), address) {
+		t.Error("a question whether anything listens says it does")
+	}
+}
+
+// The caller gives up. The server sees the connection end and can drop the work; a
+// silent server is given up after the time that the options set.
+func TestGivingUpClosesTheConnection(t *testing.T) {
+	ended := make(chan struct{}, 2)
+	s := serve(t, func(c net.Conn, next func() *http.Request) {
+		next()
+		_, _ = c.Read(make([]byte, 1)) // until the other side closes
+		ended <- struct{}{}
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	if _, err := client().Do(ctx, s.address, get("1"), belongs("1")); err == nil || errors.Is(err, ErrNotSent) {
+		t.Errorf("a cancelled request ended with %v", err)
+	}
+	<-ended
+	o := belongs("2")
+	o.Silence = 50 * time.Millisecond
+	if _, err := ask(t, client(), s.address, get("2"), o); err == nil {
+		t.Error("a silent server answered")
+	}
+	<-ended
+}
+
+// A request that may not be repeated goes over a connection that was used just now or
+// over a new one: a server may drop an idle one without notice, and what is sent on it
+// then has an unknown outcome.
+func TestFreshConnections(t *testing.T) {
+	s := serve(t, func(c net.Conn, next func() *http.Request) {
+		for r := next(); r != nil; r = next() {
+			_, _ = io.WriteString(c, answer(r.Header.Get("Id"), "x"))
+		}
+	})
+	c := client()
+	fresh := belongs("1")
+	fresh.Fresh = true
+	for _, want := range []int32{1, 1} {
+		if _, err := ask(t, c, s.address, get("1"), fresh); err != nil {
+			t.Fatal(err)
+		}
+		if n := s.accepted.Load(); n != want {
+			t.Errorf("%d connections, want %d", n, want)
+		}
+	}
+	c.mu.Lock()
+	for _, kept := range c.idle {
+		kept[0].idle = kept[0].idle.Add(-freshFor)
+	}
+	c.mu.Unlock()
+	if _, err := ask(t, c, s.address, get("1"), fresh); err != nil || s.accepted.Load() != 2 {
+		t.Errorf("%v, %d connections, want 2", err, s.accepted.Load())
+	}
+}
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/basilroute/basilroute/coordination/placement"
 	"github.com/basilroute/basilroute/state/routes"
 )
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/basilroute/basilroute/coordination/placement"
 	"github.com/basilroute/basilroute/state/routes"
 	"github.com/basilroute/basilroute/transport/backendhttp"
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log/slog"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/basilroute/basilroute/coordination/placement"
 	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/coordination/quota"
--- a/transport/httproute/local.go
+++ b/transport/httproute/local.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -10,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/basilroute/basilroute/coordination/placement"
 	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/state/backends"
--- /dev/null
+++ b/transport/httproute/path_test.go
@@ -0,0 +1,455 @@
+package httproute
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/basilroute/basilroute/coordination/placement"
+	"github.com/basilroute/basilroute/coordination/quarantine"
+	"github.com/basilroute/basilroute/coordination/quota"
+	"github.com/basilroute/basilroute/coordination/retry"
+	"github.com/basilroute/basilroute/state/backends"
+	"github.com/basilroute/basilroute/state/routes"
+	"github.com/basilroute/basilroute/transport/backendhttp"
+)
+
+// testCodec is a deployment with short header names.
+type testCodec struct{}
+
+func (testCodec) DecodeCall(h http.Header) Call {
+	c := Call{RequestID: h.Get("Id"), Key: h.Get("Key"), LastEventID: h.Get("Last-Event-Id")}
+	if ms, err := strconv.Atoi(h.Get("Wait-Ms")); err == nil {
+		c.Waits = time.Duration(ms) * time.Millisecond
+	}
+	return c
+}
+
+func (testCodec) Outbound(h http.Header, o Outbound) http.Header {
+	out := EndToEnd(h)
+	delete(out, "Key")
+	out.Set("Server-Id", o.Server)
+	out.Set("Account", o.Account)
+	out.Set("Wait-Ms", strconv.FormatInt(o.Left.Milliseconds(), 10))
+	if o.LastEventID != "" {
+		out.Set("Last-Event-Id", o.LastEventID)
+	}
+	return out
+}
+
+func (testCodec) Verdict(_ int, h http.Header) Verdict {
+	return Verdict{RequestID: h.Get("Id"), NotRun: h.Get("Not-Run") != ""}
+}
+
+// standIn is a backend server that answers by a script.
+type standIn struct {
+	address string
+	script  func(c net.Conn, r *http.Request) (keep bool)
+	mu      sync.Mutex
+	seen    []*http.Request
+	ended   atomic.Int32 // connections that the other side closed while a request ran
+}
+
+func (s *standIn) requests() []*http.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen
+}
+
+func startStandIn(t *testing.T, script func(c net.Conn, r *http.Request) bool) *standIn {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &standIn{address: l.Addr().String(), script: script}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.connection(c)
+		}
+	}()
+	return s
+}
+
+func (s *standIn) connection(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(req.Body)
+		req.Body = io.NopCloser(strings.NewReader(string(body)))
+		s.mu.Lock()
+		s.seen = append(s.seen, req)
+		s.mu.Unlock()
+		if !s.script(c, req) {
+			return
+		}
+	}
+}
+
+func respond(c net.Conn, r *http.Request, status int, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d X\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", status, r.Header.Get("Id"), len(body), body)
+	return err == nil
+}
+
+// events writes a stream of events from one id to another, whole or broken off
+// within the next event.
+func writeEvents(c net.Conn, r *http.Request, from, to int, whole bool) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+	for i := from; i <= to; i++ {
+		event := fmt.Sprintf("id: %d\ndata: token%d\n\n", i, i)
+		_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
+	}
+	if whole {
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+		return
+	}
+	_, _ = fmt.Fprintf(c, "4\r\nid: \r\n")
+}
+
+type alone struct{}
+
+func (alone) Remotes(string) []Remote        { return nil }
+func (alone) Instances() (fleet, region int) { return 1, 1 }
+
+const (
+	testHost = "desk.example"
+	testKey  = "key-of-the-grocers"
+)
+
+// gatewayOver is a Front over stand-ins, with a route of each kind.
+func gatewayOver(t *testing.T, servers ...*standIn) (*Front, *httptest.Server) {
+	t.Helper()
+	table := backends.New()
+	for i, s := range servers {
+		table.Put(backends.Server{ID: fmt.Sprint("s", i), Service: "svc", Address: s.address, Domain: "d", Region: "r", Slots: 8}, time.Now())
+	}
+	log := slog.New(slog.DiscardHandler)
+	metrics := NewMetrics(prometheus.NewRegistry())
+	list := quarantine.New()
+	local := &Local{Codec: testCodec{}, Backends: table, Quarantine: list, Log: log, Metrics: metrics,
+		Client: backendhttp.New(backendhttp.Settings{DialTimeout: time.Second, UserTimeout: time.Second, MaxIdle: 8})}
+	local.Pool("svc").Update(placement.Settings{Slots: 8}, table.InRegion("r", time.Now()))
+	never := func() bool { return false }
+	f := &Front{
+		Region: "r", Codec: testCodec{}, Routes: &routes.Table{}, Ledger: quota.New("i"), Quarantine: list,
+		Retries: retry.NewWindow(retry.WindowSettings{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second}),
+		Remotes: alone{}, Local: local, Peers: local.Client, Log: log, Metrics: metrics,
+		Stopping: never, Leaving: never, Remaining: func() time.Duration { return 0 },
+	}
+	front := httptest.NewServer(f)
+	t.Cleanup(front.Close)
+	return f, front
+}
+
+func route(name string, kind routes.Kind, attempts int, resumable bool) routes.Route {
+	return routes.Route{
+		Name: name, Host: testHost, PathPrefix: "/" + name + "/", Kind: kind, Timeout: 5 * time.Second, MaxAttempts: attempts,
+		Resumable: resumable, Targets: []routes.Target{{Service: "svc", Weight: 1}},
+	}
+}
+
+func configure(f *Front) {
+	slow := route("slow", routes.KindIdempotent, 1, false)
+	slow.Timeout = 150 * time.Millisecond
+	f.Routes.Offer(&routes.Config{
+		Version:  1,
+		Services: map[string]*routes.Service{"svc": {Name: "svc"}},
+		Accounts: map[string]*routes.Account{"grocers": {Name: "grocers", Priority: -1}},
+		Keys:     map[routes.KeyHash]string{sha256.Sum256([]byte(testKey)): "grocers"},
+		Limits:   routes.Limits{BodyBytes: 1000},
+		Routes: []routes.Route{
+			route("read", routes.KindIdempotent, 2, false), route("order", routes.KindNonIdempotent, 1, false),
+			route("draft", routes.KindStreaming, 2, true), route("chat", routes.KindStreaming, 1, false), slow,
+		},
+	})
+}
+
+func call(t *testing.T, ctx context.Context, front *httptest.Server, method, path, body string, header ...string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, method, front.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = testHost
+	req.Header.Set("Id", "id-1")
+	req.Header.Set("Key", testKey)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	got, err := io.ReadAll(resp.Body)
+	return resp, string(got), err
+}
+
+// Before any configuration is known nothing says whether a request is proper: it is
+// refused as not run, and not with a 4xx that the caller would take for final. After
+// that unknown routes and keys get their own answers.
+func TestWhatNoRouteAllows(t *testing.T) {
+	s := startStandIn(t, func(c net.Conn, r *http.Request) bool { return respond(c, r, 200, "ok") })
+	f, front := gatewayOver(t, s)
+	if resp, _, err := call(t, t.Context(), front, "GET", "/read/1", ""); err != nil || resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("without a configuration: %v, %v", resp, err)
+	}
+	configure(f)
+	for _, tc := range []struct {
+		path, body string
+		header     []string
+		want       int
+	}{
+		{"/read/1", "", nil, 200},
+		{"/elsewhere/1", "", nil, 404},
+		{"/read/1", "", []string{"Key", "another"}, 401},
+		{"/order/1", strings.Repeat("b", 1001), nil, 413},
+	} {
+		if resp, _, err := call(t, t.Context(), front, "POST", tc.path, tc.body, tc.header...); err != nil || resp.StatusCode != tc.want {
+			t.Errorf("%s: %v, %v, want %d", tc.path, resp, err, tc.want)
+		}
+	}
+	if n := len(s.requests()); n != 1 {
+		t.Errorf("%d requests reached the server, want 1", n)
+	}
+}
+
+// The server gets method, path, query, body and the caller's headers unchanged, the
+// account's name and what is left of the time; it never gets the key, nor what
+// concerns the caller's connection only.
+func TestWhatTheServerGets(t *testing.T) {
+	s := startStandIn(t, func(c net.Conn, r *http.Request) bool { return respond(c, r, 200, "ok") })
+	f, front := gatewayOver(t, s)
+	configure(f)
+	if _, _, err := call(t, t.Context(), front, "POST", "/order/a%2Fb?q=1&q=2", "body", "Mine", "x", "Wait-Ms", "3000",
+		"Connection", "Other", "Other", "y", "Account", "forged"); err != nil {
+		t.Fatal(err)
+	}
+	r := s.requests()[0]
+	body, _ := io.ReadAll(r.Body)
+	left, _ := strconv.Atoi(r.Header.Get("Wait-Ms"))
+	switch {
+	case r.Method != "POST" || r.RequestURI != "/order/a%2Fb?q=1&q=2" || string(body) != "body" || r.Host != testHost:
+		t.Errorf("changed: %s %s %q", r.Method, r.RequestURI, body)
+	case r.Header.Get("Key") != "" || r.Header.Get("Other") != "" || r.Header.Get("Mine") != "x":
+		t.Errorf("headers: %v", r.Header)
+	case r.Header.Get("Account") != "grocers" || left <= 0 || left > 3000:
+		t.Errorf("account %q, %d ms left", r.Header.Get("Account"), left)
+	}
+}
+
+// A server breaks off with a request in flight. A read is asked for again at another
+// server; an order may have run, so it is sent once and the caller learns that its
+// outcome is unknown. A server that says it did not run the order makes it "not run".
+func TestRepeatsByKind(t *testing.T) {
+	breaks := startStandIn(t, func(net.Conn, *http.Request) bool { return false })
+	good := startStandIn(t, func(c net.Conn, r *http.Request) bool { return respond(c, r, 200, "ok") })
+	f, front := gatewayOver(t, breaks, good)
+	configure(f)
+	for range 4 {
+		if resp, body, err := call(t, t.Context(), front, "GET", "/read/1", ""); err != nil || resp.StatusCode != 200 || body != "ok" {
+			t.Errorf("a read: %v, %v", resp, err)
+		}
+	}
+	only, frontOnly := gatewayOver(t, breaks)
+	configure(only)
+	before := len(breaks.requests())
+	if resp, _, err := call(t, t.Context(), frontOnly, "POST", "/order/1", "x"); err != nil || resp.StatusCode != 502 || resp.Header.Get("Retry-After") != "" {
+		t.Errorf("an order whose outcome is unknown: %v, %v", resp, err)
+	}
+	if n := len(breaks.requests()) - before; n != 1 {
+		t.Errorf("the order was sent %d times", n)
+	}
+	sheds := startStandIn(t, func(c net.Conn, r *http.Request) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 503 X\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+		return err == nil
+	})
+	shed, frontShed := gatewayOver(t, sheds)
+	configure(shed)
+	if resp, _, err := call(t, t.Context(), frontShed, "POST", "/order/1", "x"); err != nil || resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("an order that did not run: %v, %v", resp, err)
+	}
+}
+
+// Nothing listens at one of two servers. Nothing was sent, so even an order goes on to
+// the other one, and the caller sees nothing of it.
+func TestUnsentOrderGoesOn(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead := &standIn{address: l.Addr().String()}
+	_ = l.Close()
+	good := startStandIn(t, func(c net.Conn, r *http.Request) bool { return respond(c, r, 200, "ok") })
+	f, front := gatewayOver(t, dead, good)
+	configure(f)
+	for range 6 {
+		if resp, _, err := call(t, t.Context(), front, "POST", "/order/1", "x"); err != nil || resp.StatusCode != 200 {
+			t.Errorf("%v, %v", resp, err)
+		}
+	}
+}
+
+// A server crashes within an event of a stream that may be resumed. The caller gets
+// one whole stream: every event once, in order, with nothing of the half event, from
+// the first server up to the crash and from the second one behind it.
+func TestStreamGoesOnAtAnotherServer(t *testing.T) {
+	script := func(c net.Conn, r *http.Request) bool {
+		last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		if err != nil {
+			writeEvents(c, r, 0, 3, false)
+			return false
+		}
+		writeEvents(c, r, last+1, 6, true)
+		return true
+	}
+	f, front := gatewayOver(t, startStandIn(t, script), startStandIn(t, script))
+	configure(f)
+	want := ""
+	for i := range 7 {
+		want += fmt.Sprintf("id: %d\ndata: token%d\n\n", i, i)
+	}
+	if resp, body, err := call(t, t.Context(), front, "POST", "/draft/1", "x"); err != nil || resp.StatusCode != 200 || body != want {
+		t.Errorf("%v, %q, %v", resp, body, err)
+	}
+	// One that may not be resumed ends without its end: it must not look complete.
+	if _, body, err := call(t, t.Context(), front, "POST", "/chat/1", "x"); err == nil {
+		t.Errorf("a broken stream looks whole: %q", body)
+	}
+}
+
+// The second server goes on at the wrong event. A stream with a gap or a repeat would
+// look whole to the caller, so it is broken off.
+func TestStreamThatGoesOnWronglyIsBrokenOff(t *testing.T) {
+	script := func(c net.Conn, r *http.Request) bool {
+		if r.Header.Get("Last-Event-Id") == "" {
+			writeEvents(c, r, 0, 3, false)
+			return false
+		}
+		writeEvents(c, r, 3, 6, true) // event 3 once more
+		return true
+	}
+	f, front := gatewayOver(t, startStandIn(t, script), startStandIn(t, script))
+	configure(f)
+	if _, body, err := call(t, t.Context(), front, "POST", "/draft/1", "x"); err == nil {
+		t.Errorf("looks whole: %q", body)
+	}
+}
+
+// The caller goes away. What may be dropped is dropped at once: the server sees its
+// connection end. An order runs to its end.
+func TestCallerGone(t *testing.T) {
+	arrived := make(chan struct{}, 2)
+	ended := make(chan string, 2)
+	s := startStandIn(t, func(c net.Conn, r *http.Request) bool {
+		arrived <- struct{}{}
+		_ = c.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+		_, err := c.Read(make([]byte, 1))
+		if err == io.EOF {
+			ended <- r.Method + " dropped"
+			return false
+		}
+		ended <- r.Method + " ran on"
+		_ = c.SetReadDeadline(time.Time{})
+		return respond(c, r, 200, "ok")
+	})
+	f, front := gatewayOver(t, s)
+	configure(f)
+	for _, tc := range []struct{ method, path, want string }{
+		{"GET", "/read/1", "GET dropped"}, {"POST", "/order/1", "POST ran on"},
+	} {
+		ctx, leave := context.WithCancel(t.Context())
+		go func() {
+			<-arrived
+			leave()
+		}()
+		if _, _, err := call(t, ctx, front, tc.method, tc.path, ""); err == nil {
+			t.Error("a caller that left got an answer")
+		}
+		if got := <-ended; got != tc.want {
+			t.Errorf("%s, want %s", got, tc.want)
+		}
+	}
+}
+
+// A server is silent beyond the route's time. The caller gets a final answer then, and
+// it does not promise that the request has not run.
+func TestRouteTimeout(t *testing.T) {
+	s := startStandIn(t, func(c net.Conn, _ *http.Request) bool {
+		_, _ = c.Read(make([]byte, 1))
+		return false
+	})
+	f, front := gatewayOver(t, s)
+	configure(f)
+	if resp, _, err := call(t, t.Context(), front, "GET", "/slow/1", ""); err != nil || resp.StatusCode != 504 {
+		t.Errorf("%v, %v", resp, err)
+	}
+}
+
+// A read gets a whole answer with an error of the server itself. Another server is
+// asked; when that fails too, the caller gets a server's own answer and not ours.
+func TestServersOwnErrors(t *testing.T) {
+	bad := startStandIn(t, func(c net.Conn, r *http.Request) bool { return respond(c, r, 500, "own") })
+	good := startStandIn(t, func(c net.Conn, r *http.Request) bool { return respond(c, r, 200, "ok") })
+	f, front := gatewayOver(t, bad, good)
+	configure(f)
+	for range 4 {
+		if resp, body, err := call(t, t.Context(), front, "GET", "/read/1", ""); err != nil || resp.StatusCode != 200 || body != "ok" {
+			t.Errorf("%v, %v", resp, err)
+		}
+	}
+	only, frontOnly := gatewayOver(t, bad)
+	configure(only)
+	if resp, body, err := call(t, t.Context(), frontOnly, "GET", "/read/1", ""); err != nil || resp.StatusCode != 500 || body != "own" {
+		t.Errorf("%v, %q, %v", resp, body, err)
+	}
+}
+
+// A request hides another one behind two lengths that differ. Nothing of the hidden
+// one reaches a server.
+func TestSmuggledRequest(t *testing.T) {
+	s := startStandIn(t, func(c net.Conn, r *http.Request) bool { return respond(c, r, 200, "ok") })
+	f, front := gatewayOver(t, s)
+	configure(f)
+	hidden := "GET /read/hidden HTTP/1.1\r\nHost: " + testHost + "\r\nId: hidden\r\nKey: " + testKey + "\r\n\r\n"
+	for _, framing := range []string{
+		"Content-Length: 0\r\nContent-Length: %d\r\n", "Content-Length: %d\r\nTransfer-Encoding: chunked, identity\r\n", "Content-Length: +%d\r\n",
+	} {
+		c, err := net.Dial("tcp", front.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = fmt.Fprintf(c, "POST /order/1 HTTP/1.1\r\nHost: %s\r\nId: id-1\r\nKey: %s\r\nConnection: close\r\n"+framing+"\r\n%s",
+			testHost, testKey, len(hidden), hidden)
+		_, _ = io.ReadAll(c)
+		_ = c.Close()
+	}
+	for _, r := range s.requests() {
+		if r.Header.Get("Id") == "hidden" {
+			t.Errorf("the hidden request ran: %s", r.RequestURI)
+		}
+	}
+}
--- a/transport/httproute/relay.go
+++ b/transport/httproute/relay.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/basilroute/basilroute/coordination/placement"
 	"github.com/basilroute/basilroute/state/routes"
 )
