--- /dev/null
+++ b/coordination/quotashare/quotashare_test.go
@@ -0,0 +1,118 @@
+package quotashare
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// world is a store and the instances that join through it.
+type world struct {
+	names  []string        // in the store
+	minted map[string]bool // by the store
+	live   map[string]*Keeper
+	stage  map[string]int // of joining: 0 nothing, 1 written, 2 read
+}
+
+func (w *world) write(id string) {
+	if w.stage[id] == 0 {
+		for _, name := range w.names {
+			if name == id {
+				w.stage[id] = 1
+				return
+			}
+		}
+		w.names = append(w.names, id)
+		w.stage[id] = 1
+	}
+}
+
+func (w *world) read(id string) {
+	if w.stage[id] == 1 {
+		if w.minted[id] {
+			w.live[id].Establish()
+		}
+		w.live[id].Merge(w.names, true)
+		w.stage[id] = 2
+	}
+}
+
+// exchange lets one instance ask another, as the instances do.
+func (w *world) exchange(from, to string) {
+	a, b := w.live[from], w.live[to]
+	if a.Hash() != b.Hash() {
+		own := false
+		for _, id := range b.Holders() {
+			own = own || id == from
+		}
+		a.Merge(b.Holders(), b.Complete() && own)
+	}
+	a.Heard(to, b.Hash())
+}
+
+// Instances join, restart, lose the store for as long as they like and hear of each
+// other in any order; what has begun to mint is written to the store, or that write is
+// lost. At every moment the parts of all that mint are at most the whole: each of them
+// divides by a set at least as large as their number.
+func TestPartsNeverExceedTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{minted: make(map[string]bool), live: make(map[string]*Keeper), stage: make(map[string]int)}
+		var ids []string
+		for i := range rapid.IntRange(1, 5).Draw(t, "instances") {
+			id := fmt.Sprint("i", i)
+			ids = append(ids, id)
+			w.live[id] = NewKeeper(id)
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			id := rapid.SampledFrom(ids).Draw(t, "instance")
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				w.write(id)
+			case 1:
+				w.read(id)
+			case 2, 3:
+				w.exchange(id, rapid.SampledFrom(ids).Draw(t, "peer"))
+			case 4:
+				if w.live[id].Mints() {
+					w.minted[id] = true
+				}
+			case 5:
+				w.live[id], w.stage[id] = NewKeeper(id), 0
+			}
+			check(t, w)
+		}
+	})
+}
+
+func check(t *rapid.T, w *world) {
+	minting := 0
+	for _, k := range w.live {
+		if k.Mints() {
+			minting++
+		}
+	}
+	for id, k := range w.live {
+		if k.Mints() && k.Size() < minting {
+			t.Fatalf("%s divides by %d while %d mint", id, k.Size(), minting)
+		}
+	}
+}
+
+// All instances restart while one of them is gone for good. Those that minted before
+// mint again at once, without a word from the one that cannot answer.
+func TestRestartNeedsNoWordFromTheGone(t *testing.T) {
+	k := NewKeeper("a")
+	k.Establish()
+	k.Merge([]string{"a", "b", "gone"}, true)
+	if !k.Mints() {
+		t.Error("a restarted instance waits for one that is gone")
+	}
+	joins := NewKeeper("c")
+	joins.Merge([]string{"a", "b", "c", "gone"}, true)
+	joins.Heard("a", joins.Hash())
+	joins.Heard("b", joins.Hash())
+	if joins.Mints() {
+		t.Error("a new instance mints although one that may be cut off has not counted it")
+	}
+}
--- a/imports_test.go
+++ b/imports_test.go
@@ -4,6 +4,7 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -130,3 +131,37 @@
 		}
 	}
 }
+
+// platformNames are words of the platform's protocol. They stay in the package that
+// translates it: elsewhere they would tie the product to one deployment, and a change
+// of the protocol would have to be found everywhere.
+var platformNames = []string{
+	"X-Basilroute-", "/basilroute/kv", "/basilroute/resolve", "/basilroute/readiness", "BASILROUTE_NODE_FILE",
+	"op/config", "op/evacuate", "Kv-Fetch", "Kv-From", "path_prefix", "expect_rev", "cold_left_ms",
+}
+
+func TestPlatformNamesStayInside(t *testing.T) {
+	err := filepath.WalkDir(".", func(path string, entry fs.DirEntry, err error) error {
+		switch {
+		case err != nil:
+			return err
+		case entry.IsDir() && (path == "platform" || path != "." && strings.HasPrefix(entry.Name(), ".")):
+			return filepath.SkipDir
+		case !strings.HasSuffix(path, ".go") || path == "imports_test.go":
+			return nil
+		}
+		source, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for _, name := range platformNames {
+			if strings.Contains(string(source), name) {
+				t.Errorf("%s names %q", path, name)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
