--- /dev/null
+++ b/cmd/basilroute/explain_test.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"strings"
+	"testing"
+)
+
+// The lines are recorded ones, of two instances in one file, with what a collector puts
+// in front of each. The story is in order of time, also where a line was written later
+// than the step it tells of.
+func TestExplainRecordedLines(t *testing.T) {
+	out, problems, code := runCLI(t, "explain", "c11716742e54bcdd", "testdata/story.log")
+	if code != 0 {
+		t.Fatal(problems)
+	}
+	var events []string
+	for line := range strings.Lines(out) {
+		events = append(events, strings.Join(strings.Fields(line)[1:3], " "))
+	}
+	want := "front-fraser-a-1 request_admitted, front-fraser-a-1 request_forwarded, front-island-a-2 forwarded_refused, front-fraser-a-1 request_refused"
+	if got := strings.Join(events, ", "); got != want {
+		t.Errorf("have %s\nwant %s", got, want)
+	}
+	if !strings.Contains(out, "reason=overloaded") || !strings.Contains(out, "heard_ms_ago=577") {
+		t.Errorf("the inputs of the decisions are missing:\n%s", out)
+	}
+	if _, _, code := runCLI(t, "explain", "0000", "testdata/story.log"); code != exitFailed {
+		t.Errorf("a request that no line names: exit code %d", code)
+	}
+}
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -46,6 +46,8 @@
 	Entry     *peerpb.Member // not to be changed
 	Heard     time.Time      // when its counter last rose here
 	Reachable bool
+	// LoadsHeard is when the loads of its entry came here; zero when none has.
+	LoadsHeard time.Time
 }
 
 // Leaving tells whether the instance said that it stops.
@@ -325,7 +327,9 @@
 	observed := t.observed(now)
 	out := make([]Member, 0, len(t.members))
 	for id, r := range t.members {
-		out = append(out, Member{Entry: r.entry, Heard: r.heard, Reachable: t.reachable(id, r, observed)})
+		out = append(out, Member{
+			Entry: r.entry, Heard: r.heard, Reachable: t.reachable(id, r, observed), LoadsHeard: r.loadsHeard,
+		})
 	}
 	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Entry.GetId(), b.Entry.GetId()) })
 	return out
--- a/coordination/placement/digest.go
+++ b/coordination/placement/digest.go
@@ -5,7 +5,8 @@
 // Instances of a region send to the same servers and each sees only its own part of
 // the load: with twenty of them a server that has half a second of prompts to read
 // looks idle to most. So each tells the others several times a second what it has
-// under way at each server, and which shared parts it sent there.
+// under way at each server, how its requests ended there, and which shared parts it
+// sent there.
 
 // peerFresh is how long another instance's word counts: a few of its messages may be
 // lost.
@@ -20,6 +21,9 @@
 	Pending  int    // prompt tokens whose reading has not ended
 	Urgent   int    // those of the highest urgency
 	InFlight int
+	Served   int  // ended well since the last digest
+	Failed   int  // failed since then
+	Down     bool // nothing listens there
 }
 
 // Dispatch says that a server was sent shared parts.
@@ -82,12 +86,14 @@
 	d := Digest{Dispatches: p.sent}
 	p.sent = nil
 	for _, s := range p.servers {
-		if s.inFlight == 0 {
+		if s.inFlight == 0 && s.newServed == 0 && s.newFailed == 0 && !s.newDown {
 			continue
 		}
 		d.Servers = append(d.Servers, ServerLoad{
 			Server: uint32(s.hash), Pending: int(s.allPending()), Urgent: int(s.pendingOf(0)), InFlight: s.inFlight,
+			Served: s.newServed, Failed: s.newFailed, Down: s.newDown,
 		})
+		s.newServed, s.newFailed, s.newDown = 0, 0, false
 	}
 	return d
 }
@@ -102,6 +108,7 @@
 	for _, load := range d.Servers {
 		if s := p.byHash[load.Server]; s != nil {
 			s.peers[from] = peerLoad{ServerLoad: load, at: now}
+			s.heardOutcomes(&load, now)
 		}
 	}
 	for _, sent := range d.Dispatches {
@@ -111,4 +118,27 @@
 	}
 }
 
+// maxOutcomes bounds the outcomes of one digest that count: with more the share of
+// failures is that of the digest alone.
+const maxOutcomes = 16
+
+// heardOutcomes counts what became of another instance's requests. With many instances
+// each sees a server too seldom to find out that it fails part of them.
+func (s *server) heardOutcomes(load *ServerLoad, now time.Time) {
+	if load.Down {
+		s.down = true
+		s.setAside(now)
+	}
+	if load.InFlight > 0 && now.Before(s.asideUntil) {
+		s.probedAt = now // another instance sees whether it has recovered
+	}
+	served, failed := min(load.Served, maxOutcomes), min(load.Failed, maxOutcomes)
+	for range served {
+		s.count(0, now)
+	}
+	for range failed {
+		s.count(1, now)
+	}
+}
+
 func (p *Pool) cacheCapacity() int { return int(cacheShare * float64(p.settings.CacheTokens)) }
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -50,9 +50,14 @@
 	// objectiveShare is the part of the objective that the expected time may take
 	// when a request is placed; the rest is for what the estimate does not see.
 	objectiveShare = 0.8
-	// lateShare is the part of the time to the deadline that a request which misses
-	// its objective may be expected to wait.
-	lateShare = 0.35
+	// lateBacklog is the part of the time to the deadline that a request which misses
+	// its objective may wait for what is ahead of it. Late requests that add to a long
+	// backlog make others late in turn: with 0.35 the servers of a region at its peak
+	// read on without answering in time.
+	lateBacklog = 0.1
+	// lateShare is the part of that time that it may need in all. A prompt that is late
+	// only for its own length is served where servers are free.
+	lateShare = 0.5
 	// defaultReadRate is the prompt tokens per second of an engine until answers
 	// have shown another: the slower of the two engines of the first deployments.
 	defaultReadRate = 40_000.0
@@ -63,15 +68,24 @@
 	defaultServiceTime = 0.05
 	// readWeight multiplies prompt tokens that have to be read: they hold up every
 	// other request, and what is then held twice pushes out other parts. In the replay
-	// of a burst 6 reads 3.11 million tokens and answers 0.998 of requests in time,
+	// of a burst 6 reads 3.11 million tokens and answers 0.999 of requests in time,
 	// against 3.58 and 0.974 with 2; means of four seeds.
 	readWeight = 6.0
 	// homeShare is the part of the shared tokens by which the server that the hash
 	// names costs less than one that holds as little: the next request with the same
 	// parts goes there too.
 	homeShare = 0.3
-	// reportFade is the age at which a reported load counts half.
-	reportFade = 1.0
+	// reportFade is the age at which a reported load counts half, in seconds: about as
+	// long as a request runs.
+	reportFade = 2.0
+	// poolPaceWeight is the weight of a new measurement in the pool's pace. What slows
+	// all servers down, such as full batches, shows in a second where one server is
+	// seen too seldom.
+	poolPaceWeight = 0.04
+	maxPoolPace    = 4.0
+	// unreadWeight is the weight of a request in the mean of what requests leave to be
+	// read, by which waiting requests of others are counted.
+	unreadWeight = 0.02
 	// queueFactor times the slots is what a plain server may be sent in all; it
 	// queues four times its slots and sheds what is beyond.
 	queueFactor = 3.0
@@ -166,13 +180,15 @@
 	servers  []*server
 	readRate float64 // tokens per second, as measured
 	work     float64 // seconds, of a plain request, as measured
+	pace     float64 // measured over expected time, of all servers
+	unread   float64 // mean prompt tokens that a request leaves to be read
 	byHash   map[uint32]*server
 	sent     []Dispatch // since the last digest
 }
 
 // New returns a pool without servers.
 func New() *Pool {
-	return &Pool{readRate: defaultReadRate, work: defaultServiceTime}
+	return &Pool{readRate: defaultReadRate, work: defaultServiceTime, pace: 1}
 }
 
 // Update takes in the settings and the servers that may be used.
@@ -212,7 +228,7 @@
 	choice := Choice{Expected: expected, Cached: best.cached, FetchFrom: best.fetchFrom}
 	if w.Objective > 0 && expected > share(left, objectiveShare) {
 		choice.Late = true
-		if w.OnTime || expected > share(w.Deadline.Sub(now), lateShare) {
+		if w.OnTime || best.tooLate(w.Deadline.Sub(now)) {
 			choice.Reason = ReasonFull
 			choice.RetryAfter = expected - share(w.Objective, objectiveShare)
 			return choice
@@ -240,6 +256,7 @@
 	expected  float64 // seconds to the first byte
 	cost      float64
 	unread    float64
+	own       float64 // of expected: reading the request's own prompt
 	cached    int
 	fetchFrom string
 }
@@ -250,6 +267,11 @@
 	coldNext           time.Time
 }
 
+// tooLate tells whether a request that misses its objective is not worth its place.
+func (c *candidate) tooLate(left time.Duration) bool {
+	return c.expected > lateShare*left.Seconds() || c.expected-c.own > lateBacklog*left.Seconds()
+}
+
 func (p *Pool) choose(w *Work, now time.Time) (*candidate, census) {
 	var c census
 	subject := w.subject()
@@ -369,8 +391,9 @@
 	}
 	c.cached = s.cache.match(w.Parts)
 	c.unread = float64(max(w.Tokens-c.cached, 0))
-	ahead := s.pendingOf(w.Urgency) + s.peers.pendingOf(w.Urgency, now)
-	c.expected = baseTime + (ahead+c.unread)/p.readRate*s.pace + s.excess(now)
+	others := max(s.peers.pendingOf(w.Urgency, now), s.waiting*fade(now.Sub(s.reportedAt))*p.unread)
+	c.expected = baseTime + (s.pendingOf(w.Urgency)+others+c.unread)/p.readRate*s.pace*p.pace + s.excess(now)
+	c.own = c.unread / p.readRate * s.pace * p.pace
 	c.cost = c.expected + (readWeight-1)*c.unread/p.readRate + p.running(s, now)*runningCost
 	if s == home {
 		c.cost -= homeShare * float64(w.shared()) / p.readRate
@@ -422,6 +445,7 @@
 	c.fetchFrom = holder.Address
 	c.unread -= gain
 	c.expected += (moved - read) * c.pace
+	c.own += (moved - read) * c.pace
 	c.cost += (moved-read)*c.pace - (readWeight-1)*read + fetchWeight*read
 }
 
@@ -433,6 +457,7 @@
 	s := c.server
 	s.inFlight++
 	s.addPending(w.Urgency, c.unread)
+	p.unread += (c.unread - p.unread) * unreadWeight
 	p.note(s, w.Parts)
 	if now.Before(s.ColdUntil) && p.settings.ColdRate > 0 {
 		s.coldNext = now.Add(seconds(1 / p.settings.ColdRate))
--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -16,12 +16,16 @@
 	maxPace    = 8.0
 	// excessHalfLife is how fast a wait that nobody expected is forgotten, in seconds.
 	excessHalfLife = 0.7
-	// failureWeight is the weight of a new outcome in a server's share of failures.
+	// failureWeight is the weight of a new outcome in a server's share of failures: the
+	// last dozen count.
 	failureWeight = 0.2
-	// failureLimit is the share of failures from which a server is set aside. A plain
-	// service answers one in seven of some requests with an error of its own, which
-	// is no fault of the server.
+	// failureLimit is the share of failures from which a server is set aside: above
+	// that of servers that lose one answer in twenty, below half of what a failing one
+	// shows. Errors of a plain service's own do not count.
 	failureLimit = 0.4
+	// refusedFailure is how much of a failure a server's refusal is: it is full or
+	// leaves, and says so in time.
+	refusedFailure = 0.4
 	// leastOutcomes before a server is judged.
 	leastOutcomes = 4
 	minAside      = 700 * time.Millisecond
@@ -39,11 +43,15 @@
 	peers    peerLoads
 
 	others     float64 // requests of other instances, by the last report
+	waiting    float64 // requests that had not begun, by the last report
 	reportedAt time.Time
 
 	pace       float64 // measured over expected time
 	extra      float64 // seconds that the last requests waited beyond what was expected
 	extraAt    time.Time
+	newServed  int // since the last digest, as failed and down
+	newFailed  int
+	newDown    bool
 	failures   float64 // share of failures
 	outcomes   int
 	asideUntil time.Time
@@ -105,6 +113,7 @@
 	defer p.mu.Unlock()
 	s := pl.server
 	s.others = max(float64(l.Running+l.Waiting-s.inFlight), 0)
+	s.waiting = float64(l.Waiting)
 	s.reportedAt = now
 	if l.Slots > 0 && s.Slots == 0 {
 		s.Slots = l.Slots
@@ -132,6 +141,8 @@
 	ratio := min(max(took/pl.expected, minPace), maxPace)
 	s.pace += (ratio*s.pace - s.pace) * paceWeight
 	s.pace = min(max(s.pace, minPace), maxPace)
+	p.pace += (ratio*p.pace - p.pace) * poolPaceWeight
+	p.pace = min(max(p.pace, 1), maxPoolPace)
 	s.extra = max(s.excess(now)/2, took-pl.expected)
 	s.extraAt = now
 }
@@ -165,23 +176,30 @@
 	case OutcomeCancelled:
 		return
 	case OutcomeDown:
+		s.newDown = true
 		s.down = true
 		s.setAside(now)
 		return
 	case OutcomeErrorCode:
 		if engine {
-			s.count(1, now)
+			s.fail(now)
 		}
 		return
 	case OutcomeFailed:
-		s.count(1, now)
+		s.fail(now)
 	case OutcomeRefused:
-		s.count(0.5, now)
+		s.count(refusedFailure, now)
 	case OutcomeServed:
+		s.newServed++
 		s.count(0, now)
 	}
 }
 
+func (s *server) fail(now time.Time) {
+	s.newFailed++
+	s.count(1, now)
+}
+
 func (s *server) count(failure float64, now time.Time) {
 	s.outcomes++
 	s.failures += (failure - s.failures) * failureWeight
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -194,8 +194,15 @@
 	tokens float64
 }
 
-// Admit takes tokens for a request, from loans first since these expire. It fails
-// while other requests of the account wait for tokens.
+// passFactor is how many times smaller than the first one that waits a request has to
+// be to pass those that wait. An order of 200 tokens behind a prompt of 9,000 that waits
+// for loans was refused though its tokens were there: one order in five while an
+// account sent many times its rate, and none with this. Short prompts stay behind long
+// ones: they would use up what these wait for.
+const passFactor = 10
+
+// Admit takes tokens for a request, from loans first since these expire. One that is
+// not small fails while other requests of the account wait for tokens.
 func (l *Ledger) Admit(name string, tokens float64, now time.Time) (Charge, bool) {
 	s := l.shard(name)
 	s.mu.Lock()
@@ -205,7 +212,7 @@
 	a.mint(now, s.minting)
 	s.activate(a)
 	a.asked += tokens
-	if len(a.waiters) > 0 {
+	if len(a.waiters) > 0 && passFactor*tokens > a.waiters[0].tokens {
 		return Charge{}, false
 	}
 	return a.charge(tokens, now, s.minting)
--- a/coordination/quota/restart_test.go
+++ b/coordination/quota/restart_test.go
@@ -147,3 +147,17 @@
 		t.Errorf("%.0f tokens once the loans have ended", got)
 	}
 }
+
+// A long prompt waits for loans. A small order of the same account has its tokens here
+// and goes on at once; a second long prompt queues behind the first.
+func TestSmallRequestPassesThoseThatWait(t *testing.T) {
+	l := holder(1, start)
+	now := start.Add(20 * time.Second) // 200 of 1000 tokens
+	l.Wait("acme", 900, time.Minute, now)
+	if _, ok := l.Admit("acme", 10, now); !ok {
+		t.Error("a small request was refused though its tokens are there")
+	}
+	if _, ok := l.Admit("acme", 100, now); ok {
+		t.Error("a larger one passed the one that waits")
+	}
+}
--- a/instance/routed/views.go
+++ b/instance/routed/views.go
@@ -12,6 +12,20 @@
 	"github.com/basilroute/basilroute/transport/httproute"
 )
 
+// lastKnownFor is how long an instance that reaches no other names those it knew: then
+// they may be gone.
+const lastKnownFor = 8 * time.Second
+
+// isolated tells whether this instance reaches none of those it heard just now.
+func (n *Node) isolated(now time.Time) bool {
+	if fleet, _ := n.reachable(); fleet != 1 {
+		return false
+	}
+	return slices.ContainsFunc(n.members.Members(now), func(m membership.Member) bool {
+		return m.Entry.GetId() != n.settings.ID && !m.Leaving() && now.Sub(m.Heard) < lastKnownFor
+	})
+}
+
 // noGenerations refuses what instances of the other interface forward.
 type noGenerations struct{}
 
@@ -24,21 +38,29 @@
 func (noGenerations) CancelForwarded(string, string, string) {}
 
 // Remotes implements httproute.Remotes: one reachable instance of each other region,
-// drawn at random so that the calls spread.
+// drawn at random so that the calls spread, with the latest word of any instance there:
+// each speaks for the servers of its whole region.
 func (n *Node) Remotes(service string) []httproute.Remote {
 	byRegion := make(map[string][]membership.Member)
+	latest := make(map[string]membership.Member)
 	for _, m := range n.members.Members(time.Now()) {
-		if m.Reachable && !m.Leaving() && m.Entry.GetRegion() != n.settings.Region && m.Entry.GetRelayAddress() != "" {
-			byRegion[m.Entry.GetRegion()] = append(byRegion[m.Entry.GetRegion()], m)
+		region := m.Entry.GetRegion()
+		if !m.Reachable || m.Leaving() || region == n.settings.Region || m.Entry.GetRelayAddress() == "" {
+			continue
+		}
+		byRegion[region] = append(byRegion[region], m)
+		if m.LoadsHeard.After(latest[region].LoadsHeard) {
+			latest[region] = m
 		}
 	}
 	out := make([]httproute.Remote, 0, len(byRegion))
 	for region, members := range byRegion {
-		m := members[rand.IntN(len(members))]
+		m, word := members[rand.IntN(len(members))], latest[region]
 		remote := httproute.Remote{
-			Region: region, Instance: m.Entry.GetId(), Address: m.Entry.GetRelayAddress(), RoundTrip: 2 * n.settings.Bounds.RegionDelay, Heard: m.Heard,
+			Region: region, Instance: m.Entry.GetId(), Address: m.Entry.GetRelayAddress(),
+			RoundTrip: 2 * n.settings.Bounds.RegionDelay, Heard: word.LoadsHeard,
 		}
-		for _, load := range m.Entry.GetLoads() {
+		for _, load := range word.Entry.GetLoads() {
 			if load.GetService() == service {
 				remote.Servers = int(load.GetServers())
 				remote.Expected = time.Duration(load.GetExpectedWaitMs()) * time.Millisecond
@@ -69,7 +91,9 @@
 const directoryTTL = 2 * time.Second
 
 // Resolve answers a caller that asks where to connect: live instances of its region,
-// and those of other regions only when it has none, homes of the host first.
+// and those of other regions only when it has none, homes of the host first. An
+// instance that reaches no other one names the others, as it last knew them, and not
+// itself: callers may reach them, and it has only its own part of the quotas.
 func (n *Node) Resolve(q Question) Answer {
 	region := q.Region
 	if region == "" {
@@ -79,9 +103,15 @@
 	if config := n.routes.Current(); config != nil {
 		homes = config.HostHomes(q.Host)
 	}
+	now := time.Now()
+	isolated := n.isolated(now)
 	var near, home, far []string
-	for _, m := range n.members.Members(time.Now()) {
-		if !m.Reachable || m.Leaving() {
+	for _, m := range n.members.Members(now) {
+		usable := m.Reachable
+		if isolated {
+			usable = !m.Reachable && now.Sub(m.Heard) < lastKnownFor
+		}
+		if m.Leaving() || !usable {
 			continue
 		}
 		address := m.Entry.GetCallerAddress()
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -64,7 +64,7 @@
 	case out.begun && !r.route.Resumable:
 		return false
 	case failed.reason == reasonNoServer, failed.reason == reasonLoad, failed.reason == reasonCold:
-		return false
+		return failed.remote // another region may have room
 	case !failed.sent:
 		return true // it reached no server: nothing is repeated
 	case r.paid.Swap(false):
--- a/transport/httproute/failure.go
+++ b/transport/httproute/failure.go
@@ -46,6 +46,7 @@
 	reason     reason
 	retryAfter time.Duration // 0 when not known
 	sent       bool          // it reached a backend server
+	remote     bool          // the word of another region's instance
 	begun      bool          // the caller has the beginning of an answer
 	server     string
 	cause      error
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -97,7 +97,7 @@
 	}
 	return &failure{
 		run: said.Run, reason: said.Reason, sent: said.Sent, server: remote.Instance + "/" + said.Server,
-		retryAfter: time.Duration(said.RetryAfterMs) * time.Millisecond,
+		retryAfter: time.Duration(said.RetryAfterMs) * time.Millisecond, remote: true,
 	}
 }
 
--- a/transport/lending/lending.go
+++ b/transport/lending/lending.go
@@ -53,7 +53,8 @@
 	Update func(now time.Time)
 
 	mu   sync.Mutex
-	open map[slots.Member]bool // at most one call to each lender, so that reports arrive in order
+	open map[slots.Member]bool      // at most one call to each lender, so that reports arrive in order
+	dry  map[slots.Member]time.Time // lenders that had nothing, until when they are asked last
 }
 
 // Run keeps the ledger going until ctx ends: documents, waiting requests and loans.
@@ -127,15 +128,65 @@
 			free = append(free, lender.Member)
 		}
 	}
-	for _, c := range l.Ledger.Plan(free, now) {
+	for _, c := range l.Ledger.Plan(l.dryLast(free, now), now) {
 		l.set(c.Lender, true)
 		running.Go(func() {
 			defer l.set(c.Lender, false)
-			l.Ledger.Answered(c, l.call(ctx, addresses[c.Lender], c, borrowTimeout), time.Now())
+			lent := l.call(ctx, addresses[c.Lender], c, borrowTimeout)
+			l.heard(c, lent, time.Now())
+			l.Ledger.Answered(c, lent, time.Now())
 		})
 	}
 }
 
+// dryFor is how long a lender that had nothing is asked last. In a region's peak all
+// near lenders are short: asked in turn each time, they would take up the time that a
+// request may wait.
+const dryFor = 800 * time.Millisecond
+
+// heard notes whether a lender had anything of what was wanted.
+func (l *Loop) heard(c *quota.Call, lent []quota.Lent, now time.Time) {
+	if len(c.Wants) == 0 {
+		return
+	}
+	total := 0.0
+	for _, item := range lent {
+		total += item.Tokens
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dry == nil {
+		l.dry = make(map[slots.Member]time.Time)
+	}
+	if total > 0 {
+		delete(l.dry, c.Lender)
+		return
+	}
+	l.dry[c.Lender] = now.Add(dryFor)
+}
+
+// dryLast puts lenders that had nothing just now behind the others.
+func (l *Loop) dryLast(lenders []slots.Member, now time.Time) []slots.Member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	slices.SortStableFunc(lenders, func(a, b slots.Member) int {
+		dryA, dryB := now.Before(l.dry[a]), now.Before(l.dry[b])
+		switch {
+		case dryA == dryB:
+			return 0
+		case dryA:
+			return 1
+		}
+		return -1
+	})
+	for m, until := range l.dry {
+		if !now.Before(until) {
+			delete(l.dry, m)
+		}
+	}
+	return lenders
+}
+
 // call returns nil when no answer came.
 func (l *Loop) call(ctx context.Context, address string, c *quota.Call, timeout time.Duration) []quota.Lent {
 	client, err := l.Pool.Get(address)
--- a/transport/loadcast/loadcast.go
+++ b/transport/loadcast/loadcast.go
@@ -89,6 +89,7 @@
 	for _, s := range d.Servers {
 		m.Servers = append(m.Servers, &peerpb.ServerLoadCast{
 			Server: s.Server, Pending: uint32(s.Pending), Urgent: uint32(s.Urgent), InFlight: uint32(s.InFlight),
+			Served: uint32(s.Served), Failed: uint32(s.Failed), Down: s.Down,
 		})
 	}
 	for _, sent := range d.Dispatches {
@@ -146,6 +147,7 @@
 	for _, s := range m.GetServers() {
 		d.Servers = append(d.Servers, placement.ServerLoad{
 			Server: s.GetServer(), Pending: int(s.GetPending()), Urgent: int(s.GetUrgent()), InFlight: int(s.GetInFlight()),
+			Served: int(s.GetServed()), Failed: int(s.GetFailed()), Down: s.GetDown(),
 		})
 	}
 	for _, sent := range m.GetDispatches() {
