Try another instance of a region after one that cannot be reached

The region stays open when nothing was sent, an unreached instance is passed over for 2 s, and a try to connect takes three times the way there and back. A started instance says to come back in 200 ms.

--- a/instance/routed/node.go
+++ b/instance/routed/node.go
@@ -72,6 +72,7 @@
 	fleetSize  atomic.Int64                     // instances that share the retry budget
 	liveSize   atomic.Int64                     // instances that can be reached
 	noLoans    sync.Map                         // ids of peers that hold nothing a predecessor lent
+	avoided    sync.Map                         // instances that could not be reached: uptime when
 	exchanging sync.Map                         // peer addresses with an exchange under way
 	failures   sync.Map                         // peer address: exchanges that failed in a row
 	news       chan struct{}
@@ -101,7 +102,7 @@
 
 const (
 	serverDialTimeout = 400 * time.Millisecond // in the own region, where the way takes some milliseconds
-	peerDialTimeout   = time.Second
+	peerDialTimeout   = 450 * time.Millisecond // three times the way there and back between regions
 	// userTimeout is how long bytes stay unacknowledged: several times the longest
 	// way there and back with one lost packet.
 	userTimeout  = 1500 * time.Millisecond
--- a/instance/routed/views.go
+++ b/instance/routed/views.go
@@ -55,6 +55,9 @@
 	}
 	out := make([]httproute.Remote, 0, len(byRegion))
 	for region, members := range byRegion {
+		if sound := slices.DeleteFunc(slices.Clone(members), n.unreachedJustNow); len(sound) > 0 {
+			members = sound
+		}
 		m, word := members[rand.IntN(len(members))], latest[region]
 		remote := httproute.Remote{
 			Region: region, Instance: m.Entry.GetId(), Address: m.Entry.GetRelayAddress(),
@@ -71,6 +74,22 @@
 	return out
 }
 
+// avoidFor is how long an instance that could not be reached is passed over for others
+// of its region: until the members know better.
+const avoidFor = 2 * time.Second
+
+// Unreached implements httproute.Remotes.
+func (n *Node) Unreached(instance string) { n.avoided.Store(instance, n.uptime()) }
+
+func (n *Node) unreachedJustNow(m membership.Member) bool {
+	at, ok := n.avoided.Load(m.Entry.GetId())
+	if !ok {
+		return false
+	}
+	failed, _ := at.(time.Duration)
+	return n.uptime()-failed < avoidFor
+}
+
 // Question is what a caller asks the directory.
 type Question struct {
 	Host           string
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -153,6 +153,9 @@
 		r.mayLeave = f.mayLeave(r)
 		o.giveUp = r.mayLeave
 		answer, failed = f.forward(run, r, o, remote)
+		if failed != nil && !failed.sent && !failed.remote {
+			r.tried = r.tried[:len(r.tried)-1] // another instance of the region may be there
+		}
 	} else {
 		r.work.Exclude = append(r.work.Exclude, choice.Placement.Server.ID)
 		r.note(eventPlaced, "server", choice.Placement.Server.ID, "expected_ms", choice.Expected.Milliseconds(),
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -113,6 +113,9 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		failed.reason = reasonDeadline
 	}
+	if ctx.Err() == nil {
+		f.Remotes.Unreached(remote.Instance)
+	}
 	f.Log.Info("forward_failed", "request", o.id, "service", o.service, "peer", remote.Instance, "region", remote.Region,
 		"run", string(failed.run), "error", err.Error())
 	return failed
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -34,6 +34,8 @@
 type Remotes interface {
 	// Remotes returns one reachable instance of each other region.
 	Remotes(service string) []Remote
+	// Unreached takes in that an instance could not be reached.
+	Unreached(instance string)
 	// Instances returns how many instances of the fleet and of the own region live.
 	Instances() (fleet, region int)
 }
@@ -134,7 +136,7 @@
 func (f *Front) accept(w http.ResponseWriter, hr *http.Request, arrived time.Time) (*request, *failure) {
 	config := f.Routes.Current()
 	if config == nil {
-		return nil, &failure{run: notRun, reason: reasonNotReady}
+		return nil, &failure{run: notRun, reason: reasonNotReady, retryAfter: retryNotReady}
 	}
 	route := config.Match(hr.Host, hr.URL.Path)
 	if route == nil {
@@ -206,6 +208,10 @@
 	return body, nil
 }
 
+// retryNotReady is when to come back to an instance that has just started: it reads the
+// configuration within two crossings between regions.
+const retryNotReady = 200 * time.Millisecond
+
 // defaultWait bounds a request whose caller and route name no limit.
 const defaultWait = time.Minute
 
--- a/transport/httproute/path_test.go
+++ b/transport/httproute/path_test.go
@@ -131,6 +131,8 @@
 
 type alone struct{}
 
+func (alone) Unreached(string) {}
+
 func (alone) Remotes(string) []Remote        { return nil }
 func (alone) Instances() (fleet, region int) { return 1, 1 }
 
