--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -150,6 +150,7 @@
 		r.tried = append(r.tried, remote.Region)
 		r.note(eventForwarded, "peer", remote.Instance, "region", remote.Region, "servers", remote.Servers,
 			"expected_ms", remote.arrives().Milliseconds(), "heard_ms_ago", now.Sub(remote.Heard).Milliseconds())
+		f.spill.add(remote, r.service, r.PromptTokens)
 		r.mayLeave = f.mayLeave(r)
 		o.giveUp = r.mayLeave
 		answer, failed = f.forward(run, r, o, remote)
@@ -254,8 +255,10 @@
 func (f *Front) bestRemote(r *request, tried, homes []string, anywhere bool) *Remote {
 	var best *Remote
 	list := f.Remotes.Remotes(r.service)
+	_, instances := f.Remotes.Instances()
 	for i := range list {
 		candidate := &list[i]
+		candidate.Expected += f.spill.delay(candidate, r.service, instances)
 		permitted := anywhere || slices.Contains(homes, candidate.Region)
 		if !permitted || candidate.Servers == 0 || slices.Contains(tried, candidate.Region) {
 			continue
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -59,6 +59,8 @@
 	Remaining func() time.Duration
 	// Leaving tells whether callers are to leave their connections.
 	Leaving func() bool
+
+	spill spill
 }
 
 // request is one request of a caller on its way.
