--- a/transport/httproute/path_test.go
+++ b/transport/httproute/path_test.go
@@ -13,7 +13,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,7 +60,6 @@
 	script  func(c net.Conn, r *http.Request) (keep bool)
 	mu      sync.Mutex
 	seen    []*http.Request
-	ended   atomic.Int32 // connections that the other side closed while a request ran
 }
 
 func (s *standIn) requests() []*http.Request {
