Name stopping instances of the caller's region before those of other regions

From the logs of its answers: all three instances of fraser were stopping at once, since a rolling stop every 2 s is faster than one stop, and the answer fell back to all other regions. Ruled out: homes of the host as the first fallback alone, since its routes' homes exclude each other there.

--- a/instance/routed/views.go
+++ b/instance/routed/views.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/basilroute/basilroute/coordination/directory"
 	"github.com/basilroute/basilroute/coordination/membership"
 	"github.com/basilroute/basilroute/protocol/refusal"
 	"github.com/basilroute/basilroute/transport/dispatch"
@@ -109,8 +110,7 @@
 // enough that a stopping instance is forgotten while it still serves.
 const directoryTTL = 2 * time.Second
 
-// Resolve answers a caller that asks where to connect: live instances of its region,
-// and those of other regions only when it has none, homes of the host first. An
+// Resolve answers a caller that asks where to connect, see directory.Choose. An
 // instance that reaches no other one names the others, as it last knew them, and not
 // itself: callers may reach them, and it has only its own part of the quotas.
 func (n *Node) Resolve(q Question) Answer {
@@ -124,34 +124,19 @@
 	}
 	now := time.Now()
 	isolated := n.isolated(now)
-	var near, home, far []string
+	var known []directory.Instance
 	for _, m := range n.members.Members(now) {
 		usable := m.Reachable
 		if isolated {
 			usable = !m.Reachable && now.Sub(m.Heard) < lastKnownFor
 		}
-		if m.Leaving() || !usable {
-			continue
-		}
-		address := m.Entry.GetCallerAddress()
-		switch {
-		case m.Entry.GetRegion() == region:
-			near = append(near, address)
-		case slices.Contains(homes, m.Entry.GetRegion()):
-			home = append(home, address)
-		default:
-			far = append(far, address)
-		}
-	}
-	if homes != nil {
-		far = nil
-	}
-	named := near
-	for _, others := range [][]string{home, far} {
-		if len(named) == 0 {
-			named = others
+		if usable {
+			known = append(known, directory.Instance{
+				Address: m.Entry.GetCallerAddress(), Region: m.Entry.GetRegion(), Leaving: m.Leaving(),
+			})
 		}
 	}
+	named := directory.Choose(known, region, homes)
 	rand.Shuffle(len(named), func(a, b int) { named[a], named[b] = named[b], named[a] })
 	return Answer{Addresses: named[:min(len(named), maxNamed)], TTL: min(directoryTTL, n.settings.Bounds.DirectoryTTL)}
 }
--- a/state/routes/routes.go
+++ b/state/routes/routes.go
@@ -145,19 +145,18 @@
 	return nil
 }
 
-// HostHomes returns the regions that every route of the host may run in; nil when
-// one of them may run anywhere.
+// HostHomes returns the regions that are homes of every route of the host that has
+// homes; nil when none has.
 func (c *Config) HostHomes(host string) []string {
 	var homes []string
-	for n, r := range c.byHost[host] {
-		if len(r.Homes) == 0 {
-			return nil
-		}
-		if n == 0 {
+	for _, r := range c.byHost[host] {
+		switch {
+		case len(r.Homes) == 0:
+		case homes == nil:
 			homes = r.Homes
-			continue
+		default:
+			homes = intersect(homes, r.Homes)
 		}
-		homes = intersect(homes, r.Homes)
 	}
 	return homes
 }
--- /dev/null
+++ b/state/routes/routes_test.go
@@ -0,0 +1,81 @@
+package routes
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"slices"
+	"testing"
+)
+
+func testConfig(version int64) *Config {
+	return &Config{
+		Version: version,
+		Routes: []Route{
+			{Name: "all", Host: "h", PathPrefix: "/"},
+			{Name: "a", Host: "h", PathPrefix: "/a/", Homes: []string{"x", "y"}},
+			{Name: "ab", Host: "h", PathPrefix: "/a/b/", Homes: []string{"y", "z"}, Targets: []Target{{"one", 90}, {"two", 10}}},
+		},
+		Accounts: map[string]*Account{"acme": {Name: "acme", Homes: []string{"y"}}},
+		Keys:     map[KeyHash]string{sha256.Sum256([]byte("k")): "acme", sha256.Sum256([]byte("lost")): "nobody"},
+	}
+}
+
+// The longest prefix that begins the path decides; a part of a path segment does not.
+func TestMatch(t *testing.T) {
+	var table Table
+	table.Offer(testConfig(1))
+	for path, want := range map[string]string{"/a/b/c": "ab", "/a/bc": "a", "/ab": "all", "/a/": "a"} {
+		if r := table.Current().Match("h", path); r == nil || r.Name != want {
+			t.Errorf("%s: %+v, want %s", path, r, want)
+		}
+	}
+	if r := table.Current().Match("other", "/a/"); r != nil {
+		t.Errorf("another host: %+v", r)
+	}
+}
+
+// Versions come late, twice and out of order. What is in force never falls back.
+func TestOlderVersionsChangeNothing(t *testing.T) {
+	var table Table
+	for _, step := range []struct{ version, want int64 }{{4, 4}, {2, 4}, {9, 9}, {9, 9}, {7, 9}} {
+		table.Offer(testConfig(step.version))
+		if got := table.Current().Version; got != step.want {
+			t.Errorf("after %d: %d in force, want %d", step.version, got, step.want)
+		}
+	}
+}
+
+func TestSplitFollowsTheWeights(t *testing.T) {
+	r := testConfig(1).Routes[2]
+	counts := map[string]int{}
+	for i := range 10_000 {
+		counts[r.Target(fmt.Sprint(i))]++
+	}
+	if counts["one"] < 8800 || counts["one"] > 9200 || counts["one"]+counts["two"] != 10_000 {
+		t.Errorf("%v", counts)
+	}
+}
+
+// Where route and account both have homes, both bind.
+func TestHomesOfRouteAndAccount(t *testing.T) {
+	c := testConfig(1)
+	c.index()
+	account := c.Authenticate("k")
+	if account == nil || c.Authenticate("lost") != nil || c.Authenticate("other") != nil {
+		t.Fatal("keys")
+	}
+	for route, want := range map[int][]string{0: {"y"}, 1: {"y"}, 2: {"y"}} {
+		if homes, anywhere := AllowedRegions(&c.Routes[route], account); anywhere || !slices.Equal(homes, want) {
+			t.Errorf("%s: %v, %t", c.Routes[route].Name, homes, anywhere)
+		}
+	}
+	if homes, _ := AllowedRegions(&Route{Homes: []string{"x"}}, account); len(homes) != 0 {
+		t.Errorf("homes that exclude each other: %v", homes)
+	}
+	if _, anywhere := AllowedRegions(&c.Routes[0], nil); !anywhere {
+		t.Error("a request without homes is bound")
+	}
+	if homes := c.HostHomes("h"); !slices.Equal(homes, []string{"y"}) {
+		t.Errorf("homes of the host: %v", homes)
+	}
+}
