Expect another region to read the prompt at hand, not an ordinary one

What is longer is added now.

Tried and reverted: two holders of quotas a failure domain, with the other instances borrowing all they need, because an account's burst divided by 85 is less than one long prompt. The near holders of the region at its peak are dry sooner than its instances' own parts.

--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -235,6 +235,17 @@
 // have to be read: a shared prompt of the first deployments with its own part.
 const summaryTokens = 4000
 
+// BeyondSummary is how much longer than a summary says the request should take in
+// another region. Without it a prompt that is late for its own length looks on time far
+// away, is sent there, and is later still. Of the shared parts most are held there too.
+func BeyondSummary(w *Work) time.Duration {
+	unread := float64(w.Tokens) - unreadAbroad*float64(w.shared())
+	return seconds(max(unread-summaryTokens, 0) / defaultReadRate)
+}
+
+// unreadAbroad is the part of the shared tokens that another region is taken to hold.
+const unreadAbroad = 0.6
+
 // Summarize describes the pool for other regions.
 func (p *Pool) Summarize(now time.Time) Summary {
 	p.mu.Lock()
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -258,7 +258,7 @@
 	_, instances := f.Remotes.Instances()
 	for i := range list {
 		candidate := &list[i]
-		candidate.Expected += f.spill.delay(candidate, r.service, instances)
+		candidate.Expected += f.spill.delay(candidate, r.service, instances) + placement.BeyondSummary(&r.work)
 		permitted := anywhere || slices.Contains(homes, candidate.Region)
 		if !permitted || candidate.Servers == 0 || slices.Contains(tried, candidate.Region) {
 			continue
