Say what corrects the read rate of a pool

Found by reading the package as a newcomer: the comment promised a measurement of the rate itself, which the paces take the place of. No change of behaviour.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -36,7 +36,7 @@
 	"github.com/basilroute/basilroute/state/backends"
 )
 
-// Settings of a pool. Figures without an origin here are from the design note.
+// Settings of a pool.
 type Settings struct {
 	Engine      bool    // servers are model engines
 	Slots       int     // requests that a server runs at once; used when an entry does not say
@@ -58,8 +58,8 @@
 	// lateShare is the part of that time that it may need in all. A prompt that is late
 	// only for its own length is served where servers are free.
 	lateShare = 0.5
-	// defaultReadRate is the prompt tokens per second of an engine until answers
-	// have shown another: the slower of the two engines of the first deployments.
+	// defaultReadRate is the prompt tokens per second of an engine, before the measured
+	// paces correct it: that of the slower engines of the first deployments.
 	defaultReadRate = 40_000.0
 	// baseTime is from a dispatch to the first byte at an idle engine, in seconds:
 	// one step and the connection.
@@ -178,7 +178,7 @@
 	mu       sync.Mutex
 	settings Settings
 	servers  []*server
-	readRate float64 // tokens per second, as measured
+	readRate float64 // prompt tokens per second; the paces correct it
 	work     float64 // seconds, of a plain request, as measured
 	pace     float64 // measured over expected time, of all servers
 	unread   float64 // mean prompt tokens that a request leaves to be read
