Free a restarted instance's whole quota part only by the word of all holders

Found on reading: a restarted instance asked the instances of the set it knew whether they hold loans of its predecessor, also while that set was incomplete. Heard from one peer before the store's list was read, it used its whole part while another instance could still spend a loan of it: rate and burst could be exceeded by up to three quarters of one part. The decision moved from the wiring into coordination/quotashare, needs the complete set, and has a test, which fails without that condition (cleared by the word of one, with others not known).

--- a/coordination/quotashare/quotashare.go
+++ b/coordination/quotashare/quotashare.go
@@ -39,12 +39,16 @@
 	complete    bool            // holders has every instance that mints
 	established bool            // all others counted this instance once
 	acks        map[string]bool // those that go by a set with the own name
+	free        map[string]bool // those that hold nothing a predecessor lent
 	cleared     bool            // tokens that a predecessor lent cannot be spent any more
 }
 
 // NewKeeper returns a keeper that mints nothing.
 func NewKeeper(self string) *Keeper {
-	return &Keeper{self: self, holders: make(map[string]bool), hashes: make(map[uint64]bool), acks: make(map[string]bool)}
+	return &Keeper{
+		self: self, holders: make(map[string]bool), hashes: make(map[uint64]bool),
+		acks: make(map[string]bool), free: make(map[string]bool),
+	}
 }
 
 // Merge takes in names. complete says that they have every instance that mints: they
@@ -90,14 +94,37 @@
 	}
 }
 
-// Clear takes in that nothing which a predecessor lent can be spent any more.
-func (k *Keeper) Clear() {
+// NothingOwed takes in that another instance holds nothing that a predecessor lent.
+func (k *Keeper) NothingOwed(id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.free[id] = true
+}
+
+// Clear tells whether just now it became certain that nothing a predecessor lent can be
+// spent any more: the loans have expired, or every instance of the set says that it
+// holds none. A set that may lack somebody proves nothing: the one it lacks may hold a
+// loan, and the whole part would be spent beside it.
+func (k *Keeper) Clear(expired bool) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.cleared || !expired && !k.allFree() {
+		return false
+	}
 	k.cleared = true
+	return true
 }
 
-// Cleared tells whether Clear was called.
+func (k *Keeper) allFree() bool {
+	for id := range k.holders {
+		if id != k.self && !k.free[id] {
+			return false
+		}
+	}
+	return k.complete
+}
+
+// Cleared tells whether that is certain.
 func (k *Keeper) Cleared() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -115,7 +142,7 @@
 func (k *Keeper) Complete() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.complete
+	return true
 }
 
 // Holders returns the set, ordered.
--- a/coordination/quotashare/quotashare_test.go
+++ b/coordination/quotashare/quotashare_test.go
@@ -116,3 +116,26 @@
 		t.Error("a new instance mints although one that may be cut off has not counted it")
 	}
 }
+
+// An instance restarts and hears of the others one by one, before it has read who they
+// are. The first one holds no loan of its predecessor, another one does. Its whole part
+// is free only when the set is complete and all have spoken, or the loans have expired.
+func TestIncompleteSetProvesNoLoanGone(t *testing.T) {
+	k := NewKeeper("a")
+	k.Merge([]string{"b"}, false)
+	k.NothingOwed("b")
+	if k.Clear(false) {
+		t.Error("cleared by the word of one, with others not known")
+	}
+	k.Merge([]string{"a", "b", "c"}, true)
+	if k.Clear(false) {
+		t.Error("cleared though c has not spoken")
+	}
+	k.NothingOwed("c")
+	if !k.Clear(false) || !k.Cleared() || k.Clear(false) {
+		t.Error("want it cleared once, when all have spoken")
+	}
+	if alone := NewKeeper("a"); !alone.Clear(true) {
+		t.Error("expired loans stand in the way")
+	}
+}
--- a/instance/routed/members.go
+++ b/instance/routed/members.go
@@ -94,7 +94,7 @@
 		return
 	}
 	n.failures.Delete(address)
-	n.takeResponse(ctx, client, resp)
+	n.takeResponse(ctx, client, req, resp)
 }
 
 // exchangeFailed gives up a connection that has gone silent.
@@ -111,13 +111,15 @@
 	}
 }
 
-func (n *Node) takeResponse(ctx context.Context, client peerpb.PeerClient, resp *peerpb.ExchangeResponse) {
+func (n *Node) takeResponse(ctx context.Context, client peerpb.PeerClient, asked *peerpb.ExchangeRequest, resp *peerpb.ExchangeResponse) {
 	next := n.members.Finish(resp, time.Now())
 	n.takeViews(resp.GetStoreViews(), resp.GetFrom())
 	for _, q := range resp.GetQuarantines() {
 		n.quarantine.Merge(peer.DecodeQuarantine(q))
 	}
-	n.hearLoans(resp)
+	if asked.GetLentBefore() && !resp.GetOwes() {
+		n.shares.NothingOwed(resp.GetFrom())
+	}
 	n.takeHolders(resp)
 	if next != nil {
 		followed, err := client.Exchange(ctx, next)
@@ -143,32 +145,12 @@
 	}
 }
 
-// hearLoans notes that a peer holds nothing that this instance's predecessor lent.
-func (n *Node) hearLoans(resp *peerpb.ExchangeResponse) {
-	if n.shares.Cleared() || resp.GetOwes() {
-		return
-	}
-	n.noLoans.Store(resp.GetFrom(), true)
-}
-
-// clearLoans lets this instance use its whole part when nothing that a predecessor lent can be
-// spent any more: every holder of a part says so, or the loans have expired.
+// clearLoans lets this instance use its whole part when nothing that a predecessor lent
+// can be spent any more.
 func (n *Node) clearLoans(now time.Time) {
-	if n.shares.Cleared() {
-		return
-	}
-	if now.Before(quota.LentUntil(n.started)) {
-		for _, holder := range n.shares.Holders() {
-			if _, ok := n.noLoans.Load(holder); !ok && holder != n.settings.ID {
-				return
-			}
-		}
-		if n.shares.Size() == 0 {
-			return
-		}
+	if n.shares.Clear(!now.Before(quota.LentUntil(n.started))) {
+		n.log.Info("quota_cleared", "after_ms", now.Sub(n.started).Milliseconds())
 	}
-	n.log.Info("quota_cleared", "after_ms", now.Sub(n.started).Milliseconds())
-	n.shares.Clear()
 }
 
 // Exchange implements peer.Exchanger.
--- a/instance/routed/node.go
+++ b/instance/routed/node.go
@@ -71,7 +71,6 @@
 	regional   atomic.Pointer[[]string]         // live instances of the own region
 	fleetSize  atomic.Int64                     // instances that share the retry budget
 	liveSize   atomic.Int64                     // instances that can be reached
-	noLoans    sync.Map                         // ids of peers that hold nothing a predecessor lent
 	avoided    sync.Map                         // instances that could not be reached: uptime when
 	exchanging sync.Map                         // peer addresses with an exchange under way
 	failures   sync.Map                         // peer address: exchanges that failed in a row
