--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -401,54 +401,6 @@
 	return c
 }
 
-// holder returns the server that holds most of the prompt, and how much.
-func (p *Pool) holder(w *Work, aside map[*server]bool) (*server, int) {
-	if p.settings.FetchTime <= 0 || len(w.Parts) == 0 {
-		return nil, 0
-	}
-	var best *server
-	held := 0
-	for _, s := range p.servers {
-		if aside[s] {
-			continue
-		}
-		if n := s.cache.match(w.Parts); n > held {
-			best, held = s, n
-		}
-	}
-	return best, held
-}
-
-const (
-	// leastFetch is the least number of tokens that is worth fetching: the fetch's own
-	// beginning takes as long as reading a hundred.
-	leastFetch = 500
-	// fetchSetup is how long a fetch takes beside its bytes, in seconds.
-	fetchSetup = 0.003
-	// fetchWeight is the cost of a fetched token in read ones: moving it costs a sixth
-	// of reading it again by the first deployments' prices, and holds up nobody.
-	fetchWeight = 0.17
-)
-
-// fetch lets the candidate fetch what another server holds beyond it, where that is
-// faster than reading it.
-func (p *Pool) fetch(c *candidate, holder *server, held int) {
-	gain := float64(held - c.cached)
-	if holder == nil || gain < leastFetch {
-		return
-	}
-	read := gain / p.readRate
-	moved := fetchSetup + gain*p.settings.FetchTime
-	if moved >= read {
-		return
-	}
-	c.fetchFrom = holder.Address
-	c.unread -= gain
-	c.expected += (moved - read) * c.pace
-	c.own += (moved - read) * c.pace
-	c.cost += (moved-read)*c.pace - (readWeight-1)*read + fetchWeight*read
-}
-
 // runningCost is what each running request adds to a server's cost, in seconds: the
 // step grows by 16 µs for each, and a full batch takes nobody.
 const runningCost = 0.0003
