Clear what a second reading of the change found

handOver always returned true and head did not use its status; the id of a subscriber was kept for nobody; a comment named the wrong interface. No change of behaviour.

--- a/instance/routed/watch.go
+++ b/instance/routed/watch.go
@@ -134,12 +134,13 @@
 	return false
 }
 
-// Follow implements peer.Exchanger: it hands on what changes, and ends when this
+// Follow implements peer.Followed: it hands on what changes, and ends when this
 // instance is no longer up to date.
 func (n *Node) Follow(req *peerpb.FollowRequest, stream grpc.ServerStreamingServer[peerpb.FollowUpdate]) error {
 	known := req.GetKnown()
-	changed := n.subscribe(req.GetFrom())
-	defer n.unsubscribe(req.GetFrom(), changed)
+	changed := make(chan struct{}, 1)
+	n.subscribers.Store(changed, true)
+	defer n.subscribers.Delete(changed)
 	ticker := time.NewTicker(followBeat)
 	defer ticker.Stop()
 	for {
@@ -168,15 +169,6 @@
 	}
 }
 
-// subscribe returns a channel that is signalled after each change.
-func (n *Node) subscribe(id string) chan struct{} {
-	c := make(chan struct{}, 1)
-	n.subscribers.Store(c, id)
-	return c
-}
-
-func (n *Node) unsubscribe(_ string, c chan struct{}) { n.subscribers.Delete(c) }
-
 // announce wakes those who follow this instance.
 func (n *Node) announce() {
 	n.subscribers.Range(func(key, _ any) bool {
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -120,7 +120,8 @@
 		failed.begun = true
 		return failed
 	}
-	if out.kept != nil && out.handOver() {
+	if out.kept != nil {
+		out.handOver()
 		return nil
 	}
 	return failed
--- a/transport/httproute/relay.go
+++ b/transport/httproute/relay.go
@@ -83,12 +83,11 @@
 }
 
 // handOver writes the answer that is held.
-func (d *delivery) handOver() bool {
-	d.head(d.kept.status, d.kept.header)
+func (d *delivery) handOver() {
+	d.head(d.kept.header)
 	d.w.Header().Set("Content-Length", strconv.Itoa(len(d.kept.body)))
 	d.w.WriteHeader(d.kept.status)
 	_, _ = d.w.Write(d.kept.body) // a caller that has gone needs no answer
-	return true
 }
 
 // long hands on an answer that is too large to be held.
@@ -106,7 +105,7 @@
 }
 
 // head copies an answer's end-to-end headers.
-func (d *delivery) head(status int, header http.Header) {
+func (d *delivery) head(header http.Header) {
 	h := d.w.Header()
 	for name, values := range EndToEnd(header) {
 		h[name] = values
@@ -122,7 +121,7 @@
 		return
 	}
 	d.begun = true
-	d.head(rep.Status, rep.Header)
+	d.head(rep.Header)
 	d.w.WriteHeader(rep.Status)
 }
 
