Let only a complete set of quota holders count as complete

An instance that had heard only a part of the holders, before it reached the store, handed that part on as the whole; two restarted instances that learned from it minted a half each beside a third one's part, so rate and burst of every account could be exceeded by up to two thirds.

The new test plays that order: it failed with "a mints one in 2 while the third one mints one in 3" and passes with the condition back.

Conclusion: the bound holds again by construction; the order is kept as a test.

--- a/coordination/quotashare/quotashare.go
+++ b/coordination/quotashare/quotashare.go
@@ -142,7 +142,7 @@
 func (k *Keeper) Complete() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return true
+	return k.complete
 }
 
 // Holders returns the set, ordered.
--- a/coordination/quotashare/quotashare_test.go
+++ b/coordination/quotashare/quotashare_test.go
@@ -139,3 +139,44 @@
 		t.Error("expired loans stand in the way")
 	}
 }
+
+// A newcomer that cannot reach the store yet has heard of two instances. A third one
+// joins and mints, the two restart, lose what they knew, and hear of each other from the
+// newcomer only. Its set lacks the third one: going by it, the two would mint a half
+// each beside the third one's part.
+func TestSetOfAnIncompletePeerIsNotComplete(t *testing.T) {
+	w := &world{minted: make(map[string]bool), live: make(map[string]*Keeper), stage: make(map[string]int)}
+	for _, id := range []string{"a", "b", "third", "newcomer"} {
+		w.live[id] = NewKeeper(id)
+	}
+	meet := func(from, to string) {
+		w.exchange(from, to)
+		w.exchange(to, from)
+		w.exchange(from, to)
+	}
+	for _, id := range []string{"a", "b"} {
+		w.write(id)
+	}
+	w.read("a")
+	w.read("b")
+	meet("a", "b")
+	meet("newcomer", "a")
+	w.write("third")
+	w.read("third")
+	meet("third", "a")
+	meet("third", "b")
+	if !w.live["third"].Mints() {
+		t.Fatal("the third instance does not mint, though all others counted it")
+	}
+	for _, id := range []string{"a", "b"} {
+		w.live[id] = NewKeeper(id)
+	}
+	meet("a", "newcomer")
+	meet("b", "newcomer")
+	meet("a", "b")
+	for _, id := range []string{"a", "b"} {
+		if w.live[id].Mints() {
+			t.Errorf("%s mints one in %d while the third one mints one in %d", id, w.live[id].Size(), w.live["third"].Size())
+		}
+	}
+}
