Let requests leave a region early, in proportion to how full it is

Cause: a request left its region only when no server there could answer in time. At a peak the slots of Viti Levu were full (327 of 320) while Lau East ran 20 of 192, and what was refused were questions that may run in two regions only, beside prompts that could run anywhere. Ruled out: the far side's word (it said that there was room), the account's quota (429 fewer than what callers asked beyond their rate).

Change: coordination/spill draws, between 0.6 and 0.9 of the slots, a growing share of the requests and sends each to the emptiest region that may take it in time; what was sent there since its word counts.

--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -226,9 +226,9 @@
 // Summary is what other regions are told of a service's servers here.
 type Summary struct {
 	Servers  int
-	InFlight int
+	Running  int           // requests that the servers have, of all instances
+	Room     int           // requests that could start at once
 	Expected time.Duration // to the first byte of a prompt of ordinary size
-	Room     int           // requests that could start within Expected and a little
 }
 
 // summaryTokens is the size of the prompt that a summary speaks of, in tokens that
@@ -252,18 +252,34 @@
 	defer p.mu.Unlock()
 	w := Work{Tokens: summaryTokens, Urgency: urgencies - 1, Arrived: now}
 	best, c := p.choose(&w, now)
-	out := Summary{Servers: c.usable}
-	room := 0.0
-	for _, s := range p.servers {
-		out.InFlight += s.inFlight
-		room += max(p.slots(s)-p.running(s, now), 0)
-	}
+	running, slots := p.occupancy(now)
+	out := Summary{Servers: c.usable, Running: int(running), Room: int(max(slots-running, 0))}
 	if best != nil {
-		out.Expected, out.Room = seconds(best.expected), int(room)
+		out.Expected = seconds(best.expected)
 	}
 	return out
 }
 
+// Occupancy returns how many requests the servers that take any have, and how many they
+// could run at once.
+func (p *Pool) Occupancy(now time.Time) (running, slots float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.occupancy(now)
+}
+
+func (p *Pool) occupancy(now time.Time) (running, slots float64) {
+	aside := p.setAside(now)
+	for _, s := range p.servers {
+		if !s.Usable(now) || aside[s] || p.settings.ColdRate > 0 && now.Before(s.ColdUntil) {
+			continue
+		}
+		running += min(p.running(s, now), p.slots(s))
+		slots += p.slots(s)
+	}
+	return running, slots
+}
+
 // State is what is known of one server, for operators.
 type State struct {
 	ID, Address string
--- /dev/null
+++ b/coordination/spill/spill.go
@@ -0,0 +1,79 @@
+// Package spill decides when a request leaves its region although a server there could
+// still take it.
+//
+// # The load that it answers
+//
+// The regions' peaks come at different times: one has its slots full while another is
+// nearly idle. Some requests may run in a few regions only. As long as every request
+// stays until its region is full, those that could run anywhere hold the slots which the
+// bound ones need, and these are refused beside an idle region. So requests leave early,
+// the more of them the fuller the region is, and each goes to the emptiest region that
+// may take it and still answers in time. The bound ones find room at home.
+//
+// Only a share of the requests leaves, drawn at random: the word of the other region is
+// a second or two old, and all instances act on the same word at once. With a share that
+// grows with the occupancy the regions draw level without swinging.
+//
+// The package does no I/O.
+package spill
+
+import "time"
+
+const (
+	// From is the occupancy of the own region at which requests begin to leave. Below
+	// it bursts of a second find room at home, and crossing costs every request the way
+	// there and back.
+	From = 0.6
+	// to is the occupancy at which all leave that may: with less room left some servers
+	// are full already, since prompts that share parts belong together.
+	to = 0.9
+	// margin is by how much emptier the other region has to be. What has begun to run
+	// there since it spoke is not known; with less two regions at their peak send each
+	// other requests that both refuse.
+	margin = 0.25
+	// timeShare is the part of the time left within the objective that the answer may
+	// be expected to take by way of the other region; the rest is for what the estimate
+	// does not see.
+	timeShare = 0.8
+)
+
+// Occupancy is how full the servers of a region are.
+type Occupancy struct {
+	Running float64 // requests
+	Slots   float64 // requests that could run at once
+}
+
+// Share returns the part of the slots that is taken; 1 where there are none.
+func (o Occupancy) Share() float64 {
+	if o.Slots <= 0 {
+		return 1
+	}
+	return o.Running / o.Slots
+}
+
+// Region is another region that may take the request.
+type Region struct {
+	Occupancy
+	Arrives time.Duration // until the first byte by way of it, as expected
+}
+
+// Early returns the index of the region to which the request should go now, and -1 when
+// it should stay. left is what is left of its objective, 0 when it has none; draw is
+// uniform in [0,1).
+func Early(own Occupancy, others []Region, left time.Duration, draw float64) int {
+	full := own.Share()
+	if draw >= (full-From)/(to-From) {
+		return -1
+	}
+	best := -1
+	for i := range others {
+		o := &others[i]
+		if o.Share() > full-margin || left > 0 && o.Arrives > time.Duration(timeShare*float64(left)) {
+			continue
+		}
+		if best < 0 || o.Share() < others[best].Share() {
+			best = i
+		}
+	}
+	return best
+}
--- a/instance/routed/facts.go
+++ b/instance/routed/facts.go
@@ -173,7 +173,7 @@
 	for _, svc := range config.Services {
 		s := n.local.Pool(svc.Name).Summarize(now)
 		loads = append(loads, &peerpb.ServiceLoad{
-			Service: svc.Name, Servers: uint32(s.Servers), InFlight: uint32(s.InFlight),
+			Service: svc.Name, Servers: uint32(s.Servers), InFlight: uint32(s.Running),
 			ExpectedWaitMs: uint32(s.Expected.Milliseconds()), HasRoom: s.Room > 0, Room: uint32(s.Room),
 		})
 	}
--- a/instance/routed/views.go
+++ b/instance/routed/views.go
@@ -67,6 +67,7 @@
 		for _, load := range word.Entry.GetLoads() {
 			if load.GetService() == service {
 				remote.Servers = int(load.GetServers())
+				remote.Running, remote.Room = int(load.GetInFlight()), int(load.GetRoom())
 				remote.Expected = time.Duration(load.GetExpectedWaitMs()) * time.Millisecond
 			}
 		}
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/basilroute/basilroute/coordination/placement"
+	"github.com/basilroute/basilroute/coordination/spill"
 	"github.com/basilroute/basilroute/state/routes"
 )
 
@@ -151,7 +153,7 @@
 		r.tried = append(r.tried, remote.Region)
 		r.note(eventForwarded, "peer", remote.Instance, "region", remote.Region, "servers", remote.Servers,
 			"expected_ms", remote.arrives().Milliseconds(), "heard_ms_ago", now.Sub(remote.Heard).Milliseconds())
-		f.spill.add(remote, r.service, r.PromptTokens)
+		f.sent.add(remote, r.service, r.PromptTokens)
 		r.mayLeave = f.mayLeave(r)
 		o.giveUp = r.mayLeave
 		answer, failed = f.forward(run, r, o, remote)
@@ -217,6 +219,9 @@
 	var own placement.Choice
 	own.Reason = placement.ReasonNoServer
 	if here {
+		if remote := f.early(r, pool, homes, anywhere, now); remote != nil {
+			return placement.Choice{}, remote, nil
+		}
 		r.work.OnTime = true
 		if own = pool.Place(&r.work, now); own.Placement != nil {
 			return own, nil, nil
@@ -252,21 +257,57 @@
 // arrives is the expected time to the first byte by way of the region.
 func (r *Remote) arrives() time.Duration { return r.RoundTrip + r.Expected }
 
+// early returns the region that a request should leave for although the own one may
+// still take it, or nil. A repeat stays: it has cost time already.
+func (f *Front) early(r *request, pool *placement.Pool, homes []string, anywhere bool, now time.Time) *Remote {
+	if r.tries > 1 {
+		return nil
+	}
+	running, slots := pool.Occupancy(now)
+	own := spill.Occupancy{Running: running, Slots: slots}
+	if own.Share() < spill.From {
+		return nil
+	}
+	remotes := f.permitted(r, nil, homes, anywhere)
+	regions := make([]spill.Region, len(remotes))
+	for i := range remotes {
+		o := &remotes[i]
+		regions[i] = spill.Region{
+			Occupancy: spill.Occupancy{Running: float64(o.Running), Slots: float64(o.Running + o.Room)}, Arrives: o.arrives(),
+		}
+	}
+	chosen := spill.Early(own, regions, r.work.Objective-now.Sub(r.arrived), rand.Float64())
+	if chosen < 0 {
+		return nil
+	}
+	return &remotes[chosen]
+}
+
 // bestRemote returns the permitted region that should answer first, or nil.
 func (f *Front) bestRemote(r *request, tried, homes []string, anywhere bool) *Remote {
 	var best *Remote
-	list := f.Remotes.Remotes(r.service)
-	_, instances := f.Remotes.Instances()
+	list := f.permitted(r, tried, homes, anywhere)
 	for i := range list {
-		candidate := &list[i]
-		candidate.Expected += f.spill.delay(candidate, r.service, instances) + placement.BeyondSummary(&r.work)
-		permitted := anywhere || slices.Contains(homes, candidate.Region)
-		if !permitted || candidate.Servers == 0 || slices.Contains(tried, candidate.Region) {
-			continue
-		}
-		if best == nil || candidate.arrives() < best.arrives() {
-			best = candidate
+		if best == nil || list[i].arrives() < best.arrives() {
+			best = &list[i]
 		}
 	}
 	return best
 }
+
+// permitted returns the other regions that may run the request and have servers, with
+// what this region sent there since they spoke.
+func (f *Front) permitted(r *request, tried, homes []string, anywhere bool) []Remote {
+	_, instances := f.Remotes.Instances()
+	var out []Remote
+	for _, o := range f.Remotes.Remotes(r.service) {
+		allowed := anywhere || slices.Contains(homes, o.Region)
+		if !allowed || o.Servers == 0 || slices.Contains(tried, o.Region) {
+			continue
+		}
+		f.sent.account(&o, r.service, instances)
+		o.Expected += placement.BeyondSummary(&r.work)
+		out = append(out, o)
+	}
+	return out
+}
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -26,6 +26,8 @@
 	Address   string        // where the instance takes forwarded requests
 	RoundTrip time.Duration // there and back
 	Servers   int
+	Running   int           // requests at its servers
+	Room      int           // requests that could start there at once
 	Expected  time.Duration // to the first byte there, of an ordinary request
 	Heard     time.Time     // when the instance last spoke
 }
@@ -60,7 +62,7 @@
 	// Leaving tells whether callers are to leave their connections.
 	Leaving func() bool
 
-	spill spill
+	sent sentAway
 }
 
 // request is one request of a caller on its way.
