Judge what became of a server before a copy of the request runs elsewhere

A copy that comes a moment later finds that nothing listens there, counts that server as tried and goes to the next one, while the instance still asks what became of the first: a second crash at the same instance, which the bound of one for each instance leaves out. The same happens when the crash becomes known between the question whether the request is a suspect and the choice of a server.

Ruled out for this path: slow news to the peers, which was supposed before; the test of the decision has one instance only.

Change: such a copy waits for the judgement, at most as long as that may take; a choice made while the crash became known is made again.

--- a/transport/dispatch/local.go
+++ b/transport/dispatch/local.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -108,18 +109,30 @@
 func (l *Local) place(ctx context.Context, w *Work, svc *service.Service) (*placed, *refusal.Refusal) {
 	fingerprint := w.identity()
 	request := l.request(w, svc)
-	settled := false
+	settled, judged := false, false
 	for {
 		now := time.Now()
 		if until, refused := l.Quarantine.Refused(fingerprint, now); refused {
 			return nil, quarantined(until)
 		}
 		if !l.Quarantine.Suspected(fingerprint, now) {
+			if !judged {
+				judged = true
+				l.awaitJudgement(ctx, w)
+				continue
+			}
 			request.Exclude = excluding(nil, w.tried)
-			if p, refused := l.put(w, request, fingerprint, false, now); p != nil || refused != nil {
-				return p, refused
+			p, refused := l.put(w, request, fingerprint, false, now)
+			if p == nil && refused == nil {
+				continue // a copy was faster: this one goes where it went
+			}
+			if p != nil && l.Quarantine.Suspected(fingerprint, now) {
+				// A copy crashed its server since the question above, and that server was
+				// passed over for it: this one would crash the next.
+				l.Isolation.End(p.run)
+				continue
 			}
-			continue // a copy was faster: this one goes where it went
+			return p, refused
 		}
 		if w.Hop == 0 && !w.designated {
 			// It was not suspected when the front chose this instance. Run here,
@@ -148,6 +161,24 @@
 	}
 }
 
+// awaitJudgement waits, for a request that a server failed while a copy of it was there,
+// until it is known whether the copy crashed the server. A copy that comes a moment after
+// the crash finds nothing that listens, and would go on to crash the next server before
+// the first copy's instance has asked what became of the server.
+func (l *Local) awaitJudgement(ctx context.Context, w *Work) {
+	_, _, changed := l.Isolation.Busy(w.identity())
+	if beside := l.Isolation.ServerOf(w.identity()); beside == "" || !slices.Contains(w.tried, beside) {
+		return
+	}
+	timer := time.NewTimer(probeTimeout)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C: // the copy goes on running: the server lives
+	case <-ctx.Done():
+	}
+}
+
 func excluding(servers map[string]bool, tried []string) map[string]bool {
 	if servers == nil && len(tried) > 0 {
 		servers = make(map[string]bool, len(tried))
