Watch the store from one instance a failure domain where the region has several

Each change of an entry wakes every watch, and two instances of each failure domain watched.

Change: one watcher a domain where the region has other domains, whose watchers stand in for it; two where the domain is alone. A watch of servers' entries is called again 150 ms after a change, since entries change in bursts. What a watcher misses that has been cut off, and knows it only seconds later, comes to its followers with the exchanges, which now always say up to which revision the store is known.

--- a/coordination/configwatch/configwatch_test.go
+++ b/coordination/configwatch/configwatch_test.go
@@ -194,3 +194,30 @@
 		t.Errorf("%v watch", watching())
 	}
 }
+
+// A region's only failure domain keeps two watchers. With more domains each has one, and
+// one that does not reach the store makes room for another instance of its domain.
+func TestRegionWatchers(t *testing.T) {
+	domain := func(name string, count int) []Candidate {
+		var out []Candidate
+		for i := range count {
+			out = append(out, Candidate{ID: fmt.Sprint(name, "-", i)})
+		}
+		return out
+	}
+	single := RegionWatchers(map[string][]Candidate{"a": domain("a", 5)})
+	if len(single["a"]) != 2 {
+		t.Errorf("one domain: %v", single)
+	}
+	several := map[string][]Candidate{"a": domain("a", 5), "b": domain("b", 1)}
+	before := RegionWatchers(several)
+	if len(before["a"]) != 1 || len(before["b"]) != 1 {
+		t.Fatalf("two domains: %v", before)
+	}
+	for i := range several["a"] {
+		several["a"][i].StoreFailing = several["a"][i].ID == before["a"][0]
+	}
+	if after := RegionWatchers(several); after["a"][0] == before["a"][0] {
+		t.Errorf("%s goes on watching a store that it does not reach", before["a"][0])
+	}
+}
--- a/coordination/configwatch/watchers.go
+++ b/coordination/configwatch/watchers.go
@@ -18,10 +18,10 @@
 	StoreFailing bool // its last call of the store failed
 }
 
-// Watchers returns the ids of those that are to watch the store. Every instance with
+// Watchers returns the ids of those that are to watch the store, count at most. Every instance with
 // the same view comes to the same watchers. One that does not reach the store makes
 // room for another; when none reaches it, the first ones go on trying.
-func Watchers(candidates []Candidate) []string {
+func Watchers(candidates []Candidate, count int) []string {
 	ranked := slices.Clone(candidates)
 	slices.SortFunc(ranked, func(a, b Candidate) int {
 		if a.StoreFailing != b.StoreFailing {
@@ -33,15 +33,31 @@
 		return cmp.Or(cmp.Compare(watchScore(b.ID), watchScore(a.ID)), cmp.Compare(a.ID, b.ID))
 	})
 	var out []string
-	for _, c := range ranked[:min(len(ranked), WatchersPerDomain)] {
+	for _, c := range ranked[:min(len(ranked), count)] {
 		out = append(out, c.ID)
 	}
 	return out
 }
 
+// RegionWatchers returns the watchers of a region by failure domain: one in each, so that a
+// domain that is cut off still learns, and two where the region has one domain only, so
+// that none of its instances depends on a single one. An instance whose watcher fails
+// follows that of another domain.
+func RegionWatchers(byDomain map[string][]Candidate) map[string][]string {
+	count := 1
+	if len(byDomain) == 1 {
+		count = WatchersPerDomain
+	}
+	out := make(map[string][]string, len(byDomain))
+	for domain, candidates := range byDomain {
+		out[domain] = Watchers(candidates, count)
+	}
+	return out
+}
+
 // Watches tells whether the instance with the id is to watch the store.
 func Watches(id string, candidates []Candidate) bool {
-	return slices.Contains(Watchers(candidates), id)
+	return slices.Contains(Watchers(candidates, WatchersPerDomain), id)
 }
 
 func watchScore(id string) uint64 { return xxhash.Sum64String("configuration watcher\x00" + id) }
--- a/instance/routed/follow.go
+++ b/instance/routed/follow.go
@@ -24,6 +24,11 @@
 	maxBackoff = 800 * time.Millisecond
 	// awayAfter is how long calls fail before the store counts as out of reach.
 	awayAfter = 300 * time.Millisecond
+	// serversSettle is between a change of backend servers' entries and the next watch.
+	// Entries change in bursts, as when a release begins; without the pause each change
+	// of a burst is a call by each watcher. It is small against the seconds in which a
+	// leaving server has to be left alone.
+	serversSettle = 150 * time.Millisecond
 )
 
 // follower keeps the mirror of one prefix up to date.
@@ -31,6 +36,7 @@
 	prefix  string
 	mirror  *mirror.Mirror
 	changed func([]mirror.Item)
+	settle  time.Duration // between a change and the next watch
 	failing atomic.Int64 // since when calls fail, in nanoseconds since the start; 0 while they succeed
 }
 
@@ -45,6 +51,9 @@
 			listed, backoff = true, minBackoff
 			n.storeAnswered(f)
 			n.apply(f, delta, "store")
+			if len(delta.Items) > 0 && f.settle > 0 {
+				pause(ctx, f.settle)
+			}
 			continue
 		case errors.Is(err, platform.ErrCompacted):
 			n.log.Info("store_history_gone", "prefix", f.prefix, "after", f.mirror.Revision())
@@ -127,7 +136,9 @@
 	return false
 }
 
-// knowledge says up to which revision each prefix is known here.
+// knowledge says up to which revision each prefix is known here. It goes with every
+// exchange: a watcher that is cut off from the store learns of it seconds later, and its
+// followers, who hear nothing in the meantime, would go by what has been replaced.
 func (n *Node) knowledge() []*peerpb.StoreView {
 	out := make([]*peerpb.StoreView, len(n.followers))
 	for i, f := range n.followers {
@@ -136,8 +147,7 @@
 	return out
 }
 
-// lacking returns what a peer lacks. It is asked for only by one that the store
-// turns away.
+// lacking returns what a peer lacks.
 func (n *Node) lacking(asked []*peerpb.StoreView) []*peerpb.StoreView {
 	var out []*peerpb.StoreView
 	for _, view := range asked {
--- a/instance/routed/members.go
+++ b/instance/routed/members.go
@@ -82,9 +82,7 @@
 	defer cancel()
 	req := n.members.Request(n.members.At(address))
 	req.Quarantines = peer.EncodeQuarantines(n.quarantine.Records(time.Now()))
-	if n.storeAway() {
-		req.StoreViews = n.knowledge()
-	}
+	req.StoreViews = n.knowledge()
 	req.LentBefore = !n.shares.Cleared()
 	req.QuotaHash = n.shares.Hash()
 	req.ConfigRevision = n.members.Self().GetConfigRevision()
--- a/instance/routed/node.go
+++ b/instance/routed/node.go
@@ -154,7 +154,7 @@
 
 func (n *Node) makeFollowers(source Source) {
 	n.config = &follower{prefix: source.ConfigPrefix(), mirror: mirror.New(), changed: n.configChanged}
-	n.servers = &follower{prefix: source.ServersPrefix(), mirror: mirror.New(), changed: n.serversChanged}
+	n.servers = &follower{prefix: source.ServersPrefix(), mirror: mirror.New(), changed: n.serversChanged, settle: serversSettle}
 	n.followers = []*follower{n.config, n.servers}
 }
 
--- a/instance/routed/watch.go
+++ b/instance/routed/watch.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,9 +14,10 @@
 	"github.com/basilroute/basilroute/protocol/peerpb"
 )
 
-// Two instances of a failure domain watch the store; the others follow one of these
-// over a stream. Each change wakes every watch, so that the calls would otherwise
-// grow with instances times servers.
+// A few instances of a region watch the store, at least two of them and one in each
+// failure domain; the others follow one of these over a stream. Each change wakes every
+// watch, so that the calls would otherwise grow with instances times servers. What a
+// watcher misses that is itself cut off comes with the next exchange, see knowledge.
 const (
 	// followBeat is how often a watcher says that it is up to date.
 	followBeat = 500 * time.Millisecond
@@ -25,62 +28,81 @@
 	// ownWatch is how long an instance watches the store itself after the watchers
 	// failed it.
 	ownWatch = 5 * time.Second
+	// lostFor is how long a watcher that failed is passed over: until the members know
+	// better.
+	lostFor = 3 * time.Second
 	// roleEvery is how often the roles are looked at.
 	roleEvery = 500 * time.Millisecond
 )
 
 // followStore keeps the mirrors up to date, from the store or from a watcher.
 func (n *Node) followStore(ctx context.Context) {
-	alone := time.Time{} // until when the store is watched here in any case
+	alone := time.Time{}               // until when the store is watched here in any case
+	lost := make(map[string]time.Time) // address of a watcher that failed, until when
 	for ctx.Err() == nil {
 		now := time.Now()
-		watchers := n.watchers(now)
-		peer := n.pickWatcher(watchers)
-		if peer == "" || now.Before(alone) {
+		if n.watches(now) || now.Before(alone) {
 			n.watchStore(ctx, alone)
 			continue
 		}
-		if n.followPeer(ctx, peer) {
+		maps.DeleteFunc(lost, func(_ string, until time.Time) bool { return !now.Before(until) })
+		peer := n.pickWatcher(now, lost)
+		if peer == "" {
+			alone = now.Add(ownWatch)
 			continue
 		}
-		if n.pickWatcher(n.watchers(time.Now())) == peer || len(watchers) == 1 {
-			alone = time.Now().Add(ownWatch)
+		if !n.followPeer(ctx, peer) {
+			lost[peer] = time.Now().Add(lostFor)
 		}
 	}
 }
 
-// watchers returns the watchers of the own failure domain.
-func (n *Node) watchers(now time.Time) []string {
-	var candidates []configwatch.Candidate
+// watchers returns the watchers of the own region, by failure domain.
+func (n *Node) watchers(now time.Time) map[string][]string {
+	candidates := make(map[string][]configwatch.Candidate)
 	for _, m := range n.members.Members(now) {
-		if m.Reachable && !m.Leaving() && m.Entry.GetDomain() == n.settings.Domain {
-			candidates = append(candidates, configwatch.Candidate{ID: m.Entry.GetId(), StoreFailing: m.Entry.GetStoreUnreachable()})
+		if m.Reachable && !m.Leaving() && m.Entry.GetRegion() == n.settings.Region {
+			domain := m.Entry.GetDomain()
+			candidates[domain] = append(candidates[domain],
+				configwatch.Candidate{ID: m.Entry.GetId(), StoreFailing: m.Entry.GetStoreUnreachable()})
 		}
 	}
-	return configwatch.Watchers(candidates)
+	return configwatch.RegionWatchers(candidates)
 }
 
-// pickWatcher returns the address of a watcher to follow, empty when this instance is
-// to watch the store itself.
-func (n *Node) pickWatcher(watchers []string) string {
+// watches tells whether this instance is to watch the store itself.
+func (n *Node) watches(now time.Time) bool {
 	if n.routes.Current() == nil || n.servers.mirror.Revision() == 0 {
-		return "" // nothing is known yet: the store is the fastest way
+		return true // nothing is known yet: the store is the fastest way
 	}
-	var addresses []string
-	for _, m := range n.members.Members(time.Now()) {
-		for _, id := range watchers {
-			if id == n.settings.ID {
-				return ""
-			}
-			if m.Entry.GetId() == id && !m.Entry.GetStoreUnreachable() {
-				addresses = append(addresses, m.Entry.GetPeerAddress())
-			}
+	return slices.Contains(n.watchers(now)[n.settings.Domain], n.settings.ID)
+}
+
+// pickWatcher returns the address of a watcher to follow, one of the own failure domain
+// if any can be used, and empty when there is none.
+func (n *Node) pickWatcher(now time.Time, lost map[string]time.Time) string {
+	byDomain := n.watchers(now)
+	var near, far []string
+	for _, m := range n.members.Members(now) {
+		address, domain := m.Entry.GetPeerAddress(), m.Entry.GetDomain()
+		_, failed := lost[address]
+		if failed || m.Entry.GetStoreUnreachable() || m.Entry.GetRegion() != n.settings.Region ||
+			!slices.Contains(byDomain[domain], m.Entry.GetId()) {
+			continue
 		}
+		if domain == n.settings.Domain {
+			near = append(near, address)
+		} else {
+			far = append(far, address)
+		}
+	}
+	if len(near) == 0 {
+		near = far
 	}
-	if len(addresses) == 0 {
+	if len(near) == 0 {
 		return ""
 	}
-	return addresses[rand.IntN(len(addresses))]
+	return near[rand.IntN(len(near))]
 }
 
 // watchStore watches the store until this instance is to follow another one, but at
@@ -94,7 +116,7 @@
 	for ctx.Err() == nil {
 		pause(ctx, roleEvery)
 		now := time.Now()
-		if now.After(least) && !n.storeAway() && n.pickWatcher(n.watchers(now)) != "" {
+		if now.After(least) && !n.storeAway() && !n.watches(now) && n.pickWatcher(now, nil) != "" {
 			break
 		}
 	}
@@ -126,7 +148,7 @@
 		for _, f := range n.followers {
 			n.storeAnswered(f)
 		}
-		if n.pickWatcher(n.watchers(time.Now())) == "" {
+		if n.watches(time.Now()) {
 			return true
 		}
 	}
