Tell refused callers times to come back that move out beyond a peak

Cause: with all servers full every caller was told 0.3 s. Ruled out: a longer flat time (it moves the same wave).

Change: each refused caller gets a time behind those told before it, at the pace at which an eighth of the present work could take them, 5 s at the most; the time of the refusal that ends the request is told, not that of the first question. Nothing is held: all are refused at once as before.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -185,6 +185,7 @@
 	unread   float64 // mean prompt tokens that a request leaves to be read
 	byHash   map[uint32]*server
 	sent     []Dispatch // since the last digest
+	comeback comeback
 }
 
 // New returns a pool without servers.
@@ -232,6 +233,9 @@
 		if w.OnTime || best.tooLate(w.Deadline.Sub(now)) {
 			choice.Reason = ReasonFull
 			choice.RetryAfter = expected - share(w.Objective, objectiveShare)
+			if !w.OnTime {
+				choice.RetryAfter = p.comeback.after(max(choice.RetryAfter, retryFull), now)
+			}
 			return choice
 		}
 	}
@@ -408,6 +412,7 @@
 
 func (p *Pool) start(c *candidate, w *Work, now time.Time) *Placement {
 	s := c.server
+	p.comeback.took(now)
 	s.inFlight++
 	s.addPending(w.Urgency, c.unread)
 	p.unread += (c.unread - p.unread) * unreadWeight
@@ -430,7 +435,11 @@
 	case c.cold > 0 && c.full == 0:
 		return Choice{Reason: ReasonCold, RetryAfter: max(c.coldNext.Sub(now), retryFull)}
 	}
-	return Choice{Reason: ReasonFull, RetryAfter: retryFull}
+	choice := Choice{Reason: ReasonFull, RetryAfter: retryFull}
+	if !w.OnTime {
+		choice.RetryAfter = p.comeback.after(retryFull, now)
+	}
+	return choice
 }
 
 const (
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -234,8 +234,8 @@
 	}
 	if here && own.Reason != placement.ReasonNoServer {
 		r.work.OnTime = false
-		if late := pool.Place(&r.work, now); late.Placement != nil {
-			return late, nil, nil
+		if own = pool.Place(&r.work, now); own.Placement != nil {
+			return own, nil, nil
 		}
 	}
 	return placement.Choice{}, nil, refusalOf(own)
