--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -92,6 +92,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	faults := e.faults
+	if e.down() { // it was read before the process died: the dead run nothing, and die once
+		panic(http.ErrAbortHandler)
+	}
 	if faults.CrashOn != "" && strings.Contains(req.Prompt, faults.CrashOn) {
 		e.crash()
 		panic(http.ErrAbortHandler)
