Refuse a request whose header is beyond the limit of the configuration in force

Cause: the limit was a constant of 64 KiB, whatever the operators' configuration said; a larger header than they allow was served. net/http takes its limit once, at the start.

Change: the fields' size is held against the configuration that decides the request, and 431 answers one beyond it. Ruled out: counting the request line, which operators' callers would have to allow for. The test case failed before (200). Limits of time on an idle connection stay constants: two minutes, above what operators set, so that no request crosses the close of a connection.

--- a/transport/httproute/failure.go
+++ b/transport/httproute/failure.go
@@ -25,6 +25,7 @@
 	reasonNoRoute     reason = "no_route"       // no route matches
 	reasonKey         reason = "unknown_key"    // no account holds the key
 	reasonBody        reason = "body_too_large" // beyond the limit in force
+	reasonHeader      reason = "header_too_large"
 	reasonQuota       reason = "quota"          // the account is at its rate
 	reasonQuarantine  reason = "quarantined"    // it crashed the servers that ran it
 	reasonNoServer    reason = "no_server"      // no usable server in a permitted region
@@ -66,6 +67,8 @@
 		return http.StatusUnauthorized
 	case reasonBody:
 		return http.StatusRequestEntityTooLarge
+	case reasonHeader:
+		return http.StatusRequestHeaderFieldsTooLarge
 	case reasonQuota:
 		return http.StatusTooManyRequests
 	}
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -142,6 +142,9 @@
 	if config == nil {
 		return nil, &failure{run: notRun, reason: reasonNotReady, retryAfter: retryNotReady}
 	}
+	if limit := config.Limits.HeaderBytes; limit > 0 && headerBytes(hr) > limit {
+		return nil, &failure{run: notRun, reason: reasonHeader}
+	}
 	route := config.Match(hr.Host, hr.URL.Path)
 	if route == nil {
 		return nil, &failure{run: notRun, reason: reasonNoRoute}
@@ -190,6 +193,19 @@
 	return left < max(leastStream, readTime+time.Duration(r.OutputTokens)*tokenTime)
 }
 
+// headerBytes returns the size of a request's header fields as they were sent. The
+// server's own limit is fixed at its start and above what operators set.
+func headerBytes(hr *http.Request) int {
+	const separators = len(": \r\n")
+	size := len("Host") + separators + len(hr.Host)
+	for name, values := range hr.Header {
+		for _, value := range values {
+			size += len(name) + separators + len(value)
+		}
+	}
+	return size
+}
+
 // readBody reads the whole body. net/http tells that a caller has gone only when
 // its request was read to the end.
 func readBody(w http.ResponseWriter, hr *http.Request, limit int64) ([]byte, *failure) {
--- a/transport/httproute/path_test.go
+++ b/transport/httproute/path_test.go
@@ -179,7 +179,7 @@
 		Services: map[string]*routes.Service{"svc": {Name: "svc"}},
 		Accounts: map[string]*routes.Account{"grocers": {Name: "grocers", Priority: -1}},
 		Keys:     map[routes.KeyHash]string{sha256.Sum256([]byte(testKey)): "grocers"},
-		Limits:   routes.Limits{BodyBytes: 1000},
+		Limits:   routes.Limits{BodyBytes: 1000, HeaderBytes: 4000},
 		Routes: []routes.Route{
 			route("read", routes.KindIdempotent, 2, false), route("order", routes.KindNonIdempotent, 1, false),
 			route("draft", routes.KindStreaming, 2, true), route("chat", routes.KindStreaming, 1, false), slow,
@@ -227,6 +227,7 @@
 		{"/elsewhere/1", "", nil, 404},
 		{"/read/1", "", []string{"Key", "another"}, 401},
 		{"/order/1", strings.Repeat("b", 1001), nil, 413},
+		{"/read/1", "", []string{"Mine", strings.Repeat("h", 4000)}, 431},
 	} {
 		if resp, _, err := call(t, t.Context(), front, "POST", tc.path, tc.body, tc.header...); err != nil || resp.StatusCode != tc.want {
 			t.Errorf("%s: %v, %v, want %d", tc.path, resp, err, tc.want)
