Tell requests refused for quota times to come back that stand behind each other

Cause: each was told how long the account's whole rate takes for its own tokens, a tenth of a second. Ruled out: a longer flat time.

Change: the time stands behind those told before at this instance, at the pace of a quarter of what it admits of the account, 5 s at the most beyond the account's own rate. The test fails before (the second one is told the same as the first).

--- a/coordination/quota/account.go
+++ b/coordination/quota/account.go
@@ -34,8 +34,11 @@
 
 	borrowings []borrowing // oldest first
 	reports    []pendingReport
-	asked      float64 // tokens asked for since the last tick
-	demand     float64 // average of asked, tokens per second
+	asked      float64   // tokens asked for since the last tick
+	demand     float64   // average of asked, tokens per second
+	charged    float64   // tokens charged since the last tick
+	admitted   float64   // average of charged, tokens per second
+	toldNext   time.Time // the time to come back that was told last, and what stands behind it
 	waiters    []*Waiter
 	round      round
 	nextAsk    time.Time // not before
@@ -85,6 +88,7 @@
 		return Charge{}, false
 	}
 	c := Charge{Account: a.name, Tokens: tokens}
+	a.charged += tokens
 	c.own = a.spendLoans(tokens, now, &c)
 	if c.own > 0 {
 		c.seq = a.debit(c.own, minting)
--- a/coordination/quota/borrower.go
+++ b/coordination/quota/borrower.go
@@ -198,7 +198,8 @@
 func (a *account) measure(elapsed time.Duration) {
 	keep := math.Exp2(-elapsed.Seconds() / demandHalfLife.Seconds())
 	a.demand = a.demand*keep + a.asked/elapsed.Seconds()*(1-keep)
-	a.asked = 0
+	a.admitted = a.admitted*keep + a.charged/elapsed.Seconds()*(1-keep)
+	a.asked, a.charged = 0, 0
 }
 
 // round is the present search for lenders. It asks the nearest one first, then
--- a/coordination/quota/bound_test.go
+++ b/coordination/quota/bound_test.go
@@ -190,3 +190,27 @@
 		t.Error("still waiting")
 	}
 }
+
+// An account asks for many times its rate and its requests are refused one after the
+// other. Told the time in which the account's whole rate makes up for each, they would all
+// come back together; each is told a time behind the one before it, up to a most.
+func TestRefusedRequestsComeBackApart(t *testing.T) {
+	l := New("d1")
+	l.Update([]*service.Account{acme(1000, testBurst, nil)}, oneSlot, 1, start)
+	var last time.Duration
+	for n := range 20 {
+		w := l.Wait("acme", 500, time.Millisecond, start)
+		l.Tick(50*time.Millisecond, start.Add(50*time.Millisecond))
+		v := <-w.Done
+		if v.OK || v.RetryAfter < last || v.RetryAfter > comebackMost {
+			t.Fatalf("request %d: %+v after %s", n, v, last)
+		}
+		if n == 1 && v.RetryAfter <= last {
+			t.Errorf("the second one is told %s like the first", v.RetryAfter)
+		}
+		last = v.RetryAfter
+	}
+	if last != comebackMost {
+		t.Errorf("the last one is told %s", last)
+	}
+}
--- a/coordination/quota/waiter.go
+++ b/coordination/quota/waiter.go
@@ -108,7 +108,7 @@
 		comes := a.comesIn(missing)
 		late := now.Add(comes).After(w.deadline) && a.round.exhausted(now)
 		if late || !now.Before(w.deadline) {
-			w.Done <- Verdict{RetryAfter: comes}
+			w.Done <- Verdict{RetryAfter: a.comeBack(w.tokens, comes, now)}
 			missing -= w.tokens
 			continue
 		}
@@ -133,6 +133,33 @@
 	return max(leastRetryAfter, wait)
 }
 
+const (
+	// comebackShare is the part of what the account is admitted here that is kept for
+	// those who come back.
+	comebackShare = 0.25
+	// comebackMost is the longest time that is told beyond what the account's own rate
+	// takes: an offender's callers are better told again.
+	comebackMost = 5 * time.Second
+)
+
+// comeBack tells a refused request when to come back: at the least when the account could
+// have the tokens, and behind those told before it at the pace at which this instance
+// could admit them. Told the account's whole rate, all who were refused at once came back
+// within a tenth of a second of each other, and all but one were refused again.
+func (a *account) comeBack(tokens float64, least time.Duration, now time.Time) time.Duration {
+	rate := max(comebackShare*a.admitted, a.part.rate)
+	earliest := now.Add(least)
+	if a.toldNext.Before(earliest) {
+		a.toldNext = earliest
+	}
+	wait := min(a.toldNext.Sub(now), max(comebackMost, least))
+	if rate > 0 {
+		behind := min(tokens/rate, comebackMost.Seconds())
+		a.toldNext = now.Add(wait + time.Duration(behind*float64(time.Second)))
+	}
+	return wait
+}
+
 // Tick serves the requests that wait and updates the averages. It is called
 // several times a second.
 func (l *Ledger) Tick(elapsed time.Duration, now time.Time) {
