--- a/transport/httproute/failure.go
+++ b/transport/httproute/failure.go
@@ -26,19 +26,19 @@
 	reasonKey         reason = "unknown_key"    // no account holds the key
 	reasonBody        reason = "body_too_large" // beyond the limit in force
 	reasonHeader      reason = "header_too_large"
-	reasonQuota       reason = "quota"          // the account is at its rate
-	reasonQuarantine  reason = "quarantined"    // it crashed the servers that ran it
-	reasonNoServer    reason = "no_server"      // no usable server in a permitted region
-	reasonLoad        reason = "overloaded"     // it cannot be served in time
-	reasonCold        reason = "cold"           // cold servers take few requests
-	reasonStopping    reason = "stopping"       // this instance stops
-	reasonShed        reason = "shed"           // the server refused it
-	reasonUnreachable reason = "unreachable"    // nothing was sent: no connection
-	reasonBroken      reason = "broken"         // the connection ended without an answer
-	reasonSilent      reason = "silent"         // the server said nothing for too long
-	reasonMalformed   reason = "malformed"      // what came back is no answer
-	reasonDeadline    reason = "deadline"       // out of time
-	reasonPeer        reason = "peer"           // the peer could not be reached or gave up
+	reasonQuota       reason = "quota"       // the account is at its rate
+	reasonQuarantine  reason = "quarantined" // it crashed the servers that ran it
+	reasonNoServer    reason = "no_server"   // no usable server in a permitted region
+	reasonLoad        reason = "overloaded"  // it cannot be served in time
+	reasonCold        reason = "cold"        // cold servers take few requests
+	reasonStopping    reason = "stopping"    // this instance stops
+	reasonShed        reason = "shed"        // the server refused it
+	reasonUnreachable reason = "unreachable" // nothing was sent: no connection
+	reasonBroken      reason = "broken"      // the connection ended without an answer
+	reasonSilent      reason = "silent"      // the server said nothing for too long
+	reasonMalformed   reason = "malformed"   // what came back is no answer
+	reasonDeadline    reason = "deadline"    // out of time
+	reasonPeer        reason = "peer"        // the peer could not be reached or gave up
 )
 
 // failure is an attempt, or a whole request, without an answer.
