--- a/transport/httproute/path_test.go
+++ b/transport/httproute/path_test.go
@@ -474,3 +474,25 @@
 		}
 	}
 }
+
+// A caller announces a body, sends a part of it and goes away. Nothing of it reaches a
+// server, which would run half an order, and the connection's goroutine ends.
+func TestCallerLeavesWithinItsBody(t *testing.T) {
+	s := startStandIn(t, func(c net.Conn, r *http.Request) bool { return respond(c, r, 200, "ok") })
+	f, front := gatewayOver(t, s)
+	configure(f)
+	for _, framing := range []string{"Content-Length: 100\r\n\r\nhalf", "Transfer-Encoding: chunked\r\n\r\n64\r\nhalf"} {
+		c, err := net.Dial("tcp", front.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := fmt.Fprintf(c, "POST /order/1 HTTP/1.1\r\nHost: %s\r\nId: id-left\r\nKey: %s\r\n%s", testHost, testKey, framing); err != nil {
+			t.Fatal(err)
+		}
+		_ = c.Close()
+	}
+	front.Close() // waits for the requests that are being served
+	if n := len(s.requests()); n != 0 {
+		t.Errorf("%d requests reached the server", n)
+	}
+}
