--- a/coordination/quotashare/quotashare_test.go
+++ b/coordination/quotashare/quotashare_test.go
@@ -187,3 +187,54 @@
 		}
 	}
 }
+
+// An instance counts a newcomer, restarts and forgets it. Before it has read the store, two
+// others that have not heard of the newcomer tell it their set, which is whole as long as
+// the newcomer does not mint. Then these two count the newcomer too, and it mints by the
+// word that the first one gave before its restart: the first one divides by one too few.
+func TestRestartedInstanceForgetsWhomItCounted(t *testing.T) {
+	w := &world{minted: make(map[string]bool), live: make(map[string]*Keeper), stage: make(map[string]int)}
+	for _, id := range []string{"a", "b", "c", "new"} {
+		w.live[id] = NewKeeper(id)
+	}
+	meet := func(from, to string) {
+		w.exchange(from, to)
+		w.exchange(to, from)
+		w.exchange(from, to)
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		w.write(id)
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		w.read(id)
+	}
+	meet("a", "b")
+	meet("b", "c")
+	meet("a", "c")
+	for _, id := range []string{"a", "b", "c"} {
+		if !w.live[id].Mints() {
+			t.Fatalf("%s does not mint", id)
+		}
+	}
+	w.write("new")
+	w.read("new")
+	meet("new", "a")
+	w.live["a"], w.stage["a"] = NewKeeper("a"), 0
+	meet("a", "b")
+	meet("a", "c")
+	w.live["a"].Mints()
+	meet("b", "new")
+	meet("c", "new")
+	w.live["new"].Mints()
+	minting := 0
+	for _, k := range w.live {
+		if k.Mints() {
+			minting++
+		}
+	}
+	for id, k := range w.live {
+		if k.Mints() && k.Size() < minting {
+			t.Errorf("%s divides by %d while %d mint", id, k.Size(), minting)
+		}
+	}
+}
