--- a/coordination/placement/comeback.go
+++ b/coordination/placement/comeback.go
@@ -12,9 +12,10 @@
 // of the servers' work could take them. In a peak the times move out beyond it; when it is
 // over nobody is told to wait for long.
 const (
-	// comebackShare is the part of what is placed that is kept for those who come back.
-	// With a quarter more of them return before a peak of some seconds has ended; with a
-	// twelfth times reach comebackMost sooner. In between both serve as many.
+	// comebackShare is the part of the pace of placements at which those who were refused
+	// are told to come back. A larger part lets more of them return into a peak of some
+	// seconds, a smaller one tells more of them comebackMost; a quarter and a twelfth
+	// differed by less than the noise, and this lies between them.
 	comebackShare = 0.12
 	// comebackLeast is the least rate of those who come back, a second: that of an
 	// instance that has placed nothing yet.
@@ -30,7 +31,7 @@
 type comeback struct {
 	placed float64 // placements, each fading over placedFor
 	at     time.Time
-	next   time.Time // the time told last
+	next   time.Time // the earliest time for the next one, behind those told before
 }
 
 func (c *comeback) fade(now time.Time) {
--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -36,7 +36,8 @@
 	minAside = 700 * time.Millisecond
 	maxAside = 5 * time.Second
 	// failingAside is how long one is set aside that fails a part of its requests. It
-	// comes back before when probes succeed. With the times of minAside it came back by
+	// comes back before when probes succeed; some twenty of them fit in, of which six in a
+	// row have to. With the times of minAside it came back by
 	// itself every second or two, was the emptiest server of its region, and every
 	// instance sent it requests of which half were lost, also such as may not be repeated.
 	failingAside = 8 * time.Second
--- a/coordination/spill/spill.go
+++ b/coordination/spill/spill.go
@@ -40,7 +40,7 @@
 // Occupancy is how full the servers of a region are.
 type Occupancy struct {
 	Running float64 // requests
-	Slots   float64 // requests that could run at once
+	Slots   float64 // requests that the servers are sent at most
 }
 
 // Share returns the part of the slots that is taken; 1 where there are none.
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -305,7 +305,7 @@
 		if !allowed || o.Servers == 0 || slices.Contains(tried, o.Region) {
 			continue
 		}
-		f.sent.account(&o, r.service, instances)
+		f.sent.correct(&o, r.service, instances)
 		o.Expected += placement.BeyondSummary(&r.work)
 		out = append(out, o)
 	}
--- a/transport/httproute/sentaway.go
+++ b/transport/httproute/sentaway.go
@@ -38,9 +38,9 @@
 	return since
 }
 
-// account brings the word of a region up to date with what was sent there since. The
+// correct brings the word of a region up to date with what was sent there since. The
 // other instances of the own region are taken to have sent as much.
-func (s *sentAway) account(remote *Remote, service string, instances int) {
+func (s *sentAway) correct(remote *Remote, service string, instances int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	since := s.of(remote, service)
