Let a newcomer mint only when all instances name the same lifetimes of all

Cause of the red test: an instance counted a newcomer, restarted, and took its peers' set for whole before these had heard of the newcomer. The newcomer went by the word from before the restart: four minted, one of them dividing by three.

Now each instance, once it has heard all others of its set go by it, names the lifetimes in which they did (Member.quota_agreed), and one that has not minted before mints when all name the same. Each says so after it heard all others, so at one moment all counted the newcomer in those lifetimes, and what any of them is told later has it.

Ruled out: to bind the word to one lifetime only (the peers that know of the restart may have restarted too); to take no peer's set for whole (an instance that restarts beside a store that is away would not mint).

Before: TestRestartedInstanceForgetsWhomItCounted "a divides by 3 while 4 mint", and the same with the new comparison taken out. After: it passes, the property test passes 200,000 cases, spec/quotashare.pml holds with a peer's set counted as whole (900,931 states) and the variant ONE_ROUND, the old rule, is refuted.

--- a/coordination/quotashare/quotashare.go
+++ b/coordination/quotashare/quotashare.go
@@ -4,9 +4,19 @@
 //
 //   - An instance that joins writes its name into the store and then reads all names.
 //     Of two that join at once, the one that reads later sees the other's name.
-//   - It mints its part only when every instance whose name it read goes by a set that
-//     has its own name. So each of two that mint has the other in its set, every set
-//     has all that mint, and the parts together are at most the whole.
+//   - A set is whole when it was read from the store after that, or when a peer whose set
+//     is whole and has the own name tells it. So an instance that restarts while the store
+//     is away mints.
+//   - It mints its part only when every instance of its set goes by the same set, and all
+//     of them have heard that of each other in the same lifetimes. Each of two that mint
+//     has the other in its set, so the parts together are at most the whole.
+//
+// Why the lifetimes: a peer that has counted a newcomer, restarts, and takes for whole the
+// set of another one that has not heard of the newcomer yet, divides by one too few beside
+// it. Each instance names the lifetimes only after it has heard all others, so when the
+// names agree there was a moment at which all of them counted the newcomer at once; every
+// set that is told later has it. spec/quotashare.pml checks this.
+//
 //   - An instance mints its part for good; nobody else ever mints it. One that is cut
 //     off goes on with its own part, and needs neither the store nor a peer.
 //   - That it has once minted stands in the store. A restarted instance that finds it
@@ -30,24 +40,32 @@
 
 // Keeper decides what one instance may mint. It is safe for concurrent use.
 type Keeper struct {
-	self string
+	self     string
+	lifetime uint64
 
 	mu          sync.Mutex
 	holders     map[string]bool
-	hash        uint64          // of holders
-	hashes      map[uint64]bool // of all sets with the own name that this instance went by
-	complete    bool            // holders has every instance that mints
-	established bool            // all others counted this instance once
-	acks        map[string]bool // those that go by a set with the own name
-	free        map[string]bool // those that hold nothing a predecessor lent
-	cleared     bool            // tokens that a predecessor lent cannot be spent any more
+	hash        uint64            // of holders
+	complete    bool              // holders has every instance that mints
+	established bool              // all others counted this instance once
+	acks        map[string]uint64 // lifetimes in which the others went by this very set
+	agreed      map[string]uint64 // what the others last said of the lifetimes they heard
+	free        map[string]bool   // those that hold nothing a predecessor lent
+	cleared     bool              // tokens that a predecessor lent cannot be spent any more
 }
 
-// NewKeeper returns a keeper that mints nothing.
-func NewKeeper(self string) *Keeper {
+// Word is what an instance says of its set.
+type Word struct {
+	Lifetime uint64 // in which it says so; another one after each restart
+	Hash     uint64 // see Keeper.Hash
+	Agreed   uint64 // see Keeper.Agreed
+}
+
+// NewKeeper returns a keeper of an instance in one of its lifetimes. It mints nothing.
+func NewKeeper(self string, lifetime uint64) *Keeper {
 	return &Keeper{
-		self: self, holders: make(map[string]bool), hashes: make(map[uint64]bool),
-		acks: make(map[string]bool), free: make(map[string]bool),
+		self: self, lifetime: lifetime, holders: make(map[string]bool),
+		acks: make(map[string]uint64), agreed: make(map[string]uint64), free: make(map[string]bool),
 	}
 }
 
@@ -61,14 +79,12 @@
 		if id != "" && !k.holders[id] {
 			k.holders[id] = true
 			k.hash ^= xxhash.Sum64String(id)
+			clear(k.acks) // they were for a smaller set
 		}
 	}
 	if complete && k.holders[k.self] {
 		k.complete = true
 	}
-	if k.holders[k.self] {
-		k.hashes[k.hash] = true
-	}
 }
 
 // Establish takes in that the store says this instance has minted before.
@@ -85,13 +101,48 @@
 	return k.established
 }
 
-// Heard takes in the hash of the set that another instance goes by.
-func (k *Keeper) Heard(id string, hash uint64) {
+// Heard takes in what another instance says of its set.
+func (k *Keeper) Heard(id string, w Word) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.agreed[id] = w.Agreed
+	if w.Hash == k.hash && k.holders[k.self] {
+		k.acks[id] = w.Lifetime
+	}
+}
+
+// Agreed names the lifetimes in which all instances of the set went by it, this one
+// included; 0 while one of them has not been heard to.
+func (k *Keeper) Agreed() uint64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.hashes[hash] {
-		k.acks[id] = true
+	return k.agreedLifetimes()
+}
+
+func (k *Keeper) agreedLifetimes() uint64 {
+	if !k.holders[k.self] {
+		return 0
+	}
+	sum := k.hash
+	for id := range k.holders {
+		lifetime, heard := k.acks[id]
+		if id == k.self {
+			lifetime, heard = k.lifetime, true
+		}
+		if !heard {
+			return 0
+		}
+		sum ^= lifetimeHash(id, lifetime)
 	}
+	return sum
+}
+
+// lifetimeHash is for sums whose order does not matter.
+func lifetimeHash(id string, lifetime uint64) uint64 {
+	var digest xxhash.Digest
+	digest.ResetWithSeed(lifetime)
+	_, _ = digest.WriteString(id) // writing to a hash does not fail
+	return digest.Sum64()
 }
 
 // NothingOwed takes in that another instance holds nothing that a predecessor lent.
@@ -183,8 +234,12 @@
 	if k.established {
 		return true
 	}
+	own := k.agreedLifetimes()
+	if own == 0 {
+		return false
+	}
 	for id := range k.holders {
-		if id != k.self && !k.acks[id] {
+		if id != k.self && k.agreed[id] != own {
 			return false
 		}
 	}
--- a/coordination/quotashare/quotashare_test.go
+++ b/coordination/quotashare/quotashare_test.go
@@ -14,6 +14,21 @@
 	minted map[string]bool // by the store
 	live   map[string]*Keeper
 	stage  map[string]int // of joining: 0 nothing, 1 written, 2 read
+	lives  uint64         // begun so far
+}
+
+func newWorld(ids ...string) *world {
+	w := &world{minted: make(map[string]bool), live: make(map[string]*Keeper), stage: make(map[string]int)}
+	for _, id := range ids {
+		w.start(id)
+	}
+	return w
+}
+
+// start begins a lifetime, which knows nothing of the one before.
+func (w *world) start(id string) {
+	w.lives++
+	w.live[id], w.stage[id] = NewKeeper(id, w.lives), 0
 }
 
 func (w *world) write(id string) {
@@ -49,21 +64,41 @@
 		}
 		a.Merge(b.Holders(), b.Complete() && own)
 	}
-	a.Heard(to, b.Hash())
+	a.Heard(to, b.word())
+}
+
+// meet lets two instances hear of each other.
+func (w *world) meet(from, to string) {
+	w.exchange(from, to)
+	w.exchange(to, from)
+	w.exchange(from, to)
+}
+
+// meetAll lets every two instances meet, until each has heard that all others heard all.
+func (w *world) meetAll(ids ...string) {
+	for range 3 {
+		for i, from := range ids {
+			for _, to := range ids[i+1:] {
+				w.meet(from, to)
+			}
+		}
+	}
 }
 
+func (k *Keeper) word() Word { return Word{Lifetime: k.lifetime, Hash: k.Hash(), Agreed: k.Agreed()} }
+
 // Instances join, restart, lose the store for as long as they like and hear of each
 // other in any order; what has begun to mint is written to the store, or that write is
 // lost. At every moment the parts of all that mint are at most the whole: each of them
 // divides by a set at least as large as their number.
 func TestPartsNeverExceedTheWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &world{minted: make(map[string]bool), live: make(map[string]*Keeper), stage: make(map[string]int)}
+		w := newWorld()
 		var ids []string
 		for i := range rapid.IntRange(1, 5).Draw(t, "instances") {
 			id := fmt.Sprint("i", i)
 			ids = append(ids, id)
-			w.live[id] = NewKeeper(id)
+			w.start(id)
 		}
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			id := rapid.SampledFrom(ids).Draw(t, "instance")
@@ -79,14 +114,15 @@
 					w.minted[id] = true
 				}
 			case 5:
-				w.live[id], w.stage[id] = NewKeeper(id), 0
+				w.start(id)
 			}
 			check(t, w)
 		}
 	})
 }
 
-func check(t *rapid.T, w *world) {
+func check(t rapid.TB, w *world) {
+	t.Helper()
 	minting := 0
 	for _, k := range w.live {
 		if k.Mints() {
@@ -103,16 +139,17 @@
 // All instances restart while one of them is gone for good. Those that minted before
 // mint again at once, without a word from the one that cannot answer.
 func TestRestartNeedsNoWordFromTheGone(t *testing.T) {
-	k := NewKeeper("a")
+	k := NewKeeper("a", 1)
 	k.Establish()
 	k.Merge([]string{"a", "b", "gone"}, true)
 	if !k.Mints() {
 		t.Error("a restarted instance waits for one that is gone")
 	}
-	joins := NewKeeper("c")
+	joins := NewKeeper("c", 1)
 	joins.Merge([]string{"a", "b", "c", "gone"}, true)
-	joins.Heard("a", joins.Hash())
-	joins.Heard("b", joins.Hash())
+	for _, id := range []string{"a", "b"} {
+		joins.Heard(id, joins.word())
+	}
 	if joins.Mints() {
 		t.Error("a new instance mints although one that may be cut off has not counted it")
 	}
@@ -122,7 +159,7 @@
 // are. The first one holds no loan of its predecessor, another one does. Its whole part
 // is free only when the set is complete and all have spoken, or the loans have expired.
 func TestIncompleteSetProvesNoLoanGone(t *testing.T) {
-	k := NewKeeper("a")
+	k := NewKeeper("a", 1)
 	k.Merge([]string{"b"}, false)
 	k.NothingOwed("b")
 	if k.Clear(false) {
@@ -142,7 +179,7 @@
 	if silent := k.Silent(); len(silent) != 0 {
 		t.Errorf("%v are asked though all is clear", silent)
 	}
-	if alone := NewKeeper("a"); !alone.Clear(true) {
+	if alone := NewKeeper("a", 1); !alone.Clear(true) {
 		t.Error("expired loans stand in the way")
 	}
 }
@@ -152,35 +189,26 @@
 // newcomer only. Its set lacks the third one: going by it, the two would mint a half
 // each beside the third one's part.
 func TestSetOfAnIncompletePeerIsNotComplete(t *testing.T) {
-	w := &world{minted: make(map[string]bool), live: make(map[string]*Keeper), stage: make(map[string]int)}
-	for _, id := range []string{"a", "b", "third", "newcomer"} {
-		w.live[id] = NewKeeper(id)
-	}
-	meet := func(from, to string) {
-		w.exchange(from, to)
-		w.exchange(to, from)
-		w.exchange(from, to)
-	}
+	w := newWorld("a", "b", "third", "newcomer")
 	for _, id := range []string{"a", "b"} {
 		w.write(id)
 	}
 	w.read("a")
 	w.read("b")
-	meet("a", "b")
-	meet("newcomer", "a")
+	w.meet("a", "b")
+	w.meet("newcomer", "a")
 	w.write("third")
 	w.read("third")
-	meet("third", "a")
-	meet("third", "b")
+	w.meetAll("a", "b", "third")
 	if !w.live["third"].Mints() {
 		t.Fatal("the third instance does not mint, though all others counted it")
 	}
 	for _, id := range []string{"a", "b"} {
-		w.live[id] = NewKeeper(id)
+		w.start(id)
 	}
-	meet("a", "newcomer")
-	meet("b", "newcomer")
-	meet("a", "b")
+	w.meet("a", "newcomer")
+	w.meet("b", "newcomer")
+	w.meet("a", "b")
 	for _, id := range []string{"a", "b"} {
 		if w.live[id].Mints() {
 			t.Errorf("%s mints one in %d while the third one mints one in %d", id, w.live[id].Size(), w.live["third"].Size())
@@ -193,24 +221,14 @@
 // the newcomer does not mint. Then these two count the newcomer too, and it mints by the
 // word that the first one gave before its restart: the first one divides by one too few.
 func TestRestartedInstanceForgetsWhomItCounted(t *testing.T) {
-	w := &world{minted: make(map[string]bool), live: make(map[string]*Keeper), stage: make(map[string]int)}
-	for _, id := range []string{"a", "b", "c", "new"} {
-		w.live[id] = NewKeeper(id)
-	}
-	meet := func(from, to string) {
-		w.exchange(from, to)
-		w.exchange(to, from)
-		w.exchange(from, to)
-	}
+	w := newWorld("a", "b", "c", "new")
 	for _, id := range []string{"a", "b", "c"} {
 		w.write(id)
 	}
 	for _, id := range []string{"a", "b", "c"} {
 		w.read(id)
 	}
-	meet("a", "b")
-	meet("b", "c")
-	meet("a", "c")
+	w.meetAll("a", "b", "c")
 	for _, id := range []string{"a", "b", "c"} {
 		if !w.live[id].Mints() {
 			t.Fatalf("%s does not mint", id)
@@ -218,23 +236,18 @@
 	}
 	w.write("new")
 	w.read("new")
-	meet("new", "a")
-	w.live["a"], w.stage["a"] = NewKeeper("a"), 0
-	meet("a", "b")
-	meet("a", "c")
+	w.meet("new", "a")
+	w.start("a")
+	w.meet("a", "b")
+	w.meet("a", "c")
 	w.live["a"].Mints()
-	meet("b", "new")
-	meet("c", "new")
+	w.meet("b", "new")
+	w.meet("c", "new")
 	w.live["new"].Mints()
-	minting := 0
-	for _, k := range w.live {
-		if k.Mints() {
-			minting++
-		}
-	}
-	for id, k := range w.live {
-		if k.Mints() && k.Size() < minting {
-			t.Errorf("%s divides by %d while %d mint", id, k.Size(), minting)
-		}
+	check(t, w)
+	w.meetAll("a", "b", "c", "new")
+	check(t, w)
+	if !w.live["new"].Mints() {
+		t.Error("the newcomer never mints, though all count it")
 	}
 }
--- a/instance/routed/members.go
+++ b/instance/routed/members.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/basilroute/basilroute/coordination/membership"
+	"github.com/basilroute/basilroute/coordination/quotashare"
 	"github.com/basilroute/basilroute/protocol/peerpb"
 	"github.com/basilroute/basilroute/transport/peer"
 )
@@ -168,8 +169,11 @@
 	var regional []string
 	var casts []netip.AddrPort
 	fleet := 0
+	agreed := n.shares.Agreed()
 	for _, m := range n.members.Members(now) {
-		n.shares.Heard(m.Entry.GetId(), m.Entry.GetQuotaHash())
+		n.shares.Heard(m.Entry.GetId(), quotashare.Word{
+			Lifetime: m.Entry.GetIncarnation(), Hash: m.Entry.GetQuotaHash(), Agreed: m.Entry.GetQuotaAgreed(),
+		})
 		if !m.Reachable || m.Leaving() {
 			continue
 		}
@@ -181,6 +185,9 @@
 			}
 		}
 	}
+	if n.shares.Agreed() != agreed {
+		n.spread() // an instance that joins waits for this word of all others
+	}
 	n.castTo.Store(&casts)
 	n.regional.Store(&regional)
 	n.fleetSize.Store(int64(max(fleet, n.shares.Size())))
--- a/instance/routed/node.go
+++ b/instance/routed/node.go
@@ -111,11 +111,12 @@
 
 // New binds the addresses. It serves nothing before Start.
 func New(settings Settings, source Source, codec httproute.Codec, endpoints Endpoints, log *slog.Logger) (*Node, error) {
+	started := time.Now()
 	n := &Node{
 		settings: settings, source: source, codec: codec, log: log.With("instance", settings.ID),
-		registry: prometheus.NewRegistry(), started: time.Now(),
+		registry: prometheus.NewRegistry(), started: started,
 		routes: &routes.Table{}, backends: backends.New(), ledger: quota.New(settings.ID),
-		shares: quotashare.NewKeeper(settings.ID), quarantine: quarantine.New(),
+		shares: quotashare.NewKeeper(settings.ID, uint64(started.UnixNano())), quarantine: quarantine.New(),
 		pool: peer.NewPool(insecure.NewCredentials()), news: make(chan struct{}, 1),
 		listeners: make(map[string]net.Listener), failed: make(chan error, 8),
 	}
--- a/spec/quotashare.pml
+++ b/spec/quotashare.pml
@@ -4,18 +4,20 @@
  * of each other in any order, restart and forget. The parts of those that mint must
  * be at most the whole: none of them divides by fewer than there are.
  *
- * The plain model is the rule that holds: an instance takes a set for whole only when it
- * has read it from the store itself. The code also takes a peer's word for it (PEER_SET),
- * so that an instance which restarts while the store is away mints; what that breaks is
- * TestRestartedInstanceForgetsWhomItCounted, in KNOWN-RED.txt. What is to replace it has
- * to let the model hold without making every restart wait for the store.
+ * A set counts as whole when it was read from the store, or when a peer whose set is
+ * whole and has the own name tells it: so an instance that restarts while the store is
+ * away mints. A peer may not have heard yet of a newcomer whom the restarted instance had
+ * counted. So a newcomer needs more than that each other one once went by a set with its
+ * name: all have to name the same lifetimes of all. Each says so after it heard the others,
+ * so there was a moment at which all of them counted the newcomer in those lifetimes, and
+ * every set that is told later has it.
  *
  * Not in the model: loans, rates, time.
  */
 
-// a peer's whole set counts as read, although a restarted instance may have counted one
-// that the peer has not heard of, and has forgotten it:
-// variant: PEER_SET
+// it is enough that each other one has once gone by the same set, whether or not it has
+// restarted since:
+// variant: ONE_ROUND
 // a set that a peer has heard in part passes for the whole, too:
 // variant: PARTIAL_IS_COMPLETE
 // an instance mints without the word of the others:
@@ -31,6 +33,7 @@
 #define INSTANCES 3
 #endif
 #define RESTARTS 2
+#define OUTSIDER 3 /* only ever hears of others */
 
 #define bit(i) (1 << (i))
 
@@ -40,8 +43,10 @@
 
 /* The instances, which forget all of this when they restart. */
 byte holders[4];    /* the set that it goes by */
-short went[INSTANCES];      /* one bit for each set with its own name that it went by */
-byte acks[INSTANCES];       /* those that go by such a set */
+byte life[4];       /* its lifetime, which it does not forget */
+byte acks[INSTANCES];       /* those that it heard to go by the same set */
+byte seen[16];      /* 4 * n + i: the lifetime in which i did so, as n heard it */
+byte agreed[INSTANCES];     /* those that named the same lifetimes of all */
 bool written[INSTANCES];    /* its name, in this life */
 bool complete[INSTANCES];
 bool established[INSTANCES];
@@ -50,10 +55,23 @@
 byte restarts;
 byte i, j; /* of the present step */
 
+#define knows(n) (holders[n] & bit(n))
+#define all(n) (holders[n] & ~bit(n))
+
+/* each of n and p has heard all, itself included, in the same lifetimes */
+#define of(n, i) (i == n -> life[n] + 1 : seen[4 * n + i])
+#define heardAll(n) ((all(n) & ~acks[n]) == 0)
+#define same(n, p) (heardAll(n) && heardAll(p) && holders[n] == holders[p] && of(n, 0) == of(p, 0) \
+	&& of(n, 1) == of(p, 1) && of(n, 2) == of(p, 2) && of(n, 3) == of(p, 3))
+
+inline forgetAcks(n) {
+	acks[n] = 0; agreed[n] = 0;
+	seen[4 * n] = 0; seen[4 * n + 1] = 0; seen[4 * n + 2] = 0; seen[4 * n + 3] = 0
+}
+
 inline goBy(n, set) {
-	holders[n] = holders[n] | (set);
 	if
-	:: holders[n] & bit(n) -> went[n] = went[n] | (1 << holders[n])
+	:: ((set) & ~holders[n]) != 0 -> holders[n] = holders[n] | (set); forgetAcks(n)
 	:: else
 	fi
 }
@@ -73,26 +91,38 @@
 #ifdef PARTIAL_IS_COMPLETE
 	   || true
 #endif
-#ifdef PEER_SET
 	   || complete[peer]
-#endif
 	   ) -> goBy(n, holders[peer]); complete[n] = true
 	:: else -> goBy(n, holders[peer])
 	fi;
+	if
 #ifdef HEARD_IS_ACK
-	acks[n] = acks[n] | bit(peer)
+	:: knows(n) && (holders[n] & bit(peer)) ->
 #else
-	if
-	:: (went[n] & (1 << holders[peer])) != 0 -> acks[n] = acks[n] | bit(peer)
+	:: knows(n) && holders[n] == holders[peer] ->
+#endif
+		if
+		:: seen[4 * n + peer] != life[peer] + 1 -> agreed[n] = 0
+		:: else
+		fi;
+		acks[n] = acks[n] | bit(peer);
+		seen[4 * n + peer] = life[peer] + 1;
+		if
+		:: same(n, peer) -> agreed[n] = agreed[n] | bit(peer)
+		:: else -> agreed[n] = agreed[n] & ~bit(peer)
+		fi
 	:: else
 	fi
-#endif
 }
 
 #ifdef NO_ACKS
 #define counted(n) true
 #else
-#define counted(n) ((holders[n] & ~(acks[n] | bit(n))) == 0)
+#if defined(ONE_ROUND) || defined(HEARD_IS_ACK)
+#define counted(n) heardAll(n)
+#else
+#define counted(n) ((all(n) & ~agreed[n]) == 0)
+#endif
 #endif
 
 #define size(s) (((s) & 1) + (((s) >> 1) & 1) + (((s) >> 2) & 1) + (((s) >> 3) & 1))
@@ -105,7 +135,7 @@
 		select(i : 0 .. INSTANCES - 1);
 		if
 		/* join: write the own name, then read all */
-		:: !written[i] ->
+		:: i != OUTSIDER && !written[i] ->
 			names = names | bit(i);
 #ifdef MINTED_AT_JOIN
 			minted = minted | bit(i);
@@ -125,9 +155,9 @@
 		/* the store learns of it, or the write is lost and this step never comes */
 		:: mints[i] && !(minted & bit(i)) -> minted = minted | bit(i)
 		/* restart, anywhere in the above */
-		:: restarts < RESTARTS ->
+		:: i != OUTSIDER && restarts < RESTARTS ->
 			restarts++;
-			holders[i] = 0; went[i] = 0; acks[i] = 0;
+			holders[i] = 0; forgetAcks(i); life[i]++;
 			written[i] = false; complete[i] = false; established[i] = false; mints[i] = false
 		:: else
 		fi;
