Log how evenly answers went, and the load of the server at the choice

Cause: a late answer whose first byte came in time left no line, and a line of a choice did not say what the server had to do. So neither pauses nor the pace could be read from logs.

request_served, request_refused and request_cut carry the number of events and the longest pause between two; an answer that paused longer than its route allows is told in full; request_placed carries what the server runs and the prompt tokens it has to read before.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -158,6 +158,8 @@
 	Expected   time.Duration // to the first byte, at the best server
 	Late       bool          // it will miss its objective
 	Cached     int           // prompt tokens that the server is taken to hold
+	Running    int           // requests that it is taken to have
+	Backlog    int           // prompt tokens that it has to read for others before
 	FetchFrom  string        // address of a server from which it should fetch more of them; may be empty
 }
 
@@ -247,7 +249,10 @@
 		return p.refuse(found, now)
 	}
 	expected := seconds(best.expected)
-	choice := Choice{Expected: expected, Cached: best.cached, FetchFrom: best.fetchFrom}
+	choice := Choice{
+		Expected: expected, Cached: best.cached, FetchFrom: best.fetchFrom,
+		Running: int(p.running(best.server, now)), Backlog: int(best.ahead),
+	}
 	if best.onTime(w, now) {
 		return choice
 	}
@@ -282,6 +287,7 @@
 	expected  float64 // seconds to the first byte
 	cost      float64
 	unread    float64
+	ahead     float64 // prompt tokens of others to be read before
 	own       float64 // of expected: reading the request's own prompt
 	cached    int
 	fetchFrom string
@@ -427,7 +433,8 @@
 	c.cached = s.cache.match(w.Parts)
 	c.unread = float64(max(w.Tokens-c.cached, 0))
 	others := max(s.peers.pendingOf(w.Urgency, now), s.waiting*fade(now.Sub(s.reportedAt))*p.unread)
-	c.expected = baseTime + (s.pendingOf(w.Urgency)+others+c.unread)/p.readRate*s.pace*p.pace + s.excess(now)
+	c.ahead = s.pendingOf(w.Urgency) + others
+	c.expected = baseTime + (c.ahead+c.unread)/p.readRate*s.pace*p.pace + s.excess(now)
 	c.own = c.unread / p.readRate * s.pace * p.pace
 	c.cost = c.expected + (readWeight-1)*c.unread/p.readRate + p.running(s, now)*runningCost
 	if s == home {
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -85,6 +85,7 @@
 	attempts  int      // sends to backend servers
 	story     []decision
 	firstByte time.Duration // until the head of the answer
+	pauses    pauses        // between the events of the answer
 	tries     int           // attempts, sent or not
 	paid      atomic.Bool   // the next repeat has been taken from the budget
 	mayLeave  func() bool   // see Front.mayLeave
--- a/transport/httproute/relay.go
+++ b/transport/httproute/relay.go
@@ -172,6 +172,21 @@
 	return max(gapFactor*d.r.route.GapObjective, leastGap)
 }
 
+// pauses tells how evenly the events of an answer went to its caller.
+type pauses struct {
+	events  int
+	longest time.Duration // between two events
+	last    time.Time     // when the last one went
+}
+
+// passed takes in that events went to the caller; count are all so far.
+func (p *pauses) passed(count int, now time.Time) {
+	if p.events > 0 {
+		p.longest = max(p.longest, now.Sub(p.last))
+	}
+	p.events, p.last = count, now
+}
+
 // pass hands whole events to the caller.
 func (d *delivery) pass(rep *reply, whole []byte) (gone bool) {
 	if len(whole) == 0 {
@@ -183,6 +198,7 @@
 		err = d.control.Flush()
 	}
 	d.events.drop(whole)
+	d.r.pauses.passed(d.events.count, time.Now())
 	return err != nil
 }
 
--- a/transport/httproute/trail.go
+++ b/transport/httproute/trail.go
@@ -50,9 +50,9 @@
 }
 
 // remarkable tells whether a request that was served took more than one attempt or
-// longer than its objective.
+// longer than its objective, or paused for too long.
 func (r *request) remarkable(took time.Duration) bool {
-	if r.tries > 1 {
+	if r.tries > 1 || r.pausedTooLong() {
 		return true
 	}
 	if r.route == nil || r.route.Objective == 0 {
@@ -64,9 +64,16 @@
 	return took > r.route.Objective
 }
 
+func (r *request) pausedTooLong() bool {
+	return r.route != nil && r.route.GapObjective > 0 && r.pauses.longest > r.route.GapObjective
+}
+
 // noteEnd keeps how a request ended.
 func (r *request) noteEnd(refused *failure, gone bool, took time.Duration) {
 	attrs := []any{"took_ms", took.Milliseconds(), "first_byte_ms", r.firstByte.Milliseconds(), "attempts", r.attempts}
+	if r.pauses.events > 0 {
+		attrs = append(attrs, "events", r.pauses.events, "longest_pause_ms", r.pauses.longest.Milliseconds())
+	}
 	if refused == nil {
 		r.note(eventServed, attrs...)
 		return
