Let requests leave a region also by the pace of its answers

Hypothesis: an engine reads prompts between the tokens of running answers, so a region is short of engine time long before it is short of slots; answers then take three times as long, miss deadlines, and fill the slots only therefore. Load pattern: one region reads much beside one that reads little.

The part of the servers' time that running answers do not get, against the fastest mean seen, is in the word between regions, and requests leave by it as they do by slots (coordination/spill), from 0.35 on.

Not covered: a word of another region is up to a second old.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -185,6 +185,7 @@
 	work     float64 // seconds, of a plain request, as measured
 	pace     float64 // measured over expected time, of all servers
 	unread   float64 // mean prompt tokens that a request leaves to be read
+	fastest  float64 // least mean pause between the events of a server's answers, in seconds
 	byHash   map[uint32]*server
 	sent     []Dispatch // since the last digest
 	comeback comeback
--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -52,6 +52,7 @@
 	inFlight int
 	pending  [urgencies]float64 // prompt tokens of requests whose first byte has not come
 	peers    peerLoads
+	steps    steps
 
 	others     float64 // requests of other instances, by the last report
 	waiting    float64 // requests that had not begun, by the last report
@@ -263,6 +264,7 @@
 	Running  int           // requests that the servers have, of all instances
 	Room     int           // requests that could start at once
 	Expected time.Duration // to the first byte of a prompt of ordinary size
+	Slowed   float64       // part of the servers' time that does not go into running answers
 }
 
 // summaryTokens is the size of the prompt that a summary speaks of, in tokens that
@@ -287,7 +289,7 @@
 	w := Work{Tokens: summaryTokens, Urgency: urgencies - 1, Arrived: now}
 	best, c := p.choose(&w, now)
 	running, slots := p.occupancy(now)
-	out := Summary{Servers: c.usable, Running: int(running), Room: int(max(slots-running, 0))}
+	out := Summary{Servers: c.usable, Running: int(running), Room: int(max(slots-running, 0)), Slowed: p.allSlowed(now)}
 	if best != nil {
 		out.Expected = seconds(best.expected)
 	}
--- a/coordination/spill/spill.go
+++ b/coordination/spill/spill.go
@@ -10,6 +10,11 @@
 // the more of them the fuller the region is, and each goes to the emptiest region that
 // may take it and still answers in time. The bound ones find room at home.
 //
+// An engine that reads many prompts goes on slowly with all answers that run: they miss
+// their deadlines while its slots are not full, and fill them by and by only because they
+// take so long. So requests leave, too, the more of them the more of the servers' time
+// goes elsewhere than into running answers, for a region where less of it does.
+//
 // Only a share of the requests leaves, drawn at random: the word of the other region is
 // a second or two old, and all instances act on the same word at once. With a share that
 // grows with the occupancy the regions draw level without swinging.
@@ -31,16 +36,24 @@
 	// there since it spoke is not known; with less two regions at their peak send each
 	// other requests that both refuse.
 	margin = 0.25
+	// slowedFrom and slowedTo are the same for the part of the servers' time that does not
+	// go into running answers: at the first they take twice their time, at the second seven
+	// times.
+	slowedFrom = 0.35
+	slowedTo   = 0.7
+	// slowedMargin is by how much less that part has to be in the other region.
+	slowedMargin = 0.12
 	// timeShare is the part of the time left within the objective that the answer may
 	// be expected to take by way of the other region; the rest is for what the estimate
 	// does not see.
 	timeShare = 0.8
 )
 
-// Occupancy is how full the servers of a region are.
+// Occupancy is how full and how slow the servers of a region are.
 type Occupancy struct {
 	Running float64 // requests
 	Slots   float64 // requests that the servers are sent at most
+	Slowed  float64 // part of the servers' time that does not go into running answers
 }
 
 // Share returns the part of the slots that is taken; 1 where there are none.
@@ -51,6 +64,14 @@
 	return o.Running / o.Slots
 }
 
+// byRoom and bySpeed return the part of the requests that should leave a region for want
+// of slots and of speed.
+func (o Occupancy) byRoom() float64  { return (o.Share() - From) / (to - From) }
+func (o Occupancy) bySpeed() float64 { return (o.Slowed - slowedFrom) / (slowedTo - slowedFrom) }
+
+// Leaves tells whether any request should leave the region.
+func (o Occupancy) Leaves() bool { return o.byRoom() > 0 || o.bySpeed() > 0 }
+
 // Region is another region that may take the request.
 type Region struct {
 	Occupancy
@@ -61,19 +82,23 @@
 // it should stay. left is what is left of its objective, 0 when it has none; draw is
 // uniform in [0,1).
 func Early(own Occupancy, others []Region, left time.Duration, draw float64) int {
-	full := own.Share()
-	if draw >= (full-From)/(to-From) {
-		return -1
-	}
+	byRoom, bySpeed := draw < own.byRoom(), draw < own.bySpeed()
 	best := -1
 	for i := range others {
 		o := &others[i]
-		if o.Share() > full-margin || left > 0 && o.Arrives > time.Duration(timeShare*float64(left)) {
+		if left > 0 && o.Arrives > time.Duration(timeShare*float64(left)) {
 			continue
 		}
-		if best < 0 || o.Share() < others[best].Share() {
+		better := byRoom && o.Share() <= own.Share()-margin || bySpeed && o.Slowed <= own.Slowed-slowedMargin
+		if !better || o.byRoom() > 0 && o.Share() > own.Share()-margin {
+			continue
+		}
+		if best < 0 || o.load() < others[best].load() {
 			best = i
 		}
 	}
 	return best
 }
+
+// load orders regions by what they lack most.
+func (o Occupancy) load() float64 { return max(o.Share(), o.Slowed) }
--- a/instance/routed/facts.go
+++ b/instance/routed/facts.go
@@ -175,6 +175,7 @@
 		loads = append(loads, &peerpb.ServiceLoad{
 			Service: svc.Name, Servers: uint32(s.Servers), InFlight: uint32(s.Running),
 			ExpectedWaitMs: uint32(s.Expected.Milliseconds()), HasRoom: s.Room > 0, Room: uint32(s.Room),
+			SlowedPercent: uint32(100 * s.Slowed),
 		})
 	}
 	away := n.storeAway()
--- a/instance/routed/views.go
+++ b/instance/routed/views.go
@@ -68,6 +68,7 @@
 			if load.GetService() == service {
 				remote.Servers = int(load.GetServers())
 				remote.Running, remote.Room = int(load.GetInFlight()), int(load.GetRoom())
+				remote.Slowed = float64(load.GetSlowedPercent()) / 100
 				remote.Expected = time.Duration(load.GetExpectedWaitMs()) * time.Millisecond
 			}
 		}
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -265,8 +265,8 @@
 		return nil
 	}
 	running, slots := pool.Occupancy(now)
-	own := spill.Occupancy{Running: running, Slots: slots}
-	if own.Share() < spill.From {
+	own := spill.Occupancy{Running: running, Slots: slots, Slowed: pool.Slowed(now)}
+	if !own.Leaves() {
 		return nil
 	}
 	remotes := f.permitted(r, nil, homes, anywhere)
@@ -274,7 +274,7 @@
 	for i := range remotes {
 		o := &remotes[i]
 		regions[i] = spill.Region{
-			Occupancy: spill.Occupancy{Running: float64(o.Running), Slots: float64(o.Running + o.Room)}, Arrives: o.arrives(),
+			Occupancy: spill.Occupancy{Running: float64(o.Running), Slots: float64(o.Running + o.Room), Slowed: o.Slowed}, Arrives: o.arrives(),
 		}
 	}
 	chosen := spill.Early(own, regions, r.work.Objective-now.Sub(r.arrived), rand.Float64())
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -223,6 +223,7 @@
 	for {
 		n, err := rep.Read(buffer)
 		if n > 0 {
+			rep.wentOn(time.Now())
 			_, failed := w.Write(buffer[:n])
 			if failed == nil {
 				failed = control.Flush()
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -28,6 +28,7 @@
 	Servers   int
 	Running   int           // requests at its servers
 	Room      int           // requests that could start there at once
+	Slowed    float64       // part of its servers' time that does not go into running answers
 	Expected  time.Duration // to the first byte there, of an ordinary request
 	Heard     time.Time     // when the instance last spoke
 }
--- a/transport/httproute/local.go
+++ b/transport/httproute/local.go
@@ -68,6 +68,14 @@
 	verdict Verdict
 	server  string
 	ended   func(placement.Outcome)
+	went    func(time.Time) // more of the body went on; nil where nobody asks
+}
+
+// wentOn takes in that more of the body was handed on.
+func (r *reply) wentOn(now time.Time) {
+	if r.went != nil {
+		r.went(now)
+	}
 }
 
 // end closes the answer and says how it ended.
@@ -165,6 +173,13 @@
 		return nil, &failure{run: unknown, reason: reasonMalformed, server: r.server, sent: true}
 	}
 	pool.FirstByte(placed, now)
+	var last time.Time
+	r.went = func(now time.Time) {
+		if !last.IsZero() {
+			pool.Event(placed, now.Sub(last), now)
+		}
+		last = now
+	}
 	return r, nil
 }
 
--- a/transport/httproute/relay.go
+++ b/transport/httproute/relay.go
@@ -198,7 +198,9 @@
 		err = d.control.Flush()
 	}
 	d.events.drop(whole)
-	d.r.pauses.passed(d.events.count, time.Now())
+	now := time.Now()
+	d.r.pauses.passed(d.events.count, now)
+	rep.wentOn(now)
 	return err != nil
 }
 
