Log why a request went nowhere

Cause: a refusal for want of a server or of time left no inputs: neither what the best server here nor what the best other region would have taken.

request_unplaced carries both.

--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -239,9 +239,21 @@
 			return own, nil, nil
 		}
 	}
+	f.noteUnplaced(r, here, own, remote)
 	return placement.Choice{}, nil, refusalOf(own)
 }
 
+// noteUnplaced keeps why a request went nowhere: what the best server here and the best
+// other region would have taken.
+func (f *Front) noteUnplaced(r *request, here bool, own placement.Choice, remote *Remote) {
+	attrs := []any{"here", here, "reason", string(own.Reason), "expected_ms", own.Expected.Milliseconds(),
+		"running", own.Running, "backlog", own.Backlog}
+	if remote != nil {
+		attrs = append(attrs, "region", remote.Region, "region_expected_ms", remote.arrives().Milliseconds())
+	}
+	r.note(eventUnplaced, attrs...)
+}
+
 func refusalOf(c placement.Choice) *failure {
 	f := &failure{run: notRun, retryAfter: c.RetryAfter}
 	switch c.Reason {
--- a/transport/httproute/trail.go
+++ b/transport/httproute/trail.go
@@ -14,6 +14,7 @@
 	eventAdmitted  = "request_admitted"
 	eventPlaced    = "request_placed"
 	eventForwarded = "request_forwarded"
+	eventUnplaced  = "request_unplaced"
 	eventRetried   = "request_retried"
 	eventResumed   = "request_resumed"
 	eventRefused   = "request_refused"
