Join by one store call; wait for the part of the quotas after a start

In the regions away from the store joining took three calls one after the other (0.5 s), and without lenders or a part each request was refused at once, some told to come back in an hour.

The list of members has the own item, so one call is enough for an instance that the store knows. A waiter is not refused before its limit while the instance does not know its part; where the rate is unknown half a second is told.

TestRequestWaitsForTheStart and TestUnknownRateIsToldAShortTime failed first ("RetryAfter:1h0m0s").

--- a/coordination/quota/waiter.go
+++ b/coordination/quota/waiter.go
@@ -98,7 +98,9 @@
 // refuseLate refuses each waiter whose tokens come too late. While lenders are
 // left to ask, that is at its limit; once all of them were dry the fleet mints no
 // more than the account's rate, so the time to come back is known and the
-// refusal need not wait.
+// refusal need not wait. An instance that has just started knows neither its part nor
+// its lenders: it learns them within some tenths of a second, and until then no refusal
+// is certain.
 func (a *account) refuseLate(now time.Time) (refused bool) {
 	before := len(a.waiters)
 	kept := a.waiters[:0]
@@ -106,7 +108,7 @@
 	for _, w := range a.waiters {
 		missing += w.tokens
 		comes := a.comesIn(missing)
-		late := now.Add(comes).After(w.deadline) && a.round.exhausted(now)
+		late := now.Add(comes).After(w.deadline) && a.round.exhausted(now) && !a.provisional
 		if late || !now.Before(w.deadline) {
 			w.Done <- Verdict{RetryAfter: a.comeBack(w.tokens, comes, now)}
 			missing -= w.tokens
@@ -122,11 +124,17 @@
 const (
 	leastRetryAfter = 50 * time.Millisecond
 	mostRetryAfter  = time.Hour
+	// unknownRetryAfter is told while the account's rate is not known here, as after a
+	// start: by then the configuration and the own part have come.
+	unknownRetryAfter = 500 * time.Millisecond
 )
 
 // comesIn is how long the account's whole rate takes for some tokens.
 func (a *account) comesIn(tokens float64) time.Duration {
-	if a.doc == nil || a.doc.Rate <= 0 {
+	switch {
+	case a.doc == nil:
+		return unknownRetryAfter
+	case a.doc.Rate <= 0:
 		return mostRetryAfter
 	}
 	wait := time.Duration(min(tokens/a.doc.Rate, mostRetryAfter.Seconds()) * float64(time.Second))
--- a/instance/routed/join.go
+++ b/instance/routed/join.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -59,42 +61,52 @@
 }
 
 // enter makes this instance known and learns of the others. minted tells whether it
-// has minted before.
+// has minted before. One that the store knows from an earlier lifetime needs a single
+// call: its item stood there before it read the others', and until then every account is
+// refused here.
 func (n *Node) enter(ctx context.Context) (minted bool, err error) {
-	own, err := n.source.Store().Get(ctx, membersPrefix+n.settings.ID)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	found, err := n.listMembers(ctx)
+	if err != nil {
 		return false, err
 	}
-	item, known := n.decodeMember(own.Key, own.Value)
-	if !known || item.Peer != n.settings.Listen.Peers {
-		if err := n.putMember(ctx, item.Minted); err != nil {
+	own := found[n.settings.ID]
+	if own.Peer != n.settings.Listen.Peers {
+		if err := n.putMember(ctx, own.Minted); err != nil {
+			return false, err
+		}
+		if found, err = n.listMembers(ctx); err != nil {
 			return false, err
 		}
 	}
-	found, _, err := n.source.Store().List(ctx, membersPrefix, 0)
-	if err != nil {
-		return false, err
-	}
-	var ids []string
 	var seeds []membership.Seed
-	for _, kv := range found {
-		m, ok := n.decodeMember(kv.Key, kv.Value)
-		if !ok {
-			continue
-		}
-		ids = append(ids, m.ID)
+	for _, m := range found {
 		n.holderAddress.Store(m.ID, m.Peer)
 		seeds = append(seeds, membership.Seed{ID: m.ID, PeerAddress: m.Peer, Region: m.Region, Domain: m.Domain})
 	}
 	n.members.SetSeeds(append(seeds, n.staticSeeds()...))
-	if item.Minted {
+	if own.Minted {
 		n.shares.Establish()
 	}
-	n.shares.Merge(ids, true)
-	n.log.Info("joined", "holders", len(ids), "minted_before", item.Minted)
+	n.shares.Merge(slices.Collect(maps.Keys(found)), true)
+	n.log.Info("joined", "holders", len(found), "minted_before", own.Minted)
 	n.quotasChanged()
 	n.spread()
-	return item.Minted, nil
+	return own.Minted, nil
+}
+
+// listMembers reads the items of all instances, by id.
+func (n *Node) listMembers(ctx context.Context) (map[string]memberItem, error) {
+	items, _, err := n.source.Store().List(ctx, membersPrefix, 0)
+	if err != nil {
+		return nil, err
+	}
+	found := make(map[string]memberItem, len(items))
+	for _, kv := range items {
+		if m, ok := n.decodeMember(kv.Key, kv.Value); ok {
+			found[m.ID] = m
+		}
+	}
+	return found, nil
 }
 
 func (n *Node) decodeMember(key string, value []byte) (memberItem, bool) {
