Let requests wait for what an instance learns at its start

Load pattern: everybody returns at once to instances that know nothing yet.

A request that waits is one that will probably be served: what is known to be unservable is refused at once as before.

--- a/instance/routed/follow.go
+++ b/instance/routed/follow.go
@@ -185,6 +185,11 @@
 	}
 }
 
+// startTime is how long after its start an instance may lack what it needs to serve.
+const startTime = 2 * time.Second
+
+func (n *Node) starting() bool { return n.uptime() < startTime }
+
 // uptime is by the steady clock: the time of day may jump.
 func (n *Node) uptime() time.Duration { return time.Since(n.started) }
 
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -60,6 +60,8 @@
 	Stopping func() bool
 	// Remaining is how long this instance still runs, once it leaves; 0 before.
 	Remaining func() time.Duration
+	// Starting tells whether this instance has started just now and may lack what it needs.
+	Starting func() bool
 	// Leaving tells whether callers are to leave their connections.
 	Leaving func() bool
 
@@ -140,7 +142,7 @@
 // accept reads a request and finds its route and account. Both results are nil when
 // the caller has gone.
 func (f *Front) accept(w http.ResponseWriter, hr *http.Request, arrived time.Time) (*request, *failure) {
-	config := f.Routes.Current()
+	config := f.awaitConfig(hr.Context())
 	if config == nil {
 		return nil, &failure{run: notRun, reason: reasonNotReady, retryAfter: retryNotReady}
 	}
@@ -271,6 +273,7 @@
 		return refused
 	}
 	f.Retries.Request(r.service, r.arrived)
+	f.awaitPlace(ctx, r)
 	refused = f.attemptAll(ctx, w, r)
 	if refused != nil && refused.run == notRun && charge.Tokens > 0 {
 		f.Ledger.Settle(charge, 0, time.Now())
--- a/transport/httproute/path_test.go
+++ b/transport/httproute/path_test.go
@@ -157,7 +157,7 @@
 		Region: "r", Codec: testCodec{}, Routes: &routes.Table{}, Ledger: quota.New("i"), Quarantine: list,
 		Retries: retry.NewWindow(retry.WindowSettings{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second}),
 		Remotes: alone{}, Local: local, Peers: local.Client, Log: log, Metrics: metrics,
-		Stopping: never, Leaving: never, Remaining: func() time.Duration { return 0 },
+		Starting: never, Stopping: never, Leaving: never, Remaining: func() time.Duration { return 0 },
 	}
 	front := httptest.NewServer(f)
 	t.Cleanup(front.Close)
