Fetch shared parts from servers of other regions

Load pattern: sessions whose requests arrive in all regions, and prompts that cross at a peak, beside engines that are short of time to read.

A region that forwards a prompt names the server that holds its shared parts, and the other region counts on fetching them. For a prompt that no server of the own region holds, the server is asked that the hash names in the permitted region which runs most; the choice does not count on it.

--- a/coordination/placement/fetch.go
+++ b/coordination/placement/fetch.go
@@ -36,13 +36,18 @@
 	if holder == nil || gain < leastFetch {
 		return
 	}
-	read := gain / p.readRate
-	moved := fetchSetup + gain*p.settings.FetchTime
+	p.fetchFrom(c, holder.Address, gain, p.settings.FetchTime)
+}
+
+// fetchFrom lets the candidate fetch some tokens, each in a time, in seconds.
+func (p *Pool) fetchFrom(c *candidate, address string, tokens, each float64) {
+	read := tokens / p.readRate
+	moved := fetchSetup + tokens*each
 	if moved >= read {
 		return
 	}
-	c.fetchFrom = holder.Address
-	c.unread -= gain
+	c.fetchFrom = address
+	c.unread -= tokens
 	c.expected += (moved - read) * c.pace
 	c.own += (moved - read) * c.pace
 	c.cost += (moved-read)*c.pace - (readWeight-1)*read + fetchWeight*read
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -109,6 +109,7 @@
 	Arrived   time.Time
 	Deadline  time.Time
 	Exclude   []string // servers that were tried
+	Far       Source   // another region's server that may hold shared parts
 	OnTime    bool     // refuse when the objective would be missed
 	Risk      bool     // may go to a server that fails a part of its requests rather than be refused
 	Probe     bool     // may run on a server that is set aside, to see whether it has recovered
@@ -189,6 +190,7 @@
 	byHash   map[uint32]*server
 	sent     []Dispatch // since the last digest
 	comeback comeback
+	far      map[string][]farServer // by region
 }
 
 // New returns a pool without servers.
@@ -341,6 +343,7 @@
 		if holder != s {
 			p.fetch(next, holder, held)
 		}
+		p.fetchFar(next, w)
 		if best == nil || next.cost < best.cost {
 			best = next
 		}
@@ -356,17 +359,21 @@
 	var best *server
 	var top uint64
 	for _, s := range p.servers {
-		score := s.hash ^ subject
-		score *= 0x9e3779b97f4a7c15
-		score ^= score >> 29
-		score *= 0xbf58476d1ce4e5b9
-		if best == nil || score > top {
+		if score := rendezvous(s.hash, subject); best == nil || score > top {
 			best, top = s, score
 		}
 	}
 	return best
 }
 
+// rendezvous is the score of a server for a subject; the highest one is its home.
+func rendezvous(server, subject uint64) uint64 {
+	score := server ^ subject
+	score *= 0x9e3779b97f4a7c15
+	score ^= score >> 29
+	return score * 0xbf58476d1ce4e5b9
+}
+
 // setAside returns the servers that failed too often; never more than half, since
 // a service whose servers all fail in part is better served in part than not.
 func (p *Pool) setAside(now time.Time) map[*server]bool {
--- a/instance/routed/facts.go
+++ b/instance/routed/facts.go
@@ -6,6 +6,7 @@
 	"github.com/basilroute/basilroute/coordination/placement"
 	"github.com/basilroute/basilroute/protocol/peerpb"
 	"github.com/basilroute/basilroute/service"
+	"github.com/basilroute/basilroute/state/backends"
 	"github.com/basilroute/basilroute/state/mirror"
 	"github.com/basilroute/basilroute/state/routes"
 )
@@ -102,14 +103,11 @@
 	}
 	n.poolMu.Lock()
 	defer n.poolMu.Unlock()
-	entries := n.backends.InRegion(n.settings.Region, now)
+	byRegion := make(map[string][]backends.Entry)
+	for _, region := range n.settings.regions() {
+		byRegion[region] = n.backends.InRegion(region, now)
+	}
 	for _, svc := range config.Services {
-		own := entries[:0:0]
-		for _, e := range entries {
-			if e.Service == svc.Name {
-				own = append(own, e)
-			}
-		}
 		settings := placement.Settings{ColdRate: svc.ColdRate, ColdOwner: n.ownsCold}
 		if svc.Engine != nil {
 			settings.Engine, settings.Slots, settings.CacheTokens = true, svc.Engine.Slots, svc.Engine.CacheTokens
@@ -117,8 +115,24 @@
 				settings.FetchTime = svc.Engine.TokenBytes / svc.Engine.LinkRate
 			}
 		}
-		n.local.Pool(svc.Name).Update(settings, own)
+		pool := n.local.Pool(svc.Name)
+		for region, entries := range byRegion {
+			if region != n.settings.Region && svc.Engine != nil {
+				pool.UpdateFar(region, ofService(entries, svc.Name))
+			}
+		}
+		pool.Update(settings, ofService(byRegion[n.settings.Region], svc.Name))
+	}
+}
+
+func ofService(entries []backends.Entry, service string) []backends.Entry {
+	out := entries[:0:0]
+	for _, e := range entries {
+		if e.Service == service {
+			out = append(out, e)
+		}
 	}
+	return out
 }
 
 // ownsCold tells whether this instance is the one of its region that sends work to a
--- a/instance/routed/settings.go
+++ b/instance/routed/settings.go
@@ -7,7 +7,9 @@
 package routed
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -122,3 +124,9 @@
 		r.Addf(path, "want IP:port, have %q", address)
 	}
 }
+
+// regions returns the regions of the deployment, ordered.
+func (s *Settings) regions() []string {
+	regions := slices.Sorted(maps.Values(s.Domains))
+	return slices.Compact(regions)
+}
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -223,6 +223,7 @@
 		if remote := f.early(r, pool, homes, anywhere, now); remote != nil {
 			return placement.Choice{}, remote, nil
 		}
+		r.work.Far = f.farSource(r, pool, homes, anywhere)
 		r.work.OnTime = true
 		if own = pool.Place(&r.work, now); own.Placement != nil {
 			return own, nil, nil
@@ -296,6 +297,23 @@
 	return &remotes[chosen]
 }
 
+// farSource returns a server of another region that may hold the request's shared parts:
+// of the permitted region at whose servers most requests run, since it has read most.
+func (f *Front) farSource(r *request, pool *placement.Pool, homes []string, anywhere bool) placement.Source {
+	if len(r.work.Parts) < 2 {
+		return placement.Source{}
+	}
+	most := -1
+	region := ""
+	for _, o := range f.Remotes.Remotes(r.service) {
+		allowed := anywhere || slices.Contains(homes, o.Region)
+		if allowed && o.Servers > 0 && o.Running > most {
+			region, most = o.Region, o.Running
+		}
+	}
+	return pool.FarSource(&r.work, region)
+}
+
 // bestRemote returns the permitted region that should answer first, or nil.
 func (f *Front) bestRemote(r *request, tried, homes []string, anywhere bool) *Remote {
 	var best *Remote
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -37,6 +37,8 @@
 	Print       string `json:"print"`
 	LastEventID string `json:"last_event_id,omitempty"`
 	Config      int64  `json:"config"`
+	HolderAddr  string `json:"holder_address,omitempty"` // a server of the first region that holds shared parts
+	HolderHas   int    `json:"holder_tokens,omitempty"`
 }
 
 // refused is a failure on its way to the first instance.
@@ -51,7 +53,9 @@
 // forward sends the request to a peer of another region and reads the answer's head.
 func (f *Front) forward(ctx context.Context, r *request, o *outbound, remote *Remote) (*reply, *failure) {
 	now := time.Now()
+	holder := f.Local.Pool(o.service).Holder(o.work, now)
 	note, err := json.Marshal(forwarded{
+		HolderAddr: holder.Address, HolderHas: holder.Tokens,
 		Service: o.service, Account: o.account, Urgency: o.work.Urgency, LeftMs: o.deadline.Sub(now).Milliseconds(),
 		ObjectiveMs: max(r.work.Objective-now.Sub(r.arrived), 0).Milliseconds(), Repeatable: o.repeatable,
 		Detached: r.route.Kind == routes.KindNonIdempotent, Print: o.print, LastEventID: o.lastEventID, Config: o.config,
@@ -178,6 +182,7 @@
 		work: &placement.Work{
 			Parts: call.Parts, Tokens: call.PromptTokens, Urgency: said.Urgency, Probe: said.Repeatable,
 			Risk:      !said.Detached,
+			Far:       placement.Source{Address: said.HolderAddr, Tokens: said.HolderHas},
 			Objective: time.Duration(said.ObjectiveMs) * time.Millisecond, Arrived: arrived, Deadline: deadline,
 		},
 	}
