Switch mechanisms of decision off by name in the settings

Cause: a mechanism that misbehaves could be taken out by a release only, and what each is worth could not be measured by itself.

service/features names thirteen; all are on by default. An unknown name is a finding with its place and the list of names. Not gated: what keeps a promise (quotas, retries, cold starts, homes, the fence of repeats).

--- a/coordination/placement/far.go
+++ b/coordination/placement/far.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/basilroute/basilroute/service/features"
 	"github.com/basilroute/basilroute/state/backends"
 )
 
@@ -76,7 +77,7 @@
 func (p *Pool) fetchFar(c *candidate, w *Work) {
 	known := w.Far.Tokens - c.cached
 	switch {
-	case c.fetchFrom != "" || w.Far.Address == "" || p.settings.FetchTime <= 0:
+	case c.fetchFrom != "" || w.Far.Address == "" || p.settings.FetchTime <= 0 || !p.on(features.FarFetch):
 	case w.Far.Tokens == 0 && w.shared()-c.cached >= leastFetch:
 		c.fetchFrom = w.Far.Address
 	case known >= leastFetch:
--- a/coordination/placement/fetch.go
+++ b/coordination/placement/fetch.go
@@ -1,8 +1,10 @@
 package placement
 
+import "github.com/basilroute/basilroute/service/features"
+
 // holder returns the server that holds most of the prompt, and how much.
 func (p *Pool) holder(w *Work, aside map[*server]bool) (*server, int) {
-	if p.settings.FetchTime <= 0 || len(w.Parts) == 0 {
+	if p.settings.FetchTime <= 0 || len(w.Parts) == 0 || !p.on(features.Fetch) {
 		return nil, 0
 	}
 	var best *server
--- a/coordination/placement/lastresort.go
+++ b/coordination/placement/lastresort.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/basilroute/basilroute/service/features"
+)
 
 // lastResortLimit is the share of failures up to which a server is still worth a request
 // that would be refused otherwise. At a region's peak with a fifth of its servers failing
@@ -12,7 +16,7 @@
 // what the others cannot: without them that region served 0.65. It is not for requests
 // that may take effect and then look as if they had not.
 func (p *Pool) lastResort(w *Work, now time.Time) *candidate {
-	if !w.Risk {
+	if !w.Risk || !p.on(features.LastResort) {
 		return nil
 	}
 	aside := p.setAside(now)
--- a/coordination/placement/pace.go
+++ b/coordination/placement/pace.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/basilroute/basilroute/service/features"
+)
 
 // An engine makes the next token of all running answers in one step, and reads prompts
 // between the steps. When it reads much, answers slow down long before its slots are full
@@ -55,7 +59,7 @@
 // slowed returns the part of a server's time that does not go into the next tokens of its
 // running answers, against the fastest it was seen to go.
 func (p *Pool) slowed(s *server, now time.Time) float64 {
-	if s.steps.count < leastSteps || now.Sub(s.steps.at) > stepFresh || s.steps.mean <= p.fastest {
+	if !p.on(features.LeaveByPace) || s.steps.count < leastSteps || now.Sub(s.steps.at) > stepFresh || s.steps.mean <= p.fastest {
 		return 0
 	}
 	return 1 - p.fastest/s.steps.mean
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -33,6 +33,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/basilroute/basilroute/service/features"
 	"github.com/basilroute/basilroute/state/backends"
 )
 
@@ -44,6 +45,7 @@
 	FetchTime   float64 // seconds for which a server fetches one cached token from another; 0 when they move none
 	ColdRate    float64 // requests per second of a cold server over all instances; 0 for no limit
 	ColdOwner   func(server string) bool
+	Features    features.Set
 }
 
 const (
@@ -240,12 +242,14 @@
 		choice.Placement = p.start(risky, w, now)
 		return choice
 	}
-	if choice.Reason == ReasonFull {
+	if choice.Reason == ReasonFull && p.on(features.Comeback) {
 		choice.RetryAfter = p.comeback.after(max(choice.RetryAfter, retryFull), now)
 	}
 	return choice
 }
 
+func (p *Pool) on(name features.Name) bool { return p.settings.Features.On(name) }
+
 // weighUp tells whether a request should go to the cheapest server, and if not, why.
 func (p *Pool) weighUp(best *candidate, w *Work, found census, now time.Time) Choice {
 	if best == nil {
@@ -353,7 +357,7 @@
 
 // home returns the server that the hash names for a subject.
 func (p *Pool) home(subject uint64) *server {
-	if subject == 0 {
+	if subject == 0 || !p.on(features.HashHomes) {
 		return nil
 	}
 	var best *server
@@ -379,7 +383,7 @@
 func (p *Pool) setAside(now time.Time) map[*server]bool {
 	var failing []*server
 	for _, s := range p.servers {
-		if now.Before(s.asideUntil) {
+		if now.Before(s.asideUntil) && (s.down || p.on(features.SetAside)) {
 			failing = append(failing, s)
 		}
 	}
--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/basilroute/basilroute/service/features"
 	"github.com/basilroute/basilroute/state/backends"
 )
 
@@ -154,8 +155,10 @@
 	ratio := min(max(took/pl.expected, minPace), maxPace)
 	s.pace += (ratio*s.pace - s.pace) * paceWeight
 	s.pace = min(max(s.pace, minPace), maxPace)
-	p.pace += (ratio*p.pace - p.pace) * poolPaceWeight
-	p.pace = min(max(p.pace, 1), maxPoolPace)
+	if p.on(features.PoolPace) {
+		p.pace += (ratio*p.pace - p.pace) * poolPaceWeight
+		p.pace = min(max(p.pace, 1), maxPoolPace)
+	}
 	s.extra = max(s.excess(now)/2, took-pl.expected)
 	s.extraAt = now
 }
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -41,6 +41,7 @@
 	domain string
 	shards [shardCount]shard
 	wanted chan struct{} // signalled when a request waits
+	pass   bool          // small requests pass large ones that wait
 
 	mu        sync.Mutex
 	nextAhead time.Time         // when tokens are next borrowed ahead of need
@@ -69,7 +70,7 @@
 // it holds slots and knows the documents.
 func New(domain string) *Ledger {
 	l := &Ledger{
-		domain: domain, wanted: make(chan struct{}, 1), epochs: make(map[int]uint64),
+		domain: domain, pass: true, wanted: make(chan struct{}, 1), epochs: make(map[int]uint64),
 		from: make(map[int]time.Time), docs: make(map[string]*service.Account),
 	}
 	for i := range l.shards {
@@ -78,6 +79,10 @@
 	return l
 }
 
+// DisablePassing makes small requests wait behind large ones. It is called before the
+// ledger is used.
+func (l *Ledger) DisablePassing() { l.pass = false }
+
 func (l *Ledger) shard(name string) *shard {
 	return &l.shards[xxhash.Sum64String(name)%shardCount]
 }
@@ -212,7 +217,7 @@
 	a.mint(now, s.minting)
 	s.activate(a)
 	a.asked += tokens
-	if len(a.waiters) > 0 && passFactor*tokens > a.waiters[0].tokens {
+	if len(a.waiters) > 0 && (!l.pass || passFactor*tokens > a.waiters[0].tokens) {
 		return Charge{}, false
 	}
 	return a.charge(tokens, now, s.minting)
--- a/instance/routed/facts.go
+++ b/instance/routed/facts.go
@@ -108,7 +108,7 @@
 		byRegion[region] = n.backends.InRegion(region, now)
 	}
 	for _, svc := range config.Services {
-		settings := placement.Settings{ColdRate: svc.ColdRate, ColdOwner: n.ownsCold}
+		settings := placement.Settings{ColdRate: svc.ColdRate, ColdOwner: n.ownsCold, Features: n.features}
 		if svc.Engine != nil {
 			settings.Engine, settings.Slots, settings.CacheTokens = true, svc.Engine.Slots, svc.Engine.CacheTokens
 			if svc.Engine.LinkRate > 0 {
--- a/instance/routed/follow.go
+++ b/instance/routed/follow.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/basilroute/basilroute/protocol/peerpb"
+	"github.com/basilroute/basilroute/service/features"
 	"github.com/basilroute/basilroute/state/mirror"
 	"github.com/basilroute/basilroute/transport/platform"
 )
@@ -188,7 +189,10 @@
 // startTime is how long after its start an instance may lack what it needs to serve.
 const startTime = 2 * time.Second
 
-func (n *Node) starting() bool { return n.uptime() < startTime }
+// mayWait tells whether requests may wait for what this instance still has to learn.
+func (n *Node) mayWait() bool {
+	return n.uptime() < startTime && n.features.On(features.StartWait)
+}
 
 // uptime is by the steady clock: the time of day may jump.
 func (n *Node) uptime() time.Duration { return time.Since(n.started) }
--- a/instance/routed/loans.go
+++ b/instance/routed/loans.go
@@ -7,6 +7,7 @@
 
 	"github.com/basilroute/basilroute/coordination/quota"
 	"github.com/basilroute/basilroute/protocol/peerpb"
+	"github.com/basilroute/basilroute/service/features"
 )
 
 // A restarted instance lends nothing and uses a part of its share only until it is sure
@@ -26,7 +27,7 @@
 
 // askSilent asks all that share the quotas whether they hold loans of a predecessor.
 func (n *Node) askSilent(ctx context.Context) {
-	for ctx.Err() == nil && !n.shares.Cleared() {
+	for ctx.Err() == nil && !n.shares.Cleared() && n.features.On(features.AskLoans) {
 		silent := n.shares.Silent()
 		rand.Shuffle(len(silent), func(a, b int) { silent[a], silent[b] = silent[b], silent[a] })
 		for _, id := range silent[:min(len(silent), silentFan)] {
--- a/instance/routed/node.go
+++ b/instance/routed/node.go
@@ -24,6 +24,7 @@
 	"github.com/basilroute/basilroute/coordination/slots"
 	"github.com/basilroute/basilroute/protocol/peerpb"
 	"github.com/basilroute/basilroute/service"
+	"github.com/basilroute/basilroute/service/features"
 	"github.com/basilroute/basilroute/state/backends"
 	"github.com/basilroute/basilroute/state/mirror"
 	"github.com/basilroute/basilroute/state/routes"
@@ -48,6 +49,7 @@
 	members    *membership.Table
 	ledger     *quota.Ledger
 	shares     *quotashare.Keeper
+	features   features.Set
 	quarantine *quarantine.List
 	local      *httproute.Local
 	front      *httproute.Front
@@ -112,14 +114,18 @@
 // New binds the addresses. It serves nothing before Start.
 func New(settings Settings, source Source, codec httproute.Codec, endpoints Endpoints, log *slog.Logger) (*Node, error) {
 	started := time.Now()
+	set := features.NewSet(settings.Features)
 	n := &Node{
-		settings: settings, source: source, codec: codec, log: log.With("instance", settings.ID),
+		settings: settings, features: set, source: source, codec: codec, log: log.With("instance", settings.ID),
 		registry: prometheus.NewRegistry(), started: started,
 		routes: &routes.Table{}, backends: backends.New(), ledger: quota.New(settings.ID),
 		shares: quotashare.NewKeeper(settings.ID, uint64(started.UnixNano())), quarantine: quarantine.New(),
 		pool: peer.NewPool(insecure.NewCredentials()), news: make(chan struct{}, 1),
 		listeners: make(map[string]net.Listener), failed: make(chan error, 8),
 	}
+	if !set.On(features.PassLargeWait) {
+		n.ledger.DisablePassing()
+	}
 	n.background, n.stopLoops = context.WithCancel(context.Background())
 	n.members = membership.New(n.selfEntry(), n.started)
 	n.regional.Store(&[]string{settings.ID})
@@ -174,7 +180,7 @@
 	n.front = &httproute.Front{
 		Region: n.settings.Region, Codec: n.codec, Routes: n.routes, Ledger: n.ledger, Quarantine: n.quarantine,
 		Retries: retry.NewWindow(retry.WindowSettings{Ratio: n.settings.Retry.Ratio, Slack: n.settings.Retry.Slack, Window: n.settings.Retry.Window}),
-		Remotes: n, Local: n.local, Log: n.log, Metrics: metrics, Starting: n.starting, Stopping: n.stopping.Load, Remaining: n.remaining, Leaving: n.leaving.Load,
+		Remotes: n, Local: n.local, Log: n.log, Metrics: metrics, Features: n.features, Starting: n.mayWait, Stopping: n.stopping.Load, Remaining: n.remaining, Leaving: n.leaving.Load,
 		Peers: backendhttp.New(backendhttp.Settings{DialTimeout: peerDialTimeout, UserTimeout: userTimeout, MaxIdle: maxIdleConns}),
 	}
 	n.relay = &httproute.Peer{Codec: n.codec, Local: n.local, Routes: n.routes, Stopping: n.leaving.Load}
@@ -185,7 +191,7 @@
 	}
 	n.caster = &loadcast.Caster{
 		Self: n.settings.ID, Incarnation: n.members.Self().GetIncarnation(),
-		Peers: func() []netip.AddrPort { return *n.castTo.Load() }, Digest: n.digest, Absorb: n.absorb,
+		Peers: n.castPeers, Digest: n.digest, Absorb: n.absorb,
 	}
 }
 
@@ -331,6 +337,14 @@
 	return slots.Member{ID: self.GetId(), Incarnation: self.GetIncarnation()}
 }
 
+// castPeers returns whom this instance tells its load.
+func (n *Node) castPeers() []netip.AddrPort {
+	if !n.features.On(features.Digests) {
+		return nil
+	}
+	return *n.castTo.Load()
+}
+
 // forever is until when a part is held: nobody else ever mints it.
 const forever = 365 * 24 * time.Hour
 
--- a/instance/routed/settings.go
+++ b/instance/routed/settings.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"github.com/basilroute/basilroute/service/features"
 	"github.com/basilroute/basilroute/yamldoc"
 )
 
@@ -29,6 +30,8 @@
 	Bounds  Bounds            `yaml:"bounds"`
 	Retry   Retry             `yaml:"retry"`
 	Log     Log               `yaml:"log"`
+	// Features switches mechanisms of decision off by name; those that are not named are on.
+	Features map[features.Name]bool `yaml:"features"`
 }
 
 // Listen holds the addresses that the instance serves, IP:port each.
@@ -112,6 +115,11 @@
 	default:
 		r.Addf("log.level", "want debug, info, warn or error, have %q", s.Log.Level)
 	}
+	for name := range s.Features {
+		if !features.Known(name) {
+			r.Addf("features."+string(name), "is no feature; there are %v", features.All())
+		}
+	}
 	if s.Domains[s.Domain] != s.Region {
 		r.Addf("domains", "want the region %q for the own failure domain %q, have %q", s.Region, s.Domain, s.Domains[s.Domain])
 	}
--- a/instance/routed/settings_test.go
+++ b/instance/routed/settings_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/basilroute/basilroute/service/features"
 	"github.com/basilroute/basilroute/yamldoc"
 )
 
@@ -48,3 +49,20 @@
 		}
 	}
 }
+
+// An operator misspells a feature that is to be switched off. Taken as it stands the
+// misbehaving mechanism would go on; it is a finding with its place and the names there are.
+func TestUnknownFeatureIsAFinding(t *testing.T) {
+	_, err := ParseSettings("x.yaml", []byte(goodSettings+"features: {fetch: false, fetches: false}\n"))
+	var findings yamldoc.Findings
+	if !errors.As(err, &findings) || len(findings) != 1 {
+		t.Fatalf("%v", err)
+	}
+	if text := findings[0].String(); findings[0].Line == 0 || !strings.Contains(text, "fetches") || !strings.Contains(text, "far_fetch") {
+		t.Errorf("%s", text)
+	}
+	s, err := ParseSettings("x.yaml", []byte(goodSettings+"features: {fetch: false}\n"))
+	if err != nil || features.NewSet(s.Features).On(features.Fetch) {
+		t.Errorf("%v, %v", s.Features, err)
+	}
+}
--- a/instance/routed/stop.go
+++ b/instance/routed/stop.go
@@ -10,6 +10,7 @@
 
 	"github.com/basilroute/basilroute/coordination/placement"
 	"github.com/basilroute/basilroute/protocol/peerpb"
+	"github.com/basilroute/basilroute/service/features"
 )
 
 // A planned stop goes in stages within the grace that the deployment gives. The
@@ -93,6 +94,7 @@
 	Evacuated     []string
 	QuotaHolders  []string
 	QuotaMints    bool
+	FeaturesOff   []features.Name
 }
 
 // Dump returns the state.
@@ -101,7 +103,7 @@
 	d := Dump{
 		ID: n.settings.ID, Ready: n.Ready(), Revisions: make(map[string]int64), Members: make(map[string]string),
 		Servers: make(map[string][]placement.State), Evacuated: n.backends.Evacuated(),
-		QuotaHolders: n.shares.Holders(), QuotaMints: n.shares.Mints(),
+		QuotaHolders: n.shares.Holders(), QuotaMints: n.shares.Mints(), FeaturesOff: n.features.Off(),
 	}
 	for _, f := range n.followers {
 		d.Revisions[f.prefix] = f.mirror.Revision()
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/basilroute/basilroute/coordination/placement"
 	"github.com/basilroute/basilroute/coordination/spill"
+	"github.com/basilroute/basilroute/service/features"
 	"github.com/basilroute/basilroute/state/routes"
 )
 
@@ -278,6 +279,9 @@
 		return nil
 	}
 	running, slots := pool.Occupancy(now)
+	if !f.Features.On(features.LeaveByRoom) {
+		running = 0
+	}
 	own := spill.Occupancy{Running: running, Slots: slots, Slowed: pool.Slowed(now)}
 	if !own.Leaves() {
 		return nil
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -14,6 +14,7 @@
 	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/coordination/quota"
 	"github.com/basilroute/basilroute/coordination/retry"
+	"github.com/basilroute/basilroute/service/features"
 	"github.com/basilroute/basilroute/state/routes"
 	"github.com/basilroute/basilroute/transport/backendhttp"
 )
@@ -56,6 +57,7 @@
 	Peers      *backendhttp.Client
 	Log        *slog.Logger
 	Metrics    *Metrics
+	Features   features.Set
 	// Stopping tells whether this instance is about to end and takes nothing more.
 	Stopping func() bool
 	// Remaining is how long this instance still runs, once it leaves; 0 before.
