Count from logs what was lost, by reason, route, moment and server

Cause: an operator who asks what binds in a bad hour had one request's story at a time. `basilroute losses` reads the same lines as `explain` and shares its reader (cmd/basilroute/logs.go); request_admitted says the longest pause that is on time.

--- a/cmd/basilroute/explain.go
+++ b/cmd/basilroute/explain.go
@@ -1,17 +1,13 @@
 package main
 
 import (
-	"bufio"
 	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
-	"os"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
@@ -29,21 +25,11 @@
 			if id == "" {
 				return errors.New("want the id of a request")
 			}
-			var lines []logLine
-			if command.Args().Len() == 1 {
-				found, err := readStory(os.Stdin, id)
-				if err != nil {
-					return err
-				}
-				lines = found
-			}
-			for _, file := range command.Args().Tail() {
-				found, err := readStoryFile(file, id)
-				if err != nil {
-					return err
-				}
-				lines = append(lines, found...)
+			lines, err := readLogs(command.Args().Tail(), func(line string) bool { return strings.Contains(line, id) })
+			if err != nil {
+				return err
 			}
+			lines = slices.DeleteFunc(lines, func(l logLine) bool { return l.Request != id })
 			if len(lines) == 0 {
 				return errors.Newf("no line names request %s", id)
 			}
@@ -52,62 +38,6 @@
 	}
 }
 
-// logLine is one line of a log that names a request.
-type logLine struct {
-	Time     time.Time
-	Instance string
-	Event    string
-	Fields   map[string]any
-}
-
-// maxLogLine bounds a line, in bytes.
-const maxLogLine = 1 << 20
-
-func readStoryFile(name, id string) ([]logLine, error) {
-	file, err := os.Open(name)
-	if err != nil {
-		return nil, errors.Wrap(err, "log")
-	}
-	defer func() { _ = file.Close() }() // it was only read
-	return readStory(file, id)
-}
-
-// readStory returns the lines that name a request. Lines that are no JSON are passed
-// over: logs of several programs may stand in one file.
-func readStory(in io.Reader, id string) ([]logLine, error) {
-	var out []logLine
-	scanner := bufio.NewScanner(in)
-	scanner.Buffer(make([]byte, 0, 64<<10), maxLogLine)
-	for scanner.Scan() {
-		at := strings.IndexByte(scanner.Text(), '{')
-		if at < 0 || !strings.Contains(scanner.Text(), id) {
-			continue
-		}
-		var fields map[string]any
-		if err := json.Unmarshal([]byte(scanner.Text()[at:]), &fields); err != nil || fields["request"] != id {
-			continue
-		}
-		line := logLine{Fields: fields}
-		line.Instance, _ = fields["instance"].(string) // empty when it is missing
-		line.Event, _ = fields["msg"].(string)         // as above
-		// Stories are written when a request has ended: "at" says when a step was.
-		text, ok := fields["at"].(string)
-		if !ok {
-			text, _ = fields["time"].(string)
-		}
-		parsed, err := time.Parse(time.RFC3339Nano, text)
-		if err != nil {
-			return nil, errors.Wrapf(err, "line %q", scanner.Text())
-		}
-		line.Time = parsed
-		for _, key := range []string{"time", "level", "msg", "instance", "request", "at"} {
-			delete(fields, key)
-		}
-		out = append(out, line)
-	}
-	return out, errors.Wrap(scanner.Err(), "log")
-}
-
 func printStory(out io.Writer, lines []logLine) error {
 	slices.SortStableFunc(lines, func(a, b logLine) int { return cmp.Compare(a.Time.UnixNano(), b.Time.UnixNano()) })
 	for _, line := range lines {
--- /dev/null
+++ b/cmd/basilroute/losses.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+)
+
+const defaultWindow = 10 * time.Second
+
+func lossesCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "losses",
+		Usage:     "count from logs what became of requests that were not served in time, by reason, route, moment and server",
+		ArgsUsage: "[LOG...]",
+		Description: "Reads JSON lines as basilrouted platform writes them, from the files or from standard input.\n" +
+			"Calm requests are counted from the sample that is logged of them, and are left out.",
+		Flags: []cli.Flag{
+			&cli.DurationFlag{Name: "window", Value: defaultWindow, Usage: "length of a moment"},
+		},
+		Action: func(_ context.Context, command *cli.Command) error {
+			window := command.Duration("window")
+			if window <= 0 {
+				return errors.New("want a window above 0")
+			}
+			lines, err := readLogs(command.Args().Slice(), func(line string) bool { return strings.Contains(line, `"request_`) })
+			if err != nil {
+				return err
+			}
+			return printLosses(command.Root().Writer, lossesOf(lines), window)
+		},
+	}
+}
+
+// loss is a request that was not served in time.
+type loss struct {
+	at     time.Time // when it was admitted
+	route  string
+	reason string
+	server string // the last one that had it; empty when none had
+}
+
+// lossesOf returns the lost requests of the lines, in order of time.
+func lossesOf(lines []logLine) []loss {
+	byRequest := make(map[string][]logLine)
+	for _, l := range lines {
+		byRequest[l.Request] = append(byRequest[l.Request], l)
+	}
+	var out []loss
+	for _, story := range byRequest {
+		slices.SortStableFunc(story, func(a, b logLine) int { return a.Time.Compare(b.Time) })
+		if l, lost := lossOf(story); lost {
+			out = append(out, l)
+		}
+	}
+	slices.SortFunc(out, func(a, b loss) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.route, b.route)) })
+	return out
+}
+
+// lossOf tells what became of one request.
+func lossOf(story []logLine) (loss, bool) {
+	l := loss{at: story[0].Time, route: "-"}
+	var objective, gap float64
+	for i := range story {
+		line := &story[i]
+		switch line.Event {
+		case "request_admitted":
+			l.route, objective, gap = line.text("route"), line.number("objective_ms"), line.number("gap_ms")
+		case "request_placed":
+			l.server = line.text("server")
+		case "request_forwarded":
+			l.server = line.text("region")
+		}
+	}
+	end := &story[len(story)-1]
+	switch end.Event {
+	case "request_served":
+		l.reason = lateness(end, objective, gap)
+	case "request_refused", "request_cut":
+		l.reason = strings.TrimPrefix(end.Event, "request_") + ": " + end.text("reason")
+	default:
+		l.reason = "no end in the log"
+	}
+	return l, l.reason != ""
+}
+
+// lateness returns why a served answer was late, empty when it was not.
+func lateness(end *logLine, objective, gap float64) string {
+	switch {
+	case objective > 0 && end.number("first_byte_ms") > objective:
+		return "late: first byte"
+	case gap > 0 && end.number("longest_pause_ms") > gap:
+		return "late: pause"
+	}
+	return ""
+}
+
+// printLosses writes a table by route, by moment and by server.
+func printLosses(out io.Writer, all []loss, window time.Duration) error {
+	for _, by := range []struct {
+		title string
+		key   func(l *loss) string
+	}{
+		{"route", func(l *loss) string { return l.route }},
+		{"moment", func(l *loss) string { return l.at.Truncate(window).UTC().Format("15:04:05") }},
+		{"server or region", func(l *loss) string { return cmp.Or(l.server, "-") }},
+	} {
+		counts := make(map[[2]string]int)
+		for i := range all {
+			counts[[2]string{by.key(&all[i]), all[i].reason}]++
+		}
+		if err := printCounts(out, by.title, counts); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func printCounts(out io.Writer, title string, counts map[[2]string]int) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if _, err := fmt.Fprintf(w, "%s\treason\trequests\n", title); err != nil {
+		return errors.Wrap(err, "print")
+	}
+	keys := slices.SortedFunc(maps.Keys(counts), func(a, b [2]string) int {
+		return cmp.Or(cmp.Compare(a[0], b[0]), cmp.Compare(counts[b], counts[a]), cmp.Compare(a[1], b[1]))
+	})
+	for _, key := range keys {
+		if _, err := fmt.Fprintf(w, "%s\t%s\t%d\n", key[0], key[1], counts[key]); err != nil {
+			return errors.Wrap(err, "print")
+		}
+	}
+	return errors.Wrap(w.Flush(), "print")
+}
--- /dev/null
+++ b/cmd/basilroute/losses_test.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"slices"
+	"strings"
+	"testing"
+)
+
+// The lines are recorded ones of seven requests that were lost in different ways and of one
+// that was served in time, which counts nowhere.
+func TestLossesOfRecordedLines(t *testing.T) {
+	out, problems, code := runCLI(t, "losses", "--window", "1m", "testdata/losses.log")
+	if code != 0 {
+		t.Fatal(problems)
+	}
+	var rows []string
+	for line := range strings.Lines(out) {
+		rows = append(rows, strings.Join(strings.Fields(line), " "))
+	}
+	for _, want := range []string{
+		"r-xju7iz9 late: first byte 1", "r-7whtnjd late: pause 1", "r-j6z4tki cut: deadline 1", "05:27:00 late: pause 2",
+		"05:27:00 refused: quota 1", "central-vn cut: broken 1", "- refused: overloaded 1",
+	} {
+		if !slices.Contains(rows, want) {
+			t.Errorf("missing %q in:\n%s", want, out)
+		}
+	}
+	if len(rows) != 7+6+6+3 { // routes, moments, servers, and the heads
+		t.Errorf("%d rows:\n%s", len(rows), out)
+	}
+	if _, _, code := runCLI(t, "losses", "--window", "0s", "testdata/losses.log"); code == 0 {
+		t.Error("a window of no length is taken")
+	}
+}
--- a/cmd/basilroute/main.go
+++ b/cmd/basilroute/main.go
@@ -59,7 +59,7 @@
 		Commands: []*cli.Command{
 			validateCommand(), applyCommand(), getCommand(), keysCommand(),
 			statusCommand(), stateCommand(), entriesCommand(), demoCommand(), standinCommand(),
-			experimentCommand(), loadCommand(), capacityCommand(), explainCommand(), versionCommand(),
+			experimentCommand(), loadCommand(), capacityCommand(), explainCommand(), lossesCommand(), versionCommand(),
 		},
 	})
 }
--- a/transport/httproute/trail.go
+++ b/transport/httproute/trail.go
@@ -94,5 +94,6 @@
 // noteAdmitted keeps what decided how a request is treated.
 func (r *request) noteAdmitted() {
 	r.note(eventAdmitted, "route", r.route.Name, "service", r.service, "account", r.accountName(), "config", r.config.Version,
-		"tokens", r.PromptTokens, "left_ms", r.deadline.Sub(r.arrived).Milliseconds(), "objective_ms", r.route.Objective.Milliseconds())
+		"tokens", r.PromptTokens, "left_ms", r.deadline.Sub(r.arrived).Milliseconds(), "objective_ms", r.route.Objective.Milliseconds(),
+		"gap_ms", r.route.GapObjective.Milliseconds())
 }
