Keep long prompts from servers whose running answers they would hold up

Load pattern: heavy-tailed prompts read between the tokens of running answers, servers of different speed.

Each instance learns the longest pause that a prompt causes from its size (least squares with forgetting) and each server's slowness; a prompt that would hold up answers for longer than routes allow costs as much as answers run there.

--- a/coordination/placement/features_test.go
+++ b/coordination/placement/features_test.go
@@ -65,6 +65,10 @@
 			}
 			return p.Slowed(start) > 0
 		}},
+		{features.SparePauses, func(p *Pool) bool {
+			teachPauses(p, start)
+			return p.longestPause(prompt(7, 50_000)) > 0
+		}},
 		{features.Comeback, func(p *Pool) bool {
 			for _, s := range p.servers {
 				s.inFlight = s.Slots
--- a/coordination/placement/pace.go
+++ b/coordination/placement/pace.go
@@ -46,6 +46,7 @@
 	defer p.mu.Unlock()
 	s := pl.server
 	s.steps.take(pause.Seconds(), now)
+	s.paused(pause, now)
 	if s.steps.count < leastSteps {
 		return
 	}
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -108,6 +108,7 @@
 	Tokens    int    // of the whole prompt
 	Urgency   int    // 0 is the most urgent
 	Objective time.Duration
+	Gap       time.Duration // longest pause within an answer that is on time; 0 for none
 	Arrived   time.Time
 	Deadline  time.Time
 	Exclude   []string // servers that were tried
@@ -163,6 +164,7 @@
 	Cached     int           // prompt tokens that the server is taken to hold
 	Running    int           // requests that it is taken to have
 	Backlog    int           // prompt tokens that it has to read for others before
+	Pause      time.Duration // the longest that reading the prompt should cause its running answers; 0 when not known
 	FetchFrom  string        // address of a server from which it should fetch more of them; may be empty
 }
 
@@ -184,10 +186,12 @@
 	mu       sync.Mutex
 	settings Settings
 	servers  []*server
-	readRate float64 // prompt tokens per second; the paces correct it
-	work     float64 // seconds, of a plain request, as measured
-	pace     float64 // measured over expected time, of all servers
-	unread   float64 // mean prompt tokens that a request leaves to be read
+	readRate float64       // prompt tokens per second; the paces correct it
+	work     float64       // seconds, of a plain request, as measured
+	pace     float64       // measured over expected time, of all servers
+	unread   float64       // mean prompt tokens that a request leaves to be read
+	gap      time.Duration // the shortest pause that a route allows; 0 while none is known
+	pauses   pauseFit
 	fastest  float64 // least mean pause between the events of a server's answers, in seconds
 	byHash   map[uint32]*server
 	sent     []Dispatch // since the last digest
@@ -258,7 +262,7 @@
 	expected := seconds(best.expected)
 	choice := Choice{
 		Expected: expected, Cached: best.cached, FetchFrom: best.fetchFrom,
-		Running: int(p.running(best.server, now)), Backlog: int(best.ahead),
+		Running: int(p.running(best.server, now)), Backlog: int(best.ahead), Pause: seconds(best.pause),
 	}
 	if best.onTime(w, now) {
 		return choice
@@ -295,6 +299,7 @@
 	cost      float64
 	unread    float64
 	ahead     float64 // prompt tokens of others to be read before
+	pause     float64 // the longest that reading the prompt should cause, in seconds
 	own       float64 // of expected: reading the request's own prompt
 	cached    int
 	fetchFrom string
@@ -324,6 +329,7 @@
 	subject := w.subject()
 	home := p.home(subject)
 	holder, held := p.holder(w, aside)
+	longest := p.longestPause(w)
 	var best *candidate
 	for _, s := range p.servers {
 		if slices.Contains(w.Exclude, s.ID) || !s.Usable(now) || !allowed(s) {
@@ -343,7 +349,7 @@
 			c.full++
 			continue
 		}
-		next := p.weigh(s, w, home, now)
+		next := p.weigh(s, w, home, longest, now)
 		if holder != s {
 			p.fetch(next, holder, held)
 		}
@@ -433,7 +439,7 @@
 
 func (p *Pool) full(s *server, now time.Time) bool { return p.running(s, now) >= p.limit(s) }
 
-func (p *Pool) weigh(s *server, w *Work, home *server, now time.Time) *candidate {
+func (p *Pool) weigh(s *server, w *Work, home *server, longest float64, now time.Time) *candidate {
 	c := &candidate{server: s}
 	if !p.settings.Engine {
 		slots := p.slots(s)
@@ -449,6 +455,10 @@
 	c.expected = baseTime + (c.ahead+c.unread)/p.readRate*s.pace*p.pace + s.excess(now)
 	c.own = c.unread / p.readRate * s.pace * p.pace
 	c.cost = c.expected + (readWeight-1)*c.unread/p.readRate + p.running(s, now)*runningCost
+	c.pause = longest * s.slowness
+	if p.disturbs(c) {
+		c.cost += p.running(s, now) * disturbCost
+	}
 	if s == home {
 		c.cost -= homeShare * float64(w.shared()) / p.readRate
 	}
@@ -473,7 +483,12 @@
 		s.probedAt = now
 	}
 	s.cache.touch(w.Parts, p.cacheCapacity())
-	return &Placement{Server: s.Entry, server: s, tokens: c.unread, urgency: w.Urgency, Sent: now, expected: c.expected}
+	if w.Gap > 0 && (p.gap == 0 || w.Gap < p.gap) {
+		p.gap = w.Gap
+	}
+	pl := &Placement{Server: s.Entry, server: s, tokens: c.unread, urgency: w.Urgency, Sent: now, expected: c.expected}
+	s.reading[pl] = &reading{tokens: float64(w.Tokens), since: now}
+	return pl
 }
 
 // refuse says when to come back.
--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -54,6 +54,8 @@
 	pending  [urgencies]float64 // prompt tokens of requests whose first byte has not come
 	peers    peerLoads
 	steps    steps
+	reading  map[*Placement]*reading
+	slowness float64 // its pauses over those of all servers, with prompts of the same size
 
 	others     float64 // requests of other instances, by the last report
 	waiting    float64 // requests that had not begun, by the last report
@@ -76,7 +78,9 @@
 	cache      *cache
 }
 
-func newServer() *server { return &server{pace: 1, cache: newCache(), peers: make(peerLoads)} }
+func newServer() *server {
+	return &server{pace: 1, slowness: 1, cache: newCache(), peers: make(peerLoads), reading: make(map[*Placement]*reading)}
+}
 
 func urgencyIndex(urgency int) int { return min(max(urgency, 0), urgencies-1) }
 
@@ -147,6 +151,7 @@
 	}
 	pl.first = true
 	s := pl.server
+	p.wasRead(s, pl)
 	s.addPending(pl.urgency, -pl.tokens)
 	took := now.Sub(pl.Sent).Seconds()
 	if pl.expected <= 0 {
@@ -174,6 +179,7 @@
 	s := pl.server
 	s.inFlight--
 	if !pl.first {
+		delete(s.reading, pl)
 		pl.first = true
 		s.addPending(pl.urgency, -pl.tokens)
 	}
--- a/service/features/features.go
+++ b/service/features/features.go
@@ -24,6 +24,7 @@
 	SetAside      Name = "set_aside"       // servers that fail a part of their requests get none
 	LastResort    Name = "last_resort"     // but for requests that would be refused
 	Comeback      Name = "comeback"        // refused callers are told times behind each other
+	SparePauses   Name = "spare_pauses"    // long prompts avoid servers whose answers they would hold up
 	StartWait     Name = "start_wait"      // requests wait for what a starting instance learns
 	AskLoans      Name = "ask_loans"       // a restarted instance asks all others for its loans
 	PassLargeWait Name = "pass_large_wait" // small requests pass large ones that wait for tokens
@@ -33,7 +34,7 @@
 func All() []Name {
 	return []Name{
 		AskLoans, Comeback, Digests, FarFetch, Fetch, HashHomes, LastResort, LeaveByPace, LeaveByRoom,
-		PassLargeWait, PoolPace, SetAside, StartWait,
+		PassLargeWait, PoolPace, SetAside, SparePauses, StartWait,
 	}
 }
 
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -165,7 +165,7 @@
 		r.work.Exclude = append(r.work.Exclude, choice.Placement.Server.ID)
 		r.note(eventPlaced, "server", choice.Placement.Server.ID, "expected_ms", choice.Expected.Milliseconds(),
 			"cached", choice.Cached, "late", choice.Late, "fetch_from", choice.FetchFrom,
-			"running", choice.Running, "backlog", choice.Backlog)
+			"running", choice.Running, "backlog", choice.Backlog, "pause_ms", choice.Pause.Milliseconds())
 		r.mayLeave = f.mayLeave(r)
 		o.giveUp = r.mayLeave
 		answer, failed = f.Local.send(run, o, choice)
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -256,7 +256,7 @@
 		urgency = r.account.Priority
 	}
 	r.work = placement.Work{
-		Parts: r.Parts, Tokens: r.PromptTokens, Urgency: urgency, Objective: r.route.Objective,
+		Parts: r.Parts, Tokens: r.PromptTokens, Urgency: urgency, Objective: r.route.Objective, Gap: r.route.GapObjective,
 		Arrived: r.arrived, Deadline: r.deadline, Probe: r.route.Repeatable(),
 		Risk: r.route.Kind != routes.KindNonIdempotent,
 	}
