--- a/cmd/basilroute/losses.go
+++ b/cmd/basilroute/losses.go
@@ -84,6 +84,7 @@
 	end := &story[len(story)-1]
 	switch end.Event {
 	case "request_served":
+		l.server = cmp.Or(end.text("server"), l.server)
 		l.reason = lateness(end, objective, gap)
 	case "request_refused", "request_cut":
 		l.reason = strings.TrimPrefix(end.Event, "request_") + ": " + end.text("reason")
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -177,6 +177,7 @@
 		cancel()
 		return nil, failed
 	}
+	r.server = answer.server
 	if r.firstByte == 0 {
 		r.firstByte = time.Since(r.arrived)
 	}
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -89,6 +89,7 @@
 	tried     []string // regions that were tried
 	attempts  int      // sends to backend servers
 	story     []decision
+	server    string        // that answered last, here or in another region
 	firstByte time.Duration // until the head of the answer
 	pauses    pauses        // between the events of the answer
 	tries     int           // attempts, sent or not
--- a/transport/httproute/trail.go
+++ b/transport/httproute/trail.go
@@ -76,6 +76,7 @@
 		attrs = append(attrs, "events", r.pauses.events, "longest_pause_ms", r.pauses.longest.Milliseconds())
 	}
 	if refused == nil {
+		attrs = append(attrs, "server", r.server)
 		r.note(eventServed, attrs...)
 		return
 	}
