Count slow answers of a plain server only where requests wait

One answer that took a second is kept as a wait that fades; the region's only server then looked too late for all others, and its own service time counted as work ahead of them.

A plain server with a free slot begins at once: what earlier answers took makes it dearer than others and late only where requests wait. Ruled out: that the service's queue or its connections were full.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -439,13 +439,20 @@
 
 func (p *Pool) full(s *server, now time.Time) bool { return p.running(s, now) >= p.limit(s) }
 
+// weigh says what the request would cost at a server. A plain server with a free slot
+// begins at once, so what earlier answers took beyond what was expected makes it dearer than
+// others there, and late only where requests wait: one slow answer of a region's only
+// server would else have all others refused beside free slots until it is forgotten.
 func (p *Pool) weigh(s *server, w *Work, home *server, longest float64, now time.Time) *candidate {
 	c := &candidate{server: s}
 	if !p.settings.Engine {
 		slots := p.slots(s)
-		queued := max(p.running(s, now)-slots+1, 0)
-		c.expected = p.work*(1+queued/slots)*s.pace + s.excess(now)
-		c.cost = c.expected + p.running(s, now)*p.work/slots
+		c.own = p.work * s.pace
+		c.expected = c.own
+		if queued := p.running(s, now) - slots + 1; queued > 0 {
+			c.expected += queued/slots*c.own + s.excess(now)
+		}
+		c.cost = c.expected + s.excess(now) + p.running(s, now)*p.work/slots
 		return c
 	}
 	c.cached = s.cache.match(w.Parts)
