Keep the sums of other instances' load instead of adding them up at each choice

Cause: a choice looked up and added the last words of all other instances at each server, twice, in maps: 1.6 microseconds a server with twelve of them.

The sums are kept as words come, are replaced and grow old; the candidate is weighed in place. Words grow old as a whole, by instance.

Also: the pieces of a plain service's answer no longer count as its pace.

--- a/coordination/placement/digest.go
+++ b/coordination/placement/digest.go
@@ -38,36 +38,54 @@
 	Dispatches []Dispatch
 }
 
+// peerWord is the last word of another instance.
+type peerWord struct {
+	at    time.Time
+	loads []peerLoad
+}
+
 type peerLoad struct {
 	ServerLoad
-	at time.Time
+	server *server
 }
 
-// peerLoads holds the last word of each other instance on one server.
-type peerLoads map[string]peerLoad
-
-func (l peerLoads) pendingOf(urgency int, now time.Time) float64 {
-	total := 0
-	for _, load := range l {
-		switch {
-		case now.Sub(load.at) > peerFresh:
-		case urgency <= 0:
-			total += load.Urgent
-		default:
-			total += load.Pending
-		}
+// peerTotals sums up what the other instances have under way at a server. A choice looks
+// at every server, so the sums are kept as words come and go: summed up anew for each
+// choice they were nine tenths of its time.
+type peerTotals struct{ pending, urgent, inFlight int }
+
+func (t *peerTotals) add(load *ServerLoad, sign int) {
+	t.pending += sign * load.Pending
+	t.urgent += sign * load.Urgent
+	t.inFlight += sign * load.InFlight
+}
+
+func (t *peerTotals) pendingOf(urgency int) float64 {
+	if urgency <= 0 {
+		return float64(t.urgent)
 	}
-	return float64(total)
+	return float64(t.pending)
 }
 
-func (l peerLoads) inFlight(now time.Time) float64 {
-	total := 0
-	for _, load := range l {
-		if now.Sub(load.at) <= peerFresh {
-			total += load.InFlight
+// forget takes the last word of another instance out of the sums.
+func (p *Pool) forget(from string) {
+	word := p.peers[from]
+	if word == nil {
+		return
+	}
+	for i := range word.loads {
+		word.loads[i].server.peers.add(&word.loads[i].ServerLoad, -1)
+	}
+	delete(p.peers, from)
+}
+
+// forgetSilent forgets the words that are too old to count.
+func (p *Pool) forgetSilent(now time.Time) {
+	for from, word := range p.peers {
+		if now.Sub(word.at) > peerFresh {
+			p.forget(from)
 		}
 	}
-	return float64(total)
 }
 
 // note keeps a dispatch for the next digest.
@@ -102,15 +120,16 @@
 func (p *Pool) Absorb(from string, d *Digest, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, s := range p.servers {
-		delete(s.peers, from)
-	}
+	p.forget(from)
+	word := &peerWord{at: now}
 	for _, load := range d.Servers {
 		if s := p.byHash[load.Server]; s != nil {
-			s.peers[from] = peerLoad{ServerLoad: load, at: now}
+			word.loads = append(word.loads, peerLoad{ServerLoad: load, server: s})
+			s.peers.add(&load, 1)
 			s.heardOutcomes(&load, now)
 		}
 	}
+	p.peers[from] = word
 	for _, sent := range d.Dispatches {
 		if s := p.byHash[sent.Server]; s != nil {
 			s.cache.touch(sent.Parts, p.cacheCapacity())
--- a/coordination/placement/pace.go
+++ b/coordination/placement/pace.go
@@ -44,6 +44,9 @@
 func (p *Pool) Event(pl *Placement, pause time.Duration, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.settings.Engine {
+		return // the pieces of a plain answer say nothing of its server
+	}
 	s := pl.server
 	s.steps.take(pause.Seconds(), now)
 	s.paused(pause, now)
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -194,14 +194,15 @@
 	pauses   pauseFit
 	fastest  float64 // least mean pause between the events of a server's answers, in seconds
 	byHash   map[uint32]*server
-	sent     []Dispatch // since the last digest
+	sent     []Dispatch           // since the last digest
+	peers    map[string]*peerWord // by instance
 	comeback comeback
 	far      map[string][]farServer // by region
 }
 
 // New returns a pool without servers.
 func New() *Pool {
-	return &Pool{readRate: defaultReadRate, work: defaultServiceTime, pace: 1}
+	return &Pool{readRate: defaultReadRate, work: defaultServiceTime, pace: 1, peers: make(map[string]*peerWord)}
 }
 
 // Update takes in the settings and the servers that may be used.
@@ -318,6 +319,7 @@
 
 // choose returns the cheapest server that may be used, nil when there is none.
 func (p *Pool) choose(w *Work, now time.Time) (*candidate, census) {
+	p.forgetSilent(now)
 	aside := p.setAside(now)
 	return p.cheapest(w, aside, now, func(s *server) bool {
 		return !aside[s] || w.Probe && s.probeDue(now)
@@ -331,6 +333,7 @@
 	holder, held := p.holder(w, aside)
 	longest := p.longestPause(w)
 	var best *candidate
+	var next candidate // of each server in turn
 	for _, s := range p.servers {
 		if slices.Contains(w.Exclude, s.ID) || !s.Usable(now) || !allowed(s) {
 			continue
@@ -349,13 +352,16 @@
 			c.full++
 			continue
 		}
-		next := p.weigh(s, w, home, longest, now)
+		p.weigh(&next, s, w, home, longest, now)
 		if holder != s {
-			p.fetch(next, holder, held)
+			p.fetch(&next, holder, held)
 		}
-		p.fetchFar(next, w)
-		if best == nil || next.cost < best.cost {
-			best = next
+		p.fetchFar(&next, w)
+		if best == nil {
+			best = new(candidate)
+			*best = next
+		} else if next.cost < best.cost {
+			*best = next
 		}
 	}
 	return best, c
@@ -426,7 +432,7 @@
 
 // running is how many requests a server is taken to have.
 func (p *Pool) running(s *server, now time.Time) float64 {
-	return float64(s.inFlight) + max(s.others*fade(now.Sub(s.reportedAt)), s.peers.inFlight(now))
+	return float64(s.inFlight) + max(s.others*fade(now.Sub(s.reportedAt)), float64(s.peers.inFlight))
 }
 
 // limit is how many requests a server is sent at most.
@@ -443,8 +449,8 @@
 // begins at once, so what earlier answers took beyond what was expected makes it dearer than
 // others there, and late only where requests wait: one slow answer of a region's only
 // server would else have all others refused beside free slots until it is forgotten.
-func (p *Pool) weigh(s *server, w *Work, home *server, longest float64, now time.Time) *candidate {
-	c := &candidate{server: s}
+func (p *Pool) weigh(c *candidate, s *server, w *Work, home *server, longest float64, now time.Time) {
+	*c = candidate{server: s}
 	if !p.settings.Engine {
 		slots := p.slots(s)
 		c.own = p.work * s.pace
@@ -453,11 +459,11 @@
 			c.expected += queued/slots*c.own + s.excess(now)
 		}
 		c.cost = c.expected + s.excess(now) + p.running(s, now)*p.work/slots
-		return c
+		return
 	}
 	c.cached = s.cache.match(w.Parts)
 	c.unread = float64(max(w.Tokens-c.cached, 0))
-	others := max(s.peers.pendingOf(w.Urgency, now), s.waiting*fade(now.Sub(s.reportedAt))*p.unread)
+	others := max(s.peers.pendingOf(w.Urgency), s.waiting*fade(now.Sub(s.reportedAt))*p.unread)
 	c.ahead = s.pendingOf(w.Urgency) + others
 	c.expected = baseTime + (c.ahead+c.unread)/p.readRate*s.pace*p.pace + s.excess(now)
 	c.own = c.unread / p.readRate * s.pace * p.pace
@@ -469,7 +475,6 @@
 	if s == home {
 		c.cost -= homeShare * float64(w.shared()) / p.readRate
 	}
-	return c
 }
 
 // runningCost is what each running request adds to a server's cost, in seconds: the
--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -52,7 +52,7 @@
 
 	inFlight int
 	pending  [urgencies]float64 // prompt tokens of requests whose first byte has not come
-	peers    peerLoads
+	peers    peerTotals
 	steps    steps
 	reading  map[*Placement]*reading
 	slowness float64 // its pauses over those of all servers, with prompts of the same size
@@ -79,7 +79,7 @@
 }
 
 func newServer() *server {
-	return &server{pace: 1, slowness: 1, cache: newCache(), peers: make(peerLoads), reading: make(map[*Placement]*reading)}
+	return &server{pace: 1, slowness: 1, cache: newCache(), reading: make(map[*Placement]*reading)}
 }
 
 func urgencyIndex(urgency int) int { return min(max(urgency, 0), urgencies-1) }
@@ -314,6 +314,7 @@
 }
 
 func (p *Pool) occupancy(now time.Time) (running, slots float64) {
+	p.forgetSilent(now)
 	aside := p.setAside(now)
 	for _, s := range p.servers {
 		if !s.Usable(now) || aside[s] || p.settings.ColdRate > 0 && now.Before(s.ColdUntil) {
