--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -335,6 +335,8 @@
 	Failures    float64
 	Aside, Down bool
 	Cold        bool
+	Slowed      float64 // part of its time that does not go into running answers
+	Slowness    float64 // its longest pauses over those of all servers
 }
 
 // States returns the state of every server.
@@ -346,6 +348,7 @@
 		out[i] = State{
 			ID: s.ID, Address: s.Address, InFlight: s.inFlight, Pending: s.allPending(), Pace: s.pace,
 			Failures: s.failures, Aside: now.Before(s.asideUntil), Down: s.down, Cold: now.Before(s.ColdUntil),
+			Slowed: p.slowed(s, now), Slowness: s.slowness,
 		}
 	}
 	return out
--- /dev/null
+++ b/transport/httproute/choose_test.go
@@ -0,0 +1,58 @@
+package httproute
+
+import (
+	"testing"
+	"time"
+
+	"github.com/basilroute/basilroute/coordination/placement"
+	"github.com/basilroute/basilroute/state/backends"
+	"github.com/basilroute/basilroute/state/routes"
+)
+
+// regions are other regions, each with one instance.
+type regions []Remote
+
+func (regions) Unreached(string)                 {}
+func (r regions) Remotes(string) []Remote        { return r }
+func (r regions) Instances() (fleet, region int) { return len(r) + 1, 1 }
+
+// A prompt may be read, cached and stored in its homes only. The busiest region is none of
+// them; its server would be asked for the prompt's shared parts and, where the own region is
+// none, the own servers' memory would go to another one.
+func TestSharedPartsAreFetchedFromHomesOnly(t *testing.T) {
+	f, _ := gatewayOver(t)
+	f.Remotes = regions{{Region: "away", Servers: 2, Running: 90}, {Region: "home", Servers: 2, Running: 10}}
+	pool := f.Local.Pool("svc")
+	server := func(id string) []backends.Entry {
+		return []backends.Entry{{Server: backends.Server{ID: id, Address: id + ":1", Slots: 8}, Lifetime: 1}}
+	}
+	pool.Update(placement.Settings{Engine: true, Slots: 8, CacheTokens: 100_000, FetchTime: 1e-6}, server("own"))
+	pool.UpdateFar("away", server("away"))
+	pool.UpdateFar("home", server("home"))
+	now := time.Now()
+	r := &request{route: &routes.Route{}, service: "svc"}
+	r.work = placement.Work{
+		Parts: []placement.Part{{ID: 1, Tokens: 5000}, {ID: 2, Tokens: 100}}, Tokens: 5100, Arrived: now, Deadline: now.Add(time.Second),
+	}
+	if pool.Place(&r.work, now).Placement == nil {
+		t.Fatal("not placed")
+	}
+	for _, c := range []struct {
+		homes  []string
+		source string
+		holder string
+	}{
+		{nil, "away:1", "own:1"},
+		{[]string{"r", "home"}, "home:1", "own:1"},
+		{[]string{"home"}, "home:1", ""},
+	} {
+		r.route.Homes = c.homes
+		homes, anywhere := routes.AllowedRegions(r.route, nil)
+		if got := f.farSource(r, pool, homes, anywhere).Address; got != c.source {
+			t.Errorf("homes %v: fetches from %q, want %q", c.homes, got, c.source)
+		}
+		if got := f.holder(r, now).Address; got != c.holder {
+			t.Errorf("homes %v: names %q as the holder, want %q", c.homes, got, c.holder)
+		}
+	}
+}
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -53,7 +53,7 @@
 // forward sends the request to a peer of another region and reads the answer's head.
 func (f *Front) forward(ctx context.Context, r *request, o *outbound, remote *Remote) (*reply, *failure) {
 	now := time.Now()
-	holder := f.Local.Pool(o.service).Holder(o.work, now)
+	holder := f.holder(r, now)
 	note, err := json.Marshal(forwarded{
 		HolderAddr: holder.Address, HolderHas: holder.Tokens,
 		Service: o.service, Account: o.account, Urgency: o.work.Urgency, LeftMs: o.deadline.Sub(now).Milliseconds(),
