Take late requests only where they delay nobody who is on time

A request that misses its objective may find a tenth of it ahead, not a quarter. TestLatePromptIsTakenWhereItDelaysNobody fails with a quarter.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -55,7 +55,7 @@
 	// lateAhead is the part of the objective that a request which misses it may find ahead
 	// of it. Late requests that add to a backlog make others late in turn: at a peak a
 	// region then reads on, and answers little in time.
-	lateAhead = 0.25
+	lateAhead = 0.1
 	// lateShare is the part of the time to its deadline that it may need in all. A prompt that is late
 	// only for its own length is served where servers are free.
 	lateShare = 0.5
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -185,3 +185,20 @@
 		t.Errorf("what is not named any more still counts: %s, %t", took, ok)
 	}
 }
+
+// A prompt takes longer to read than its objective: it is late wherever it goes. Beside an
+// engine that has a sixth of the objective to read for others it would make the next ones
+// late in turn, and its caller is told to come back; beside a nearly idle one it is served.
+func TestLatePromptIsTakenWhereItDelaysNobody(t *testing.T) {
+	for _, c := range []struct {
+		ahead float64 // prompt tokens
+		taken bool
+	}{{0, true}, {0.05 * defaultReadRate, true}, {0.16 * defaultReadRate, false}} {
+		p := engines(1)
+		p.servers[0].addPending(0, c.ahead)
+		got := p.Place(prompt(7, 50_000), start)
+		if taken := got.Placement != nil; taken != c.taken || taken && !got.Late {
+			t.Errorf("%v tokens ahead: taken %v, late %v, %v expected", c.ahead, taken, got.Late, got.Expected)
+		}
+	}
+}
