--- a/coordination/placement/comeback.go
+++ b/coordination/placement/comeback.go
@@ -14,8 +14,7 @@
 const (
 	// comebackShare is the part of the pace of placements at which those who were refused
 	// are told to come back. A larger part lets more of them return into a peak of some
-	// seconds, a smaller one tells more of them comebackMost; a quarter and a twelfth
-	// differed by less than the noise, and this lies between them.
+	// seconds, a smaller one tells more of them comebackMost.
 	comebackShare = 0.12
 	// comebackLeast is the least rate of those who come back, a second: that of an
 	// instance that has placed nothing yet.
--- a/coordination/placement/digest.go
+++ b/coordination/placement/digest.go
@@ -51,7 +51,7 @@
 
 // peerTotals sums up what the other instances have under way at a server. A choice looks
 // at every server, so the sums are kept as words come and go: summed up anew for each
-// choice they were nine tenths of its time.
+// choice, they are most of its time where many instances speak.
 type peerTotals struct{ pending, urgent, inFlight int }
 
 func (t *peerTotals) add(load *ServerLoad, sign int) {
--- a/coordination/placement/far.go
+++ b/coordination/placement/far.go
@@ -10,8 +10,8 @@
 )
 
 // Prompts that share parts arrive in all regions, and cross when one is short of room. Read
-// again in each region, shared parts took an eighth of what engines read. Engines fetch
-// over the links between regions, too. Which server there holds what is not told between
+// again in each region, shared parts take the engines' time from running answers. Engines
+// fetch over the links between regions, too. Which server there holds what is not told between
 // regions: a region that forwards a prompt names its holder, and for other prompts the
 // server is asked that the hash names there. One that holds nothing costs the fetch's
 // beginning only.
--- a/coordination/placement/lastresort.go
+++ b/coordination/placement/lastresort.go
@@ -7,13 +7,12 @@
 )
 
 // lastResortLimit is the share of failures up to which a server is still worth a request
-// that would be refused otherwise. At a region's peak with a fifth of its servers failing
-// half of what they get, 0.66 of the requests were served with 0.75 and 0.68 with 0.95.
+// that would be refused otherwise: above it nearly all are lost.
 const lastResortLimit = 0.9
 
 // lastResort returns the cheapest server of those that are set aside because they fail a
 // part of their requests, nil when none would answer in time. At a peak they still carry
-// what the others cannot: without them that region served 0.65. It is not for requests
+// what the others cannot. It is not for requests
 // that may take effect and then look as if they had not.
 func (p *Pool) lastResort(w *Work, now time.Time) *candidate {
 	if !w.Risk || !p.on(features.LastResort) {
--- a/coordination/placement/pace.go
+++ b/coordination/placement/pace.go
@@ -9,7 +9,7 @@
 // An engine makes the next token of all running answers in one step, and reads prompts
 // between the steps. When it reads much, answers slow down long before its slots are full
 // and although first bytes still come in time: they then miss their deadlines, hold their
-// slots three times as long, and are more often cut by a crash. So how fast answers go on
+// slots several times as long, and are more often cut by a crash. So how fast answers go on
 // is watched, beside how many there are.
 const (
 	// stepWeight is the weight of a new pause in a server's mean.
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -25,7 +25,6 @@
 package placement
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -68,9 +67,8 @@
 	// defaultServiceTime of a plain service's request, in seconds, until measured.
 	defaultServiceTime = 0.05
 	// readWeight multiplies prompt tokens that have to be read: they hold up every
-	// other request, and what is then held twice pushes out other parts. In the replay
-	// of a burst 6 reads 3.11 million tokens and answers 0.999 of requests in time,
-	// against 3.58 and 0.974 with 2; means of four seeds.
+	// other request, and what is then held twice pushes out other parts. With a small one
+	// prompts leave the server that holds their parts for any that is a little emptier.
 	readWeight = 6.0
 	// homeShare is the part of the shared tokens by which the server that the hash
 	// names costs less than one that holds as little: the next request with the same
@@ -276,11 +274,6 @@
 	return choice
 }
 
-// onTime tells whether the answer should begin within the objective.
-func (c *candidate) onTime(w *Work, now time.Time) bool {
-	return w.Objective <= 0 || seconds(c.expected) <= share(w.Objective-now.Sub(w.Arrived), objectiveShare)
-}
-
 // Expected returns the expected time to the first byte, and false when no server
 // can be used.
 func (p *Pool) Expected(w *Work, now time.Time) (time.Duration, bool) {
@@ -293,30 +286,12 @@
 	return seconds(best.expected), true
 }
 
-// candidate is a server with what it would cost.
-type candidate struct {
-	*server
-	expected  float64 // seconds to the first byte
-	cost      float64
-	unread    float64
-	ahead     float64 // prompt tokens of others to be read before
-	pause     float64 // the longest that reading the prompt should cause, in seconds
-	own       float64 // of expected: reading the request's own prompt
-	cached    int
-	fetchFrom string
-}
-
 // census says why servers were passed over.
 type census struct {
 	usable, full, cold int
 	coldNext           time.Time
 }
 
-// tooLate tells whether a request that misses its objective is not worth its place.
-func (c *candidate) tooLate(w *Work, now time.Time) bool {
-	return c.expected > lateShare*w.Deadline.Sub(now).Seconds() || c.expected-c.own > lateAhead*w.Objective.Seconds()
-}
-
 // choose returns the cheapest server that may be used, nil when there is none.
 func (p *Pool) choose(w *Work, now time.Time) (*candidate, census) {
 	p.forgetSilent(now)
@@ -367,58 +342,6 @@
 	return best, c
 }
 
-// home returns the server that the hash names for a subject.
-func (p *Pool) home(subject uint64) *server {
-	if subject == 0 || !p.on(features.HashHomes) {
-		return nil
-	}
-	var best *server
-	var top uint64
-	for _, s := range p.servers {
-		if score := rendezvous(s.hash, subject); best == nil || score > top {
-			best, top = s, score
-		}
-	}
-	return best
-}
-
-// rendezvous is the score of a server for a subject; the highest one is its home.
-func rendezvous(server, subject uint64) uint64 {
-	score := server ^ subject
-	score *= 0x9e3779b97f4a7c15
-	score ^= score >> 29
-	return score * 0xbf58476d1ce4e5b9
-}
-
-// setAside returns the servers that failed too often; never more than half, since
-// a service whose servers all fail in part is better served in part than not.
-func (p *Pool) setAside(now time.Time) map[*server]bool {
-	var failing []*server
-	for _, s := range p.servers {
-		if now.Before(s.asideUntil) && (s.down || p.on(features.SetAside)) {
-			failing = append(failing, s)
-		}
-	}
-	if len(failing) == 0 {
-		return nil
-	}
-	slices.SortFunc(failing, func(a, b *server) int { return cmp.Compare(b.failures, a.failures) })
-	out := make(map[*server]bool, len(failing))
-	down := 0
-	for _, s := range failing {
-		if s.down {
-			down++
-			out[s] = true
-		}
-	}
-	for _, s := range failing {
-		if !s.down && 2*(len(out)-down) < len(p.servers)-down-1 {
-			out[s] = true
-		}
-	}
-	return out
-}
-
 func (p *Pool) coldSlot(s *server, now time.Time) (time.Time, bool) {
 	if p.settings.ColdOwner != nil && !p.settings.ColdOwner(s.ID) {
 		return s.ColdUntil, false
@@ -426,61 +349,6 @@
 	return s.coldNext, !now.Before(s.coldNext)
 }
 
-func (p *Pool) slots(s *server) float64 {
-	return float64(max(cmp.Or(s.Slots, p.settings.Slots), 1))
-}
-
-// running is how many requests a server is taken to have.
-func (p *Pool) running(s *server, now time.Time) float64 {
-	return float64(s.inFlight) + max(s.others*fade(now.Sub(s.reportedAt)), float64(s.peers.inFlight))
-}
-
-// limit is how many requests a server is sent at most.
-func (p *Pool) limit(s *server) float64 {
-	if p.settings.Engine {
-		return p.slots(s)
-	}
-	return queueFactor * p.slots(s)
-}
-
-func (p *Pool) full(s *server, now time.Time) bool { return p.running(s, now) >= p.limit(s) }
-
-// weigh says what the request would cost at a server. A plain server with a free slot
-// begins at once, so what earlier answers took beyond what was expected makes it dearer than
-// others there, and late only where requests wait: one slow answer of a region's only
-// server would else have all others refused beside free slots until it is forgotten.
-func (p *Pool) weigh(c *candidate, s *server, w *Work, home *server, longest float64, now time.Time) {
-	*c = candidate{server: s}
-	if !p.settings.Engine {
-		slots := p.slots(s)
-		c.own = p.work * s.pace
-		c.expected = c.own
-		if queued := p.running(s, now) - slots + 1; queued > 0 {
-			c.expected += queued/slots*c.own + s.excess(now)
-		}
-		c.cost = c.expected + s.excess(now) + p.running(s, now)*p.work/slots
-		return
-	}
-	c.cached = s.cache.match(w.Parts)
-	c.unread = float64(max(w.Tokens-c.cached, 0))
-	others := max(s.peers.pendingOf(w.Urgency), s.waiting*fade(now.Sub(s.reportedAt))*p.unread)
-	c.ahead = s.pendingOf(w.Urgency) + others
-	c.expected = baseTime + (c.ahead+c.unread)/p.readRate*s.pace*p.pace + s.excess(now)
-	c.own = c.unread / p.readRate * s.pace * p.pace
-	c.cost = c.expected + (readWeight-1)*c.unread/p.readRate + p.running(s, now)*runningCost
-	c.pause = longest * s.slowness
-	if p.disturbs(c) {
-		c.cost += p.running(s, now) * disturbCost
-	}
-	if s == home {
-		c.cost -= homeShare * float64(w.shared()) / p.readRate
-	}
-}
-
-// runningCost is what each running request adds to a server's cost, in seconds: the
-// step grows by 16 µs for each, and a full batch takes nobody.
-const runningCost = 0.0003
-
 func (p *Pool) start(c *candidate, w *Work, now time.Time) *Placement {
 	s := c.server
 	p.comeback.took(now)
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -200,10 +200,9 @@
 }
 
 // passFactor is how many times smaller than the first one that waits a request has to
-// be to pass those that wait. An order of 200 tokens behind a prompt of 9,000 that waits
-// for loans was refused though its tokens were there: one order in five while an
-// account sent many times its rate, and none with this. Short prompts stay behind long
-// ones: they would use up what these wait for.
+// be to pass those that wait. Behind a long prompt that waits for loans an order of a few
+// tokens would be refused though its tokens are there. Short prompts stay behind long ones:
+// they would use up what these wait for.
 const passFactor = 10
 
 // Admit takes tokens for a request, from loans first since these expire. One that is
--- a/instance/routed/loans.go
+++ b/instance/routed/loans.go
@@ -16,9 +16,8 @@
 // that is every long prompt.
 const (
 	// silentEvery is between two rounds of questions, and silentFan how many instances
-	// are asked in one, so that each of 85 has been asked within half a second. When 64
-	// instances start together the median of them has heard all after 1.7 s. By the
-	// exchanges alone, which go to a few at random, it took as long as loans run, 3.1 s.
+	// are asked in one, so that each of some ninety has been asked within half a second. By
+	// the exchanges alone, which go to a few at random, it takes as long as loans run.
 	silentEvery = 100 * time.Millisecond
 	silentFan   = 24
 	// silentWait bounds one question: three times the way there and back between regions.
--- a/transport/httproute/local.go
+++ b/transport/httproute/local.go
@@ -139,8 +139,7 @@
 
 // urgency is the same for requests that will miss their objective. With a lower one
 // engines put them back, in the middle of their answer, for each more urgent request that
-// finds the batch full, and read their whole prompt again: 350 of 5,300 requests of a
-// region at its peak, and none with this.
+// finds the batch full, and read their whole prompt again.
 func (o *outbound) urgency() int { return min(1+urgencyStep*o.work.Urgency, leastUrgency) }
 
 // judge reads what the server says beside its answer.
