--- a/coordination/quotashare/quotashare.go
+++ b/coordination/quotashare/quotashare.go
@@ -10,6 +10,11 @@
 //   - It mints its part only when every instance of its set goes by the same set, and all
 //     of them have heard that of each other in the same lifetimes. Each of two that mint
 //     has the other in its set, so the parts together are at most the whole.
+//   - An instance mints its part for good; nobody else ever mints it. One that is cut
+//     off goes on with its own part, and needs neither the store nor a peer.
+//   - That it has once minted stands in the store. A restarted instance that finds it
+//     there need not ask again: all others counted it before. Tokens that its
+//     predecessor lent may still be spent; see quota.Ledger.SetProvisional.
 //
 // Why the lifetimes: a peer that has counted a newcomer, restarts, and takes for whole the
 // set of another one that has not heard of the newcomer yet, divides by one too few beside
@@ -17,12 +22,6 @@
 // names agree there was a moment at which all of them counted the newcomer at once; every
 // set that is told later has it. spec/quotashare.pml checks this.
 //
-//   - An instance mints its part for good; nobody else ever mints it. One that is cut
-//     off goes on with its own part, and needs neither the store nor a peer.
-//   - That it has once minted stands in the store. A restarted instance that finds it
-//     there need not ask again: all others counted it before. Tokens that its
-//     predecessor lent may still be spent; see quota.Ledger.SetProvisional.
-//
 // The part of an instance that never comes back is lost to the fleet, one in the
 // number of instances. Demand that is uneven over instances is met by loans, see
 // package quota.
--- a/coordination/spill/spill.go
+++ b/coordination/spill/spill.go
@@ -37,8 +37,8 @@
 	// other requests that both refuse.
 	margin = 0.25
 	// slowedFrom and slowedTo are the same for the part of the servers' time that does not
-	// go into running answers: at the first they take twice their time, at the second seven
-	// times.
+	// go into running answers: at the first these take half as long again as they need, at
+	// the second three times as long.
 	slowedFrom = 0.35
 	slowedTo   = 0.7
 	// slowedMargin is by how much less that part has to be in the other region.
@@ -91,7 +91,7 @@
 		}
 		better := byRoom && o.Share() <= own.Share()-margin || bySpeed && o.Slowed <= own.Slowed-slowedMargin
 		if !better || o.byRoom() > 0 && o.Share() > own.Share()-margin {
-			continue
+			continue // not better, or faster but about to be full itself
 		}
 		if best < 0 || o.load() < others[best].load() {
 			best = i
