Leave cold servers to others until an instance has heard who there is

By reading: an instance that has just started takes itself for the only one of its region, so each of those that start together is the one that sends to a cold server.

TestStartingInstanceOwnsNoColdServer failed first ("owns a cold server before it has heard of anybody").

--- /dev/null
+++ b/instance/routed/cold_test.go
@@ -0,0 +1,36 @@
+package routed
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// All instances of a region restart beside a server that is cold. Each knows only itself at
+// first and takes itself for the one that sends to cold servers; together they sent it
+// several times what it bears, and its callers lost it to a crash. An instance that has
+// just started leaves cold servers to others until it has heard who there is.
+func TestStartingInstanceOwnsNoColdServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &Node{settings: Settings{ID: "front-1"}, started: time.Now()}
+		n.regional.Store(&[]string{"front-1"})
+		if n.ownsCold("s1") {
+			t.Error("owns a cold server before it has heard of anybody")
+		}
+		time.Sleep(startTime)
+		if !n.ownsCold("s1") {
+			t.Error("owns no cold server although it is alone")
+		}
+		owners := 0
+		for _, id := range []string{"front-1", "front-2", "front-3"} {
+			n := &Node{settings: Settings{ID: id}, started: time.Now().Add(-startTime)}
+			n.regional.Store(&[]string{"front-1", "front-2", "front-3"})
+			if n.ownsCold("s1") {
+				owners++
+			}
+		}
+		if owners != 1 {
+			t.Errorf("%d owners, want 1", owners)
+		}
+	})
+}
--- a/instance/routed/facts.go
+++ b/instance/routed/facts.go
@@ -138,8 +138,12 @@
 // ownsCold tells whether this instance is the one of its region that sends work to a
 // cold server. The server's rate holds over all instances; one sender keeps it
 // without a word between them, and two that do not see each other stay below the
-// bound, which is more than twice the rate.
+// bound, which is more than twice the rate. One that has just started sees only itself:
+// when a whole region starts each of its instances would send, and the server would crash.
 func (n *Node) ownsCold(server string) bool {
+	if n.uptime() < startTime {
+		return false
+	}
 	members := *n.regional.Load()
 	if len(members) == 0 {
 		return true
