Test the remaining feature gates on and off

Each is now seen at work when on and still when off; with the gate's condition taken out the off half fails by construction.

--- a/coordination/quota/restart_test.go
+++ b/coordination/quota/restart_test.go
@@ -161,3 +161,14 @@
 		t.Error("a larger one passed the one that waits")
 	}
 }
+
+// The same order, with passing switched off: it waits behind the long prompt.
+func TestPassingIsSwitchedOff(t *testing.T) {
+	l := holder(1, start)
+	l.DisablePassing()
+	now := start.Add(20 * time.Second)
+	l.Wait("acme", 900, time.Minute, now)
+	if _, ok := l.Admit("acme", 10, now); ok {
+		t.Error("a small request passes although passing is off")
+	}
+}
--- /dev/null
+++ b/instance/routed/features_test.go
@@ -0,0 +1,50 @@
+package routed
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/basilroute/basilroute/coordination/quotashare"
+	"github.com/basilroute/basilroute/service/features"
+)
+
+// An operator takes out one mechanism of an instance that misbehaves. It stands still then,
+// and with it on the same instance shows it at work.
+func TestFeaturesOfAnInstanceAreSwitchedOff(t *testing.T) {
+	peers := []netip.AddrPort{netip.MustParseAddrPort("192.0.2.2:4")}
+	for _, c := range []struct {
+		feature features.Name
+		atWork  func(n *Node) bool
+	}{
+		{features.Digests, func(n *Node) bool { return len(n.castPeers()) > 0 }},
+		{features.StartWait, func(n *Node) bool { return n.mayWait() }},
+		{features.AskLoans, func(n *Node) bool { // goes on asking until the caller gives up
+			const patience = time.Second
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			before := time.Now()
+			n.askSilent(ctx)
+			return time.Since(before) >= patience
+		}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			instance := func(on bool) *Node {
+				n := &Node{
+					settings: Settings{ID: "front-1"}, started: time.Now(), shares: quotashare.NewKeeper("front-1", 1),
+					features: features.NewSet(map[features.Name]bool{c.feature: on}),
+				}
+				n.castTo.Store(&peers)
+				return n
+			}
+			if !c.atWork(instance(true)) {
+				t.Errorf("%s: not at work although it is on", c.feature)
+			}
+			if c.atWork(instance(false)) {
+				t.Errorf("%s: at work although it is off", c.feature)
+			}
+		})
+	}
+}
--- a/transport/httproute/choose_test.go
+++ b/transport/httproute/choose_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/basilroute/basilroute/coordination/placement"
+	"github.com/basilroute/basilroute/service/features"
 	"github.com/basilroute/basilroute/state/backends"
 	"github.com/basilroute/basilroute/state/routes"
 )
@@ -56,3 +57,27 @@
 		}
 	}
 }
+
+// A region's slots are nearly full beside an idle region: the request leaves, and it stays
+// when an operator has switched that off.
+func TestLeavingByRoomIsSwitchedOff(t *testing.T) {
+	f, _ := gatewayOver(t)
+	f.Remotes = regions{{Region: "idle", Servers: 1, Room: 100}}
+	pool := f.Local.Pool("svc")
+	pool.Update(placement.Settings{Engine: true, Slots: 8}, []backends.Entry{{Server: backends.Server{ID: "own", Slots: 8}, Lifetime: 1}})
+	now := time.Now()
+	r := &request{route: &routes.Route{}, service: "svc"}
+	r.work = placement.Work{Tokens: 10, Arrived: now, Deadline: now.Add(time.Minute)}
+	for range 8 {
+		if pool.Place(&r.work, now).Placement == nil {
+			t.Fatal("not placed")
+		}
+	}
+	if f.early(r, pool, nil, true, now) == nil {
+		t.Error("stays in a full region beside an idle one")
+	}
+	f.Features = features.NewSet(map[features.Name]bool{features.LeaveByRoom: false})
+	if f.early(r, pool, nil, true, now) != nil {
+		t.Error("leaves although leaving by room is off")
+	}
+}
