Name what a holder is; give units to a candidate's fields; mend a help text

A second reading stumbled over HolderHas, over fields without units, and over the help of `losses`, which said that calm requests were both counted and left out: they are sampled in the log and not counted. No decision changes.

--- a/cmd/basilroute/losses.go
+++ b/cmd/basilroute/losses.go
@@ -23,7 +23,7 @@
 		Usage:     "count from logs what became of requests that were not served in time, by reason, route, moment and server",
 		ArgsUsage: "[LOG...]",
 		Description: "Reads JSON lines as basilrouted platform writes them, from the files or from standard input.\n" +
-			"Calm requests are counted from the sample that is logged of them, and are left out.",
+			"Of requests that were served in time only a sample is logged; they are not counted.",
 		Flags: []cli.Flag{
 			&cli.DurationFlag{Name: "window", Value: defaultWindow, Usage: "length of a moment"},
 		},
--- a/coordination/placement/cost.go
+++ b/coordination/placement/cost.go
@@ -9,13 +9,13 @@
 type candidate struct {
 	*server
 	expected  float64 // seconds to the first byte
-	cost      float64
-	unread    float64
+	cost      float64 // seconds; the cheapest candidate is chosen
+	unread    float64 // prompt tokens of the request to be read there
 	ahead     float64 // prompt tokens of others to be read before
 	pause     float64 // the longest that reading the prompt should cause, in seconds
-	own       float64 // of expected: reading the request's own prompt
-	cached    int
-	fetchFrom string
+	own       float64 // of expected: the request's own prompt or work
+	cached    int     // prompt tokens that the server is taken to hold
+	fetchFrom string  // address of a server to fetch more of them from; may be empty
 }
 
 // tooLate tells whether a request that misses its objective is not worth its place.
@@ -23,6 +23,7 @@
 	return c.expected > lateShare*w.Deadline.Sub(now).Seconds() || c.expected-c.own > lateAhead*w.Objective.Seconds()
 }
 
+// slots is how many requests a server runs at once.
 func (p *Pool) slots(s *server) float64 {
 	return float64(max(cmp.Or(s.Slots, p.settings.Slots), 1))
 }
--- a/instance/routed/node.go
+++ b/instance/routed/node.go
@@ -180,7 +180,8 @@
 	n.front = &httproute.Front{
 		Region: n.settings.Region, Codec: n.codec, Routes: n.routes, Ledger: n.ledger, Quarantine: n.quarantine,
 		Retries: retry.NewWindow(retry.WindowSettings{Ratio: n.settings.Retry.Ratio, Slack: n.settings.Retry.Slack, Window: n.settings.Retry.Window}),
-		Remotes: n, Local: n.local, Log: n.log, Metrics: metrics, Features: n.features, Starting: n.mayWait, Stopping: n.stopping.Load, Remaining: n.remaining, Leaving: n.leaving.Load,
+		Remotes: n, Local: n.local, Log: n.log, Metrics: metrics, Features: n.features,
+		Starting: n.mayWait, Stopping: n.stopping.Load, Remaining: n.remaining, Leaving: n.leaving.Load,
 		Peers: backendhttp.New(backendhttp.Settings{DialTimeout: peerDialTimeout, UserTimeout: userTimeout, MaxIdle: maxIdleConns}),
 	}
 	n.relay = &httproute.Peer{Codec: n.codec, Local: n.local, Routes: n.routes, Stopping: n.leaving.Load}
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -37,8 +37,9 @@
 	Print       string `json:"print"`
 	LastEventID string `json:"last_event_id,omitempty"`
 	Config      int64  `json:"config"`
-	HolderAddr  string `json:"holder_address,omitempty"` // a server of the first region that holds shared parts
-	HolderHas   int    `json:"holder_tokens,omitempty"`
+	// HolderAddress is of a server of the first region that holds HolderTokens of the prompt.
+	HolderAddress string `json:"holder_address,omitempty"`
+	HolderTokens  int    `json:"holder_tokens,omitempty"`
 }
 
 // refused is a failure on its way to the first instance.
@@ -55,7 +56,7 @@
 	now := time.Now()
 	holder := f.holder(r, now)
 	note, err := json.Marshal(forwarded{
-		HolderAddr: holder.Address, HolderHas: holder.Tokens,
+		HolderAddress: holder.Address, HolderTokens: holder.Tokens,
 		Service: o.service, Account: o.account, Urgency: o.work.Urgency, LeftMs: o.deadline.Sub(now).Milliseconds(),
 		ObjectiveMs: max(r.work.Objective-now.Sub(r.arrived), 0).Milliseconds(), Repeatable: o.repeatable,
 		Detached: r.route.Kind == routes.KindNonIdempotent, Print: o.print, LastEventID: o.lastEventID, Config: o.config,
@@ -182,7 +183,7 @@
 		work: &placement.Work{
 			Parts: call.Parts, Tokens: call.PromptTokens, Urgency: said.Urgency, Probe: said.Repeatable,
 			Risk:      !said.Detached,
-			Far:       placement.Source{Address: said.HolderAddr, Tokens: said.HolderHas},
+			Far:       placement.Source{Address: said.HolderAddress, Tokens: said.HolderTokens},
 			Objective: time.Duration(said.ObjectiveMs) * time.Millisecond, Arrived: arrived, Deadline: deadline,
 		},
 	}
