--- a/instance/routed/features_test.go
+++ b/instance/routed/features_test.go
@@ -30,21 +30,23 @@
 			return time.Since(before) >= patience
 		}},
 	} {
-		synctest.Test(t, func(t *testing.T) {
-			instance := func(on bool) *Node {
-				n := &Node{
-					settings: Settings{ID: "front-1"}, started: time.Now(), shares: quotashare.NewKeeper("front-1", 1),
-					features: features.NewSet(map[features.Name]bool{c.feature: on}),
+		t.Run(string(c.feature), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				instance := func(on bool) *Node {
+					n := &Node{
+						settings: Settings{ID: "front-1"}, started: time.Now(), shares: quotashare.NewKeeper("front-1", 1),
+						features: features.NewSet(map[features.Name]bool{c.feature: on}),
+					}
+					n.castTo.Store(&peers)
+					return n
 				}
-				n.castTo.Store(&peers)
-				return n
-			}
-			if !c.atWork(instance(true)) {
-				t.Errorf("%s: not at work although it is on", c.feature)
-			}
-			if c.atWork(instance(false)) {
-				t.Errorf("%s: at work although it is off", c.feature)
-			}
+				if !c.atWork(instance(true)) {
+					t.Errorf("%s: not at work although it is on", c.feature)
+				}
+				if c.atWork(instance(false)) {
+					t.Errorf("%s: at work although it is off", c.feature)
+				}
+			})
 		})
 	}
 }
