Tell how copies of the configuration reach an instance

The logs of the incident tell that versions were late, not where: lines of the configuration were crowded out by those of requests, and nothing counted the copies. Now: - series of the version in force, the revision known, the bytes of the store's items by way (store, watcher, exchange) and by whether they held anything new, and of failed reads by way; - watcher_lost says how long the watcher was followed and silent, store_items_from_peer the way and the size. The metrics of a deployment have a port of their own, so that its monitoring can fetch them; an instance whose metrics address is taken logs that and serves on (TestTakenMetricsAddressStopsNothing; the bind was fatal).

--- a/instance/routed/follow.go
+++ b/instance/routed/follow.go
@@ -51,7 +51,7 @@
 		case err == nil:
 			listed, backoff = true, minBackoff
 			n.storeAnswered(f)
-			n.apply(f, delta, "store")
+			n.apply(f, delta, origin{way: wayStore})
 			if len(delta.Items) > 0 && f.settle > 0 {
 				pause(ctx, f.settle)
 			}
@@ -88,13 +88,15 @@
 	return out
 }
 
-func (n *Node) apply(f *follower, d mirror.Delta, from string) {
+func (n *Node) apply(f *follower, d mirror.Delta, from origin) {
 	changed := f.mirror.Apply(d)
+	n.copies.arrived(f.prefix, from, d, changed)
 	if len(changed) == 0 {
 		return
 	}
-	if from != "store" {
-		n.log.Info("store_items_from_peer", "prefix", f.prefix, "peer", from, "items", len(changed), "revision", d.Revision)
+	if from.way != wayStore {
+		n.log.Info("store_items_from_peer", "prefix", f.prefix, "way", from.way, "peer", from.peer, "items", len(changed),
+			"bytes", itemBytes(changed), "revision", d.Revision)
 	}
 	f.changed(changed)
 	n.announce()
@@ -112,6 +114,7 @@
 }
 
 func (n *Node) storeFailed(f *follower, err error) {
+	n.copies.fail(wayStore)
 	now := time.Now()
 	if f.failing.CompareAndSwap(0, int64(n.uptime())) {
 		n.log.Info("store_lost", "prefix", f.prefix, "error", err.Error())
@@ -170,7 +173,7 @@
 }
 
 // takeViews takes in what a peer knows beyond this instance.
-func (n *Node) takeViews(views []*peerpb.StoreView, from string) {
+func (n *Node) takeViews(views []*peerpb.StoreView, from origin) {
 	for _, view := range views {
 		d := mirror.Delta{After: view.GetAfter(), Revision: view.GetRevision(), Whole: view.GetWhole()}
 		for _, item := range view.GetItems() {
--- a/instance/routed/members.go
+++ b/instance/routed/members.go
@@ -101,6 +101,7 @@
 	failed, _ := count.(int)
 	failed++
 	n.failures.Store(address, failed)
+	n.copies.fail(wayExchange)
 	if failed == 1 {
 		n.log.Info("peer_silent", "address", address, "error", err.Error())
 	}
@@ -111,7 +112,7 @@
 
 func (n *Node) takeResponse(ctx context.Context, client peerpb.PeerClient, asked *peerpb.ExchangeRequest, resp *peerpb.ExchangeResponse) {
 	next := n.members.Finish(resp, time.Now())
-	n.takeViews(resp.GetStoreViews(), resp.GetFrom())
+	n.takeViews(resp.GetStoreViews(), origin{way: wayExchange, peer: resp.GetFrom()})
 	for _, q := range resp.GetQuarantines() {
 		n.quarantine.Merge(peer.DecodeQuarantine(q))
 	}
--- /dev/null
+++ b/instance/routed/metrics_test.go
@@ -0,0 +1,56 @@
+package routed
+
+import (
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"github.com/basilroute/basilroute/state/mirror"
+)
+
+// Copies that bring nothing new show apart from those that do.
+func TestRedundantCopiesAreCounted(t *testing.T) {
+	m := newCopyMetrics(prometheus.NewRegistry())
+	copied, from := mirror.New(), origin{way: wayExchange, peer: "front-2"}
+	d := mirror.Delta{Revision: 3, Whole: true, Items: []mirror.Item{{Key: "op/config", Value: make([]byte, 100), Revision: 3}}}
+	for range 3 {
+		m.arrived("op/", from, d, copied.Apply(d))
+	}
+	for result, want := range map[string]float64{itemsTaken: 100, itemsKnown: 200} {
+		if got := testutil.ToFloat64(m.bytes.WithLabelValues("op/", wayExchange, result)); got != want {
+			t.Errorf("%s: %v bytes, want %v", result, got, want)
+		}
+	}
+}
+
+// An instance whose metrics address is taken serves its callers all the same.
+func TestTakenMetricsAddressStopsNothing(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = taken.Close() }()
+	settings := DefaultSettings()
+	const free = "127.0.0.1:0"
+	settings.ID, settings.Listen = "front-1", Listen{
+		Callers: free, Ready: free, Directory: free, Peers: free, Relay: free, Metrics: taken.Addr().String(),
+	}
+	n, err := New(settings, emptySource{}, nil, Endpoints{
+		Ready:     func(func() bool) http.Handler { return http.NotFoundHandler() },
+		Directory: func(func(Question) Answer) http.Handler { return http.NotFoundHandler() },
+	}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Kill()
+}
+
+// emptySource is a store in which nothing stands.
+type emptySource struct{ Source }
+
+func (emptySource) ConfigPrefix() string  { return "config/" }
+func (emptySource) ServersPrefix() string { return "servers/" }
--- a/instance/routed/node.go
+++ b/instance/routed/node.go
@@ -79,6 +79,7 @@
 	holderAddress sync.Map                         // peer address of each instance that shares the quotas, by id
 	news          chan struct{}
 	unreadable    prometheus.Counter
+	copies        *copyMetrics
 
 	servicing []*http.Server
 	callers   *http.Server
@@ -172,6 +173,8 @@
 		Namespace: "basilroute", Name: "unreadable_items_total", Help: "Items of the store that could not be read.",
 	})
 	n.registry.MustRegister(n.unreadable)
+	n.copies = newCopyMetrics(n.registry)
+	n.registerVersions()
 	metrics := httproute.NewMetrics(n.registry)
 	n.local = &httproute.Local{
 		Codec: n.codec, Backends: n.backends, Quarantine: n.quarantine, Log: n.log, Metrics: metrics,
@@ -228,17 +231,11 @@
 		{"ready", n.settings.Listen.Ready, endpoints.Ready(n.Ready)},
 		{"directory", n.settings.Listen.Directory, endpoints.Directory(n.Resolve)},
 		{"relay", n.settings.Listen.Relay, n.counted(n.relay)},
-		{"metrics", n.settings.Listen.Metrics, n.operatorHandler()},
 	} {
-		if l.address == "" {
-			continue
-		}
 		if _, err := n.bind(l.name, l.address); err != nil {
 			return err
 		}
-		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: n.callers.ErrorLog}
-		n.servicing = append(n.servicing, server)
-		n.goServe(server, n.listeners[l.name])
+		n.service(l.handler, n.listeners[l.name])
 	}
 	if err := n.caster.Listen(n.settings.Listen.Relay); err != nil { // the same number, as datagrams
 		return err
@@ -252,9 +249,31 @@
 	n.peers = grpc.NewServer(append(peer.ServerOptions(),
 		grpc.InitialWindowSize(peer.StreamWindow), grpc.InitialConnWindowSize(peer.StreamWindow))...)
 	peerpb.RegisterPeerServer(n.peers, &peer.Server{Runner: noGenerations{}, Exchanger: n, Quota: n, Followed: n})
+	n.listenMetrics()
 	return nil
 }
 
+// listenMetrics serves metrics and the state dump where the settings name an address. Callers
+// are served without them too, so an address that is taken stops nothing.
+func (n *Node) listenMetrics() {
+	if n.settings.Listen.Metrics == "" {
+		return
+	}
+	l, err := n.bind("metrics", n.settings.Listen.Metrics)
+	if err != nil {
+		n.log.Error("metrics_unavailable", "address", n.settings.Listen.Metrics, "error", err.Error())
+		return
+	}
+	n.service(n.operatorHandler(), l)
+}
+
+// service runs one of the servers beside that of callers.
+func (n *Node) service(handler http.Handler, l net.Listener) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: n.callers.ErrorLog}
+	n.servicing = append(n.servicing, server)
+	n.goServe(server, l)
+}
+
 func (n *Node) goServe(server *http.Server, l net.Listener) {
 	go func() {
 		if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/instance/routed/watch.go
+++ b/instance/routed/watch.go
@@ -136,6 +136,8 @@
 	defer cancel()
 	silence := time.AfterFunc(followSilence, cancel)
 	defer silence.Stop()
+	began := time.Now()
+	heard := began
 	stream, err := client.Follow(ctx, &peerpb.FollowRequest{From: n.settings.ID, Known: n.knowledge()})
 	for err == nil {
 		var update *peerpb.FollowUpdate
@@ -144,7 +146,8 @@
 			break
 		}
 		silence.Reset(followSilence)
-		n.takeViews(update.GetViews(), address)
+		heard = time.Now()
+		n.takeViews(update.GetViews(), origin{way: wayWatcher, peer: address})
 		for _, f := range n.followers {
 			n.storeAnswered(f)
 		}
@@ -152,7 +155,9 @@
 			return true
 		}
 	}
-	n.log.Info("watcher_lost", "address", address, "error", err.Error())
+	n.copies.fail(wayWatcher)
+	n.log.Info("watcher_lost", "address", address, "followed_ms", time.Since(began).Milliseconds(),
+		"silent_ms", time.Since(heard).Milliseconds(), "error", err.Error())
 	return false
 }
 
