Close a peer's connection beside the lock of all connections

What callers see: nothing of their own; exchanges and follows of all peers begin seconds late while one link is full. Cause: Pool.Drop held the pool's lock while grpc closed the connection, and grpc waits up to 5 s for a last frame to be written, which does not go out over a full link. Evidence: TestDroppingAStuckConnectionHoldsUpNoOther failed before ("another peer waits for the end of the dropped connection", 2 s), passes now. Pool.Close closes all connections side by side, for the same reason. The pool takes more options, so that a test can bring its own network.

--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -39,15 +39,26 @@
 	// waits for it before it refuses a key that it does not know.
 	Revision func() int64
 
-	creds credentials.TransportCredentials
+	options []grpc.DialOption
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 }
 
-// NewPool returns a pool without connections.
-func NewPool(creds credentials.TransportCredentials) *Pool {
-	return &Pool{creds: creds, Revision: func() int64 { return 0 }, conns: make(map[string]*grpc.ClientConn)}
+// NewPool returns a pool without connections. More options than the pool's own apply to each.
+func NewPool(creds credentials.TransportCredentials, more ...grpc.DialOption) *Pool {
+	options := []grpc.DialOption{
+		grpc.WithTransportCredentials(creds),
+		grpc.WithDisableRetry(), // a forwarded request is retried by the first instance only
+		grpc.WithDisableServiceConfig(),
+		grpc.WithInitialWindowSize(StreamWindow),
+		grpc.WithInitialConnWindowSize(ConnWindow),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: redial, MinConnectTimeout: connectTimeout}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingTimeout}),
+	}
+	return &Pool{
+		Revision: func() int64 { return 0 }, options: append(options, more...), conns: make(map[string]*grpc.ClientConn),
+	}
 }
 
 // Get returns a client for the peer at an address. It makes no call.
@@ -57,14 +68,7 @@
 	conn, ok := p.conns[address]
 	if !ok {
 		var err error
-		conn, err = grpc.NewClient("passthrough:///"+address,
-			grpc.WithTransportCredentials(p.creds),
-			grpc.WithDisableRetry(), // a forwarded request is retried by the first instance only
-			grpc.WithDisableServiceConfig(),
-			grpc.WithInitialWindowSize(StreamWindow),
-			grpc.WithInitialConnWindowSize(ConnWindow),
-			grpc.WithConnectParams(grpc.ConnectParams{Backoff: redial, MinConnectTimeout: connectTimeout}),
-			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingTimeout}))
+		conn, err = grpc.NewClient("passthrough:///"+address, p.options...)
 		if err != nil {
 			return nil, errors.Wrapf(err, "peer %s", address)
 		}
@@ -73,22 +77,27 @@
 	return peerpb.NewPeerClient(conn), nil
 }
 
-// Drop closes the connection to an address; the next call makes a new one.
+// Drop gives up the connection to an address; the next call makes a new one. Closing says
+// goodbye first, which takes seconds over a link that is full: it happens beside the lock.
 func (p *Pool) Drop(address string) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if conn, ok := p.conns[address]; ok {
-		_ = conn.Close() // calls under way fail
-		delete(p.conns, address)
+	conn := p.conns[address]
+	delete(p.conns, address)
+	p.mu.Unlock()
+	if conn != nil {
+		go func() { _ = conn.Close() }() // calls under way fail
 	}
 }
 
 // Close ends every connection.
 func (p *Pool) Close() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address, conn := range p.conns {
-		_ = conn.Close()
-		delete(p.conns, address)
+	conns := p.conns
+	p.conns = make(map[string]*grpc.ClientConn)
+	p.mu.Unlock()
+	var closing sync.WaitGroup
+	for _, conn := range conns {
+		closing.Go(func() { _ = conn.Close() })
 	}
+	closing.Wait()
 }
--- /dev/null
+++ b/transport/peer/pool_test.go
@@ -0,0 +1,85 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/basilroute/basilroute/protocol/peerpb"
+)
+
+// stuckConn is a connection whose writes block once it is stuck, until it is closed.
+type stuckConn struct {
+	net.Conn
+	stuck   <-chan struct{}
+	closing chan struct{} // closed at the first write deadline, which a transport sets to close
+	closed  chan struct{}
+	once    sync.Once
+	last    sync.Once
+}
+
+func (c *stuckConn) Write(b []byte) (int, error) {
+	select {
+	case <-c.stuck:
+		<-c.closed
+		return 0, net.ErrClosed
+	default:
+		return c.Conn.Write(b)
+	}
+}
+
+func (c *stuckConn) SetWriteDeadline(time.Time) error {
+	c.once.Do(func() { close(c.closing) })
+	return nil
+}
+
+func (c *stuckConn) Close() error {
+	c.last.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// Guards against a peer whose link is full holding up the calls to all others when it is dropped.
+func TestDroppingAStuckConnectionHoldsUpNoOther(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer()
+	peerpb.RegisterPeerServer(server, peerpb.UnimplementedPeerServer{})
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(server.Stop)
+
+	stuck, closing := make(chan struct{}), make(chan struct{})
+	pool := NewPool(insecure.NewCredentials(), grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		return &stuckConn{Conn: c, stuck: stuck, closing: closing, closed: make(chan struct{})}, err
+	}))
+	client, err := pool.Get(l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = client.Exchange(t.Context(), &peerpb.ExchangeRequest{}) // the answer, unimplemented, shows that it is connected
+	close(stuck)
+
+	go pool.Drop(l.Addr().String())
+	<-closing
+	got := make(chan error)
+	go func() {
+		_, err := pool.Get("192.0.2.1:1")
+		got <- err
+	}()
+	const patience = 2 * time.Second // less than grpc waits for a last write
+	select {
+	case err := <-got:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(patience):
+		t.Error("another peer waits for the end of the dropped connection")
+	}
+}
