--- a/instance/routed/node.go
+++ b/instance/routed/node.go
@@ -114,6 +114,16 @@
 
 // New binds the addresses. It serves nothing before Start.
 func New(settings Settings, source Source, codec httproute.Codec, endpoints Endpoints, log *slog.Logger) (*Node, error) {
+	n := newNode(settings, source, codec, log)
+	if err := n.listen(endpoints); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
+	return n, nil
+}
+
+// newNode returns a node that has no addresses yet.
+func newNode(settings Settings, source Source, codec httproute.Codec, log *slog.Logger) *Node {
 	started := time.Now()
 	set := features.NewSet(settings.Features)
 	n := &Node{
@@ -136,11 +146,7 @@
 	n.makeFollowers(source)
 	n.quarantine.OnCrash(n.spread)
 	n.wire()
-	if err := n.listen(endpoints); err != nil {
-		n.closeListeners()
-		return nil, err
-	}
-	return n, nil
+	return n
 }
 
 func (n *Node) selfEntry() *peerpb.Member {
@@ -197,6 +203,13 @@
 		Self: n.settings.ID, Incarnation: n.members.Self().GetIncarnation(),
 		Peers: n.castPeers, Digest: n.digest, Absorb: n.absorb,
 	}
+	n.callers = &http.Server{
+		Handler: n.counted(n.front), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+	}
+	n.peers = grpc.NewServer(append(peer.ServerOptions(),
+		grpc.InitialWindowSize(peer.StreamWindow), grpc.InitialConnWindowSize(peer.StreamWindow))...)
+	peerpb.RegisterPeerServer(n.peers, &peer.Server{Runner: noGenerations{}, Exchanger: n, Quota: n, Followed: n})
 }
 
 // listenConfig has short keep-alive probes: a caller behind a cut link never closes.
@@ -220,10 +233,6 @@
 )
 
 func (n *Node) listen(endpoints Endpoints) error {
-	n.callers = &http.Server{
-		Handler: n.counted(n.front), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
-	}
 	for _, l := range []struct {
 		name, address string
 		handler       http.Handler
@@ -246,9 +255,6 @@
 	if _, err := n.bind("peers", n.settings.Listen.Peers); err != nil {
 		return err
 	}
-	n.peers = grpc.NewServer(append(peer.ServerOptions(),
-		grpc.InitialWindowSize(peer.StreamWindow), grpc.InitialConnWindowSize(peer.StreamWindow))...)
-	peerpb.RegisterPeerServer(n.peers, &peer.Server{Runner: noGenerations{}, Exchanger: n, Quota: n, Followed: n})
 	n.listenMetrics()
 	return nil
 }
