--- a/standin/link/conn.go
+++ b/standin/link/conn.go
@@ -35,11 +35,8 @@
 		if far := p.to.reserve(len(part)); far.After(arrives) {
 			arrives = far
 		}
-		time.Sleep(time.Until(arrives))
-		select {
-		case <-p.closed:
+		if !p.openUntil(arrives) {
 			return written, io.ErrClosedPipe
-		default:
 		}
 		select {
 		case p.segments <- append([]byte(nil), part...):
@@ -52,6 +49,18 @@
 	return written, nil
 }
 
+// openUntil waits, and tells whether the pipe was not closed meanwhile.
+func (p *pipe) openUntil(at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-p.closed:
+		return false
+	}
+}
+
 func (p *pipe) read(b []byte) (int, error) {
 	for len(p.rest) == 0 {
 		select {
