Hand on large updates in parts, packed, and not with exchanges

Cause: each copy between instances was one message under a limit fit for small ones: 1.2 s without a message on a follower's stream, 1.5 s for an exchange. Ten copies of a configuration fill a link of 10 Mbit/s for longer; each was given up and begun anew at the next instance, until the fleet sent 14 to 52 MB/s in place of 4 and nothing arrived. An exchange that fails twice also drops the connection, and with it the follower's stream on it. Mend: what is larger than 16 KB goes deflated (once for all that lack the same) and in parts, each of which shows that the sender lives; exchanges carry 8 KB of items and else name the revision, and who is still behind 0.7 s later fetches it, one at a time, from an instance that serves four such at most. A peer that does not ask for parts gets none.

--- a/instance/routed/bulk_test.go
+++ b/instance/routed/bulk_test.go
@@ -249,6 +249,7 @@
 		f := startBulkFleet(t, slices.Repeat([]float64{narrowLink}, instances)...)
 		defer f.stop()
 		f.store.serveOnly(func(id string) bool { return id == "front-3" })
+		time.Sleep(fleetStart) // until all know who watches the store
 		f.store.set("op/config", noise(2, size))
 		time.Sleep(inForce)
 		f.wantVersion(2)
--- a/instance/routed/follow.go
+++ b/instance/routed/follow.go
@@ -8,7 +8,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/basilroute/basilroute/protocol/peerpb"
 	"github.com/basilroute/basilroute/service/features"
 	"github.com/basilroute/basilroute/state/mirror"
 	"github.com/basilroute/basilroute/transport/platform"
@@ -140,55 +139,6 @@
 	return false
 }
 
-// knowledge says up to which revision each prefix is known here. It goes with every
-// exchange: a watcher that is cut off from the store learns of it seconds later, and its
-// followers, who hear nothing in the meantime, would go by what has been replaced.
-func (n *Node) knowledge() []*peerpb.StoreView {
-	out := make([]*peerpb.StoreView, len(n.followers))
-	for i, f := range n.followers {
-		out[i] = &peerpb.StoreView{Prefix: f.prefix, Revision: f.mirror.Revision()}
-	}
-	return out
-}
-
-// lacking returns what a peer lacks.
-func (n *Node) lacking(asked []*peerpb.StoreView) []*peerpb.StoreView {
-	var out []*peerpb.StoreView
-	for _, view := range asked {
-		for _, f := range n.followers {
-			if f.prefix != view.GetPrefix() || f.mirror.Revision() <= view.GetRevision() {
-				continue
-			}
-			d := f.mirror.Since(view.GetRevision())
-			reply := &peerpb.StoreView{Prefix: f.prefix, Revision: d.Revision, After: d.After, Whole: d.Whole}
-			for _, item := range d.Items {
-				reply.Items = append(reply.Items, &peerpb.Document{
-					Key: item.Key, Revision: item.Revision, Value: item.Value, Deleted: item.Removed,
-				})
-			}
-			out = append(out, reply)
-		}
-	}
-	return out
-}
-
-// takeViews takes in what a peer knows beyond this instance.
-func (n *Node) takeViews(views []*peerpb.StoreView, from origin) {
-	for _, view := range views {
-		d := mirror.Delta{After: view.GetAfter(), Revision: view.GetRevision(), Whole: view.GetWhole()}
-		for _, item := range view.GetItems() {
-			d.Items = append(d.Items, mirror.Item{
-				Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Removed: item.GetDeleted(),
-			})
-		}
-		for _, f := range n.followers {
-			if f.prefix == view.GetPrefix() {
-				n.apply(f, d, from)
-			}
-		}
-	}
-}
-
 // startTime is how long after its start an instance may lack what it needs to serve.
 const startTime = 2 * time.Second
 
--- a/instance/routed/members.go
+++ b/instance/routed/members.go
@@ -113,6 +113,7 @@
 func (n *Node) takeResponse(ctx context.Context, client peerpb.PeerClient, asked *peerpb.ExchangeRequest, resp *peerpb.ExchangeResponse) {
 	next := n.members.Finish(resp, time.Now())
 	n.takeViews(resp.GetStoreViews(), origin{way: wayExchange, peer: resp.GetFrom()})
+	n.catchUp(client, resp.GetFrom(), resp.GetStoreViews())
 	for _, q := range resp.GetQuarantines() {
 		n.quarantine.Merge(peer.DecodeQuarantine(q))
 	}
@@ -158,7 +159,7 @@
 		n.quarantine.Merge(peer.DecodeQuarantine(q))
 	}
 	resp.Quarantines = peer.EncodeQuarantines(n.quarantine.Records(now))
-	resp.StoreViews = n.lacking(req.GetStoreViews())
+	resp.StoreViews = n.offered(req.GetStoreViews())
 	if hash := n.shares.Hash(); hash != 0 && hash != req.GetQuotaHash() {
 		resp.QuotaHolders, resp.QuotaComplete = n.shares.Holders(), n.shares.Complete()
 	}
--- a/instance/routed/metrics.go
+++ b/instance/routed/metrics.go
@@ -17,6 +17,7 @@
 	wayStore    = "store"
 	wayWatcher  = "watcher"  // an instance that is followed
 	wayExchange = "exchange" // an instance that views were exchanged with
+	wayCatchUp  = "catch_up" // the same, where it had more than an exchange carries
 )
 
 // Results of items that arrived.
--- a/instance/routed/node.go
+++ b/instance/routed/node.go
@@ -61,6 +61,10 @@
 	config, servers *follower
 	followers       []*follower
 	subscribers     sync.Map // channels of those who follow this instance
+	packs           packCache
+	catchUps        atomic.Int32 // others that catch up from this instance
+	catching        atomic.Bool  // this instance catches up from another one
+	receiving       atomic.Int32 // updates of which parts have come
 
 	poolMu sync.Mutex
 
--- a/instance/routed/watch.go
+++ b/instance/routed/watch.go
@@ -132,28 +132,18 @@
 		n.log.Error("peer_address", "address", address, "error", err.Error())
 		return false
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	silence := time.AfterFunc(followSilence, cancel)
-	defer silence.Stop()
 	began := time.Now()
 	heard := began
-	stream, err := client.Follow(ctx, &peerpb.FollowRequest{From: n.settings.ID, Known: n.knowledge()})
-	for err == nil {
-		var update *peerpb.FollowUpdate
-		update, err = stream.Recv()
-		if err != nil {
-			break
-		}
-		silence.Reset(followSilence)
+	req := &peerpb.FollowRequest{From: n.settings.ID, Known: n.knowledge(), Parts: true}
+	err = n.receive(ctx, client, req, origin{way: wayWatcher, peer: address}, func() bool {
 		heard = time.Now()
-		n.takeViews(update.GetViews(), origin{way: wayWatcher, peer: address})
 		for _, f := range n.followers {
 			n.storeAnswered(f)
 		}
-		if n.watches(time.Now()) {
-			return true
-		}
+		return !n.watches(heard)
+	})
+	if err == nil {
+		return true
 	}
 	n.copies.fail(wayWatcher)
 	n.log.Info("watcher_lost", "address", address, "followed_ms", time.Since(began).Milliseconds(),
@@ -165,6 +155,9 @@
 // instance is no longer up to date.
 func (n *Node) Follow(req *peerpb.FollowRequest, stream grpc.ServerStreamingServer[peerpb.FollowUpdate]) error {
 	known := req.GetKnown()
+	if req.GetOnce() {
+		return n.sendOnce(stream, known)
+	}
 	changed := make(chan struct{}, 1)
 	n.subscribers.Store(changed, true)
 	defer n.subscribers.Delete(changed)
@@ -175,16 +168,10 @@
 			return nil // the follower turns to another one
 		}
 		views := n.lacking(known)
-		for _, view := range views {
-			for _, k := range known {
-				if k.GetPrefix() == view.GetPrefix() {
-					k.Revision = view.GetRevision()
-				}
-			}
-		}
-		if err := stream.Send(&peerpb.FollowUpdate{Views: views}); err != nil {
+		if err := n.sendUpdate(stream, views, req.GetParts()); err != nil {
 			return err
 		}
+		markSent(known, views)
 		select {
 		case <-changed:
 		case <-ticker.C:
--- /dev/null
+++ b/transport/peer/parts.go
@@ -0,0 +1,91 @@
+package peer
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/basilroute/basilroute/protocol/peerpb"
+)
+
+const (
+	// PartBytes is how much of an update goes in one message: of ten that share a link of
+	// 10 Mbit/s each gets one in 130 ms, and sees that its sender lives.
+	PartBytes = 16 << 10
+	// maxUpdateBytes bounds an update, packed and unpacked: a prefix of the store with a
+	// hundred thousand entries.
+	maxUpdateBytes = 32 << 20
+)
+
+var errUpdateTooLarge = errors.New("update is too large")
+
+// PackUpdate serializes an update and deflates it: the configuration repeats itself, and
+// takes a twentieth of the bytes then.
+func PackUpdate(update *peerpb.FollowUpdate) ([]byte, error) {
+	plain, err := proto.Marshal(update)
+	if err != nil {
+		return nil, errors.Wrap(err, "update")
+	}
+	var packed bytes.Buffer
+	w, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "update")
+	}
+	_, err = w.Write(plain)
+	if err = errors.CombineErrors(err, w.Close()); err != nil {
+		return nil, errors.Wrap(err, "update")
+	}
+	return packed.Bytes(), nil
+}
+
+// SendParts sends a packed update.
+func SendParts(packed []byte, send func(*peerpb.FollowUpdate) error) error {
+	for {
+		part := packed[:min(len(packed), PartBytes)]
+		packed = packed[len(part):]
+		if err := send(&peerpb.FollowUpdate{Part: part, Last: len(packed) == 0}); err != nil {
+			return err
+		}
+		if len(packed) == 0 {
+			return nil
+		}
+	}
+}
+
+// Assembly puts the parts of updates together.
+type Assembly struct{ packed []byte }
+
+// Partial tells whether parts of an update are still to come.
+func (a *Assembly) Partial() bool { return len(a.packed) > 0 }
+
+// Take takes in a message and returns the update that is complete with it, or nil.
+func (a *Assembly) Take(message *peerpb.FollowUpdate) (*peerpb.FollowUpdate, error) {
+	if len(message.GetPart()) == 0 {
+		return message, nil
+	}
+	if len(a.packed)+len(message.GetPart()) > maxUpdateBytes {
+		return nil, errUpdateTooLarge
+	}
+	a.packed = append(a.packed, message.GetPart()...)
+	if !message.GetLast() {
+		return nil, nil
+	}
+	packed := a.packed
+	a.packed = nil
+	return unpackUpdate(packed)
+}
+
+func unpackUpdate(packed []byte) (*peerpb.FollowUpdate, error) {
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUpdateBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "update")
+	}
+	if len(plain) > maxUpdateBytes {
+		return nil, errUpdateTooLarge
+	}
+	var update peerpb.FollowUpdate
+	return &update, errors.Wrap(proto.Unmarshal(plain, &update), "update")
+}
--- /dev/null
+++ b/transport/peer/parts_test.go
@@ -0,0 +1,68 @@
+package peer
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/basilroute/basilroute/protocol/peerpb"
+)
+
+func noise(size int) []byte {
+	rng := rand.New(rand.NewPCG(1, 1))
+	out := make([]byte, size)
+	for i := range out {
+		out[i] = byte(rng.Uint32())
+	}
+	return out
+}
+
+func update(value []byte) *peerpb.FollowUpdate {
+	return &peerpb.FollowUpdate{Views: []*peerpb.StoreView{{
+		Prefix: "config/", Revision: 9, After: 3, Items: []*peerpb.Document{{Key: "config/a", Revision: 9, Value: value}},
+	}}}
+}
+
+// An update comes out of its parts as it went in, and messages of one piece pass between updates.
+func TestUpdateInParts(t *testing.T) {
+	var a Assembly
+	for _, value := range [][]byte{nil, noise(10), noise(PartBytes), noise(3*PartBytes + 1), bytes.Repeat([]byte("route"), 50_000)} {
+		want, messages := update(value), 0
+		packed, err := PackUpdate(want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got *peerpb.FollowUpdate
+		err = SendParts(packed, func(m *peerpb.FollowUpdate) (err error) {
+			if messages++; got != nil {
+				t.Error("complete before its last part")
+			}
+			got, err = a.Take(m)
+			return err
+		})
+		if err != nil || !proto.Equal(got, want) || a.Partial() {
+			t.Errorf("%d bytes in %d parts: %v", len(value), messages, err)
+		}
+		if beat, err := a.Take(&peerpb.FollowUpdate{}); err != nil || beat == nil {
+			t.Errorf("beat: %v, %v", beat, err)
+		}
+	}
+}
+
+// Guards against a peer whose small message unpacks into more memory than the instance has.
+func TestUpdateThatUnpacksWithoutBoundIsRefused(t *testing.T) {
+	packed, err := PackUpdate(update(make([]byte, maxUpdateBytes+1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var a Assembly
+	err = SendParts(packed, func(m *peerpb.FollowUpdate) error {
+		_, err := a.Take(m)
+		return err
+	})
+	if err == nil {
+		t.Error("taken")
+	}
+}
