Let the instances with the widest links watch the store

Cause: the watchers of a failure domain were drawn by hash alone, and read and hand on every change over their links. Change: an instance knows its link's rate from its settings and says it with its entry; of those that reach the store the widest go first, then the hash as before. Where none knows, or all are alike, nothing changes. TestWatchersHaveTheWidestLinks names the hash's choice without it. The settings' test has one finding more.

--- a/coordination/configwatch/configwatch_test.go
+++ b/coordination/configwatch/configwatch_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/basilroute/basilroute/service"
@@ -221,3 +222,22 @@
 		t.Errorf("%s goes on watching a store that it does not reach", before["a"][0])
 	}
 }
+
+// Guards against a large configuration that is handed to a failure domain over its narrowest link.
+func TestWatchersHaveTheWidestLinks(t *testing.T) {
+	var candidates []Candidate
+	for i := range 9 {
+		candidates = append(candidates, Candidate{ID: fmt.Sprint("narrow-", i), Link: 10})
+	}
+	candidates = append(candidates, Candidate{ID: "wide-0", Link: 200}, Candidate{ID: "wide-1", Link: 200})
+	got := Watchers(candidates, 2)
+	if slices.Sort(got); !slices.Equal(got, []string{"wide-0", "wide-1"}) {
+		t.Errorf("watchers %v", got)
+	}
+	for i := range candidates {
+		candidates[i].StoreFailing = candidates[i].Link > 10
+	}
+	if got := Watchers(candidates, 1); !strings.HasPrefix(got[0], "narrow") {
+		t.Errorf("watcher %v does not reach the store", got)
+	}
+}
--- a/coordination/configwatch/watchers.go
+++ b/coordination/configwatch/watchers.go
@@ -16,11 +16,13 @@
 type Candidate struct {
 	ID           string
 	StoreFailing bool // its last call of the store failed
+	Link         int  // rate of its machine's link; 0 when not known
 }
 
 // Watchers returns the ids of those that are to watch the store, count at most. Every instance with
 // the same view comes to the same watchers. One that does not reach the store makes
-// room for another; when none reaches it, the first ones go on trying.
+// room for another; when none reaches it, the first ones go on trying. Wide links go first: a
+// watcher hands on to all others what it reads.
 func Watchers(candidates []Candidate, count int) []string {
 	ranked := slices.Clone(candidates)
 	slices.SortFunc(ranked, func(a, b Candidate) int {
@@ -30,7 +32,7 @@
 			}
 			return -1
 		}
-		return cmp.Or(cmp.Compare(watchScore(b.ID), watchScore(a.ID)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(b.Link, a.Link), cmp.Compare(watchScore(b.ID), watchScore(a.ID)), cmp.Compare(a.ID, b.ID))
 	})
 	var out []string
 	for _, c := range ranked[:min(len(ranked), count)] {
--- a/instance/routed/node.go
+++ b/instance/routed/node.go
@@ -158,6 +158,7 @@
 		Id: n.settings.ID, Incarnation: uint64(n.started.UnixNano()), Version: 1,
 		State: peerpb.MemberState_MEMBER_STATE_LIVE, Region: n.settings.Region, Domain: n.settings.Domain,
 		CallerAddress: n.settings.Listen.Callers, PeerAddress: n.settings.Listen.Peers, RelayAddress: n.settings.Listen.Relay,
+		LinkMbps: uint32(n.settings.Link),
 	}
 }
 
--- a/instance/routed/settings.go
+++ b/instance/routed/settings.go
@@ -27,6 +27,7 @@
 	Seeds   []string          `yaml:"seeds"` // peer addresses to try besides the members in the store
 	Store   Store             `yaml:"store"`
 	Memory  int64             `yaml:"memory_mb"` // that the process may use, in MiB
+	Link    float64           `yaml:"link_mbps"` // rate of the machine's link; 0 when not known
 	Bounds  Bounds            `yaml:"bounds"`
 	Retry   Retry             `yaml:"retry"`
 	Log     Log               `yaml:"log"`
@@ -107,6 +108,9 @@
 			r.Addf(path, "want above 0, have %s", d)
 		}
 	}
+	if s.Link < 0 {
+		r.Addf("link_mbps", "want 0 or above, have %v", s.Link)
+	}
 	if s.Retry.Ratio < 0 || s.Retry.Slack < 0 {
 		r.Addf("retry", "ratio and slack have to be 0 or above")
 	}
--- a/instance/routed/settings_test.go
+++ b/instance/routed/settings_test.go
@@ -25,11 +25,12 @@
 store: {address: "192.0.2.9:1", least_lease: 1000ms}
 bounds: {grace: 8s, directory_ttl: 5s}
 retry: {ratio: 0.2, slack: 58, window: 10s}
+link_mbps: 10.0
 `
 
 func TestSettings(t *testing.T) {
 	s, err := ParseSettings("x.yaml", []byte(goodSettings))
-	if err != nil || s.ID != "front-1" || s.Retry.Slack != 58 || s.Store.CallTimeout == 0 {
+	if err != nil || s.ID != "front-1" || s.Retry.Slack != 58 || s.Link != 10 || s.Store.CallTimeout == 0 {
 		t.Errorf("%+v, %v", s, err)
 	}
 }
@@ -37,11 +38,11 @@
 // Everything wrong with a file is reported together, each with its place.
 func TestSettingsFindingsComeTogether(t *testing.T) {
 	bad := strings.NewReplacer("id: front-1", `id: ""`, "192.0.2.1:5", "somewhere", "192.0.2.2:4", "192.0.2.2",
-		"grace: 8s", "grace: 0s", "ratio: 0.2", "ratio: -1", `"suva-a": "viti-levu"`, `"suva-a": "lau-east"`).Replace(goodSettings) + "nonsense: 1\n"
+		"grace: 8s", "grace: 0s", "ratio: 0.2", "ratio: -1", "link_mbps: 10.0", "link_mbps: -1", `"suva-a": "viti-levu"`, `"suva-a": "lau-east"`).Replace(goodSettings) + "nonsense: 1\n"
 	_, err := ParseSettings("x.yaml", []byte(bad))
 	var findings yamldoc.Findings
-	if !errors.As(err, &findings) || len(findings) != 7 {
-		t.Errorf("%d findings, want 7:\n%v", len(findings), err)
+	if !errors.As(err, &findings) || len(findings) != 8 {
+		t.Errorf("%d findings, want 8:\n%v", len(findings), err)
 	}
 	for _, f := range findings {
 		if f.Line == 0 {
--- a/instance/routed/watch.go
+++ b/instance/routed/watch.go
@@ -63,8 +63,9 @@
 	for _, m := range n.members.Members(now) {
 		if m.Reachable && !m.Leaving() && m.Entry.GetRegion() == n.settings.Region {
 			domain := m.Entry.GetDomain()
-			candidates[domain] = append(candidates[domain],
-				configwatch.Candidate{ID: m.Entry.GetId(), StoreFailing: m.Entry.GetStoreUnreachable()})
+			candidates[domain] = append(candidates[domain], configwatch.Candidate{
+				ID: m.Entry.GetId(), StoreFailing: m.Entry.GetStoreUnreachable(), Link: int(m.Entry.GetLinkMbps()),
+			})
 		}
 	}
 	return configwatch.RegionWatchers(candidates)
