Let the other client of a store go on while its answer arrives, too

The same cause elsewhere: the client that the /v1 interface uses bounded a whole call by its timeout of 1 s, a list of all documents included. 11,000 accounts of 300 bytes are 3.3 MB; over a link of 10 Mbit/s the list would never come. TestManyDocumentsArriveOverASlowLink failed ("context deadline exceeded"), passes. It also showed that a read of an answer in chunks fills its whole buffer before it returns, so that a large buffer looks like silence ("no byte of the answer in time" after a read of 263 KB): pieces of 4 KB are read now, by both clients.

--- a/transport/httpidle/httpidle.go
+++ b/transport/httpidle/httpidle.go
@@ -54,6 +54,10 @@
 	return resp, nil
 }
 
+// pieceBytes is what is read at once. A read of an answer in chunks goes on until its buffer
+// is full, and a large one would look like silence.
+const pieceBytes = 4 << 10
+
 // body tells of each read that brings something.
 type body struct {
 	io.ReadCloser
@@ -62,7 +66,7 @@
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
+	n, err := b.ReadCloser.Read(p[:min(len(p), pieceBytes)])
 	if n > 0 {
 		b.progress()
 	}
--- a/transport/platform/platform.go
+++ b/transport/platform/platform.go
@@ -18,6 +18,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/basilroute/basilroute/protocol/platformapi"
+	"github.com/basilroute/basilroute/transport/httpidle"
 )
 
 // KeyValue is a stored value with the revision that wrote it.
@@ -78,7 +79,7 @@
 // Settings of a Client.
 type Settings struct {
 	URL         string
-	CallTimeout time.Duration // for one call, on top of a watch's wait
+	CallTimeout time.Duration // without a byte of an answer, on top of a watch's wait
 	CallRate    float64       // calls per second
 	CallBurst   int
 }
@@ -101,7 +102,7 @@
 
 // New returns a client. It makes no call.
 func New(settings Settings, transport http.RoundTripper) (*Client, error) {
-	api, err := platformapi.NewClient(settings.URL, platformapi.WithClient(&http.Client{Transport: transport}))
+	api, err := platformapi.NewClient(settings.URL, platformapi.WithClient(&http.Client{Transport: httpidle.Transport{Next: transport}}))
 	if err != nil {
 		return nil, errors.Wrap(err, "platform client")
 	}
@@ -112,14 +113,12 @@
 	}, nil
 }
 
-// call waits for the budget and runs one call with its own deadline.
+// call waits for the budget and runs one call, which ends when nothing of its answer comes in time.
 func (c *Client) call(ctx context.Context, extra time.Duration, do func(context.Context) error) error {
 	if err := c.budget.Wait(ctx); err != nil {
 		return errors.Wrap(err, "platform call budget")
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.settings.CallTimeout+extra)
-	defer cancel()
-	return typed(do(ctx))
+	return typed(do(httpidle.With(ctx, c.settings.CallTimeout+extra, c.settings.CallTimeout)))
 }
 
 func typed(err error) error {
