Test who catches up, from whom, and in which form

An instance that follows nobody gets what an exchange only names (fails with the call of catchUp taken out: version 2 is not in force at front-1); at most four catch up from one instance; a peer that does not ask for parts gets none.

--- a/instance/routed/bulk_test.go
+++ b/instance/routed/bulk_test.go
@@ -15,9 +15,12 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
 
 	"github.com/basilroute/basilroute/coordination/membership"
+	"github.com/basilroute/basilroute/protocol/peerpb"
 	"github.com/basilroute/basilroute/standin/link"
 	"github.com/basilroute/basilroute/state/backends"
 	"github.com/basilroute/basilroute/state/routes"
@@ -135,41 +138,53 @@
 
 // bulkFleet is a failure domain of instances that talk over links of given rates.
 type bulkFleet struct {
-	t     *testing.T
-	store *bulkStore
-	nodes []*Node
-	links []*link.Machine
+	t       *testing.T
+	store   *bulkStore
+	network *link.Network
+	seeds   []membership.Seed
+	nodes   []*Node
+	links   []*link.Machine
 }
 
-func startBulkFleet(t *testing.T, rates ...float64) *bulkFleet {
-	f := &bulkFleet{t: t, store: newBulkStore()}
+func newBulkFleet(t *testing.T, instances int) *bulkFleet {
+	f := &bulkFleet{t: t, store: newBulkStore(), network: link.NewNetwork()}
 	f.store.set("op/config", []byte("1\n"))
-	network := link.NewNetwork()
-	var seeds []membership.Seed
-	for i := range rates {
-		seeds = append(seeds, membership.Seed{PeerAddress: fmt.Sprint("front-", i)})
+	for i := range instances {
+		f.seeds = append(f.seeds, membership.Seed{PeerAddress: fmt.Sprint("front-", i)})
 	}
-	for i, rate := range rates {
-		id := fmt.Sprint("front-", i)
-		machine := network.Add(id, rate)
-		settings := DefaultSettings()
-		settings.ID, settings.Region, settings.Domain, settings.Listen.Peers = id, "east", "east-a", id
-		settings.Domains = map[string]string{"east-a": "east"}
-		n := newNode(settings, bulkSource{&bulkClient{store: f.store, id: id}}, nil, slog.New(slog.DiscardHandler))
-		n.pool = peer.NewPool(insecure.NewCredentials(), grpc.WithContextDialer(
-			func(ctx context.Context, address string) (net.Conn, error) { return machine.Dial(ctx, address) }))
-		n.members.SetSeeds(seeds)
-		f.nodes, f.links = append(f.nodes, n), append(f.links, machine)
-		go func() { _ = n.peers.Serve(machine) }()
-		for _, loop := range []func(context.Context){n.followStore, n.join, n.exchange, n.askSilent, n.housekeep} {
-			n.loops.Go(func() { loop(n.background) })
-		}
+	return f
+}
+
+func startBulkFleet(t *testing.T, rates ...float64) *bulkFleet {
+	f := newBulkFleet(t, len(rates))
+	for _, rate := range rates {
+		n := f.add(rate)
+		n.loops.Go(func() { n.followStore(n.background) })
 	}
 	time.Sleep(fleetStart)
 	f.wantVersion(1)
 	return f
 }
 
+// add starts an instance that exchanges with the others and does not follow the store yet.
+func (f *bulkFleet) add(rate float64) *Node {
+	id := fmt.Sprint("front-", len(f.nodes))
+	machine := f.network.Add(id, rate)
+	settings := DefaultSettings()
+	settings.ID, settings.Region, settings.Domain, settings.Listen.Peers = id, "east", "east-a", id
+	settings.Domains = map[string]string{"east-a": "east"}
+	n := newNode(settings, bulkSource{&bulkClient{store: f.store, id: id}}, nil, slog.New(slog.DiscardHandler))
+	n.pool = peer.NewPool(insecure.NewCredentials(), grpc.WithContextDialer(
+		func(ctx context.Context, address string) (net.Conn, error) { return machine.Dial(ctx, address) }))
+	n.members.SetSeeds(f.seeds)
+	f.nodes, f.links = append(f.nodes, n), append(f.links, machine)
+	go func() { _ = n.peers.Serve(machine) }()
+	for _, loop := range []func(context.Context){n.join, n.exchange, n.askSilent, n.housekeep} {
+		n.loops.Go(func() { loop(n.background) })
+	}
+	return n
+}
+
 func (f *bulkFleet) stop() {
 	for _, n := range f.nodes {
 		n.Kill()
@@ -255,3 +270,81 @@
 		f.wantVersion(2)
 	})
 }
+
+// Guards against an instance that follows nobody and never gets what is too large for an exchange.
+func TestInstanceCatchesUpOnWhatAnExchangeNames(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newBulkFleet(t, 2)
+		defer f.stop()
+		first := f.add(narrowLink)
+		first.loops.Go(func() { first.followStore(first.background) })
+		f.add(narrowLink)
+		time.Sleep(fleetStart)
+		f.wantVersion(1)
+		f.store.set("op/config", manyRoutes(2, 2800))
+		time.Sleep(inForce)
+		f.wantVersion(2)
+	})
+}
+
+// sentUpdates is a stream that keeps what is sent, and holds it up on request.
+type sentUpdates struct {
+	grpc.ServerStreamingServer[peerpb.FollowUpdate]
+	sent []*peerpb.FollowUpdate
+	held chan struct{}
+}
+
+func (s *sentUpdates) Send(u *peerpb.FollowUpdate) error {
+	if s.held != nil {
+		<-s.held
+	}
+	s.sent = append(s.sent, u)
+	return nil
+}
+
+func largeViews() []*peerpb.StoreView {
+	return []*peerpb.StoreView{{Prefix: "op/", Revision: 2, After: 1, Items: []*peerpb.Document{
+		{Key: "op/config", Revision: 2, Value: noise(2, 100<<10)},
+	}}}
+}
+
+// Guards against a peer of an earlier version that takes an update in parts for one without items.
+func TestPeerThatTakesNoPartsGetsWholeUpdates(t *testing.T) {
+	n := newNode(DefaultSettings(), bulkSource{&bulkClient{store: newBulkStore()}}, nil, slog.New(slog.DiscardHandler))
+	views := largeViews()
+	for parts, want := range map[bool]int{false: len(views[0].GetItems()), true: 0} {
+		var stream sentUpdates
+		if err := n.sendUpdate(&stream, views, parts); err != nil {
+			t.Fatal(err)
+		}
+		items := 0
+		for _, u := range stream.sent {
+			for _, view := range u.GetViews() {
+				items += len(view.GetItems())
+			}
+		}
+		if items != want || parts != (len(stream.sent) > 1) {
+			t.Errorf("parts %v: %d messages with %d items outside parts, want %d", parts, len(stream.sent), items, want)
+		}
+	}
+}
+
+// Guards against a whole fleet that catches up from one instance at once and fills its link.
+func TestFewCatchUpFromOneInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNode(DefaultSettings(), bulkSource{&bulkClient{store: newBulkStore()}}, nil, slog.New(slog.DiscardHandler))
+		held := make(chan struct{})
+		for range catchUpServes {
+			go func() { _ = n.Follow(&peerpb.FollowRequest{Once: true}, &sentUpdates{held: held}) }()
+		}
+		synctest.Wait()
+		if err := n.Follow(&peerpb.FollowRequest{Once: true}, &sentUpdates{}); status.Code(err) != codes.ResourceExhausted {
+			t.Errorf("one too many: %v", err)
+		}
+		close(held)
+		synctest.Wait()
+		if err := n.Follow(&peerpb.FollowRequest{Once: true}, &sentUpdates{}); err != nil {
+			t.Errorf("after the others: %v", err)
+		}
+	})
+}
