--- a/instance/routed/copies.go
+++ b/instance/routed/copies.go
@@ -187,8 +187,8 @@
 		return err
 	}
 	var parts peer.Assembly
-	partial := int32(0)
-	defer func() { n.receiving.Add(-partial) }()
+	partial := false
+	defer func() { n.noteReceiving(&partial, false) }()
 	for {
 		message, err := stream.Recv()
 		if err != nil {
@@ -200,11 +200,7 @@
 			n.log.Error("update_unreadable", "peer", from.peer, "error", err.Error())
 			return err
 		}
-		n.receiving.Add(-partial)
-		if partial = 0; parts.Partial() {
-			partial = 1
-		}
-		n.receiving.Add(partial)
+		n.noteReceiving(&partial, parts.Partial())
 		n.takeViews(update.GetViews(), from)
 		if !more() {
 			return nil
@@ -212,6 +208,17 @@
 	}
 }
 
+// noteReceiving keeps count of the streams on which parts of an update are still to come.
+func (n *Node) noteReceiving(partial *bool, now bool) {
+	switch {
+	case now && !*partial:
+		n.receiving.Add(1)
+	case !now && *partial:
+		n.receiving.Add(-1)
+	}
+	*partial = now
+}
+
 // catchUp fetches from a peer what an exchange with it has only named, unless it comes
 // on another way meanwhile.
 func (n *Node) catchUp(client peerpb.PeerClient, peerID string, named []*peerpb.StoreView) {
--- a/instance/routed/node.go
+++ b/instance/routed/node.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"google.golang.org/grpc"
@@ -21,7 +20,6 @@
 	"github.com/basilroute/basilroute/coordination/quota"
 	"github.com/basilroute/basilroute/coordination/quotashare"
 	"github.com/basilroute/basilroute/coordination/retry"
-	"github.com/basilroute/basilroute/coordination/slots"
 	"github.com/basilroute/basilroute/protocol/peerpb"
 	"github.com/basilroute/basilroute/service"
 	"github.com/basilroute/basilroute/service/features"
@@ -217,97 +215,6 @@
 	peerpb.RegisterPeerServer(n.peers, &peer.Server{Runner: noGenerations{}, Exchanger: n, Quota: n, Followed: n})
 }
 
-// listenConfig has short keep-alive probes: a caller behind a cut link never closes.
-var listenConfig = net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}}
-
-func (n *Node) bind(name, address string) (net.Listener, error) {
-	l, err := listenConfig.Listen(n.background, "tcp", address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "listen for %s", name)
-	}
-	n.listeners[name] = l
-	return l, nil
-}
-
-const (
-	headerTimeout = 5 * time.Second
-	// idleTimeout of callers' connections is above what operators allow callers, so
-	// that a request never crosses the close of an idle connection.
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 64 << 10
-)
-
-func (n *Node) listen(endpoints Endpoints) error {
-	for _, l := range []struct {
-		name, address string
-		handler       http.Handler
-	}{
-		{"ready", n.settings.Listen.Ready, endpoints.Ready(n.Ready)},
-		{"directory", n.settings.Listen.Directory, endpoints.Directory(n.Resolve)},
-		{"relay", n.settings.Listen.Relay, n.counted(n.relay)},
-	} {
-		if _, err := n.bind(l.name, l.address); err != nil {
-			return err
-		}
-		n.service(l.handler, n.listeners[l.name])
-	}
-	if err := n.caster.Listen(n.settings.Listen.Relay); err != nil { // the same number, as datagrams
-		return err
-	}
-	if _, err := n.bind("callers", n.settings.Listen.Callers); err != nil {
-		return err
-	}
-	if _, err := n.bind("peers", n.settings.Listen.Peers); err != nil {
-		return err
-	}
-	n.listenMetrics()
-	return nil
-}
-
-// listenMetrics serves metrics and the state dump where the settings name an address. Callers
-// are served without them too, so an address that is taken stops nothing.
-func (n *Node) listenMetrics() {
-	if n.settings.Listen.Metrics == "" {
-		return
-	}
-	l, err := n.bind("metrics", n.settings.Listen.Metrics)
-	if err != nil {
-		n.log.Error("metrics_unavailable", "address", n.settings.Listen.Metrics, "error", err.Error())
-		return
-	}
-	n.service(n.operatorHandler(), l)
-}
-
-// service runs one of the servers beside that of callers.
-func (n *Node) service(handler http.Handler, l net.Listener) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: n.callers.ErrorLog}
-	n.servicing = append(n.servicing, server)
-	n.goServe(server, l)
-}
-
-func (n *Node) goServe(server *http.Server, l net.Listener) {
-	go func() {
-		if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			n.failed <- err
-		}
-	}()
-}
-
-func (n *Node) closeListeners() {
-	for _, l := range n.listeners {
-		_ = l.Close() // the instance does not start
-	}
-}
-
-// counted keeps count of the requests in flight, for the planned stop.
-func (n *Node) counted(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n.inFlight.Add(1)
-		defer n.inFlight.Add(-1)
-		next.ServeHTTP(w, r)
-	})
-}
-
 // Start serves and runs the loops until Stop.
 func (n *Node) Start() {
 	n.goServe(n.callers, n.listeners["callers"])
@@ -362,12 +269,6 @@
 // Ready tells whether callers can be served: the configuration is known.
 func (n *Node) Ready() bool { return !n.leaving.Load() && n.routes.Current() != nil }
 
-// member names this incarnation.
-func (n *Node) member() slots.Member {
-	self := n.members.Self()
-	return slots.Member{ID: self.GetId(), Incarnation: self.GetIncarnation()}
-}
-
 // castPeers returns whom this instance tells its load.
 func (n *Node) castPeers() []netip.AddrPort {
 	if !n.features.On(features.Digests) {
@@ -375,60 +276,3 @@
 	}
 	return *n.castTo.Load()
 }
-
-// forever is until when a part is held: nobody else ever mints it.
-const forever = 365 * 24 * time.Hour
-
-// updateHeld tells the ledger whether this instance mints its part.
-func (n *Node) updateHeld(now time.Time) {
-	var held []slots.Held
-	if n.shares.Mints() {
-		held = []slots.Held{{Slot: 0, Epoch: 1, Until: now.Add(forever)}}
-	}
-	n.ledger.SetProvisional(!n.shares.Cleared(), now)
-	n.ledger.SetHeld(held, now)
-	if count := uint32(len(held)); count != n.members.Self().GetSlots() {
-		n.log.Info("quota_part", "mints", count > 0, "holders", n.shares.Size())
-		n.members.UpdateSelf(now, func(m *peerpb.Member) { m.Slots = count })
-	}
-}
-
-// lenders returns the reachable instances that mint, the nearest first.
-func (n *Node) lenders(now time.Time) []lending.Lender {
-	var out []lending.Lender
-	for _, m := range n.members.Members(now) {
-		if !m.Reachable || m.Entry.GetSlots() == 0 || m.Entry.GetId() == n.settings.ID {
-			continue
-		}
-		rank := 2
-		switch {
-		case m.Entry.GetDomain() == n.settings.Domain:
-			rank = 0
-		case m.Entry.GetRegion() == n.settings.Region:
-			rank = 1
-		}
-		out = append(out, lending.Lender{
-			Member:  slots.Member{ID: m.Entry.GetId(), Incarnation: m.Entry.GetIncarnation()},
-			Address: m.Entry.GetPeerAddress(), Rank: rank,
-		})
-	}
-	lending.Sort(out, n.settings.ID)
-	return out
-}
-
-// Borrow implements peer.Quota.
-func (n *Node) Borrow(req *peerpb.BorrowRequest) *peerpb.BorrowResponse {
-	self := n.member()
-	wants, reports := peer.DecodeBorrow(self, req)
-	return peer.EncodeLent(self, n.ledger.Lend(wants, reports, time.Now()))
-}
-
-// Promise implements peer.Quota: parts of the quota change no hands here.
-func (n *Node) Promise(*peerpb.PromiseRequest) *peerpb.PromiseResponse {
-	return &peerpb.PromiseResponse{}
-}
-
-// Consent implements peer.Quota, like Promise.
-func (n *Node) Consent(*peerpb.ConsentRequest) *peerpb.ConsentResponse {
-	return &peerpb.ConsentResponse{}
-}
--- /dev/null
+++ b/instance/routed/quota.go
@@ -0,0 +1,73 @@
+package routed
+
+import (
+	"time"
+
+	"github.com/basilroute/basilroute/coordination/slots"
+	"github.com/basilroute/basilroute/protocol/peerpb"
+	"github.com/basilroute/basilroute/transport/lending"
+	"github.com/basilroute/basilroute/transport/peer"
+)
+
+// member names this incarnation.
+func (n *Node) member() slots.Member {
+	self := n.members.Self()
+	return slots.Member{ID: self.GetId(), Incarnation: self.GetIncarnation()}
+}
+
+// forever is until when a part is held: nobody else ever mints it.
+const forever = 365 * 24 * time.Hour
+
+// updateHeld tells the ledger whether this instance mints its part.
+func (n *Node) updateHeld(now time.Time) {
+	var held []slots.Held
+	if n.shares.Mints() {
+		held = []slots.Held{{Slot: 0, Epoch: 1, Until: now.Add(forever)}}
+	}
+	n.ledger.SetProvisional(!n.shares.Cleared(), now)
+	n.ledger.SetHeld(held, now)
+	if count := uint32(len(held)); count != n.members.Self().GetSlots() {
+		n.log.Info("quota_part", "mints", count > 0, "holders", n.shares.Size())
+		n.members.UpdateSelf(now, func(m *peerpb.Member) { m.Slots = count })
+	}
+}
+
+// lenders returns the reachable instances that mint, the nearest first.
+func (n *Node) lenders(now time.Time) []lending.Lender {
+	var out []lending.Lender
+	for _, m := range n.members.Members(now) {
+		if !m.Reachable || m.Entry.GetSlots() == 0 || m.Entry.GetId() == n.settings.ID {
+			continue
+		}
+		rank := 2
+		switch {
+		case m.Entry.GetDomain() == n.settings.Domain:
+			rank = 0
+		case m.Entry.GetRegion() == n.settings.Region:
+			rank = 1
+		}
+		out = append(out, lending.Lender{
+			Member:  slots.Member{ID: m.Entry.GetId(), Incarnation: m.Entry.GetIncarnation()},
+			Address: m.Entry.GetPeerAddress(), Rank: rank,
+		})
+	}
+	lending.Sort(out, n.settings.ID)
+	return out
+}
+
+// Borrow implements peer.Quota.
+func (n *Node) Borrow(req *peerpb.BorrowRequest) *peerpb.BorrowResponse {
+	self := n.member()
+	wants, reports := peer.DecodeBorrow(self, req)
+	return peer.EncodeLent(self, n.ledger.Lend(wants, reports, time.Now()))
+}
+
+// Promise implements peer.Quota: parts of the quota change no hands here.
+func (n *Node) Promise(*peerpb.PromiseRequest) *peerpb.PromiseResponse {
+	return &peerpb.PromiseResponse{}
+}
+
+// Consent implements peer.Quota, like Promise.
+func (n *Node) Consent(*peerpb.ConsentRequest) *peerpb.ConsentResponse {
+	return &peerpb.ConsentResponse{}
+}
