--- a/coordination/configwatch/configwatch_test.go
+++ b/coordination/configwatch/configwatch_test.go
@@ -19,9 +19,7 @@
 
 func all(upTo int64, documents ...Document) Batch { return Batch{Documents: documents, UpTo: upTo} }
 
-// A peer answers what it was asked by an earlier incarnation of this instance:
-// documents after revision 5, up to 9. Taking 9 as known would skip 1 to 5 for
-// good, since the watch goes on from there.
+// Guards against changes that are skipped for good when a late answer begins after what is known.
 func TestBatchThatDoesNotJoinMovesNoWatermark(t *testing.T) {
 	log := New(catalog.New())
 	log.Offer(Batch{After: 5, UpTo: 9, Documents: []Document{account("b", 1, 9)}})
@@ -35,9 +33,7 @@
 	}
 }
 
-// A newer version of the product writes a document that this one cannot parse.
-// Callers go on with the last good one, operators see a finding, and peers that
-// can parse it get it from here.
+// Guards against a document of a newer version that takes the last good one out of force.
 func TestUnreadableDocumentKeepsTheLastGoodOne(t *testing.T) {
 	c := catalog.New()
 	log := New(c)
@@ -60,8 +56,7 @@
 	}
 }
 
-// A document that stands under another one's key would replace a document that
-// its team never touched.
+// Guards against a document that replaces another team's by standing under its key.
 func TestDocumentUnderAnothersKeyIsRejected(t *testing.T) {
 	c := catalog.New()
 	log := New(c)
@@ -73,8 +68,7 @@
 	}
 }
 
-// A withdrawn key stays withdrawn when the store loses or deletes the marker and
-// when the account's document issues the id again.
+// Guards against a withdrawn key that works again when its marker or its account changes.
 func TestWithdrawalIsForGood(t *testing.T) {
 	c := catalog.New()
 	log := New(c)
@@ -101,8 +95,7 @@
 	}
 }
 
-// Two instances took the same withdrawal, one from the store and one without:
-// they know the same and exchange nothing.
+// Guards against peers that exchange the same withdrawal for ever.
 func TestHashOfAWithdrawalIsThatOfItsKey(t *testing.T) {
 	a, b := New(catalog.New()), New(catalog.New())
 	d := a.Withdraw("k-1", nonce1)
@@ -119,8 +112,7 @@
 	nonce2 = "00000000-0002-7000-8000-000000000000"
 )
 
-// A new instance reads a large configuration from a peer page by page. Between
-// two pages the peer dies; the watermark must not be past what was read.
+// Guards against documents that are skipped when a peer dies between two pages.
 func TestPagesEndAtTheirWatermark(t *testing.T) {
 	full, fresh := New(catalog.New()), New(catalog.New())
 	var documents []Document
@@ -161,8 +153,7 @@
 	}
 }
 
-// Both watchers of a domain lose the store: two others take over, and when
-// nobody reaches it the first two go on trying.
+// Guards against a failure domain whose watchers have all lost the store.
 func TestWatchersMakeRoom(t *testing.T) {
 	candidates := make([]Candidate, 5)
 	for n := range candidates {
@@ -196,8 +187,7 @@
 	}
 }
 
-// A region's only failure domain keeps two watchers. With more domains each has one, and
-// one that does not reach the store makes room for another instance of its domain.
+// Guards against a region, or a failure domain, that hears of changes from one instance that lost the store.
 func TestRegionWatchers(t *testing.T) {
 	domain := func(name string, count int) []Candidate {
 		var out []Candidate
--- a/instance/routed/cold_test.go
+++ b/instance/routed/cold_test.go
@@ -6,10 +6,7 @@
 	"time"
 )
 
-// All instances of a region restart beside a server that is cold. Each knows only itself at
-// first and takes itself for the one that sends to cold servers; together they sent it
-// several times what it bears, and its callers lost it to a crash. An instance that has
-// just started leaves cold servers to others until it has heard who there is.
+// Guards against a restarted region whose instances all send to the same cold server and crash it.
 func TestStartingInstanceOwnsNoColdServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := &Node{settings: Settings{ID: "front-1"}, started: time.Now()}
--- a/instance/routed/features_test.go
+++ b/instance/routed/features_test.go
@@ -11,8 +11,7 @@
 	"github.com/basilroute/basilroute/service/features"
 )
 
-// An operator takes out one mechanism of an instance that misbehaves. It stands still then,
-// and with it on the same instance shows it at work.
+// Guards against a mechanism that goes on although the settings switch it off.
 func TestFeaturesOfAnInstanceAreSwitchedOff(t *testing.T) {
 	peers := []netip.AddrPort{netip.MustParseAddrPort("192.0.2.2:4")}
 	for _, c := range []struct {
--- a/state/mirror/mirror_test.go
+++ b/state/mirror/mirror_test.go
@@ -55,10 +55,7 @@
 	return h
 }
 
-// Two mirrors take in lists, changes and each other's deltas in any order, late and
-// repeated, as when the store turns an instance away and it learns from a peer. Each
-// then holds exactly what the store held at the mirror's revision, and the revision
-// never falls: nothing that was replaced or removed comes back.
+// Guards against late, repeated or relayed answers that bring back what was replaced or removed.
 func TestMirrorsFollowTheStore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := writes(t)
--- a/transport/peer/forward_test.go
+++ b/transport/peer/forward_test.go
@@ -73,10 +73,7 @@
 	}
 }
 
-// A peer's stream arrives with frames of other requests, repeated, out of order
-// or missing, and ends early with or without an error. The first instance hands
-// on its own frames in order and once each, and takes the answer as whole only
-// when its last frame came; a stream that just ends is a broken one.
+// Guards against a forwarded answer with frames that are missing, repeated or of another request.
 func TestForwardedStreamIsWholeOrBroken(t *testing.T) {
 	var parts []*peerpb.ForwardFrame
 	for seq := range int64(tokenFrames) {
@@ -110,8 +107,7 @@
 	})
 }
 
-// A peer ends an operation's stream without an answer, or sends tokens in it.
-// The caller is told that the run state is unknown, and never gets an empty answer.
+// Guards against an operation without an answer that looks like an empty one.
 func TestForwardedOperationNeedsItsAnswer(t *testing.T) {
 	for what, frames := range map[string][]*peerpb.ForwardFrame{
 		"nothing": nil, "tokens": {tokenFrame("own", 0)}, "another's answer": {bodyFrame("other")},
--- a/transport/peer/server_test.go
+++ b/transport/peer/server_test.go
@@ -116,8 +116,7 @@
 	return pool
 }
 
-// The link to a peer is cut after the peer got a purchase order. The caller is
-// told that the run state is unknown, and the order is not sent again by grpc.
+// Guards against an order that grpc sends again after its link was cut.
 func TestCutLinkIsNotResent(t *testing.T) {
 	r := newRunner()
 	link := newRelay(t, startServer(t, r))
@@ -137,9 +136,7 @@
 	}
 }
 
-// grpc may send a call again by itself when it believes that a connection's end
-// left it unprocessed, also with retries switched off. The peer refuses an
-// attempt that it has seen, so the order runs once whatever the client does.
+// Guards against an attempt that grpc sends twice by itself and that runs twice.
 func TestSameAttemptRunsOnce(t *testing.T) {
 	r := newRunner()
 	address := startServer(t, r)
@@ -157,9 +154,7 @@
 	}
 }
 
-// A caller goes away while a peer streams: the peer is told, and the run ends
-// with a cause that cancels the generation. A cut link ends the run too, but
-// with a cause that leaves the generation to be resumed elsewhere.
+// Guards against a cut link that cancels a generation which could be resumed.
 func TestPeerTellsCancelFromCut(t *testing.T) {
 	r := newRunner()
 	link := newRelay(t, startServer(t, r))
@@ -187,8 +182,7 @@
 	<-ended
 }
 
-// A generation that was left running when a link broke is cancelled by its first
-// instance through any peer, which does not know the request.
+// Guards against a generation that runs on after a broken link although its caller has gone.
 func TestDetachedGenerationIsCancelled(t *testing.T) {
 	r := newRunner()
 	pool := newPool(t)
