--- a/instance/routed/bulk_test.go
+++ b/instance/routed/bulk_test.go
@@ -1,222 +1,28 @@
 package routed
 
 import (
-	"context"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
-	"github.com/basilroute/basilroute/coordination/membership"
 	"github.com/basilroute/basilroute/protocol/peerpb"
-	"github.com/basilroute/basilroute/standin/link"
-	"github.com/basilroute/basilroute/state/backends"
-	"github.com/basilroute/basilroute/state/routes"
-	"github.com/basilroute/basilroute/transport/peer"
-	"github.com/basilroute/basilroute/transport/platform"
 )
 
 const (
 	narrowLink = 10e6 / 8 // bytes a second
 	// inForce is how long an accepted configuration may take to be in force everywhere.
 	inForce = 5 * time.Second
-	// fleetStart is until all instances know each other and their parts of the quotas.
-	fleetStart = 6 * time.Second
 )
 
-// bulkStore is a store in memory that answers at once, or turns callers away.
-type bulkStore struct {
-	mu       sync.Mutex
-	revision int64
-	items    map[string]platform.KeyValue
-	changed  chan struct{} // closed at every change
-	served   func(id string) bool
-}
-
-func newBulkStore() *bulkStore {
-	return &bulkStore{items: make(map[string]platform.KeyValue), changed: make(chan struct{}), served: func(string) bool { return true }}
-}
-
-func (s *bulkStore) set(key string, value []byte) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	s.items[key] = platform.KeyValue{Key: key, Value: value, Revision: s.revision}
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-func (s *bulkStore) serveOnly(served func(id string) bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.served = served
-}
-
-// after returns what changed under a prefix after a revision, the store's revision, and
-// what is closed at the next change.
-func (s *bulkStore) after(id, prefix string, revision int64) ([]platform.KeyValue, int64, chan struct{}, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.served(id) {
-		return nil, 0, nil, errors.New("turned away")
-	}
-	var out []platform.KeyValue
-	for key, item := range s.items {
-		if strings.HasPrefix(key, prefix) && item.Revision > revision {
-			out = append(out, item)
-		}
-	}
-	return out, s.revision, s.changed, nil
-}
-
-// bulkClient is one instance's way to the store.
-type bulkClient struct {
-	platform.Store
-	store *bulkStore
-	id    string
-}
-
-func (s *bulkClient) List(_ context.Context, prefix string, after int64) ([]platform.KeyValue, int64, error) {
-	items, revision, _, err := s.store.after(s.id, prefix, after)
-	return items, revision, err
-}
-
-func (s *bulkClient) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]platform.KeyValue, int64, error) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		items, revision, changed, err := s.store.after(s.id, prefix, after)
-		if err != nil || len(items) > 0 {
-			return items, revision, err
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return nil, revision, nil
-		case <-ctx.Done():
-			return nil, 0, ctx.Err()
-		}
-	}
-}
-
-func (s *bulkClient) Put(_ context.Context, w platform.Write) (int64, error) {
-	s.store.set(w.Key, w.Value)
-	return 0, nil
-}
-
-// bulkSource decodes what stands in the store.
-type bulkSource struct{ client *bulkClient }
-
-func (s bulkSource) Store() platform.Store            { return s.client }
-func (s bulkSource) ConfigPrefix() string             { return "op/" }
-func (s bulkSource) ServersPrefix() string            { return "servers/" }
-func (s bulkSource) Evacuation(string) (string, bool) { return "", false }
-func (s bulkSource) ServerID(key string) string       { return key }
-
-func (s bulkSource) Server(string, []byte) (backends.Server, error) {
-	return backends.Server{}, errors.New("no servers here")
-}
-
-// Config reads the version that a value begins with.
-func (s bulkSource) Config(_ string, value []byte) (*routes.Config, bool, error) {
-	config := &routes.Config{}
-	_, err := fmt.Sscanf(string(value[:min(len(value), 20)]), "%d\n", &config.Version)
-	return config, true, err
-}
-
-// bulkFleet is a failure domain of instances that talk over links of given rates.
-type bulkFleet struct {
-	t       *testing.T
-	store   *bulkStore
-	network *link.Network
-	seeds   []membership.Seed
-	nodes   []*Node
-	links   []*link.Machine
-}
-
-func newBulkFleet(t *testing.T, instances int) *bulkFleet {
-	f := &bulkFleet{t: t, store: newBulkStore(), network: link.NewNetwork()}
-	f.store.set("op/config", []byte("1\n"))
-	for i := range instances {
-		f.seeds = append(f.seeds, membership.Seed{PeerAddress: fmt.Sprint("front-", i)})
-	}
-	return f
-}
-
-func startBulkFleet(t *testing.T, rates ...float64) *bulkFleet {
-	f := newBulkFleet(t, len(rates))
-	for _, rate := range rates {
-		n := f.add(rate)
-		n.loops.Go(func() { n.followStore(n.background) })
-	}
-	time.Sleep(fleetStart)
-	f.wantVersion(1)
-	return f
-}
-
-// add starts an instance that exchanges with the others and does not follow the store yet.
-func (f *bulkFleet) add(rate float64) *Node {
-	id := fmt.Sprint("front-", len(f.nodes))
-	machine := f.network.Add(id, rate)
-	settings := DefaultSettings()
-	settings.ID, settings.Region, settings.Domain, settings.Listen.Peers = id, "east", "east-a", id
-	settings.Domains = map[string]string{"east-a": "east"}
-	n := newNode(settings, bulkSource{&bulkClient{store: f.store, id: id}}, nil, slog.New(slog.DiscardHandler))
-	n.pool = peer.NewPool(insecure.NewCredentials(), grpc.WithContextDialer(
-		func(ctx context.Context, address string) (net.Conn, error) { return machine.Dial(ctx, address) }))
-	n.members.SetSeeds(f.seeds)
-	f.nodes, f.links = append(f.nodes, n), append(f.links, machine)
-	go func() { _ = n.peers.Serve(machine) }()
-	for _, loop := range []func(context.Context){n.join, n.exchange, n.askSilent, n.housekeep} {
-		n.loops.Go(func() { loop(n.background) })
-	}
-	return n
-}
-
-func (f *bulkFleet) stop() {
-	for _, n := range f.nodes {
-		n.Kill()
-	}
-}
-
-// behind returns the instances that do not have a version in force.
-func (f *bulkFleet) behind(version int64) []string {
-	var out []string
-	for _, n := range f.nodes {
-		if config := n.routes.Current(); config == nil || config.Version != version {
-			out = append(out, n.settings.ID)
-		}
-	}
-	return out
-}
-
-func (f *bulkFleet) wantVersion(version int64) {
-	f.t.Helper()
-	if behind := f.behind(version); len(behind) > 0 {
-		f.t.Errorf("version %d is not in force at %v", version, behind)
-	}
-}
-
-// sent returns the bytes that all links have carried.
-func (f *bulkFleet) sent() (bytes int64) {
-	for _, m := range f.links {
-		bytes += m.Sent()
-	}
-	return bytes
-}
-
 // manyRoutes is a configuration of a version as operators write it: names differ, the rest repeats.
 func manyRoutes(version int64, count int) []byte {
 	rng := rand.New(rand.NewPCG(1, uint64(version)))
