--- /dev/null
+++ b/transport/httpidle/httpidle_test.go
@@ -0,0 +1,115 @@
+package httpidle_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/basilroute/basilroute/standin/link"
+	"github.com/basilroute/basilroute/transport/httpidle"
+)
+
+const (
+	first = 3 * time.Second
+	next  = time.Second
+)
+
+// call makes a call under the limits and returns what came and how long it took.
+func call(t *testing.T, handler http.HandlerFunc) (bytes int64, took time.Duration, err error) {
+	network := link.NewNetwork()
+	here, there := network.Add("here", 1<<20), network.Add("there:80", 1<<20)
+	var handling sync.WaitGroup
+	handling.Add(1) // one call
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer handling.Done()
+		handler(w, r)
+	})}
+	go func() { _ = server.Serve(there) }()
+	transport := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+		return here.Dial(ctx, address)
+	}}
+	defer func() {
+		_ = server.Close()
+		transport.CloseIdleConnections()
+		handling.Wait()
+	}()
+	req, err := http.NewRequestWithContext(httpidle.With(t.Context(), first, next), http.MethodGet, "http://there:80/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	resp, err := (&http.Client{Transport: httpidle.Transport{Next: transport}}).Do(req)
+	if err != nil {
+		return 0, time.Since(began), err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	bytes, err = io.Copy(io.Discard, resp.Body)
+	return bytes, time.Since(began), err
+}
+
+// piece sends some bytes at once.
+func piece(w http.ResponseWriter) {
+	_, _ = w.Write(make([]byte, 100))
+	_ = http.NewResponseController(w).Flush()
+}
+
+// Guards against a server that takes a call and never answers it.
+func TestCallWithoutAnAnswerEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, took, err := call(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		if !errors.Is(err, httpidle.ErrSilent) || took < first || took > first+next {
+			t.Errorf("%v after %v", err, took)
+		}
+	})
+}
+
+// Guards against an answer that stops in its middle.
+func TestAnswerThatStopsEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, took, err := call(t, func(w http.ResponseWriter, r *http.Request) {
+			piece(w)
+			<-r.Context().Done()
+		})
+		if !errors.Is(err, httpidle.ErrSilent) || took > 2*next {
+			t.Errorf("%v after %v", err, took)
+		}
+	})
+}
+
+// Guards against an answer that is cut for its length although it goes on arriving.
+func TestLongAnswerGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pieces = 20
+		bytes, took, err := call(t, func(w http.ResponseWriter, _ *http.Request) {
+			for range pieces {
+				time.Sleep(next / 2)
+				piece(w)
+			}
+		})
+		if err != nil || bytes != 100*pieces || took < pieces*next/2 {
+			t.Errorf("%d bytes, %v after %v", bytes, err, took)
+		}
+	})
+}
+
+// Guards against an answer that arrives by a little at a time for ever.
+func TestEndlessAnswerEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, took, err := call(t, func(w http.ResponseWriter, r *http.Request) {
+			for r.Context().Err() == nil {
+				time.Sleep(next / 2)
+				piece(w)
+			}
+		})
+		if err == nil || took > first+httpidle.Longest+next {
+			t.Errorf("%v after %v", err, took)
+		}
+	})
+}
