--- a/instance/routed/bulk_test.go
+++ b/instance/routed/bulk_test.go
@@ -29,7 +29,7 @@
 	var out strings.Builder
 	fmt.Fprintf(&out, "%d\n", version)
 	for range count {
-		fmt.Fprintf(&out, `{"name":"r-%x","host":"desk.example","path_prefix":"/%x/","kind":"streaming","timeout_ms":15000,`+
+		fmt.Fprintf(&out, `{"name":"r-%x","host":"desk.example","path":"/%x/","kind":"streaming","timeout_ms":15000,`+
 			`"target_latency_ms":600,"priority":0,"service":"notices","max_attempts":1,"public":false,"sticky":true,`+
 			`"resumable":false,"gap_target_ms":300,"home_regions":["east","west"]},`, rng.Uint32(), rng.Uint64())
 	}
@@ -55,7 +55,7 @@
 		f.store.serveOnly(func(id string) bool { return id == "front-3" })
 		before := f.sent()
 		for version := int64(2); version <= 3; version++ {
-			f.store.set("op/config", manyRoutes(version, routeCount))
+			f.store.set("config/current", manyRoutes(version, routeCount))
 			time.Sleep(inForce)
 			f.wantVersion(version)
 		}
@@ -71,7 +71,7 @@
 		defer f.stop()
 		f.store.serveOnly(func(id string) bool { return id == "front-3" })
 		time.Sleep(fleetStart) // until all know who watches the store
-		f.store.set("op/config", noise(2, size))
+		f.store.set("config/current", noise(2, size))
 		time.Sleep(inForce)
 		f.wantVersion(2)
 	})
@@ -87,7 +87,7 @@
 		f.add(narrowLink)
 		time.Sleep(fleetStart)
 		f.wantVersion(1)
-		f.store.set("op/config", manyRoutes(2, 2800))
+		f.store.set("config/current", manyRoutes(2, 2800))
 		time.Sleep(inForce)
 		f.wantVersion(2)
 	})
@@ -109,8 +109,8 @@
 }
 
 func largeViews() []*peerpb.StoreView {
-	return []*peerpb.StoreView{{Prefix: "op/", Revision: 2, After: 1, Items: []*peerpb.Document{
-		{Key: "op/config", Revision: 2, Value: noise(2, 100<<10)},
+	return []*peerpb.StoreView{{Prefix: "config/", Revision: 2, After: 1, Items: []*peerpb.Document{
+		{Key: "config/current", Revision: 2, Value: noise(2, 100<<10)},
 	}}}
 }
 
--- a/instance/routed/bulkfleet_test.go
+++ b/instance/routed/bulkfleet_test.go
@@ -109,7 +109,7 @@
 type bulkSource struct{ client *bulkClient }
 
 func (s bulkSource) Store() platform.Store            { return s.client }
-func (s bulkSource) ConfigPrefix() string             { return "op/" }
+func (s bulkSource) ConfigPrefix() string             { return "config/" }
 func (s bulkSource) ServersPrefix() string            { return "servers/" }
 func (s bulkSource) Evacuation(string) (string, bool) { return "", false }
 func (s bulkSource) ServerID(key string) string       { return key }
@@ -137,7 +137,7 @@
 
 func newBulkFleet(t *testing.T, instances int) *bulkFleet {
 	f := &bulkFleet{t: t, store: newBulkStore(), network: link.NewNetwork()}
-	f.store.set("op/config", []byte("1\n"))
+	f.store.set("config/current", []byte("1\n"))
 	for i := range instances {
 		f.seeds = append(f.seeds, membership.Seed{PeerAddress: fmt.Sprint("front-", i)})
 	}
--- a/instance/routed/metrics_test.go
+++ b/instance/routed/metrics_test.go
@@ -16,12 +16,12 @@
 func TestRedundantCopiesAreCounted(t *testing.T) {
 	m := newCopyMetrics(prometheus.NewRegistry())
 	copied, from := mirror.New(), origin{way: wayExchange, peer: "front-2"}
-	d := mirror.Delta{Revision: 3, Whole: true, Items: []mirror.Item{{Key: "op/config", Value: make([]byte, 100), Revision: 3}}}
+	d := mirror.Delta{Revision: 3, Whole: true, Items: []mirror.Item{{Key: "config/current", Value: make([]byte, 100), Revision: 3}}}
 	for range 3 {
-		m.arrived("op/", from, d, copied.Apply(d))
+		m.arrived("config/", from, d, copied.Apply(d))
 	}
 	for result, want := range map[string]float64{itemsTaken: 100, itemsKnown: 200} {
-		if got := testutil.ToFloat64(m.bytes.WithLabelValues("op/", wayExchange, result)); got != want {
+		if got := testutil.ToFloat64(m.bytes.WithLabelValues("config/", wayExchange, result)); got != want {
 			t.Errorf("%s: %v bytes, want %v", result, got, want)
 		}
 	}
