--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -77,8 +77,8 @@
 	return peerpb.NewPeerClient(conn), nil
 }
 
-// Drop gives up the connection to an address; the next call makes a new one. Closing says
-// goodbye first, which takes seconds over a link that is full: it happens beside the lock.
+// Drop gives up the connection to an address; the next call makes a new one. grpc writes a last
+// frame before it closes, which takes seconds over a link that is full: closing does not hold the lock.
 func (p *Pool) Drop(address string) {
 	p.mu.Lock()
 	conn := p.conns[address]
