Leave an answer alone that begins while its server is given up

What callers see: a streamed answer that ends after its first event, with the server sound. Cause, by reading: when the time of silence has passed, whether another server may take the request is worked out in another goroutine, which takes a while on a fifth of a core; the connection was closed after it even if the answer had begun meanwhile. Mend: what was heard is counted under a lock, and a connection on which something was heard meanwhile is not closed; an answer that comes just after the close counts as silence before anything of it is handed on. TestAnswerThatBeginsWhileItsServerIsGivenUpGoesOn failed 20 of 20 ("ab", use of closed network connection), passes 20 of 20 under the race detector.

--- a/transport/backendhttp/client.go
+++ b/transport/backendhttp/client.go
@@ -13,7 +13,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -116,7 +115,9 @@
 
 	patience time.Duration
 	silence  *time.Timer
-	silent   atomic.Bool
+	hearing  sync.Mutex
+	heard    int  // times that something came
+	silent   bool // the connection was closed for silence
 	Reused   bool // the connection had carried a request before
 }
 
@@ -160,7 +161,10 @@
 		a.discard()
 		return nil, a.ended(errors.Wrap(err, "answer"))
 	}
-	a.Heard()
+	if !a.Heard() {
+		a.discard()
+		return nil, errors.Mark(errors.New("answer: came as its connection was closed"), ErrSilent)
+	}
 	a.Status, a.Header, a.Length = a.resp.StatusCode, a.resp.Header, a.resp.ContentLength
 	return a, nil
 }
@@ -275,18 +279,41 @@
 	}
 	a.patience = d
 	a.silence = time.AfterFunc(d, func() {
+		before := a.timesHeard()
 		if giveUp() {
-			a.silent.Store(true)
-			_ = a.conn.Close() // ends the read that waits
+			a.cutUnlessHeard(before)
 		}
 	})
 }
 
-// Heard begins the time of CutAfter anew.
-func (a *Answer) Heard() {
+func (a *Answer) timesHeard() int {
+	a.hearing.Lock()
+	defer a.hearing.Unlock()
+	return a.heard
+}
+
+// cutUnlessHeard closes the connection, unless something came while giveUp was asked: the
+// caller may have the beginning of the answer by then.
+func (a *Answer) cutUnlessHeard(before int) {
+	a.hearing.Lock()
+	defer a.hearing.Unlock()
+	if a.heard != before {
+		return
+	}
+	a.silent = true
+	_ = a.conn.Close() // ends the read that waits
+}
+
+// Heard begins the time of CutAfter anew. It returns false when the connection has been
+// closed for silence.
+func (a *Answer) Heard() bool {
+	a.hearing.Lock()
+	defer a.hearing.Unlock()
+	a.heard++
 	if a.silence != nil && a.silence.Stop() {
 		a.silence.Reset(a.patience)
 	}
+	return !a.silent
 }
 
 // ended marks the error of a read after the connection was closed for silence.
@@ -294,7 +321,9 @@
 	if a.silence != nil {
 		a.silence.Stop()
 	}
-	if a.silent.Load() {
+	a.hearing.Lock()
+	defer a.hearing.Unlock()
+	if a.silent {
 		return errors.Mark(err, ErrSilent)
 	}
 	return err
--- a/transport/backendhttp/client_test.go
+++ b/transport/backendhttp/client_test.go
@@ -340,3 +340,36 @@
 		t.Errorf("%v, %d connections, want 2", err, s.accepted.Load())
 	}
 }
+
+// Guards against an answer that is cut because its server was to be given up just before it began.
+func TestAnswerThatBeginsWhileItsServerIsGivenUpGoesOn(t *testing.T) {
+	asked, begun := make(chan struct{}), make(chan struct{})
+	s := serve(t, func(c net.Conn, next func() *http.Request) {
+		next()
+		<-asked
+		_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nab")
+		<-begun
+		_, _ = fmt.Fprint(c, "cd")
+		next()
+	})
+	c := client()
+	defer c.Close()
+	decided := make(chan struct{})
+	o := belongs("1")
+	o.Silence, o.GiveUp = time.Millisecond, func() bool {
+		close(asked)
+		<-begun
+		defer close(decided)
+		return true
+	}
+	a, err := c.Do(t.Context(), s.address, get("1"), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Close()
+	close(begun)
+	<-decided
+	if body, err := io.ReadAll(a); err != nil || string(body) != "abcd" {
+		t.Errorf("%q, %v", body, err)
+	}
+}
