--- a/instance/routed/copies.go
+++ b/instance/routed/copies.go
@@ -25,7 +25,7 @@
 // go packed and in parts, a receiver waits while parts arrive, and an exchange, which
 // is one message with a deadline, only says that there is more.
 const (
-	// exchangeItems is how many bytes of items an exchange carries: some ten entries of servers.
+	// exchangeItems is how many bytes of items an exchange carries: some thirty entries of servers.
 	exchangeItems = 8 << 10
 	// catchUpAfter is how long an instance that hears of more than it knows waits for its
 	// watcher to bring it.
--- a/instance/routed/settings.go
+++ b/instance/routed/settings.go
@@ -48,8 +48,8 @@
 // Store says where the store is and what it takes.
 type Store struct {
 	Address     string        `yaml:"address"`
-	CallTimeout time.Duration `yaml:"call_timeout"`
-	LeastLease  time.Duration `yaml:"least_lease"` // shortest lease that it grants
+	CallTimeout time.Duration `yaml:"call_timeout"` // without a byte of an answer, beside a watch's wait
+	LeastLease  time.Duration `yaml:"least_lease"`  // shortest lease that it grants
 }
 
 // Bounds are the times that the deployment sets.
--- a/transport/peer/parts.go
+++ b/transport/peer/parts.go
@@ -22,8 +22,8 @@
 
 var errUpdateTooLarge = errors.New("update is too large")
 
-// PackUpdate serializes an update and deflates it: the configuration repeats itself, and
-// takes a twentieth of the bytes then.
+// PackUpdate serializes an update and deflates it: routes of a configuration differ in little,
+// and most of their bytes go.
 func PackUpdate(update *peerpb.FollowUpdate) ([]byte, error) {
 	plain, err := proto.Marshal(update)
 	if err != nil {
