--- a/coordination/quota/account.go
+++ b/coordination/quota/account.go
@@ -6,17 +6,21 @@
 	"github.com/basilroute/basilroute/service"
 )
 
-// part is what one slot mints of an account.
-type part struct {
+// minted is what one slot mints of an account.
+type minted struct {
 	rate  float64 // tokens per second
 	burst float64 // tokens
 }
 
 // account is one account's state on this instance.
 type account struct {
-	name string
-	doc  *service.Account
-	part part
+	name    string
+	doc     *service.Account
+	minted  minted
+	even    float64  // fraction of the rate that a slot would have if all had the same
+	lends   bool     // tokens minted here may be lent
+	lenders []string // see Part.Lenders
+	dry     []dryLender
 	// share is the fraction of the account's rate and burst that one slot has.
 	// A larger one waits in grown until those who shrink have acknowledged.
 	share, grown float64
@@ -36,6 +40,8 @@
 	reports    []pendingReport
 	asked      float64   // tokens asked for since the last tick
 	demand     float64   // average of asked, tokens per second
+	requests   int       // that asked since the last tick
+	often      float64   // average of requests, in a second
 	charged    float64   // tokens charged since the last tick
 	admitted   float64   // average of charged, tokens per second
 	toldNext   time.Time // the time to come back that was told last, and what stands behind it
@@ -45,7 +51,7 @@
 	active     bool
 }
 
-func (a *account) capacity(minting int) float64 { return a.part.burst * float64(minting) }
+func (a *account) capacity(minting int) float64 { return a.minted.burst * float64(minting) }
 
 // headroom is how much more the bucket and open loans could hold.
 func (a *account) headroom(minting int) float64 {
@@ -73,7 +79,7 @@
 		return
 	}
 	a.at = now
-	a.level += min(elapsed.Seconds()*a.part.rate*float64(minting), a.headroom(minting))
+	a.level += min(elapsed.Seconds()*a.minted.rate*float64(minting), a.headroom(minting))
 }
 
 // clamp drops what exceeds the capacity of a smaller number of slots or of a
@@ -117,24 +123,24 @@
 	a.history.raise(back)
 }
 
-// setShare takes in a document. A smaller share is in force at once.
-func (a *account) setShare(doc *service.Account, share float64, revision int64, minting int) {
+// setPart takes in a document and what is held of it. A smaller share is in force at once.
+func (a *account) setPart(doc *service.Account, part Part, revision int64, minting int) {
 	first := a.doc == nil
 	a.history.note(a.headroom(minting))
-	a.doc = doc
+	a.doc, a.even, a.lends, a.lenders = doc, part.Even, part.Lends, part.Lenders
 	switch {
-	case first, share <= a.share:
-		a.share, a.grownAt = share, 0
+	case first, part.Share <= a.share:
+		a.share, a.grownAt = part.Share, 0
 	default:
-		a.grown, a.grownAt, a.growFrom = share, revision, time.Time{}
+		a.grown, a.grownAt, a.growFrom = part.Share, revision, time.Time{}
 	}
 	a.apply(minting)
 }
 
 func (a *account) apply(minting int) {
-	a.part = part{rate: a.doc.Rate * a.share, burst: a.doc.Burst * a.share}
-	if a.provisional {
-		a.part.burst *= 1 - mostLent
+	a.minted = minted{rate: a.doc.Rate * a.share, burst: a.doc.Burst * a.share}
+	if a.provisional && a.lends {
+		a.minted.burst *= 1 - mostLent
 	}
 	a.clamp(minting)
 }
--- a/coordination/quota/borrower.go
+++ b/coordination/quota/borrower.go
@@ -15,6 +15,9 @@
 	aheadPause     = 400 * time.Millisecond // between calls for tokens that no request waits for
 	askPause       = 250 * time.Millisecond // between rounds for an account for which all lenders were dry
 	leastDemand    = 0.1                    // tokens per second below which an account counts as idle
+	// leastAhead is how many requests are expected in demandFor where tokens are borrowed ahead:
+	// those borrowed for fewer mostly go back unspent, and are missing elsewhere meanwhile.
+	leastAhead = 2
 )
 
 // borrowing is a loan from a peer.
@@ -102,29 +105,15 @@
 // order in which they are asked, without those to whom a call is still open. One
 // that holds several slots gets one call: reports sent twice would refund twice.
 func (l *Ledger) Plan(holders []slots.Member, now time.Time) []*Call {
-	calls := make(map[slots.Member]*Call, len(holders))
-	var lenders []slots.Member
-	for _, holder := range holders {
-		if calls[holder] == nil {
-			calls[holder] = &Call{Lender: holder, asked: now}
-			lenders = append(lenders, holder)
-		}
-	}
-	ahead := l.aheadDue(now)
+	p := &plan{holders: holders, ahead: l.aheadDue(now), now: now}
 	for i := range l.shards {
 		s := &l.shards[i]
 		s.mu.Lock()
 		s.advance(now)
-		s.plan(lenders, calls, ahead, now)
+		s.plan(p)
 		s.mu.Unlock()
 	}
-	var out []*Call
-	for _, lender := range lenders {
-		if c := calls[lender]; len(c.Wants)+len(c.Reports) > 0 {
-			out = append(out, c)
-		}
-	}
-	return out
+	return p.out
 }
 
 // aheadDue tells whether it is time to borrow ahead. All accounts do so at the
@@ -139,15 +128,15 @@
 	return true
 }
 
-func (s *shard) plan(lenders []slots.Member, calls map[slots.Member]*Call, ahead bool, now time.Time) {
+func (s *shard) plan(p *plan) {
 	kept := s.active[:0]
 	for _, a := range s.active {
-		a.mint(now, s.minting)
-		a.dropExpired(now)
-		if ahead || len(a.waiters) > 0 {
-			a.want(lenders, calls, s.minting, now)
+		a.mint(p.now, s.minting)
+		a.dropExpired(p.now)
+		if p.ahead || len(a.waiters) > 0 {
+			a.want(p, s.minting)
 		}
-		a.flushReports(calls, ahead, now)
+		a.flushReports(p)
 		if a.idle() {
 			a.active = false
 			continue
@@ -177,17 +166,16 @@
 	a.borrowings = kept
 }
 
-// flushReports hands reports to calls that are made anyway, and with due also to
-// calls of their own.
-func (a *account) flushReports(calls map[slots.Member]*Call, due bool, now time.Time) {
+// flushReports hands reports to calls that are made anyway, and when accounts borrow ahead
+// also to calls of their own.
+func (a *account) flushReports(p *plan) {
 	kept := a.reports[:0]
 	for _, r := range a.reports {
-		c := calls[r.lender]
-		if c != nil && (due || len(c.Wants) > 0) {
+		if c := p.reportTo(r.lender); c != nil {
 			c.Reports = append(c.Reports, r.Report)
 			continue
 		}
-		if now.Sub(r.at) < reportFor {
+		if p.now.Sub(r.at) < reportFor {
 			kept = append(kept, r)
 		}
 	}
@@ -199,14 +187,15 @@
 	keep := math.Exp2(-elapsed.Seconds() / demandHalfLife.Seconds())
 	a.demand = a.demand*keep + a.asked/elapsed.Seconds()*(1-keep)
 	a.admitted = a.admitted*keep + a.charged/elapsed.Seconds()*(1-keep)
-	a.asked, a.charged = 0, 0
+	a.often = a.often*keep + float64(a.requests)/elapsed.Seconds()*(1-keep)
+	a.asked, a.charged, a.requests = 0, 0, 0
 }
 
 // round is the present search for lenders. It asks the nearest one first, then
 // twice as many each time, so that few are bothered for a little and a request of
 // nearly the whole burst still finds all of them in time.
 type round struct {
-	next        int       // lender to ask next
+	asked       []slots.Member
 	fan         int       // lenders asked at once
 	open        int       // answers to come
 	exhaustedAt time.Time // when a round last ended with too little
@@ -219,40 +208,45 @@
 
 // want asks lenders for what the queue lacks, and for a second's demand ahead
 // when less than half of it is left.
-func (a *account) want(lenders []slots.Member, calls map[slots.Member]*Call, minting int, now time.Time) {
-	if len(lenders) == 0 {
-		a.round.exhaustedAt = now
+func (a *account) want(p *plan, minting int) {
+	if len(p.holders) == 0 {
+		a.round.exhaustedAt = p.now
 		return
 	}
-	if now.Before(a.nextAsk) {
+	if p.now.Before(a.nextAsk) {
 		return
 	}
-	have := a.level + a.borrowed(now)
+	have := a.level + a.borrowed(p.now)
 	queued := a.queued()
-	ahead := max(0, a.demand-a.part.rate*float64(minting)) * demandFor.Seconds()
+	ahead := 0.0
+	if a.often*demandFor.Seconds() >= leastAhead {
+		ahead = max(0, a.demand-a.minted.rate*float64(minting)) * demandFor.Seconds()
+	}
 	if have >= queued+ahead*lowWater {
 		return
 	}
-	a.ask(queued+ahead-have, lenders, calls, now)
+	a.ask(queued+ahead-have, p)
 }
 
 // ask spreads what is missing over the round's lenders. Several are asked for
 // twice their even part, since some will have less.
-func (a *account) ask(missing float64, lenders []slots.Member, calls map[slots.Member]*Call, now time.Time) {
+func (a *account) ask(missing float64, p *plan) {
 	fan := max(1, a.round.fan)
 	tokens := missing
 	if fan > 1 {
 		tokens = min(missing, 2*missing/float64(fan))
 	}
-	a.round.open = 0
-	for i := a.round.next; i < min(a.round.next+fan, len(lenders)); i++ {
-		c := calls[lenders[i]]
+	lenders := a.askable(p)
+	lenders = lenders[:min(len(lenders), fan)]
+	for _, lender := range lenders {
+		c := p.call(lender)
 		c.Wants = append(c.Wants, Want{Account: a.name, Tokens: math.Ceil(tokens)})
-		a.round.open++
 	}
-	a.nextAsk = now.Add(answerTimeout)
+	a.round.asked = append(a.round.asked, lenders...)
+	a.round.open = len(lenders)
+	a.nextAsk = p.now.Add(answerTimeout)
 	if a.round.open == 0 {
-		a.endRound(now)
+		a.endRound(p.now)
 	}
 }
 
@@ -280,6 +274,7 @@
 	s.advance(now)
 	a := s.account(w.Account, now)
 	a.mint(now, s.minting)
+	a.heard(c.Lender, item.Tokens > 0, now)
 	if item.Tokens > 0 {
 		a.borrowings = append(a.borrowings, borrowing{
 			lender: c.Lender, loan: item.Loan, tokens: item.Tokens, until: c.asked.Add(LoanValid),
@@ -295,9 +290,7 @@
 		a.round = round{}
 		return
 	}
-	fan := max(1, a.round.fan)
-	a.round.next += fan
-	a.round.fan = 2 * fan
+	a.round.fan = 2 * max(1, a.round.fan)
 	if len(a.waiters) > 0 {
 		l.signal()
 	}
@@ -305,8 +298,7 @@
 
 // ReturnAll gives every loan back, for a planned stop. The calls have to be made.
 func (l *Ledger) ReturnAll(now time.Time) []*Call {
-	calls := make(map[slots.Member]*Call)
-	var out []*Call
+	p := &plan{ahead: true, anyone: true, now: now}
 	for i := range l.shards {
 		s := &l.shards[i]
 		s.mu.Lock()
@@ -315,17 +307,11 @@
 				a.report(b.lender, Report{Loan: b.loan, Returned: b.tokens}, now)
 			}
 			a.borrowings = nil
-			for _, r := range a.reports {
-				if calls[r.lender] == nil {
-					calls[r.lender] = &Call{Lender: r.lender, asked: now}
-					out = append(out, calls[r.lender])
-				}
-			}
-			a.flushReports(calls, true, now)
+			a.flushReports(p)
 		}
 		s.mu.Unlock()
 	}
-	return out
+	return p.out
 }
 
 // Owes tells whether loans of a lender may still be spent here, whatever its
--- a/coordination/quota/documents.go
+++ b/coordination/quota/documents.go
@@ -6,20 +6,53 @@
 	"github.com/basilroute/basilroute/service"
 )
 
+// Part is what one slot held here has of an account.
+type Part struct {
+	Share float64 // of the account's rate and burst, which the slot mints
+	Even  float64 // of them, if all slots had the same
+	Lends bool    // the slot's holder lends to others
+	// Lenders are the ids, ordered, of all instances that lend tokens of the account; nil
+	// where all holders of slots do.
+	Lenders []string
+}
+
+// Division divides accounts over the slots of a fleet. Divisions are compared: an equal one
+// gives the same parts.
+type Division interface {
+	Part(doc *service.Account) Part
+}
+
+// fleetDivision is by a fleet document: the holders of slots lend.
+type fleetDivision struct {
+	fleet  *service.Fleet
+	domain string
+}
+
+// Part implements Division.
+func (d fleetDivision) Part(doc *service.Account) Part {
+	part := share(doc, d.fleet, d.domain)
+	return Part{Share: part, Even: part, Lends: true}
+}
+
 // Update takes in the documents in force at a configuration revision. Accounts
 // that are gone lose their tokens.
 func (l *Ledger) Update(accounts []*service.Account, fleet *service.Fleet, revision int64, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	if fleet == nil {
 		return // without it no share is known, and the first one need not wait
 	}
-	newFleet := fleet != l.fleet
-	l.fleet = fleet
+	l.Divide(accounts, fleetDivision{fleet, l.domain}, revision, now)
+}
+
+// Divide is Update where something else than a fleet document divides the accounts.
+func (l *Ledger) Divide(accounts []*service.Account, division Division, revision int64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	redivided := division != l.division
+	l.division = division
 	seen := make(map[string]bool, len(accounts))
 	for _, doc := range accounts {
 		seen[doc.Name] = true
-		if !newFleet && l.docs[doc.Name] == doc {
+		if !redivided && l.docs[doc.Name] == doc {
 			continue
 		}
 		l.docs[doc.Name] = doc
@@ -28,7 +61,7 @@
 		s.advance(now)
 		a := s.account(doc.Name, now)
 		a.mint(now, s.minting)
-		a.setShare(doc, share(doc, fleet, l.domain), revision, s.minting)
+		a.setPart(doc, division.Part(doc), revision, s.minting)
 		s.mu.Unlock()
 	}
 	if len(seen) < len(l.docs) {
@@ -45,7 +78,7 @@
 		s := l.shard(name)
 		s.mu.Lock()
 		if a, ok := s.accounts[name]; ok {
-			a.part, a.level, a.share, a.doc = part{}, 0, 0, nil
+			a.minted, a.level, a.share, a.doc = minted{}, 0, 0, nil
 		}
 		s.mu.Unlock()
 	}
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -47,7 +47,7 @@
 	nextAhead time.Time         // when tokens are next borrowed ahead of need
 	epochs    map[int]uint64    // latest epoch held, by slot
 	from      map[int]time.Time // when that epoch begins to mint
-	fleet     *service.Fleet
+	division  Division
 	docs      map[string]*service.Account
 }
 
@@ -216,6 +216,7 @@
 	a.mint(now, s.minting)
 	s.activate(a)
 	a.asked += tokens
+	a.requests++
 	if len(a.waiters) > 0 && (!l.pass || passFactor*tokens > a.waiters[0].tokens) {
 		return Charge{}, false
 	}
--- a/coordination/quota/waiter.go
+++ b/coordination/quota/waiter.go
@@ -155,7 +155,10 @@
 // could admit them. Told the account's whole rate, all who were refused at once came back
 // within a tenth of a second of each other, and all but one were refused again.
 func (a *account) comeBack(tokens float64, least time.Duration, now time.Time) time.Duration {
-	rate := max(comebackShare*a.admitted, a.part.rate)
+	rate := comebackShare * a.admitted
+	if a.doc != nil {
+		rate = max(rate, a.doc.Rate*a.even)
+	}
 	earliest := now.Add(least)
 	if a.toldNext.Before(earliest) {
 		a.toldNext = earliest
--- a/coordination/quotashare/quotashare.go
+++ b/coordination/quotashare/quotashare.go
@@ -1,6 +1,5 @@
-// Package quotashare divides every account's rate and burst evenly over a set of
-// instances that only grows. It is the simplest division that holds by itself when
-// instances are cut off, sleep or restart:
+// Package quotashare divides every account's rate and burst over a set of instances that
+// only grows, see Division. It holds by itself when instances are cut off, sleep or restart:
 //
 //   - An instance that joins writes its name into the store and then reads all names.
 //     Of two that join at once, the one that reads later sees the other's name.
@@ -9,7 +8,8 @@
 //     is away mints.
 //   - It mints its part only when every instance of its set goes by the same set, and all
 //     of them have heard that of each other in the same lifetimes. Each of two that mint
-//     has the other in its set, so the parts together are at most the whole.
+//     has the other in its set, so the parts together are at most the whole. One that has
+//     never minted waits until loans have expired that others made of what is its part now.
 //   - An instance mints its part for good; nobody else ever mints it. One that is cut
 //     off goes on with its own part, and needs neither the store nor a peer.
 //   - That it has once minted stands in the store. A restarted instance that finds it
@@ -22,9 +22,8 @@
 // names agree there was a moment at which all of them counted the newcomer at once; every
 // set that is told later has it. spec/quotashare.pml checks this.
 //
-// The part of an instance that never comes back is lost to the fleet, one in the
-// number of instances. Demand that is uneven over instances is met by loans, see
-// package quota.
+// The part of an instance that never comes back is lost to the fleet. Demand that is uneven
+// over instances is met by loans, see package quota.
 //
 // The package does no I/O.
 package quotashare
@@ -43,16 +42,22 @@
 	lifetime uint64
 
 	mu          sync.Mutex
-	holders     map[string]bool
+	holders     map[string]string // failure domain of each instance
 	hash        uint64            // of holders
 	complete    bool              // holders has every instance that mints
 	established bool              // all others counted this instance once
+	minted      bool              // an earlier lifetime of this instance has minted
 	acks        map[string]uint64 // lifetimes in which the others went by this very set
 	agreed      map[string]uint64 // what the others last said of the lifetimes they heard
 	free        map[string]bool   // those that hold nothing a predecessor lent
 	cleared     bool              // tokens that a predecessor lent cannot be spent any more
 }
 
+// Holder is an instance of the set.
+type Holder struct{ ID, Domain string }
+
+func (h Holder) hash() uint64 { return xxhash.Sum64String(h.ID + "\x00" + h.Domain) }
+
 // Word is what an instance says of its set.
 type Word struct {
 	Lifetime uint64 // in which it says so; another one after each restart
@@ -63,41 +68,48 @@
 // NewKeeper returns a keeper of an instance in one of its lifetimes. It mints nothing.
 func NewKeeper(self string, lifetime uint64) *Keeper {
 	return &Keeper{
-		self: self, lifetime: lifetime, holders: make(map[string]bool),
+		self: self, lifetime: lifetime, holders: make(map[string]string),
 		acks: make(map[string]uint64), agreed: make(map[string]uint64), free: make(map[string]bool),
 	}
 }
 
-// Merge takes in names. complete says that they have every instance that mints: they
+// Merge takes in instances. complete says that they have every instance that mints: they
 // were read from the store after the own name was written, or come from a peer for
 // whose set that holds and which has the own name.
-func (k *Keeper) Merge(ids []string, complete bool) {
+func (k *Keeper) Merge(holders []Holder, complete bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, id := range ids {
-		if id != "" && !k.holders[id] {
-			k.holders[id] = true
-			k.hash ^= xxhash.Sum64String(id)
-			clear(k.acks) // they were for a smaller set
+	for _, h := range holders {
+		if h.ID == "" || k.has(h.ID) {
+			continue // an instance stays in its failure domain
 		}
+		k.holders[h.ID] = h.Domain
+		k.hash ^= h.hash()
+		clear(k.acks) // they were for a smaller set
 	}
-	if complete && k.holders[k.self] {
+	if complete && k.has(k.self) {
 		k.complete = true
 	}
 }
 
+func (k *Keeper) has(id string) bool {
+	_, ok := k.holders[id]
+	return ok
+}
+
 // Establish takes in that the store says this instance has minted before.
 func (k *Keeper) Establish() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.established = true
+	k.established, k.minted = true, true
 }
 
-// Established tells whether all others have counted this instance.
-func (k *Keeper) Established() bool {
+// Newcomer tells whether no earlier lifetime of this instance has minted: others may have
+// lent what is its part now.
+func (k *Keeper) Newcomer() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.established
+	return !k.minted
 }
 
 // Heard takes in what another instance says of its set.
@@ -105,7 +117,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.agreed[id] = w.Agreed
-	if w.Hash == k.hash && k.holders[k.self] {
+	if w.Hash == k.hash && k.has(k.self) {
 		k.acks[id] = w.Lifetime
 	}
 }
@@ -119,7 +131,7 @@
 }
 
 func (k *Keeper) agreedLifetimes() uint64 {
-	if !k.holders[k.self] {
+	if !k.has(k.self) {
 		return 0
 	}
 	sum := k.hash
@@ -210,10 +222,14 @@
 }
 
 // Holders returns the set, ordered.
-func (k *Keeper) Holders() []string {
+func (k *Keeper) Holders() []Holder {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return slices.Sorted(maps.Keys(k.holders))
+	out := make([]Holder, 0, len(k.holders))
+	for _, id := range slices.Sorted(maps.Keys(k.holders)) {
+		out = append(out, Holder{ID: id, Domain: k.holders[id]})
+	}
+	return out
 }
 
 // Size returns the number of instances in the set.
@@ -227,7 +243,7 @@
 func (k *Keeper) Mints() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.complete || !k.holders[k.self] {
+	if !k.complete || !k.has(k.self) {
 		return false
 	}
 	if k.established {
--- a/coordination/quotashare/quotashare_test.go
+++ b/coordination/quotashare/quotashare_test.go
@@ -6,17 +6,36 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"github.com/basilroute/basilroute/service"
 )
 
 // world is a store and the instances that join through it.
 type world struct {
-	names  []string        // in the store
+	names  []Holder        // in the store
 	minted map[string]bool // by the store
 	live   map[string]*Keeper
 	stage  map[string]int // of joining: 0 nothing, 1 written, 2 read
 	lives  uint64         // begun so far
 }
 
+// domainOf puts two of three instances into one failure domain.
+func domainOf(id string) string {
+	if id[len(id)-1]%3 == 0 {
+		return "d0"
+	}
+	return "d1"
+}
+
+// holders returns instances of the failure domains that domainOf names.
+func holders(ids ...string) []Holder {
+	var out []Holder
+	for _, id := range ids {
+		out = append(out, Holder{id, domainOf(id)})
+	}
+	return out
+}
+
 func newWorld(ids ...string) *world {
 	w := &world{minted: make(map[string]bool), live: make(map[string]*Keeper), stage: make(map[string]int)}
 	for _, id := range ids {
@@ -34,12 +53,12 @@
 func (w *world) write(id string) {
 	if w.stage[id] == 0 {
 		for _, name := range w.names {
-			if name == id {
+			if name.ID == id {
 				w.stage[id] = 1
 				return
 			}
 		}
-		w.names = append(w.names, id)
+		w.names = append(w.names, Holder{id, domainOf(id)})
 		w.stage[id] = 1
 	}
 }
@@ -59,8 +78,8 @@
 	a, b := w.live[from], w.live[to]
 	if a.Hash() != b.Hash() {
 		own := false
-		for _, id := range b.Holders() {
-			own = own || id == from
+		for _, h := range b.Holders() {
+			own = own || h.ID == from
 		}
 		a.Merge(b.Holders(), b.Complete() && own)
 	}
@@ -89,18 +108,18 @@
 
 // Instances join, restart, lose the store for as long as they like and hear of each
 // other in any order; what has begun to mint is written to the store, or that write is
-// lost. At every moment the parts of all that mint are at most the whole: each of them
-// divides by a set at least as large as their number.
+// lost. At every moment the parts of all that mint are at most the whole: the set of each
+// has all of them.
 func TestPartsNeverExceedTheWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld()
 		var ids []string
-		for i := range rapid.IntRange(1, 5).Draw(t, "instances") {
+		for i := range rapid.IntRange(1, 12).Draw(t, "instances") {
 			id := fmt.Sprint("i", i)
 			ids = append(ids, id)
 			w.start(id)
 		}
-		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
 			id := rapid.SampledFrom(ids).Draw(t, "instance")
 			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0:
@@ -123,15 +142,28 @@
 
 func check(t rapid.TB, w *world) {
 	t.Helper()
-	minting := 0
-	for _, k := range w.live {
+	var minting []string
+	for id, k := range w.live {
 		if k.Mints() {
-			minting++
+			minting = append(minting, id)
 		}
 	}
-	for id, k := range w.live {
-		if k.Mints() && k.Size() < minting {
-			t.Fatalf("%s divides by %d while %d mint", id, k.Size(), minting)
+	total := make(map[string]float64)
+	for _, id := range minting {
+		k := w.live[id]
+		for _, other := range minting {
+			if !k.has(other) {
+				t.Fatalf("%s divides without %s, which mints", id, other)
+			}
+		}
+		division := NewDivision(id, k.Holders())
+		for _, account := range []string{"acme", "bolt", "coil"} {
+			total[account] += division.Part(&service.Account{Name: account}).Share
+		}
+	}
+	for account, share := range total {
+		if share > 1+1e-9 {
+			t.Fatalf("%d instances mint %.3f of %s", len(minting), share, account)
 		}
 	}
 }
@@ -141,12 +173,12 @@
 func TestRestartNeedsNoWordFromTheGone(t *testing.T) {
 	k := NewKeeper("a", 1)
 	k.Establish()
-	k.Merge([]string{"a", "b", "gone"}, true)
+	k.Merge(holders("a", "b", "gone"), true)
 	if !k.Mints() {
 		t.Error("a restarted instance waits for one that is gone")
 	}
 	joins := NewKeeper("c", 1)
-	joins.Merge([]string{"a", "b", "c", "gone"}, true)
+	joins.Merge(holders("a", "b", "c", "gone"), true)
 	for _, id := range []string{"a", "b"} {
 		joins.Heard(id, joins.word())
 	}
@@ -160,12 +192,12 @@
 // is free only when the set is complete and all have spoken, or the loans have expired.
 func TestIncompleteSetProvesNoLoanGone(t *testing.T) {
 	k := NewKeeper("a", 1)
-	k.Merge([]string{"b"}, false)
+	k.Merge(holders("b"), false)
 	k.NothingOwed("b")
 	if k.Clear(false) {
 		t.Error("cleared by the word of one, with others not known")
 	}
-	k.Merge([]string{"a", "b", "c"}, true)
+	k.Merge(holders("a", "b", "c"), true)
 	if k.Clear(false) {
 		t.Error("cleared though c has not spoken")
 	}
--- a/instance/routed/bulk_test.go
+++ b/instance/routed/bulk_test.go
@@ -116,7 +116,7 @@
 
 // Guards against a peer of an earlier version that takes an update in parts for one without items.
 func TestPeerThatTakesNoPartsGetsWholeUpdates(t *testing.T) {
-	n := newNode(DefaultSettings(), bulkSource{&bulkClient{store: newBulkStore()}}, nil, slog.New(slog.DiscardHandler))
+	n := newNode(DefaultSettings(), bulkSource{client: &bulkClient{store: newBulkStore()}}, nil, slog.New(slog.DiscardHandler))
 	views := largeViews()
 	for parts, want := range map[bool]int{false: len(views[0].GetItems()), true: 0} {
 		var stream sentUpdates
@@ -138,7 +138,7 @@
 // Guards against a whole fleet that catches up from one instance at once and fills its link.
 func TestFewCatchUpFromOneInstance(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNode(DefaultSettings(), bulkSource{&bulkClient{store: newBulkStore()}}, nil, slog.New(slog.DiscardHandler))
+		n := newNode(DefaultSettings(), bulkSource{client: &bulkClient{store: newBulkStore()}}, nil, slog.New(slog.DiscardHandler))
 		held := make(chan struct{})
 		for range catchUpServes {
 			go func() { _ = n.Follow(&peerpb.FollowRequest{Once: true}, &sentUpdates{held: held}) }()
--- a/instance/routed/bulkfleet_test.go
+++ b/instance/routed/bulkfleet_test.go
@@ -106,7 +106,10 @@
 }
 
 // bulkSource decodes what stands in the store.
-type bulkSource struct{ client *bulkClient }
+type bulkSource struct {
+	client   *bulkClient
+	accounts map[string]*routes.Account // of every version
+}
 
 func (s bulkSource) Store() platform.Store            { return s.client }
 func (s bulkSource) ConfigPrefix() string             { return "config/" }
@@ -120,23 +123,31 @@
 
 // Config reads the version that a value begins with.
 func (s bulkSource) Config(_ string, value []byte) (*routes.Config, bool, error) {
-	config := &routes.Config{}
+	config := &routes.Config{Accounts: s.accounts}
 	_, err := fmt.Sscanf(string(value[:min(len(value), 20)]), "%d\n", &config.Version)
 	return config, true, err
 }
 
-// bulkFleet is a failure domain of instances that talk over links of given rates.
+// bulkFleet is a fleet of instances that talk over links of given rates, in one failure
+// domain unless domains are named.
 type bulkFleet struct {
-	t       *testing.T
-	store   *bulkStore
-	network *link.Network
-	seeds   []membership.Seed
-	nodes   []*Node
-	links   []*link.Machine
-}
-
-func newBulkFleet(t *testing.T, instances int) *bulkFleet {
-	f := &bulkFleet{t: t, store: newBulkStore(), network: link.NewNetwork()}
+	t        testing.TB
+	store    *bulkStore
+	network  *link.Network
+	seeds    []membership.Seed
+	nodes    []*Node
+	links    []*link.Machine
+	domains  []string          // in which instances stand in turn
+	regions  map[string]string // region of each failure domain
+	accounts map[string]*routes.Account
+	dial     []grpc.DialOption
+}
+
+func newBulkFleet(t testing.TB, instances int) *bulkFleet {
+	f := &bulkFleet{
+		t: t, store: newBulkStore(), network: link.NewNetwork(),
+		domains: []string{"east-a"}, regions: map[string]string{"east-a": "east"},
+	}
 	f.store.set("config/current", []byte("1\n"))
 	for i := range instances {
 		f.seeds = append(f.seeds, membership.Seed{PeerAddress: fmt.Sprint("front-", i)})
@@ -144,6 +155,28 @@
 	return f
 }
 
+// newLoadFleet starts a fleet over three regions with two failure domains each, whose accounts
+// have the rates that its size needs.
+func newLoadFleet(t testing.TB, size int, calls *fleetCalls) *bulkFleet {
+	f := newBulkFleet(t, size)
+	f.accounts = loadConfig(size)
+	f.dial = append(f.dial, grpc.WithUnaryInterceptor(calls.intercept))
+	f.domains, f.regions = nil, make(map[string]string)
+	for _, region := range []string{"east", "west", "south"} {
+		for _, part := range []string{"a", "b"} {
+			f.domains = append(f.domains, region+"-"+part)
+			f.regions[region+"-"+part] = region
+		}
+	}
+	for range size {
+		n := f.add(wideLink)
+		for _, loop := range []func(context.Context){n.followStore, n.lending.Run} {
+			n.loops.Go(func() { loop(n.background) })
+		}
+	}
+	return f
+}
+
 func startBulkFleet(t *testing.T, rates ...float64) *bulkFleet {
 	f := newBulkFleet(t, len(rates))
 	for _, rate := range rates {
@@ -160,11 +193,14 @@
 	id := fmt.Sprint("front-", len(f.nodes))
 	machine := f.network.Add(id, rate)
 	settings := DefaultSettings()
-	settings.ID, settings.Region, settings.Domain, settings.Listen.Peers = id, "east", "east-a", id
-	settings.Domains = map[string]string{"east-a": "east"}
-	n := newNode(settings, bulkSource{&bulkClient{store: f.store, id: id}}, nil, slog.New(slog.DiscardHandler))
-	n.pool = peer.NewPool(insecure.NewCredentials(), grpc.WithContextDialer(
-		func(ctx context.Context, address string) (net.Conn, error) { return machine.Dial(ctx, address) }))
+	domain := f.domains[len(f.nodes)%len(f.domains)]
+	settings.ID, settings.Region, settings.Domain, settings.Listen.Peers = id, f.regions[domain], domain, id
+	settings.Domains = f.regions
+	source := bulkSource{client: &bulkClient{store: f.store, id: id}, accounts: f.accounts}
+	n := newNode(settings, source, nil, slog.New(slog.DiscardHandler))
+	n.pool = peer.NewPool(insecure.NewCredentials(), append(f.dial, grpc.WithContextDialer(
+		func(ctx context.Context, address string) (net.Conn, error) { return machine.Dial(ctx, address) }))...)
+	n.lending.Pool = n.pool
 	n.members.SetSeeds(f.seeds)
 	f.nodes, f.links = append(f.nodes, n), append(f.links, machine)
 	go func() { _ = n.peers.Serve(machine) }()
--- a/instance/routed/facts.go
+++ b/instance/routed/facts.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/basilroute/basilroute/coordination/placement"
+	"github.com/basilroute/basilroute/coordination/quotashare"
 	"github.com/basilroute/basilroute/protocol/peerpb"
 	"github.com/basilroute/basilroute/service"
 	"github.com/basilroute/basilroute/state/backends"
@@ -160,14 +161,9 @@
 		return
 	}
 	n.ledgerConfig = config.Version
-	if n.fleet == nil || len(holders) != n.ledgerHolders {
+	if n.division == nil || len(holders) != n.ledgerHolders {
 		n.ledgerHolders = len(holders)
-		// Every instance is a domain of its own with one slot: its part is one in
-		// the number of instances.
-		n.fleet = &service.Fleet{
-			Regions: map[string]service.Region{fleetRegion: {Domains: holders}},
-			Slots:   service.Slots{PerDomain: 1},
-		}
+		n.division = quotashare.NewDivision(n.settings.ID, holders)
 	}
 	var docs []*service.Account
 	for _, a := range config.Accounts {
@@ -175,12 +171,9 @@
 			docs = append(docs, &service.Account{Name: a.Name, Rate: a.Rate, Burst: a.Burst})
 		}
 	}
-	n.ledger.Update(docs, n.fleet, int64(n.ledgerHolders), time.Now())
+	n.ledger.Divide(docs, n.division, int64(n.ledgerHolders), time.Now())
 }
 
-// fleetRegion stands for all regions: parts are even over all instances.
-const fleetRegion = "all"
-
 // publishLoads tells the other instances how the services stand here.
 func (n *Node) publishLoads(now time.Time) {
 	config := n.routes.Current()
--- /dev/null
+++ b/instance/routed/fleetload_bench_test.go
@@ -0,0 +1,164 @@
+package routed
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/basilroute/basilroute/state/routes"
+)
+
+const (
+	wideLink     = 1e9 / 8 // bytes a second
+	loadAccounts = 19
+	loadRate     = 4.0 // requests a second at an instance
+	// loadTokens is what the largest kind of request costs; most others cost a fiftieth of it or less.
+	loadTokens  = 9300
+	loadQuota   = 1.8 // the accounts' rates by what their callers ask
+	leastQuota  = 29000.0
+	burstTime   = 2.0 // seconds of its rate that an account may save up
+	loadLasts   = 5 * time.Second
+	fleetSettle = 8 * time.Second
+)
+
+// loadKinds are the requests' costs in tokens with their parts of all requests.
+var loadKinds = []struct{ part, tokens float64 }{{0.38, loadTokens}, {0.36, 1100}, {0.26, 200}}
+
+// loadWeights are the accounts' parts of all requests: few large ones.
+func loadWeights() []float64 {
+	out, total := make([]float64, loadAccounts), 0.0
+	for i := range out {
+		out[i] = 1 / float64(i+1)
+		total += out[i]
+	}
+	for i := range out {
+		out[i] /= total
+	}
+	return out
+}
+
+// loadConfig has the accounts of a fleet of a size.
+func loadConfig(instances int) map[string]*routes.Account {
+	mean := 0.0
+	for _, kind := range loadKinds {
+		mean += kind.part * kind.tokens
+	}
+	out := make(map[string]*routes.Account)
+	for i, weight := range loadWeights() {
+		rate := max(leastQuota, loadQuota*weight*mean*loadRate*float64(instances))
+		name := fmt.Sprint("account-", i)
+		out[name] = &routes.Account{Name: name, Rate: rate, Burst: burstTime * rate, CountTokens: true, Priority: -1}
+	}
+	return out
+}
+
+func drawAccount(weights []float64, rng *rand.Rand) string {
+	at := rng.Float64()
+	for i, weight := range weights {
+		if at -= weight; at < 0 {
+			return fmt.Sprint("account-", i)
+		}
+	}
+	return "account-0"
+}
+
+func drawTokens(rng *rand.Rand) float64 {
+	at := rng.Float64()
+	for _, kind := range loadKinds {
+		if at -= kind.part; at < 0 {
+			return kind.tokens
+		}
+	}
+	return loadKinds[0].tokens
+}
+
+// fleetCalls counts the calls between instances.
+type fleetCalls struct{ exchanges, borrows atomic.Int64 }
+
+func (c *fleetCalls) intercept(ctx context.Context, method string, req, reply any, conn *grpc.ClientConn,
+	invoke grpc.UnaryInvoker, options ...grpc.CallOption) error {
+	switch {
+	case strings.HasSuffix(method, "/Exchange"):
+		c.exchanges.Add(1)
+	case strings.HasSuffix(method, "/Borrow"):
+		c.borrows.Add(1)
+	}
+	return invoke(ctx, method, req, reply, conn, options...)
+}
+
+// admissions counts what became of requests for tokens.
+type admissions struct{ asked, refused, waited atomic.Int64 }
+
+// offer asks an instance for tokens as its callers do, until ctx ends.
+func (a *admissions) offer(ctx context.Context, n *Node, rng *rand.Rand, rate float64) {
+	weights := loadWeights()
+	var waiting sync.WaitGroup
+	defer waiting.Wait()
+	for ctx.Err() == nil {
+		pause(ctx, time.Duration(rng.ExpFloat64()/rate*float64(time.Second)))
+		name, tokens, now := drawAccount(weights, rng), drawTokens(rng), time.Now()
+		a.asked.Add(1)
+		if _, ok := n.ledger.Admit(name, tokens, now); ok {
+			continue
+		}
+		a.waited.Add(1)
+		waiter := n.ledger.Wait(name, tokens, 400*time.Millisecond, now)
+		waiting.Go(func() {
+			if verdict := <-waiter.Done; !verdict.OK {
+				a.refused.Add(1)
+			}
+		})
+	}
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkSizeFleetLoad shows what an instance spends on the others while callers ask for tokens.
+func BenchmarkSizeFleetLoad(b *testing.B) {
+	for _, size := range []int{24, 48, 96, 192} {
+		b.Run(fmt.Sprint("n=", size), func(b *testing.B) {
+			for b.Loop() {
+				fleetLoad(b, size)
+			}
+		})
+	}
+}
+
+func fleetLoad(b *testing.B, size int) {
+	var calls fleetCalls
+	f := newLoadFleet(b, size, &calls)
+	defer f.stop()
+	time.Sleep(fleetSettle)
+	idle, idleCalls := processorTime(), calls.exchanges.Load()
+	time.Sleep(loadLasts)
+	idle, idleCalls = processorTime()-idle, calls.exchanges.Load()-idleCalls
+	began, exchanges, borrows := processorTime(), calls.exchanges.Load(), calls.borrows.Load()
+	ctx, stop := context.WithTimeout(context.Background(), loadLasts)
+	defer stop()
+	var a admissions
+	var callers sync.WaitGroup
+	for i, n := range f.nodes {
+		callers.Go(func() { a.offer(ctx, n, rand.New(rand.NewPCG(1, uint64(i))), loadRate) })
+	}
+	callers.Wait()
+	seconds := float64(size) * loadLasts.Seconds()
+	b.ReportMetric(idle.Seconds()*1000/seconds, "idle-ms/s")
+	b.ReportMetric(float64(idleCalls)/seconds, "idle-exchanges/s")
+	b.ReportMetric((processorTime()-began).Seconds()*1000/seconds, "ms/s")
+	b.ReportMetric(float64(calls.exchanges.Load()-exchanges)/seconds, "exchanges/s")
+	b.ReportMetric(float64(calls.borrows.Load()-borrows)/seconds, "borrows/s")
+	b.ReportMetric(100*float64(a.refused.Load())/float64(a.asked.Load()), "%refused")
+	b.ReportMetric(100*float64(a.waited.Load())/float64(a.asked.Load()), "%waited")
+}
--- a/instance/routed/join.go
+++ b/instance/routed/join.go
@@ -3,15 +3,14 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/basilroute/basilroute/coordination/membership"
+	"github.com/basilroute/basilroute/coordination/quotashare"
 	"github.com/basilroute/basilroute/transport/platform"
 )
 
@@ -79,7 +78,9 @@
 		}
 	}
 	var seeds []membership.Seed
+	var holders []quotashare.Holder
 	for _, m := range found {
+		holders = append(holders, quotashare.Holder{ID: m.ID, Domain: m.Domain})
 		n.holderAddress.Store(m.ID, m.Peer)
 		seeds = append(seeds, membership.Seed{ID: m.ID, PeerAddress: m.Peer, Region: m.Region, Domain: m.Domain})
 	}
@@ -87,7 +88,7 @@
 	if own.Minted {
 		n.shares.Establish()
 	}
-	n.shares.Merge(slices.Collect(maps.Keys(found)), true)
+	n.shares.Merge(holders, true)
 	n.log.Info("joined", "holders", len(found), "minted_before", own.Minted)
 	n.quotasChanged()
 	n.spread()
--- a/instance/routed/members.go
+++ b/instance/routed/members.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -137,8 +136,13 @@
 	if len(resp.GetQuotaHolders()) == 0 {
 		return
 	}
+	holders, hasOwn := make([]quotashare.Holder, 0, len(resp.GetQuotaHolders())), false
+	for _, h := range resp.GetQuotaHolders() {
+		holders = append(holders, quotashare.Holder{ID: h.GetId(), Domain: h.GetDomain()})
+		hasOwn = hasOwn || h.GetId() == n.settings.ID
+	}
 	before := n.shares.Size()
-	n.shares.Merge(resp.GetQuotaHolders(), resp.GetQuotaComplete() && slices.Contains(resp.GetQuotaHolders(), n.settings.ID))
+	n.shares.Merge(holders, resp.GetQuotaComplete() && hasOwn)
 	if n.shares.Size() != before {
 		n.quotasChanged()
 		n.spread()
@@ -161,7 +165,10 @@
 	resp.Quarantines = peer.EncodeQuarantines(n.quarantine.Records(now))
 	resp.StoreViews = n.offered(req.GetStoreViews())
 	if hash := n.shares.Hash(); hash != 0 && hash != req.GetQuotaHash() {
-		resp.QuotaHolders, resp.QuotaComplete = n.shares.Holders(), n.shares.Complete()
+		resp.QuotaComplete = n.shares.Complete()
+		for _, h := range n.shares.Holders() {
+			resp.QuotaHolders = append(resp.QuotaHolders, &peerpb.QuotaHolder{Id: h.ID, Domain: h.Domain})
+		}
 	}
 	return resp
 }
--- a/instance/routed/node.go
+++ b/instance/routed/node.go
@@ -21,7 +21,6 @@
 	"github.com/basilroute/basilroute/coordination/quotashare"
 	"github.com/basilroute/basilroute/coordination/retry"
 	"github.com/basilroute/basilroute/protocol/peerpb"
-	"github.com/basilroute/basilroute/service"
 	"github.com/basilroute/basilroute/service/features"
 	"github.com/basilroute/basilroute/state/backends"
 	"github.com/basilroute/basilroute/state/mirror"
@@ -67,7 +66,7 @@
 	poolMu sync.Mutex
 
 	ledgerMu      sync.Mutex
-	fleet         *service.Fleet
+	division      *quotashare.Division
 	ledgerConfig  int64
 	ledgerHolders int
 
--- a/instance/routed/quota.go
+++ b/instance/routed/quota.go
@@ -22,7 +22,7 @@
 func (n *Node) updateHeld(now time.Time) {
 	var held []slots.Held
 	if n.shares.Mints() {
-		held = []slots.Held{{Slot: 0, Epoch: 1, Until: now.Add(forever)}}
+		held = []slots.Held{{Slot: 0, Epoch: n.epoch(), Until: now.Add(forever)}}
 	}
 	n.ledger.SetProvisional(!n.shares.Cleared(), now)
 	n.ledger.SetHeld(held, now)
@@ -32,6 +32,15 @@
 	}
 }
 
+// epoch returns the epoch in which this instance holds its part: a newcomer's has had other
+// holders, whose loans have to expire first.
+func (n *Node) epoch() uint64 {
+	if n.shares.Newcomer() {
+		return 2
+	}
+	return 1
+}
+
 // lenders returns the reachable instances that mint, the nearest first.
 func (n *Node) lenders(now time.Time) []lending.Lender {
 	var out []lending.Lender
--- /dev/null
+++ b/instance/routed/quota_test.go
@@ -0,0 +1,35 @@
+package routed
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/basilroute/basilroute/coordination/quota"
+	"github.com/basilroute/basilroute/coordination/quotashare"
+)
+
+// Guards against a newcomer that mints beside loans which others made of what is its part now.
+func TestNewcomerMintsWhenLoansOfItsPartHaveExpired(t *testing.T) {
+	for minted, want := range map[bool]int{false: 0, true: 1} {
+		n := newQuotaNode()
+		if minted {
+			n.shares.Establish()
+		}
+		n.shares.Merge([]quotashare.Holder{{ID: n.settings.ID, Domain: n.settings.Domain}}, true)
+		now := time.Now()
+		n.updateHeld(now)
+		if got := n.ledger.Minting(now); got != want {
+			t.Errorf("minted before: %v, mints %d parts, want %d", minted, got, want)
+		}
+		if got := n.ledger.Minting(quota.LentUntil(now)); got != 1 {
+			t.Errorf("minted before: %v, mints %d parts once loans have expired", minted, got)
+		}
+	}
+}
+
+func newQuotaNode() *Node {
+	settings := DefaultSettings()
+	settings.ID, settings.Domain = "front-0", "east-a"
+	return newNode(settings, bulkSource{client: &bulkClient{store: newBulkStore()}}, nil, slog.New(slog.DiscardHandler))
+}
--- a/instance/routed/stop.go
+++ b/instance/routed/stop.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/basilroute/basilroute/coordination/placement"
+	"github.com/basilroute/basilroute/coordination/quotashare"
 	"github.com/basilroute/basilroute/protocol/peerpb"
 	"github.com/basilroute/basilroute/service/features"
 )
@@ -92,7 +93,7 @@
 	Members       map[string]string
 	Servers       map[string][]placement.State // by service
 	Evacuated     []string
-	QuotaHolders  []string
+	QuotaHolders  []quotashare.Holder
 	QuotaMints    bool
 	FeaturesOff   []features.Name
 }
--- a/spec/quotashare.pml
+++ b/spec/quotashare.pml
@@ -2,7 +2,8 @@
  * Quota parts over a set of instances that only grows (coordination/quotashare).
  * Instances join by writing their name into the store and reading all names, learn
  * of each other in any order, restart and forget. The parts of those that mint must
- * be at most the whole: none of them divides by fewer than there are.
+ * be at most the whole: the set by which each of them divides has all of them, and no part
+ * grows with the set (coordination/quotashare: TestPartsNeverGrowWithTheSet).
  *
  * A set counts as whole when it was read from the store, or when a peer whose set is
  * whole and has the own name tells it: so an instance that restarts while the store is
@@ -125,9 +126,8 @@
 #endif
 #endif
 
-#define size(s) (((s) & 1) + (((s) >> 1) & 1) + (((s) >> 2) & 1) + (((s) >> 3) & 1))
-#define minting (mints[0] + mints[1] + mints[2] + mints[3])
-#define within(n) (!mints[n] || size(holders[n]) >= minting)
+#define minting (mints[0] + 2 * mints[1] + 4 * mints[2] + 8 * mints[3])
+#define within(n) (!mints[n] || (minting & ~holders[n]) == 0)
 
 active proctype world() {
 	do
--- a/transport/lending/lending.go
+++ b/transport/lending/lending.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -30,14 +31,19 @@
 	Member  slots.Member
 	Address string
 	Rank    int // 0 for the own failure domain, 1 for the own region, 2 for others
+
+	order uint64 // within the rank, see Sort
 }
 
 // Sort orders lenders the nearest first. Instances differ in the order within a
 // rank, which spreads the calls.
 func Sort(list []Lender, self string) {
+	own := xxhash.Sum64String(self)
+	for i := range list {
+		list[i].order = xxhash.Sum64String(list[i].Member.ID) * (own | 1)
+	}
 	slices.SortFunc(list, func(a, b Lender) int {
-		return cmp.Or(cmp.Compare(a.Rank, b.Rank),
-			cmp.Compare(xxhash.Sum64String(self+a.Member.ID), xxhash.Sum64String(self+b.Member.ID)))
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.order, b.order), cmp.Compare(a.Member.ID, b.Member.ID))
 	})
 }
 
@@ -53,8 +59,8 @@
 	Update func(now time.Time)
 
 	mu   sync.Mutex
-	open map[slots.Member]bool      // at most one call to each lender, so that reports arrive in order
-	dry  map[slots.Member]time.Time // lenders that had nothing, until when they are asked last
+	open   map[slots.Member]bool      // at most one call to each lender, so that reports arrive in order
+	silent map[slots.Member]time.Time // lenders that did not answer, until when they are asked last
 }
 
 // Run keeps the ledger going until ctx ends: documents, waiting requests and loans.
@@ -64,11 +70,11 @@
 	ticker := time.NewTicker(Every)
 	defer ticker.Stop()
 	last, looked := time.Now(), time.Time{}
-	var lenders []Lender
+	found := newLenders(nil)
 	for ctx.Err() == nil {
 		now := time.Now()
 		if now.Sub(looked) >= lendersEvery {
-			looked, lenders = now, l.Lenders(now)
+			looked, found = now, newLenders(l.Lenders(now))
 			if l.Looked != nil {
 				l.Looked(now)
 			}
@@ -78,7 +84,7 @@
 			l.Ledger.Tick(now.Sub(last), now)
 			last = now
 		}
-		l.borrow(ctx, lenders, &running, now)
+		l.borrow(ctx, found, &running, now)
 		select {
 		case <-ticker.C:
 		case <-l.Ledger.Wanted():
@@ -113,78 +119,71 @@
 	return false
 }
 
-func (l *Loop) isOpen(m slots.Member) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.open[m]
-}
-
-func (l *Loop) borrow(ctx context.Context, lenders []Lender, running *sync.WaitGroup, now time.Time) {
-	addresses := make(map[slots.Member]string, len(lenders))
-	var free []slots.Member
-	for _, lender := range lenders {
-		addresses[lender.Member] = lender.Address
-		if !l.isOpen(lender.Member) {
-			free = append(free, lender.Member)
-		}
-	}
-	for _, c := range l.Ledger.Plan(l.dryLast(free, now), now) {
+func (l *Loop) borrow(ctx context.Context, found *lenders, running *sync.WaitGroup, now time.Time) {
+	for _, c := range l.Ledger.Plan(l.callable(found.members, now), now) {
 		l.set(c.Lender, true)
 		running.Go(func() {
 			defer l.set(c.Lender, false)
-			lent := l.call(ctx, addresses[c.Lender], c, borrowTimeout)
-			l.heard(c, lent, time.Now())
+			lent := l.call(ctx, found.addresses[c.Lender], c, borrowTimeout)
+			l.heard(c.Lender, lent != nil, time.Now())
 			l.Ledger.Answered(c, lent, time.Now())
 		})
 	}
 }
 
-// dryFor is how long a lender that had nothing is asked last. In a region's peak all
-// near lenders are short: asked in turn each time, they would take up the time that a
-// request may wait.
-const dryFor = 800 * time.Millisecond
+// lenders is what one look at the members found. It is not changed.
+type lenders struct {
+	members   []slots.Member // the nearest first
+	addresses map[slots.Member]string
+}
 
-// heard notes whether a lender had anything of what was wanted.
-func (l *Loop) heard(c *quota.Call, lent []quota.Lent, now time.Time) {
-	if len(c.Wants) == 0 {
-		return
-	}
-	total := 0.0
-	for _, item := range lent {
-		total += item.Tokens
+func newLenders(list []Lender) *lenders {
+	out := &lenders{addresses: make(map[slots.Member]string, len(list))}
+	for _, lender := range list {
+		out.members = append(out.members, lender.Member)
+		out.addresses[lender.Member] = lender.Address
 	}
+	return out
+}
+
+// silentFor is how long a lender that did not answer is asked last.
+const silentFor = 800 * time.Millisecond
+
+// heard notes whether a lender answered.
+func (l *Loop) heard(lender slots.Member, answered bool, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.dry == nil {
-		l.dry = make(map[slots.Member]time.Time)
-	}
-	if total > 0 {
-		delete(l.dry, c.Lender)
+	if answered {
+		delete(l.silent, lender)
 		return
 	}
-	l.dry[c.Lender] = now.Add(dryFor)
+	if l.silent == nil {
+		l.silent = make(map[slots.Member]time.Time)
+	}
+	l.silent[lender] = now.Add(silentFor)
 }
 
-// dryLast puts lenders that had nothing just now behind the others.
-func (l *Loop) dryLast(lenders []slots.Member, now time.Time) []slots.Member {
+// callable returns the members to whom no call is open, those who did not answer just
+// now last.
+func (l *Loop) callable(members []slots.Member, now time.Time) []slots.Member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	slices.SortStableFunc(lenders, func(a, b slots.Member) int {
-		dryA, dryB := now.Before(l.dry[a]), now.Before(l.dry[b])
-		switch {
-		case dryA == dryB:
-			return 0
-		case dryA:
-			return 1
-		}
-		return -1
-	})
-	for m, until := range l.dry {
-		if !now.Before(until) {
-			delete(l.dry, m)
+	maps.DeleteFunc(l.silent, func(_ slots.Member, until time.Time) bool { return !now.Before(until) })
+	if len(l.open) == 0 && len(l.silent) == 0 {
+		return members
+	}
+	out := make([]slots.Member, 0, len(members))
+	var silent []slots.Member
+	for _, m := range members {
+		switch _, isSilent := l.silent[m]; {
+		case l.open[m]:
+		case isSilent:
+			silent = append(silent, m)
+		default:
+			out = append(out, m)
 		}
 	}
-	return lenders
+	return append(out, silent...)
 }
 
 // call returns nil when no answer came.
@@ -206,13 +205,10 @@
 func (l *Loop) ReturnAll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, returnTimeout)
 	defer cancel()
-	addresses := make(map[slots.Member]string)
-	for _, lender := range l.Lenders(time.Now()) {
-		addresses[lender.Member] = lender.Address
-	}
+	found := newLenders(l.Lenders(time.Now()))
 	var running sync.WaitGroup
 	for _, c := range l.Ledger.ReturnAll(time.Now()) {
-		if address, ok := addresses[c.Lender]; ok {
+		if address, ok := found.addresses[c.Lender]; ok {
 			running.Go(func() { l.call(ctx, address, c, returnTimeout) })
 		}
 	}
--- a/transport/peer/quota.go
+++ b/transport/peer/quota.go
@@ -75,13 +75,13 @@
 	return resp
 }
 
-// DecodeLent returns what was lent. A lender that has restarted since the call
-// was planned, or that goes by another validity, lends nothing.
+// DecodeLent returns what was lent; not nil, unless the lender has restarted since the
+// call was planned, or goes by another validity: then it lends nothing.
 func DecodeLent(c *quota.Call, resp *peerpb.BorrowResponse) []quota.Lent {
 	if resp.GetIncarnation() != c.Lender.Incarnation || resp.GetValidMs() < quota.LoanValid.Milliseconds() {
 		return nil
 	}
-	var lent []quota.Lent
+	lent := make([]quota.Lent, 0, len(resp.GetLent()))
 	for _, item := range resp.GetLent() {
 		lent = append(lent, quota.Lent{Account: item.GetAccount(), Tokens: float64(item.GetTokens()), Loan: item.GetLoan()})
 	}
