--- a/transport/lending/lending.go
+++ b/transport/lending/lending.go
@@ -58,7 +58,7 @@
 	// Update hands changed documents to the ledger.
 	Update func(now time.Time)
 
-	mu   sync.Mutex
+	mu     sync.Mutex
 	open   map[slots.Member]bool      // at most one call to each lender, so that reports arrive in order
 	silent map[slots.Member]time.Time // lenders that did not answer, until when they are asked last
 }
