--- a/coordination/quotashare/loans_test.go
+++ b/coordination/quotashare/loans_test.go
@@ -16,7 +16,7 @@
 	loanDomains = 6 // two in each region
 	loanWait    = 400 * time.Millisecond
 	// loanRate is of requests at an instance in a second, at the mean; those of one region have
-	// twoAndAHalf times as many, as when the day's peak moves between regions.
+	// peak times as many, as when the day's peak moves between regions.
 	loanRate    = 4.0
 	peak        = 2.5
 	longPrompt  = 9300.0
