--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -57,7 +57,6 @@
 		grpc.WithInitialWindowSize(StreamWindow),
 		grpc.WithInitialConnWindowSize(ConnWindow),
 		grpc.WithReadBufferSize(readBuffer),
-		grpc.WithSharedWriteBuffer(true),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: redial, MinConnectTimeout: connectTimeout}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingTimeout}),
 	}
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -53,7 +53,6 @@
 func ServerOptions() []grpc.ServerOption {
 	return []grpc.ServerOption{
 		grpc.ReadBufferSize(readBuffer),
-		grpc.SharedWriteBuffer(true),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPing, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingAfter, Timeout: pingTimeout}),
 	}
