Take an instance's own word to the store for no earlier lifetime's

By reading: a newcomer writes that it mints as soon as it does, three seconds before its part is free of others' loans. One that then reaches nobody reads the members again, found its own word, took itself for one that had minted in an earlier lifetime and minted at once. The same when a predecessor's word arrives after the store said that there is none. Nobody has seen it happen.

TestOwnWordToTheStoreIsOfNoEarlierLifetime failed in both cases before, passes now. The epochs have names; a benchmark of a hub's round; the story above TestPartsNeverExceedTheWhole in one line.

--- a/coordination/loadhub/loadhub_test.go
+++ b/coordination/loadhub/loadhub_test.go
@@ -284,3 +284,24 @@
 		t.Errorf("%.0f datagrams a second and instance of an idle fleet", per)
 	}
 }
+
+// BenchmarkSizeHubRound is a round of a hub, sixteen a second, in a region of two failure domains.
+func BenchmarkSizeHubRound(b *testing.B) {
+	for _, size := range []int{30, 65, 130, 260} {
+		b.Run(fmt.Sprintf("n=%d", size), func(b *testing.B) {
+			r := newRegion(size, 2)
+			r.draw()
+			r.rounds(10)
+			var hub *instance
+			for _, p := range r.all {
+				if i := r.parts[p.Address]; i.exchange.isHub {
+					hub = i
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				hub.exchange.Round(hub.own, r.now)
+			}
+		})
+	}
+}
--- a/coordination/quotashare/quotashare.go
+++ b/coordination/quotashare/quotashare.go
@@ -47,6 +47,7 @@
 	complete    bool              // holders has every instance that mints
 	established bool              // all others counted this instance once
 	minted      bool              // an earlier lifetime of this instance has minted
+	newcomer    bool              // the store said that none has
 	acks        map[string]uint64 // lifetimes in which the others went by this very set
 	agreed      map[string]uint64 // what the others last said of the lifetimes they heard
 	free        map[string]bool   // those that hold nothing a predecessor lent
@@ -97,10 +98,14 @@
 	return ok
 }
 
-// Establish takes in that the store says this instance has minted before.
+// Establish takes in that the store says this instance has minted before. What it says after
+// this lifetime has begun to mint, or after it said the opposite, proves no earlier one.
 func (k *Keeper) Establish() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.established || k.newcomer {
+		return
+	}
 	k.established, k.minted = true, true
 }
 
@@ -109,7 +114,7 @@
 func (k *Keeper) NeverMinted() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.cleared = true
+	k.cleared, k.newcomer = true, true
 }
 
 // Newcomer tells whether no earlier lifetime of this instance has minted: others may have
--- a/coordination/quotashare/quotashare_test.go
+++ b/coordination/quotashare/quotashare_test.go
@@ -106,10 +106,7 @@
 
 func (k *Keeper) word() Word { return Word{Lifetime: k.lifetime, Hash: k.Hash(), Agreed: k.Agreed()} }
 
-// Instances join, restart, lose the store for as long as they like and hear of each
-// other in any order; what has begun to mint is written to the store, or that write is
-// lost. At every moment the parts of all that mint are at most the whole: the set of each
-// has all of them.
+// Guards against parts of all that mint that exceed the whole, in any order of joins, restarts, outages and words.
 func TestPartsNeverExceedTheWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld()
@@ -283,3 +280,20 @@
 		t.Error("the newcomer never mints, though all count it")
 	}
 }
+
+// Guards against a newcomer that takes its own word to the store for an earlier lifetime's and mints beside loans of its part.
+func TestOwnWordToTheStoreIsOfNoEarlierLifetime(t *testing.T) {
+	for name, first := range map[string]func(*Keeper){
+		"it mints, then reads that it has":        func(k *Keeper) { k.Mints() },
+		"an earlier lifetime's word comes late":   (*Keeper).NeverMinted,
+		"nothing is known of an earlier lifetime": func(*Keeper) {},
+	} {
+		k := NewKeeper("a0", 1)
+		k.Merge(holders("a0"), true)
+		first(k)
+		k.Establish()
+		if want := name != "nothing is known of an earlier lifetime"; k.Newcomer() != want {
+			t.Errorf("%s: a newcomer: %v, want %v", name, k.Newcomer(), want)
+		}
+	}
+}
--- a/instance/routed/quota.go
+++ b/instance/routed/quota.go
@@ -32,13 +32,18 @@
 	}
 }
 
-// epoch returns the epoch in which this instance holds its part: a newcomer's has had other
-// holders, whose loans have to expire first.
+// Epochs in which a part is held: the ledger mints in the first one at once, and in a later one
+// when the loans of former holders have expired.
+const (
+	epochOfOwn      = 1
+	epochOfNewcomer = 2 // others may have lent what is its part now
+)
+
 func (n *Node) epoch() uint64 {
 	if n.shares.Newcomer() {
-		return 2
+		return epochOfNewcomer
 	}
-	return 1
+	return epochOfOwn
 }
 
 // lenders returns the reachable instances that mint, the nearest first.
