--- a/e2e/inprocess/once_test.go
+++ b/e2e/inprocess/once_test.go
@@ -147,10 +147,10 @@
 // call of another service runs. A made-up token is refused.
 func TestLoopBetweenServicesIsRefused(t *testing.T) {
 	f := startFleet(t)
-	f.buy("fraser-a-1-entry-1", "resin")
+	first := f.buy("fraser-a-1-entry-1", "resin")
 	token := f.plain().LastVia()
 	if token == "" {
-		t.Fatal("no token reached the service")
+		t.Fatalf("no token reached the service: %d %s", first.status, first.body)
 	}
 	for id := range f.Instances {
 		if got := f.buy(id, "pigment", "X-Via", token); got.status != http.StatusConflict || got.Code != "loop" || got.Run != "not_run" {
