Log and count what backend servers say about themselves in their answers

Neither logs nor series tell apart why a request reached a server that had said it leaves, or that had asked for rest: no line names what an answer said. Read `Server-Leaving` and the `Retry-After` of a 503, keep them for each incarnation of a server, log `server_leaving` and `server_rests` once each time, and count the notices and the requests that are sent against them (basilroute_route_server_notices_total, basilroute_route_sent_against_notice_total).

Which server is chosen does not change.

--- a/state/backends/backends.go
+++ b/state/backends/backends.go
@@ -48,6 +48,7 @@
 type Table struct {
 	mu               sync.Mutex
 	entries          map[string]*Entry
+	notices          map[incarnationKey]Notice
 	incarnations     uint64
 	storeUnreachable bool
 	storeBackAt      time.Time // when it was last reachable again
@@ -60,8 +61,8 @@
 // New returns an empty table.
 func New() *Table {
 	return &Table{
-		entries: make(map[string]*Entry), evacuated: make(map[string]bool), coldUntil: make(map[string]time.Time),
-		regionVersions: make(map[string]uint64),
+		entries: make(map[string]*Entry), notices: make(map[incarnationKey]Notice), evacuated: make(map[string]bool),
+		coldUntil: make(map[string]time.Time), regionVersions: make(map[string]uint64),
 	}
 }
 
@@ -139,10 +140,11 @@
 	t.storeUnreachable = unreachable
 }
 
-// Sweep removes servers whose entries are still missing after ReturnGrace.
+// Sweep removes servers whose entries are still missing after ReturnGrace, and expired notices.
 func (t *Table) Sweep(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.sweepNotices(now)
 	if t.storeUnreachable || now.Sub(t.storeBackAt) < ReturnGrace {
 		return
 	}
--- a/transport/httproute/local.go
+++ b/transport/httproute/local.go
@@ -111,6 +111,7 @@
 	pool, placed := l.Pool(o.service), choice.Placement
 	now := time.Now()
 	server := placed.Server
+	l.countAgainstNotice(o.service, &server.Server, now)
 	out := l.Codec.Outbound(o.header, Outbound{
 		Server: server.ID, Account: o.account, Timeout: o.deadline.Sub(now), Urgency: o.urgency(), LastEventID: o.lastEventID,
 		FetchFrom: choice.FetchFrom,
@@ -146,6 +147,7 @@
 func (l *LocalDispatcher) checkResponse(o *outbound, pool *placement.Pool, placed *placement.Placement, resp *backendhttp.Response) (*reply, *failure) {
 	now := time.Now()
 	meta := l.Codec.DecodeResponse(resp.Status, resp.Header)
+	l.recordNotices(o, placed, &meta, now)
 	if meta.Load != nil {
 		pool.RecordLoad(placed, *meta.Load, now)
 	}
--- a/transport/httproute/metrics.go
+++ b/transport/httproute/metrics.go
@@ -15,6 +15,8 @@
 	forwards  *prometheus.CounterVec
 	steps     *prometheus.HistogramVec
 	deviation *prometheus.HistogramVec
+	notices   *prometheus.CounterVec
+	against   *prometheus.CounterVec
 	noService string
 }
 
@@ -46,9 +48,17 @@
 			Help:    "How much later a first byte came than expected when its server or region was chosen.",
 			Buckets: []float64{-1, -.3, -.1, -.03, 0, .03, .1, .3, 1, 3},
 		}, []string{"service", "step"}),
+		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Subsystem: subsystem, Name: "server_notices_total",
+			Help: "Backend servers that said in an answer that they leave, or that they want no requests for a time.",
+		}, []string{"service", "notice"}),
+		against: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Subsystem: subsystem, Name: "sent_against_notice_total",
+			Help: "Requests sent to a backend server after it had said that it leaves, or while it wants none.",
+		}, []string{"service", "notice"}),
 		noService: "none",
 	}
-	registry.MustRegister(m.requests, m.seconds, m.retries, m.forwards, m.steps, m.deviation)
+	registry.MustRegister(m.requests, m.seconds, m.retries, m.forwards, m.steps, m.deviation, m.notices, m.against)
 	return m
 }
 
@@ -91,3 +101,14 @@
 
 func (m *Metrics) retried(service string)   { m.retries.WithLabelValues(service).Inc() }
 func (m *Metrics) forwarded(service string) { m.forwards.WithLabelValues(service).Inc() }
+
+// What a backend server says about itself in an answer.
+const (
+	noticeLeaving = "leaving"
+	noticeRest    = "rest"
+)
+
+func (m *Metrics) noticed(service, notice string) { m.notices.WithLabelValues(service, notice).Inc() }
+func (m *Metrics) sentAgainst(service, notice string) {
+	m.against.WithLabelValues(service, notice).Inc()
+}
