Add failing tests for servers that give notice in their answers

Two servers, of which the first says in each answer that it leaves, or turns each request away and asks for rest, while its entry in the store stays ready. Requests, orders, retries, resumed streams and requests that another instance forwards must not reach it afterwards, and a caller whom no other server can serve is told the time at which the rest ends.

--- a/transport/httproute/path_test.go
+++ b/transport/httproute/path_test.go
@@ -52,7 +52,11 @@
 }
 
 func (testCodec) DecodeResponse(_ int, h http.Header) ResponseMeta {
-	return ResponseMeta{RequestID: h.Get("Id"), NotRun: h.Get("Not-Run") != ""}
+	meta := ResponseMeta{RequestID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Leaving: h.Get("Leaving") != ""}
+	if ms, err := strconv.Atoi(h.Get("Rest-Ms")); err == nil {
+		meta.Rest = time.Duration(ms) * time.Millisecond
+	}
+	return meta
 }
 
 // fakeServer is a backend server that responds by a script.
