Send nothing to a server that says in its answers that it leaves

A server that leaves ends soon; what it runs then is cut.

Cause: the store's entry was the only place from which an instance learned that a server leaves.

Now an answer with the notice takes the server out of the pool at once and marks its incarnation in the table, where neither an entry that still says ready nor one that goes and comes back undoes it; a restart under the same id begins without it. All paths choose through the pool: first tries, retries, resumed streams, requests that another instance forwards. Fetches are paths too: a leaving server is no cache holder, is not named to other regions, and an address that another instance names is checked against the own table. An instance of another region marks the server by the answer that it passes on.

--- a/coordination/placement/fetch.go
+++ b/coordination/placement/fetch.go
@@ -1,16 +1,20 @@
 package placement
 
-import "github.com/basilroute/basilroute/service/features"
+import (
+	"time"
+
+	"github.com/basilroute/basilroute/service/features"
+)
 
 // cacheHolder returns the server that has most of the prompt cached, and how many tokens.
-func (p *Pool) cacheHolder(r *Request, ejected map[*server]bool) (*server, int) {
+func (p *Pool) cacheHolder(r *Request, ejected map[*server]bool, now time.Time) (*server, int) {
 	if p.settings.FetchSecondsPerToken <= 0 || len(r.Segments) == 0 || !p.enabled(features.Fetch) {
 		return nil, 0
 	}
 	var best *server
 	held := 0
 	for _, s := range p.servers {
-		if ejected[s] {
+		if ejected[s] || !s.Usable(now) {
 			continue
 		}
 		if n := s.cache.match(r.Segments); n > held {
--- a/coordination/placement/remote.go
+++ b/coordination/placement/remote.go
@@ -67,7 +67,7 @@
 func (p *Pool) LocalFetchSource(r *Request, now time.Time) FetchSource {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s, held := p.cacheHolder(r, p.ejectedServers(now))
+	s, held := p.cacheHolder(r, p.ejectedServers(now), now)
 	if s == nil || held < minFetchTokens {
 		return FetchSource{}
 	}
--- a/coordination/placement/search.go
+++ b/coordination/placement/search.go
@@ -35,7 +35,7 @@
 func (p *Pool) newSearch(r *Request, ejected map[*server]bool, now time.Time, allowed func(*server) bool) *search {
 	s := &search{pool: p, request: r, now: now, ejected: ejected, allowed: allowed}
 	s.preferred = p.preferredServer(r.prefixHash())
-	s.holder, s.held = p.cacheHolder(r, ejected)
+	s.holder, s.held = p.cacheHolder(r, ejected, now)
 	s.gap = p.expectedLongestGap(r)
 	s.candidates = p.candidates[:0]
 	return s
--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -348,6 +348,7 @@
 	Failures    float64
 	Aside, Down bool
 	Cold        bool
+	Leaving     bool    // it said so in an answer
 	Slowed      float64 // fraction of its time that does not go into decoding running generations
 	Slowness    float64 // its event gaps relative to those of all servers
 }
@@ -360,13 +361,20 @@
 	for i, s := range p.servers {
 		out[i] = State{
 			ID: s.ID, Address: s.Address, InFlight: s.inFlight, Pending: s.totalPending(), Pace: s.latencyFactor,
-			Failures: s.failureRate, Aside: now.Before(s.ejectedUntil), Down: s.down, Cold: now.Before(s.ColdUntil),
+			Failures: s.failureRate, Aside: now.Before(s.ejectedUntil), Down: s.down, Cold: now.Before(s.ColdUntil), Leaving: s.Leaving,
 			Slowed: p.serverStall(s, now), Slowness: s.gapFactor,
 		}
 	}
 	return out
 }
 
+// RecordLeaving records that the server of a placement has said that it leaves.
+func (p *Pool) RecordLeaving(pl *Placement) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pl.server.Leaving = true
+}
+
 // RecordDown records that the server of a placement accepts no connections.
 func (p *Pool) RecordDown(pl *Placement, now time.Time) {
 	p.mu.Lock()
--- a/state/backends/backends.go
+++ b/state/backends/backends.go
@@ -34,6 +34,7 @@
 type Entry struct {
 	Server
 	Incarnation  uint64 // differs between incarnations of one id
+	Leaving      bool   // it said in an answer that it is about to shut down
 	ColdUntil    time.Time
 	RemovalTime  time.Time // zero when no notice was given
 	missingSince time.Time // when its entry disappeared; zero while it exists
@@ -41,7 +42,7 @@
 
 // Usable reports whether the server may be sent new work.
 func (e *Entry) Usable(now time.Time) bool {
-	return !e.Draining && (e.RemovalTime.IsZero() || now.Before(e.RemovalTime))
+	return !e.Draining && !e.Leaving && (e.RemovalTime.IsZero() || now.Before(e.RemovalTime))
 }
 
 // Table is safe for concurrent use.
@@ -206,7 +207,7 @@
 	defer t.mu.Unlock()
 	var out []Entry
 	for _, e := range t.entries {
-		if e.Region != region || t.evacuated[e.Domain] || !e.Usable(now) {
+		if e.Region != region || !t.acceptsWork(e, now) {
 			continue
 		}
 		entry := *e
@@ -219,13 +220,30 @@
 	return out
 }
 
+// acceptsWork reports whether a server may be sent work. The caller holds the lock.
+func (t *Table) acceptsWork(e *Entry, now time.Time) bool {
+	return !t.evacuated[e.Domain] && e.Usable(now) && !t.notices[e.key()].Leaving
+}
+
+// AddressAcceptsWork reports whether the server at an address is known and may be sent work.
+func (t *Table) AddressAcceptsWork(address string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.entries {
+		if e.Address == address {
+			return t.acceptsWork(e, now)
+		}
+	}
+	return false
+}
+
 // Count returns how many servers of a service a region has.
 func (t *Table) Count(service, region string) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
 	for _, e := range t.entries {
-		if e.Service == service && e.Region == region && !e.Draining && !t.evacuated[e.Domain] {
+		if e.Service == service && e.Region == region && !e.Draining && !t.notices[e.key()].Leaving && !t.evacuated[e.Domain] {
 			n++
 		}
 	}
--- a/state/backends/notices.go
+++ b/state/backends/notices.go
@@ -36,9 +36,23 @@
 	isNew := !notice.Leaving
 	notice.Leaving, notice.recordedAt = true, now
 	t.notices[s.key()] = notice
+	if isNew {
+		t.recordChange(s.Region)
+	}
 	return isNew
 }
 
+// RecordRemoteLeaving records that the known incarnation of a server of another region says it
+// leaves.
+func (t *Table) RecordRemoteLeaving(id string, now time.Time) {
+	t.mu.Lock()
+	current := t.entries[id]
+	t.mu.Unlock()
+	if current != nil {
+		t.RecordLeaving(&current.Server, now)
+	}
+}
+
 // RecordRest records that a server wants no requests from this instance until a time, and
 // reports whether it did not rest before. A later answer does not shorten a rest.
 func (t *Table) RecordRest(s *Server, until, now time.Time) bool {
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -89,6 +89,9 @@
 		Response: response, meta: f.Codec.DecodeResponse(response.Status, response.Header),
 		server: response.Header.Get(headerServer), onEnd: func(placement.Outcome) {},
 	}
+	if out.meta.Leaving {
+		f.Local.Backends.RecordRemoteLeaving(out.server, time.Now()) // nothing is fetched from it any more
+	}
 	delete(response.Header, headerRequest)
 	delete(response.Header, headerServer)
 	return out, nil
@@ -178,6 +181,10 @@
 	header := EndToEnd(hr.Header)
 	delete(header, headerForward)
 	deadline := arrived.Add(time.Duration(info.LeftMs) * time.Millisecond)
+	var holder placement.FetchSource
+	if info.HolderAddress != "" && p.Local.Backends.AddressAcceptsWork(info.HolderAddress, arrived) {
+		holder = placement.FetchSource{Address: info.HolderAddress, Tokens: info.HolderTokens}
+	}
 	return &outbound{
 		id: call.RequestID, service: info.Service, account: info.Account, method: hr.Method, target: hr.RequestURI,
 		host: hr.Host, header: header, body: body, deadline: deadline, repeatable: info.Repeatable, print: info.Fingerprint,
@@ -185,7 +192,7 @@
 		work: &placement.Request{
 			Segments: call.Segments, Tokens: call.PromptTokens, Urgency: info.Urgency, Probe: info.Repeatable,
 			AllowEjected: !info.Detached,
-			RemoteSource: placement.FetchSource{Address: info.HolderAddress, Tokens: info.HolderTokens},
+			RemoteSource: holder,
 			Objective:    time.Duration(info.ObjectiveMs) * time.Millisecond, Arrived: arrived, Deadline: deadline,
 		},
 	}
--- a/transport/httproute/notices.go
+++ b/transport/httproute/notices.go
@@ -14,9 +14,12 @@
 		return
 	}
 	server := &placed.Server.Server
-	if meta.Leaving && l.Backends.RecordLeaving(server, now) {
-		l.Metrics.noticed(o.service, noticeLeaving)
-		l.Log.Info("server_leaving", "server", server.ID, "service", o.service, "request", o.id)
+	if meta.Leaving {
+		l.Pool(o.service).RecordLeaving(placed)
+		if l.Backends.RecordLeaving(server, now) {
+			l.Metrics.noticed(o.service, noticeLeaving)
+			l.Log.Info("server_leaving", "server", server.ID, "service", o.service, "request", o.id)
+		}
 	}
 	if meta.Rest > 0 && l.Backends.RecordRest(server, now.Add(meta.Rest), now) {
 		l.Metrics.noticed(o.service, noticeRest)
--- a/transport/httproute/notices_test.go
+++ b/transport/httproute/notices_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/basilroute/basilroute/coordination/placement"
+	"github.com/basilroute/basilroute/state/backends"
 )
 
 // Behaviour of the server beside the one that has given notice.
@@ -156,3 +157,23 @@
 		}
 	}
 }
+
+// Guards against a fetch from a server of another region that has said that it leaves, and against
+// one from a server that is not known.
+func TestForwardedPromptIsNotFetchedFromALeavingServer(t *testing.T) {
+	f, _ := newTestFront(t)
+	table := f.Local.Backends
+	now := time.Now()
+	for _, id := range []string{"stays", "leaves"} {
+		table.Put(backends.Server{ID: id, Service: "svc", Address: id + ":1", Domain: "other", Region: "other"}, now)
+	}
+	table.RecordRemoteLeaving("leaves", now)
+	p := &Peer{Codec: testCodec{}, Local: f.Local}
+	for address, want := range map[string]string{"stays:1": "stays:1", "leaves:1": "", "unknown:1": ""} {
+		info := &forwardInfo{HolderAddress: address, HolderTokens: 5000}
+		o := p.outbound(httptest.NewRequest(http.MethodPost, "/draft/1", nil), info, &Call{}, nil, now)
+		if got := o.work.RemoteSource.Address; got != want {
+			t.Errorf("holder %s: fetched from %q, want %q", address, got, want)
+		}
+	}
+}
