Send nothing to a server during the rest that it asks for

Cause: the `Retry-After` of a server's 503 was not read. Not the cause: retries of the instances (one server was tried), callers who return (each arrival is turned away alike).

Now the rest of a server is kept for its incarnation, in the pool and in the table, and a shorter one does not end it. A resting server takes no requests on any path (first tries, retries, resumed streams, forwarded requests), holds no cache to fetch from, and counts in no free slots, so that the region spills and tells others the truth. If all rest, requests go to another region even when late there, and else are refused at once with the time until the first rest ends, spread like other refusals. The caller whose request a resting server turned away returns at once where another server or region takes it.

--- a/coordination/placement/fetch.go
+++ b/coordination/placement/fetch.go
@@ -14,7 +14,7 @@
 	var best *server
 	held := 0
 	for _, s := range p.servers {
-		if ejected[s] || !s.Usable(now) {
+		if ejected[s] || !s.Usable(now) || s.Resting(now) {
 			continue
 		}
 		if n := s.cache.match(r.Segments); n > held {
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -158,6 +158,7 @@
 	ReasonNoServer Reason = "no_server" // no usable server
 	ReasonFull     Reason = "full"      // every server is at its limit or too late
 	ReasonCold     Reason = "cold"      // only cold servers are left, which accept few requests
+	ReasonResting  Reason = "resting"   // every server wants no requests for now
 )
 
 // Choice is the result of a placement.
@@ -278,7 +279,7 @@
 		choice.Placement = p.start(fallback, r, now)
 		return choice
 	}
-	if choice.Reason == ReasonFull && p.enabled(features.RetryAfterPacing) {
+	if (choice.Reason == ReasonFull || choice.Reason == ReasonResting) && p.enabled(features.RetryAfterPacing) {
 		choice.RetryAfter = p.retries.retryAfter(max(choice.RetryAfter, retryAfterFull), now)
 	}
 	return choice
@@ -319,10 +320,35 @@
 	return seconds(best.firstByteSeconds), true
 }
 
+// RetryAfter returns after what time a request that a server has turned away may be placed; 0 when
+// another server would take it now.
+func (p *Pool) RetryAfter(r *Request, now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	again := *r
+	again.Exclude = nil // the server that turned it away takes part unless it rests
+	found := p.choose(&again, now)
+	if found.best != nil {
+		return 0
+	}
+	wait := p.refuse(found.counts, now).RetryAfter
+	if p.enabled(features.RetryAfterPacing) {
+		wait = p.retries.retryAfter(wait, now)
+	}
+	return wait
+}
+
 // serverCounts counts the usable servers and those that were passed over, by reason.
 type serverCounts struct {
-	usable, full, cold int
-	nextColdSlot       time.Time
+	usable, full, cold, resting int
+	nextAvailable               time.Time // when the first of the cold and resting ones takes a request
+}
+
+// available records when a cold or resting server takes a request.
+func (c *serverCounts) available(at time.Time) {
+	if c.nextAvailable.IsZero() || at.Before(c.nextAvailable) {
+		c.nextAvailable = at
+	}
 }
 
 // choose looks for the cheapest server that may be used.
@@ -387,7 +413,9 @@
 	case c.usable == 0:
 		return Choice{Reason: ReasonNoServer, RetryAfter: retryAfterNoServer}
 	case c.cold > 0 && c.full == 0:
-		return Choice{Reason: ReasonCold, RetryAfter: max(c.nextColdSlot.Sub(now), retryAfterFull)}
+		return Choice{Reason: ReasonCold, RetryAfter: max(c.nextAvailable.Sub(now), retryAfterFull)}
+	case c.resting > 0 && c.full == 0:
+		return Choice{Reason: ReasonResting, RetryAfter: max(c.nextAvailable.Sub(now), retryAfterFull)}
 	}
 	return Choice{Reason: ReasonFull, RetryAfter: retryAfterFull}
 }
--- a/coordination/placement/search.go
+++ b/coordination/placement/search.go
@@ -72,12 +72,15 @@
 		return
 	}
 	s.counts.usable++
+	if server.Resting(now) {
+		s.counts.resting++
+		s.counts.available(server.RestUntil)
+		return
+	}
 	if now.Before(server.ColdUntil) && p.settings.ColdRate > 0 {
 		if next, ok := p.coldSlot(server, now); !ok {
 			s.counts.cold++
-			if s.counts.nextColdSlot.IsZero() || next.Before(s.counts.nextColdSlot) {
-				s.counts.nextColdSlot = next
-			}
+			s.counts.available(next)
 			return
 		}
 	}
--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -311,7 +311,7 @@
 	ejected := p.ejectedServers(now)
 	usable := 0
 	for _, s := range p.servers {
-		if s.Usable(now) && !ejected[s] {
+		if s.Usable(now) && !s.Resting(now) && !ejected[s] {
 			usable++
 		}
 	}
@@ -319,7 +319,7 @@
 }
 
 // Occupancy returns how many requests the servers in use have, and how many they are sent
-// at most. Ejected and cold servers do not count.
+// at most. Ejected, resting and cold servers do not count.
 func (p *Pool) Occupancy(now time.Time) (running, slots float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -330,7 +330,7 @@
 	p.dropExpiredReports(now)
 	ejected := p.ejectedServers(now)
 	for _, s := range p.servers {
-		if !s.Usable(now) || ejected[s] || p.settings.ColdRate > 0 && now.Before(s.ColdUntil) {
+		if !s.Usable(now) || s.Resting(now) || ejected[s] || p.settings.ColdRate > 0 && now.Before(s.ColdUntil) {
 			continue
 		}
 		running += min(p.running(s, now), p.limit(s))
@@ -349,6 +349,7 @@
 	Aside, Down bool
 	Cold        bool
 	Leaving     bool    // it said so in an answer
+	Resting     bool    // it asked for a time without requests
 	Slowed      float64 // fraction of its time that does not go into decoding running generations
 	Slowness    float64 // its event gaps relative to those of all servers
 }
@@ -361,7 +362,7 @@
 	for i, s := range p.servers {
 		out[i] = State{
 			ID: s.ID, Address: s.Address, InFlight: s.inFlight, Pending: s.totalPending(), Pace: s.latencyFactor,
-			Failures: s.failureRate, Aside: now.Before(s.ejectedUntil), Down: s.down, Cold: now.Before(s.ColdUntil), Leaving: s.Leaving,
+			Failures: s.failureRate, Aside: now.Before(s.ejectedUntil), Down: s.down, Cold: now.Before(s.ColdUntil), Leaving: s.Leaving, Resting: s.Resting(now),
 			Slowed: p.serverStall(s, now), Slowness: s.gapFactor,
 		}
 	}
@@ -375,6 +376,16 @@
 	pl.server.Leaving = true
 }
 
+// RecordRest records that the server of a placement wants no requests until a time. A later answer
+// does not shorten a rest.
+func (p *Pool) RecordRest(pl *Placement, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if until.After(pl.server.RestUntil) {
+		pl.server.RestUntil = until
+	}
+}
+
 // RecordDown records that the server of a placement accepts no connections.
 func (p *Pool) RecordDown(pl *Placement, now time.Time) {
 	p.mu.Lock()
--- a/coordination/placement/stall.go
+++ b/coordination/placement/stall.go
@@ -81,7 +81,7 @@
 	ejected := p.ejectedServers(now)
 	total, servers := 0.0, 0
 	for _, s := range p.servers {
-		if !s.Usable(now) || ejected[s] {
+		if !s.Usable(now) || s.Resting(now) || ejected[s] {
 			continue
 		}
 		total += p.serverStall(s, now)
--- a/state/backends/backends.go
+++ b/state/backends/backends.go
@@ -33,8 +33,9 @@
 // Entry is a server with the state that the table adds to its report.
 type Entry struct {
 	Server
-	Incarnation  uint64 // differs between incarnations of one id
-	Leaving      bool   // it said in an answer that it is about to shut down
+	Incarnation  uint64    // differs between incarnations of one id
+	Leaving      bool      // it said in an answer that it is about to shut down
+	RestUntil    time.Time // until when it wants no requests from this instance; zero when it did not say
 	ColdUntil    time.Time
 	RemovalTime  time.Time // zero when no notice was given
 	missingSince time.Time // when its entry disappeared; zero while it exists
@@ -45,6 +46,9 @@
 	return !e.Draining && !e.Leaving && (e.RemovalTime.IsZero() || now.Before(e.RemovalTime))
 }
 
+// Resting reports whether the server wants no requests from this instance for now.
+func (e *Entry) Resting(now time.Time) bool { return now.Before(e.RestUntil) }
+
 // Table is safe for concurrent use.
 type Table struct {
 	mu               sync.Mutex
@@ -211,6 +215,7 @@
 			continue
 		}
 		entry := *e
+		entry.RestUntil = t.notices[e.key()].RestUntil
 		if until := t.coldUntil[e.Domain]; until.After(entry.ColdUntil) {
 			entry.ColdUntil = until
 		}
--- a/state/backends/notices.go
+++ b/state/backends/notices.go
@@ -65,6 +65,7 @@
 	}
 	notice.recordedAt = now
 	t.notices[s.key()] = notice
+	t.recordChange(s.Region)
 	return isNew
 }
 
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -38,6 +38,7 @@
 			return f.endCancelled(ctx, out, failed)
 		}
 		if !f.mayRetry(r, out, failed) {
+			f.shortenRetryAfter(r, failed)
 			return f.endFailed(out, failed)
 		}
 		f.Metrics.retried(r.service)
--- a/transport/httproute/choose.go
+++ b/transport/httproute/choose.go
@@ -32,7 +32,7 @@
 	}
 	remote := f.bestRemote(r, r.triedRegions, homes, anywhere)
 	left := r.work.Objective - now.Sub(r.arrived)
-	if remote != nil && (r.work.Objective == 0 || remote.firstByteTime() <= left || local.Reason == placement.ReasonNoServer) {
+	if remote != nil && (r.work.Objective == 0 || remote.firstByteTime() <= left || noneTakesWork(local.Reason)) {
 		return placement.Choice{}, remote, nil
 	}
 	if localAllowed && local.Reason != placement.ReasonNoServer {
@@ -45,6 +45,11 @@
 	return placement.Choice{}, nil, refusalOf(local)
 }
 
+// noneTakesWork reports whether a refusal means that no server takes a request, whether late or not.
+func noneTakesWork(reason placement.Reason) bool {
+	return reason == placement.ReasonNoServer || reason == placement.ReasonResting
+}
+
 // recordUnplaced records why a request was not placed: the expected times of the best
 // local server and of the best other region.
 func (f *Front) recordUnplaced(r *request, localAllowed bool, local placement.Choice, remote *Remote) {
@@ -61,7 +66,7 @@
 	switch c.Reason {
 	case placement.ReasonCold:
 		f.reason = reasonCold
-	case placement.ReasonFull:
+	case placement.ReasonFull, placement.ReasonResting:
 		f.reason = reasonLoad
 	default:
 		f.reason = reasonNoServer
--- a/transport/httproute/local.go
+++ b/transport/httproute/local.go
@@ -166,7 +166,7 @@
 		return nil, &failure{run: runNotRun, reason: reasonShed, server: r.server, sent: true}
 	case meta.NotRun:
 		r.end(placement.OutcomeRefused)
-		return nil, &failure{run: runNotRun, reason: reasonShed, server: r.server, sent: true}
+		return nil, l.turnedAway(o, r.server, &meta, now)
 	case resp.Header.Get("Content-Encoding") != "":
 		// No encoding was requested, so the body is not what the server wrote.
 		resp.Close()
--- a/transport/httproute/notices_test.go
+++ b/transport/httproute/notices_test.go
@@ -158,6 +158,25 @@
 	}
 }
 
+// Guards against a caller who waits for the end of a server's rest although another region would
+// take the request at once.
+func TestCallerReturnsAtOnceWhenAnotherRegionIsFree(t *testing.T) {
+	rests := startFakeServer(t, func(c net.Conn, r *http.Request) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 503 X\r\nId: %s\r\nNot-Run: 1\r\nRest-Ms: 10000\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+		return err == nil
+	})
+	front, callers := newTestFront(t, rests)
+	configure(front)
+	front.Remotes = fakeRemotes{{Region: "free", Servers: 1, FreeSlots: 8}}
+	resp, _, err := call(t, t.Context(), callers, http.MethodPost, "/order/1", "x")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("%v, %v", resp, err)
+	}
+	if wait, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err != nil || wait > 1 {
+		t.Errorf("Retry-After %q", resp.Header.Get("Retry-After"))
+	}
+}
+
 // Guards against a fetch from a server of another region that has said that it leaves, and against
 // one from a server that is not known.
 func TestForwardedPromptIsNotFetchedFromALeavingServer(t *testing.T) {
