Log and count lists of the store that are ignored because they are older

The lines do not say whether a list arrives and is ignored, or is thrown away for another reason. `store_list_ignored` names the revision of the list and the one that is known, and basilroute_store_lists_ignored_total counts. What is applied does not change.

--- a/instance/routed/follow.go
+++ b/instance/routed/follow.go
@@ -90,8 +90,13 @@
 }
 
 func (n *Instance) applyDelta(f *prefixSync, d mirror.Delta, from origin) {
+	known := f.mirror.Revision()
 	changed := f.mirror.Apply(d)
 	n.syncMetrics.countItems(f.prefix, from, d, changed)
+	if d.Full && d.Revision < known {
+		n.syncMetrics.countIgnored(f.prefix, from.source)
+		n.log.Info("store_list_ignored", "prefix", f.prefix, "way", from.source, "peer", from.peer, "revision", d.Revision, "known", known)
+	}
 	if len(changed) == 0 {
 		return
 	}
--- a/instance/routed/metrics.go
+++ b/instance/routed/metrics.go
@@ -28,8 +28,9 @@
 
 // syncMetrics are the series on how the store's items reach this instance.
 type syncMetrics struct {
-	bytes  *prometheus.CounterVec
-	failed *prometheus.CounterVec
+	bytes   *prometheus.CounterVec
+	failed  *prometheus.CounterVec
+	ignored *prometheus.CounterVec
 }
 
 func newSyncMetrics(registry prometheus.Registerer) *syncMetrics {
@@ -43,8 +44,12 @@
 			Namespace: namespace, Name: "store_item_failures_total",
 			Help: "Calls, streams and exchanges for the store's items that ended without an answer, by way.",
 		}, []string{"way"}),
+		ignored: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "store_lists_ignored_total",
+			Help: "Lists of the store's items that are older than what is known, by way.",
+		}, []string{"prefix", "way"}),
 	}
-	registry.MustRegister(m.bytes, m.failed)
+	registry.MustRegister(m.bytes, m.failed, m.ignored)
 	return m
 }
 
@@ -60,6 +65,10 @@
 
 func (m *syncMetrics) countFailure(source string) { m.failed.WithLabelValues(source).Inc() }
 
+func (m *syncMetrics) countIgnored(prefix, source string) {
+	m.ignored.WithLabelValues(prefix, source).Inc()
+}
+
 func itemBytes(items []mirror.Item) int {
 	size := 0
 	for _, item := range items {
