Ignore a report of a backend server that is earlier than the known one

A store that comes back from a copy shows entries as they were some seconds before: a server that has said it leaves is ready again, and a warm one is cold for as long as its first entry said. Revisions do not order them, as they are given out anew. A server counts its reports (`seq`) within an incarnation; a trial shows the count rising from one entry to the next, from 1 to 33 between ready and draining. An entry with a lower count of the same incarnation now shows only that the entry exists.

TestEarlierReportIsIgnored failed before: the leaving server was usable, the warm one cold for three seconds.

--- a/state/backends/backends.go
+++ b/state/backends/backends.go
@@ -19,6 +19,7 @@
 type Server struct {
 	ID            string
 	StartUnixMs   int64 // start of this incarnation, by the server's clock; 0 when not reported
+	Seq           int64 // rises with each report of this incarnation; 0 when not reported
 	Service       string
 	Address       string
 	Domain        string
@@ -92,11 +93,21 @@
 	t.regionVersions[region] = t.version
 }
 
-// Put applies a server's entry.
+// precedes reports whether this is an earlier report of the same incarnation.
+func (s *Server) precedes(known *Server) bool {
+	return s.StartUnixMs != 0 && s.key() == known.key() && s.Seq != 0 && s.Seq < known.Seq
+}
+
+// Put applies a server's entry. An earlier report than the known one, as a store that comes back
+// from a copy has it, shows no more than that the entry exists.
 func (t *Table) Put(s Server, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	current := t.entries[s.ID]
+	if current != nil && s.precedes(&current.Server) {
+		s = current.Server
+		s.ColdRemaining = 0 // counted from when it was reported
+	}
 	if current != nil && current.Region != s.Region {
 		t.recordChange(current.Region)
 	}
--- /dev/null
+++ b/state/backends/restored_test.go
@@ -0,0 +1,35 @@
+package backends
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against an earlier report of a server that replaces a later one: a leaving server gets
+// requests again, and a warm one counts as cold.
+func TestEarlierReportIsIgnored(t *testing.T) {
+	table := New()
+	first, last := server("s"), server("s")
+	first.Seq, first.ColdRemaining = 1, 3*time.Second
+	last.Seq, last.Draining = 33, true
+	table.Put(first, start)
+	table.Put(last, start.Add(time.Minute))
+	table.Put(first, start.Add(time.Minute))
+	if got := usable(table, start.Add(time.Minute)); len(got) != 0 {
+		t.Errorf("usable after an earlier report: %v", got)
+	}
+	warm := server("w")
+	warm.Seq = 4
+	table.Put(warm, start)
+	warm.Seq, warm.ColdRemaining = 1, 3*time.Second
+	table.Put(warm, start.Add(time.Minute))
+	if e := usable(table, start.Add(time.Minute))["w"]; e.ID == "" || e.ColdUntil.After(start) {
+		t.Errorf("a warm server after an earlier report: %+v", e)
+	}
+	again := first
+	again.StartUnixMs, again.ColdRemaining = last.StartUnixMs+1, 0
+	table.Put(again, start.Add(2*time.Minute))
+	if got := usable(table, start.Add(2*time.Minute)); got["s"].ID == "" {
+		t.Error("the next incarnation begins its count anew and is ignored")
+	}
+}
