Report an item of the store as changed only if its value has changed

A store that comes back from a copy gives its items new revisions. Each of them would be applied once more: every server's entry would start the server's cold period again, so that a whole region would be held to a cold server's few requests for seconds. The mirror now takes over the new revision of an item with the same value and does not report it.

TestUnchangedItemsAreNotReported failed before with both items reported.

--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -7,6 +7,7 @@
 package mirror
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"sync"
@@ -70,12 +71,14 @@
 	return changed
 }
 
+// put stores an item unless a newer one is known, and reports whether it differs from the known one.
 func (m *Mirror) put(item Item) bool {
-	if known, ok := m.items[item.Key]; ok && known.Revision >= item.Revision {
+	known, ok := m.items[item.Key]
+	if ok && known.Revision >= item.Revision {
 		return false
 	}
 	m.items[item.Key] = item
-	return true
+	return !ok || known.Removed != item.Removed || !bytes.Equal(known.Value, item.Value)
 }
 
 // applyFull applies a full snapshot. It is read in pages and is not consistent, so an item
--- a/state/mirror/mirror_test.go
+++ b/state/mirror/mirror_test.go
@@ -93,3 +93,21 @@
 		t.Fatalf("at revision %d the mirror lacks %+v", m.Revision(), want)
 	}
 }
+
+// Guards against items that are applied once more although only their revisions differ: a server's
+// entry would start its cold period again.
+func TestUnchangedItemsAreNotReported(t *testing.T) {
+	m := New()
+	m.Apply(Delta{Revision: 5, Full: true, Items: []Item{{Key: "same", Value: []byte("a"), Revision: 2}, {Key: "other", Value: []byte("a"), Revision: 3}}})
+	changed := m.Apply(Delta{Revision: 50, Full: true, Items: []Item{{Key: "same", Value: []byte("a"), Revision: 42}, {Key: "other", Value: []byte("b"), Revision: 43}}})
+	if len(changed) != 1 || changed[0].Key != "other" {
+		t.Errorf("changed: %+v", changed)
+	}
+	if d := m.Since(5); len(d.Items) != 2 {
+		t.Errorf("the new revisions are not kept: %+v", d)
+	}
+	m.Apply(Delta{After: 50, Revision: 51, Items: []Item{{Key: "same", Revision: 51, Removed: true}}})
+	if changed := m.Apply(Delta{After: 51, Revision: 52, Items: []Item{{Key: "same", Value: []byte("a"), Revision: 52}}}); len(changed) != 1 {
+		t.Errorf("an item that comes back unchanged: %+v", changed)
+	}
+}
