Order the store's revisions by its era

Cause: the store had come back from a copy, and gives out again the revisions of the writes that the copy lacks. The instances took a revision for a place in one history: a watch after the known revision 41 gets 410, the list that follows is older than 41 and is ignored, for seven seconds, until the store has come to 41 again; and even then the items that were written in between are passed over, as each has a lower revision than the one it replaces. Evidence: 289 and 295 `store_history_gone` after 41, no `config_in_force` for versions 24, 27 and 29 at any instance, and the failing test, where the changes are missed with the store's revisions below the known ones and above them. Not the cause: a list that does not arrive (the failing test reads it), and watchers that are cut off (all regions looped).

Now the adapter of the store turns an era and a revision into a rank, as `/v1` does for a restored store (configwatch.Rank), so that whatever a restored store says is newer than all before. A watch whose answer comes from another era than its revision has no known beginning and counts as compacted, also where the store has passed that revision again; so does a list with pages of two eras. Mirrors, followers and exchanges compare ranks and need no change, and a store that names no era gives the same numbers as before, so that instances of the build before and of this one understand each other.

An entry that the copy lacks is no proof that its server has ended: the table keeps it for ReturnGrace, as after an outage, also at instances that never noticed one. An older configuration in the copy is ignored as always, by its version.

Class of fault: a counter of another system is taken to never go back.

--- a/instance/routed/follow.go
+++ b/instance/routed/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/basilroute/basilroute/coordination/configwatch"
 	"github.com/basilroute/basilroute/service/features"
 	"github.com/basilroute/basilroute/state/mirror"
 	"github.com/basilroute/basilroute/transport/platform"
@@ -58,7 +59,7 @@
 			}
 			continue
 		case errors.Is(err, platform.ErrCompacted):
-			n.log.Info("store_history_gone", "prefix", f.prefix, "after", f.mirror.Revision())
+			n.log.Info("store_history_gone", "prefix", f.prefix, "after", configwatch.FormatRank(f.mirror.Revision()))
 			listed = false
 		case ctx.Err() != nil:
 			return
@@ -91,18 +92,22 @@
 
 func (n *Instance) applyDelta(f *prefixSync, d mirror.Delta, from origin) {
 	known := f.mirror.Revision()
+	if d.Full && isRestored(known, d.Revision) {
+		n.recordStoreRestored(f, known, d.Revision)
+	}
 	changed := f.mirror.Apply(d)
 	n.syncMetrics.countItems(f.prefix, from, d, changed)
 	if d.Full && d.Revision < known {
 		n.syncMetrics.countIgnored(f.prefix, from.source)
-		n.log.Info("store_list_ignored", "prefix", f.prefix, "way", from.source, "peer", from.peer, "revision", d.Revision, "known", known)
+		n.log.Info("store_list_ignored", "prefix", f.prefix, "way", from.source, "peer", from.peer,
+			"revision", configwatch.FormatRank(d.Revision), "known", configwatch.FormatRank(known))
 	}
 	if len(changed) == 0 {
 		return
 	}
 	if from.source != sourceStore {
 		n.log.Info("store_items_from_peer", "prefix", f.prefix, "way", from.source, "peer", from.peer, "items", len(changed),
-			"bytes", itemBytes(changed), "revision", d.Revision)
+			"bytes", itemBytes(changed), "revision", configwatch.FormatRank(d.Revision))
 	}
 	f.onChange(changed)
 	n.notifyFollowers()
--- a/instance/routed/metrics.go
+++ b/instance/routed/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/basilroute/basilroute/coordination/configwatch"
 	"github.com/basilroute/basilroute/state/mirror"
 )
 
@@ -93,6 +94,16 @@
 		n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "store_revision", Help: "Revision of the store up to which every change is known.",
 			ConstLabels: prometheus.Labels{"prefix": f.prefix},
-		}, func() float64 { return float64(f.mirror.Revision()) }))
+		}, func() float64 {
+			_, revision := configwatch.SplitRank(f.mirror.Revision())
+			return float64(revision)
+		}))
+		n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "store_era", Help: "How often the store has come back from a copy, by its own count.",
+			ConstLabels: prometheus.Labels{"prefix": f.prefix},
+		}, func() float64 {
+			era, _ := configwatch.SplitRank(f.mirror.Revision())
+			return float64(era)
+		}))
 	}
 }
--- /dev/null
+++ b/instance/routed/restored.go
@@ -0,0 +1,26 @@
+package routed
+
+import (
+	"time"
+
+	"github.com/basilroute/basilroute/coordination/configwatch"
+)
+
+// A store that comes back from a copy has lost what was written since the copy was made, and gives
+// out the revisions of these writes again. Ranks order the revisions of before and after; what the
+// copy shows is older than what is known.
+
+// isRestored reports whether the store has come back from a copy between two ranks.
+func isRestored(known, rank int64) bool {
+	before, _ := configwatch.SplitRank(known)
+	after, _ := configwatch.SplitRank(rank)
+	return known != 0 && after > before
+}
+
+// recordStoreRestored records that a list is the first one of a prefix from a restored store.
+func (n *Instance) recordStoreRestored(f *prefixSync, known, rank int64) {
+	n.log.Info("store_restored", "prefix", f.prefix, "revision", configwatch.FormatRank(rank), "known", configwatch.FormatRank(known))
+	if f == n.servers {
+		n.backends.RecordStoreRestored(time.Now())
+	}
+}
--- a/instance/routed/stop.go
+++ b/instance/routed/stop.go
@@ -8,6 +8,7 @@
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/basilroute/basilroute/coordination/configwatch"
 	"github.com/basilroute/basilroute/coordination/placement"
 	"github.com/basilroute/basilroute/coordination/quotashare"
 	"github.com/basilroute/basilroute/protocol/peerpb"
@@ -92,7 +93,7 @@
 	ID            string
 	Ready         bool
 	ConfigVersion int64
-	Revisions     map[string]int64 // known revision of the store, by prefix
+	Revisions     map[string]string // known revision of the store, by prefix
 	Members       map[string]string
 	Servers       map[string][]placement.State // by service
 	Evacuated     []string
@@ -105,12 +106,12 @@
 func (n *Instance) Dump() Dump {
 	now := time.Now()
 	d := Dump{
-		ID: n.settings.ID, Ready: n.Ready(), Revisions: make(map[string]int64), Members: make(map[string]string),
+		ID: n.settings.ID, Ready: n.Ready(), Revisions: make(map[string]string), Members: make(map[string]string),
 		Servers: make(map[string][]placement.State), Evacuated: n.backends.Evacuated(),
 		QuotaHolders: n.shares.Holders(), QuotaMints: n.shares.Mints(), FeaturesOff: n.features.Off(),
 	}
 	for _, f := range n.syncs {
-		d.Revisions[f.prefix] = f.mirror.Revision()
+		d.Revisions[f.prefix] = configwatch.FormatRank(f.mirror.Revision())
 	}
 	for _, m := range n.members.Members(now) {
 		state := "live"
--- a/instance/routed/storeitems.go
+++ b/instance/routed/storeitems.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/basilroute/basilroute/coordination/configwatch"
 	"github.com/basilroute/basilroute/coordination/placement"
 	"github.com/basilroute/basilroute/coordination/quotashare"
 	"github.com/basilroute/basilroute/protocol/peerpb"
@@ -40,13 +41,13 @@
 	config, ok, err := n.source.Config(item.Key, item.Value)
 	if err != nil {
 		n.unreadable.Inc()
-		n.log.Error("config_unreadable", "key", item.Key, "revision", item.Revision, "error", err.Error())
+		n.log.Error("config_unreadable", "key", item.Key, "revision", configwatch.FormatRank(item.Revision), "error", err.Error())
 		return // the last configuration stays in force
 	}
 	if !ok || !n.routes.Offer(config) {
 		return
 	}
-	n.log.Info("config_in_force", "version", config.Version, "revision", item.Revision, "routes", len(config.Routes),
+	n.log.Info("config_in_force", "version", config.Version, "revision", configwatch.FormatRank(item.Revision), "routes", len(config.Routes),
 		"services", len(config.Services), "accounts", len(config.Accounts), "keys", len(config.Keys))
 	if excluded := config.Exclusions(maxLoggedExclusions); len(excluded) > 0 {
 		n.log.Warn("homes_exclude_each_other", "version", config.Version, "pairs", excluded)
@@ -85,7 +86,7 @@
 	now := time.Now()
 	for _, item := range changed {
 		if item.Removed {
-			n.log.Info("server_entry_gone", "server", n.source.ServerID(item.Key), "revision", item.Revision)
+			n.log.Info("server_entry_gone", "server", n.source.ServerID(item.Key), "revision", configwatch.FormatRank(item.Revision))
 			n.backends.Remove(n.source.ServerID(item.Key), now)
 			continue
 		}
@@ -98,7 +99,7 @@
 		}
 		server.Region = n.settings.Domains[server.Domain]
 		n.log.Info("server_entry", "server", server.ID, "service", server.Service, "domain", server.Domain, "born", server.StartUnixMs,
-			"draining", server.Draining, "cold_ms", server.ColdRemaining.Milliseconds(), "left_ms", server.TimeLeft.Milliseconds(), "revision", item.Revision)
+			"draining", server.Draining, "cold_ms", server.ColdRemaining.Milliseconds(), "left_ms", server.TimeLeft.Milliseconds(), "revision", configwatch.FormatRank(item.Revision))
 		n.backends.Put(server, now)
 	}
 	n.refreshPools(now)
--- a/instance/routed/testfleet_test.go
+++ b/instance/routed/testfleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"strings"
 	"sync"
@@ -14,6 +15,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"github.com/basilroute/basilroute/coordination/configwatch"
 	"github.com/basilroute/basilroute/coordination/membership"
 	"github.com/basilroute/basilroute/standin/link"
 	"github.com/basilroute/basilroute/state/backends"
@@ -29,7 +31,7 @@
 // memoryStore is a store in memory that responds at once, or rejects callers.
 type memoryStore struct {
 	mu       sync.Mutex
-	revision int64
+	revision int64 // a rank
 	items    map[string]platform.KeyValue
 	changed  chan struct{} // closed and replaced at every change
 	served   func(id string) bool
@@ -48,6 +50,36 @@
 	s.changed = make(chan struct{})
 }
 
+// memoryCopy is a copy of a store's state.
+type memoryCopy struct {
+	revision int64
+	items    map[string]platform.KeyValue
+}
+
+func (s *memoryStore) copy() memoryCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return memoryCopy{revision: s.revision, items: maps.Clone(s.items)}
+}
+
+// restore brings the store back from a copy, in the next era.
+func (s *memoryStore) restore(c memoryCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	era, _ := configwatch.SplitRank(s.revision)
+	rank := func(r int64) int64 {
+		_, revision := configwatch.SplitRank(r)
+		return configwatch.Rank(era+1, revision)
+	}
+	s.revision, s.items = rank(c.revision), make(map[string]platform.KeyValue)
+	for key, item := range c.items {
+		item.Revision = rank(item.Revision)
+		s.items[key] = item
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *memoryStore) serveOnly(served func(id string) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -62,6 +94,10 @@
 	if !s.served(id) {
 		return nil, 0, nil, errors.New("rejected")
 	}
+	known, _ := configwatch.SplitRank(revision)
+	if era, _ := configwatch.SplitRank(s.revision); revision != 0 && known != era {
+		return nil, 0, nil, platform.ErrCompacted
+	}
 	var out []platform.KeyValue
 	for key, item := range s.items {
 		if strings.HasPrefix(key, prefix) && item.Revision > revision {
@@ -101,6 +137,16 @@
 	}
 }
 
+func (s *memoryClient) Get(_ context.Context, key string) (platform.KeyValue, error) {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	item, ok := s.store.items[key]
+	if !ok {
+		return item, platform.ErrNotFound
+	}
+	return item, nil
+}
+
 func (s *memoryClient) Put(_ context.Context, w platform.Write) (int64, error) {
 	s.store.set(w.Key, w.Value)
 	return 0, nil
--- a/state/backends/restored_test.go
+++ b/state/backends/restored_test.go
@@ -33,3 +33,22 @@
 		t.Error("the next incarnation begins its count anew and is ignored")
 	}
 }
+
+// Guards against a live server that is dropped because a restored store lacks its entry, by an
+// instance that never noticed that the store was away.
+func TestEntryThatARestoredStoreLacksIsKept(t *testing.T) {
+	table := New()
+	table.Put(server("lives"), start)
+	table.Put(server("gone"), start)
+	table.RecordStoreRestored(start)
+	table.Remove("lives", start)
+	table.Remove("gone", start)
+	if got := usable(table, start); len(got) != 2 {
+		t.Errorf("right after the restore: %v", got)
+	}
+	table.Put(server("lives"), start.Add(time.Second))
+	table.Sweep(start.Add(ReturnGrace))
+	if got := usable(table, start.Add(ReturnGrace)); len(got) != 1 || got["lives"].ID == "" {
+		t.Errorf("after the grace: %v", got)
+	}
+}
