Hold an entry back that was removed before the store came back from a copy

A copy shows the entries of servers that have left since it was made. Some of these leave without saying so: their entry is removed, they serve on for some seconds, and what they run then is cut.

TestRemovedEntryThatComesBackWithARestoredStoreIsHeld failed before: the server was usable right after the restore.

--- a/state/backends/backends.go
+++ b/state/backends/backends.go
@@ -40,6 +40,7 @@
 	ColdUntil    time.Time
 	RemovalTime  time.Time // zero when no notice was given
 	missingSince time.Time // when its entry disappeared; zero while it exists
+	heldUntil    time.Time // a removed entry that came back with a restored store is not used before
 }
 
 // Usable reports whether the server may be sent new work.
@@ -57,7 +58,9 @@
 	notices          map[incarnationKey]Notice
 	incarnations     uint64
 	storeUnreachable bool
-	storeBackAt      time.Time // when it was last reachable again
+	storeBackAt      time.Time                    // when it was last reachable again
+	storeRestoredAt  time.Time                    // when it last came back from a copy
+	removed          map[incarnationKey]time.Time // when an entry was removed
 	evacuated        map[string]bool
 	coldUntil        map[string]time.Time // by domain, after an evacuation ended
 	version          uint64
@@ -67,7 +70,7 @@
 // New returns an empty table.
 func New() *Table {
 	return &Table{
-		entries: make(map[string]*Entry), notices: make(map[incarnationKey]Notice), evacuated: make(map[string]bool),
+		entries: make(map[string]*Entry), notices: make(map[incarnationKey]Notice), removed: make(map[incarnationKey]time.Time), evacuated: make(map[string]bool),
 		coldUntil: make(map[string]time.Time), regionVersions: make(map[string]uint64),
 	}
 }
@@ -124,6 +127,9 @@
 	if s.TimeLeft > 0 && next.RemovalTime.IsZero() {
 		next.RemovalTime = now.Add(s.TimeLeft)
 	}
+	if t.isRestoredCopy(&s, now) {
+		next.heldUntil = t.storeRestoredAt.Add(restoredEntryHold)
+	}
 	t.entries[s.ID] = &next
 }
 
@@ -143,7 +149,13 @@
 		t.entries[id] = &next
 		return
 	}
-	delete(t.entries, id)
+	t.removeEntry(current, now)
+}
+
+// removeEntry removes the entry of a server that has ended. The caller holds the lock.
+func (t *Table) removeEntry(e *Entry, now time.Time) {
+	delete(t.entries, e.ID)
+	t.removed[e.key()] = now
 }
 
 // SetStoreUnreachable sets whether the store is unreachable.
@@ -161,12 +173,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweepNotices(now)
+	t.sweepHeld(now)
 	if t.storeUnreachable || now.Sub(t.storeBackAt) < ReturnGrace {
 		return
 	}
-	for id, e := range t.entries {
+	for _, e := range t.entries {
 		if !e.missingSince.IsZero() {
-			delete(t.entries, id)
+			t.removeEntry(e, now)
 			t.recordChange(e.Region)
 		}
 	}
@@ -238,7 +251,7 @@
 
 // acceptsWork reports whether a server may be sent work. The caller holds the lock.
 func (t *Table) acceptsWork(e *Entry, now time.Time) bool {
-	return !t.evacuated[e.Domain] && e.Usable(now) && !t.notices[e.key()].Leaving
+	return !t.evacuated[e.Domain] && e.Usable(now) && !now.Before(e.heldUntil) && !t.notices[e.key()].Leaving
 }
 
 // AddressAcceptsWork reports whether the server at an address is known and may be sent work.
--- a/state/backends/restored_test.go
+++ b/state/backends/restored_test.go
@@ -52,3 +52,29 @@
 		t.Errorf("after the grace: %v", got)
 	}
 }
+
+// Guards against requests to a server that has ended or leaves without notice, whose entry a restored
+// store shows once more.
+func TestRemovedEntryThatComesBackWithARestoredStoreIsHeld(t *testing.T) {
+	table := New()
+	table.Put(server("gone"), start)
+	table.Remove("gone", start)
+	restored := start.Add(time.Second)
+	table.RecordStoreRestored(restored)
+	table.Put(server("gone"), restored)
+	table.Put(server("new"), restored)
+	if got := usable(table, restored); len(got) != 1 || got["new"].ID == "" {
+		t.Errorf("right after the restore: %v", got)
+	}
+	before := table.RegionVersion("viti-levu")
+	lives := restored.Add(restoredEntryHold)
+	table.Sweep(lives)
+	if got := usable(table, lives); len(got) != 2 || table.RegionVersion("viti-levu") == before {
+		t.Errorf("an entry that the store keeps is not used: %v", got)
+	}
+	table.Remove("gone", lives.Add(time.Minute))
+	table.Put(server("gone"), lives.Add(2*time.Minute))
+	if got := usable(table, lives.Add(2*time.Minute)); len(got) != 2 {
+		t.Errorf("an entry that comes back long after a restore is held: %v", got)
+	}
+}
