Hold only entries back that are missing when the store comes back

A server whose entry had been missing for a moment, some minutes before a restore, was taken for one that had left: its next report after the restore held it back for five seconds. The removal is now forgotten when the entry comes back, and an entry that is known is never held. TestEntryThatCameBackBeforeARestoreIsUsed failed before.

--- a/state/backends/backends.go
+++ b/state/backends/backends.go
@@ -106,16 +106,16 @@
 func (t *Table) Put(s Server, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	current := t.entries[s.ID]
-	if current != nil && s.precedes(&current.Server) {
+	current, known := t.entries[s.ID]
+	if known && s.precedes(&current.Server) {
 		s = current.Server
 		s.ColdRemaining = 0 // counted from when it was reported
 	}
-	if current != nil && current.Region != s.Region {
+	if known && current.Region != s.Region {
 		t.recordChange(current.Region)
 	}
 	t.recordChange(s.Region)
-	if current == nil || current.StartUnixMs != s.StartUnixMs || current.Address != s.Address {
+	if !known || current.StartUnixMs != s.StartUnixMs || current.Address != s.Address {
 		t.incarnations++
 		current = &Entry{Incarnation: t.incarnations}
 	}
@@ -127,9 +127,10 @@
 	if s.TimeLeft > 0 && next.RemovalTime.IsZero() {
 		next.RemovalTime = now.Add(s.TimeLeft)
 	}
-	if t.isRestoredCopy(&s, now) {
+	if !known && t.isRestoredCopy(&s, now) {
 		next.heldUntil = t.storeRestoredAt.Add(restoredEntryHold)
 	}
+	delete(t.removed, s.key())
 	t.entries[s.ID] = &next
 }
 
--- a/state/backends/restored_test.go
+++ b/state/backends/restored_test.go
@@ -66,6 +66,10 @@
 	if got := usable(table, restored); len(got) != 1 || got["new"].ID == "" {
 		t.Errorf("right after the restore: %v", got)
 	}
+	table.Put(server("gone"), restored)
+	if got := usable(table, restored); len(got) != 1 {
+		t.Errorf("after a second report: %v", got)
+	}
 	before := table.RegionVersion("viti-levu")
 	lives := restored.Add(restoredEntryHold)
 	table.Sweep(lives)
@@ -78,3 +82,18 @@
 		t.Errorf("an entry that comes back long after a restore is held: %v", got)
 	}
 }
+
+// Guards against a live server that is held back after a restore because its entry had been missing
+// some time before it.
+func TestEntryThatCameBackBeforeARestoreIsUsed(t *testing.T) {
+	table := New()
+	table.Put(server("s"), start)
+	table.Remove("s", start)
+	table.Put(server("s"), start.Add(time.Second))
+	restored := start.Add(time.Minute)
+	table.RecordStoreRestored(restored)
+	table.Put(server("s"), restored)
+	if got := usable(table, restored); len(got) != 1 {
+		t.Errorf("usable: %v", got)
+	}
+}
