Ignore an earlier incarnation of a server that a restored store shows

A server restarts under its id, its new entry is lost with the copy, and the store shows the incarnation before. Taken for the current one, the cold server would count as warm and get more requests than it bears.

TestEarlierIncarnationInARestoredStoreIsIgnored failed before: the warm earlier incarnation was in use.

--- a/state/backends/backends.go
+++ b/state/backends/backends.go
@@ -107,7 +107,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	current, known := t.entries[s.ID]
-	if known && s.precedes(&current.Server) {
+	if known && (s.precedes(&current.Server) || t.isEarlierIncarnation(&s, &current.Server, now)) {
 		s = current.Server
 		s.ColdRemaining = 0 // counted from when it was reported
 	}
--- a/state/backends/restored.go
+++ b/state/backends/restored.go
@@ -14,14 +14,24 @@
 	t.storeBackAt, t.storeRestoredAt = now, now
 }
 
+// recentlyRestored reports whether the store may still show entries as they were in the copy. The
+// caller holds the lock.
+func (t *Table) recentlyRestored(now time.Time) bool {
+	return !t.storeRestoredAt.IsZero() && now.Sub(t.storeRestoredAt) < restoredEntryHold
+}
+
+// isEarlierIncarnation reports whether a restored store shows the incarnation of a server before the
+// known one. At other times an earlier start means that the server's clock was set back. The caller
+// holds the lock.
+func (t *Table) isEarlierIncarnation(s, known *Server, now time.Time) bool {
+	return t.recentlyRestored(now) && s.StartUnixMs != 0 && s.StartUnixMs < known.StartUnixMs
+}
+
 // isRestoredCopy reports whether an entry that appears after a restore had been removed before it.
 // The caller holds the lock.
 func (t *Table) isRestoredCopy(s *Server, now time.Time) bool {
-	if t.storeRestoredAt.IsZero() || now.Sub(t.storeRestoredAt) >= restoredEntryHold {
-		return false
-	}
 	removedAt, ok := t.removed[s.key()]
-	return ok && removedAt.Before(t.storeRestoredAt)
+	return ok && t.recentlyRestored(now) && removedAt.Before(t.storeRestoredAt)
 }
 
 // sweepHeld takes entries into use whose hold has ended, and forgets removals that no copy can
--- a/state/backends/restored_test.go
+++ b/state/backends/restored_test.go
@@ -97,3 +97,22 @@
 		t.Errorf("usable: %v", got)
 	}
 }
+
+// Guards against a server that has restarted, and is cold, being taken for its earlier incarnation
+// that a restored store shows.
+func TestEarlierIncarnationInARestoredStoreIsIgnored(t *testing.T) {
+	table := New()
+	earlier, known := server("s"), server("s")
+	known.StartUnixMs, known.ColdRemaining = earlier.StartUnixMs+1000, 3*time.Second
+	table.Put(known, start)
+	table.RecordStoreRestored(start)
+	table.Put(earlier, start)
+	if e := usable(table, start)["s"]; e.StartUnixMs != known.StartUnixMs || !e.ColdUntil.After(start) {
+		t.Errorf("after the restore: %+v", e)
+	}
+	setBack := start.Add(time.Minute)
+	table.Put(earlier, setBack)
+	if e := usable(table, setBack)["s"]; e.StartUnixMs != earlier.StartUnixMs {
+		t.Errorf("a server whose clock was set back: %+v", e)
+	}
+}
