Keep an evacuation that the store has lost until operators can write it again

A store that comes back from a copy lacks an evacuation that was asked for since the copy was made. Instances ended it at once and sent requests to servers that are about to be taken away, until the operator's write came again. Evacuations now stay for ReturnGrace after a restore, and end then if the store does not ask for them.

--- a/instance/routed/instance.go
+++ b/instance/routed/instance.go
@@ -83,6 +83,8 @@
 	unreadable      prometheus.Counter
 	syncMetrics     *syncMetrics
 
+	evacuationsHeldUntil atomic.Int64 // uptime in nanoseconds; 0 while none is held
+
 	handlerServers []*http.Server
 	callers        *http.Server
 	peers          *grpc.Server
@@ -250,6 +252,7 @@
 		now := time.Now()
 		n.backends.Sweep(now)
 		n.clearLoans(now)
+		n.releaseEvacuations()
 		due := now.Sub(swept) >= sweepInterval
 		if v := n.backends.Version(); v != version || due {
 			version = v
--- a/instance/routed/restored.go
+++ b/instance/routed/restored.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/basilroute/basilroute/coordination/configwatch"
+	"github.com/basilroute/basilroute/state/backends"
 )
 
 // A store that comes back from a copy has lost what was written since the copy was made, and gives
@@ -20,7 +21,28 @@
 // recordStoreRestored records that a list is the first one of a prefix from a restored store.
 func (n *Instance) recordStoreRestored(f *prefixSync, known, rank int64) {
 	n.log.Info("store_restored", "prefix", f.prefix, "revision", configwatch.FormatRank(rank), "known", configwatch.FormatRank(known))
-	if f == n.servers {
+	switch f {
+	case n.servers:
 		n.backends.RecordStoreRestored(time.Now())
+	case n.config:
+		n.evacuationsHeldUntil.Store(int64(n.uptime() + backends.ReturnGrace))
 	}
 }
+
+// heldEvacuations returns the failure domains that stay evacuated although the store does not ask
+// for it: operators write again within ReturnGrace what a restored store has lost.
+func (n *Instance) heldEvacuations() []string {
+	if int64(n.uptime()) >= n.evacuationsHeldUntil.Load() {
+		return nil
+	}
+	return n.backends.Evacuated()
+}
+
+// releaseEvacuations ends the evacuations that were held and that the store does not ask for.
+func (n *Instance) releaseEvacuations() {
+	until := n.evacuationsHeldUntil.Load()
+	if until == 0 || int64(n.uptime()) < until || !n.evacuationsHeldUntil.CompareAndSwap(until, 0) {
+		return
+	}
+	n.updateEvacuations()
+}
--- a/instance/routed/storeitems.go
+++ b/instance/routed/storeitems.go
@@ -1,6 +1,7 @@
 package routed
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -64,6 +65,11 @@
 			domains = append(domains, domain)
 		}
 	}
+	for _, domain := range n.heldEvacuations() {
+		if !slices.Contains(domains, domain) {
+			domains = append(domains, domain)
+		}
+	}
 	now := time.Now()
 	n.backends.SetEvacuated(domains, n.maxColdStart(), now)
 	n.log.Info("evacuations", "domains", domains)
