Write an instance's item again when a restored store has lost it

Each instance writes one item once after its start: its address, and that it has minted its share of the quotas. A store that comes back from a copy older than that lacks it for good. Instances that start later then divide the accounts' rates without this one, and its own next start takes it for one that has never minted, so that it mints while others still hold its loans.

After a restore each instance now reads its own item, spread over a second, and writes it if it is missing or older: one read each, as the set is known otherwise.

TestMemberThatARestoredStoreLacksIsWrittenAgain failed before (not written in 20 s). No leases are held by this wiring, so none have to be granted again.

--- a/instance/routed/instance.go
+++ b/instance/routed/instance.go
@@ -83,7 +83,8 @@
 	unreadable      prometheus.Counter
 	syncMetrics     *syncMetrics
 
-	evacuationsHeldUntil atomic.Int64 // uptime in nanoseconds; 0 while none is held
+	storeRestored        chan struct{} // wakes rejoin
+	evacuationsHeldUntil atomic.Int64  // uptime in nanoseconds; 0 while none is held
 
 	handlerServers []*http.Server
 	callers        *http.Server
@@ -136,7 +137,8 @@
 		routes: &routes.Table{}, backends: backends.New(), ledger: quota.New(settings.ID),
 		shares: quotashare.NewHolderSet(settings.ID, uint64(started.UnixNano())), quarantine: quarantine.New(),
 		pool: peer.NewPool(insecure.NewCredentials()), exchangeTrigger: make(chan struct{}, 1),
-		listeners: make(map[string]net.Listener), listenerErrors: make(chan error, 8),
+		storeRestored: make(chan struct{}, 1),
+		listeners:     make(map[string]net.Listener), listenerErrors: make(chan error, 8),
 	}
 	if !set.On(features.OvertakeLargeWaits) {
 		n.ledger.DisableOvertaking()
@@ -223,7 +225,7 @@
 			n.listenerErrors <- err
 		}
 	}()
-	for _, loop := range []func(context.Context){n.runStoreSync, n.join, n.reseed, n.exchange, n.queryLoans, n.lending.Run, n.broadcaster.Run, n.housekeep} {
+	for _, loop := range []func(context.Context){n.runStoreSync, n.join, n.rejoin, n.reseed, n.exchange, n.queryLoans, n.lending.Run, n.broadcaster.Run, n.housekeep} {
 		n.loops.Go(func() { loop(n.background) })
 	}
 	n.log.Info("started", "region", n.settings.Region, "domain", n.settings.Domain, "callers", n.settings.Listen.Callers,
--- a/instance/routed/join.go
+++ b/instance/routed/join.go
@@ -158,3 +158,35 @@
 		}
 	}
 }
+
+// rejoinSpread is the time over which the instances look for their items after a restore: all of them
+// learn of it at once.
+const rejoinSpread = time.Second
+
+// rejoin writes this instance's item again after each restore of the store that has lost it.
+func (n *Instance) rejoin(ctx context.Context) {
+	for {
+		select {
+		case <-n.storeRestored:
+		case <-ctx.Done():
+			return
+		}
+		sleep(ctx, rand.N(rejoinSpread))
+		n.retryUntilDone(ctx, func() error { return n.rewriteMember(ctx) })
+	}
+}
+
+// rewriteMember writes this instance's item unless the store has it as it is.
+func (n *Instance) rewriteMember(ctx context.Context) error {
+	key := membersPrefix + n.settings.ID
+	stored, err := n.source.Store().Get(ctx, key)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	m, _ := n.decodeMember(key, stored.Value)
+	if m.Peer == n.settings.Listen.Peers && (m.Minted || !n.shares.Mints()) {
+		return nil
+	}
+	n.log.Info("member_written_again", "minted", n.shares.Mints())
+	return n.putMember(ctx, m.Minted || n.shares.Mints())
+}
--- a/instance/routed/restored.go
+++ b/instance/routed/restored.go
@@ -21,6 +21,10 @@
 // recordStoreRestored records that a list is the first one of a prefix from a restored store.
 func (n *Instance) recordStoreRestored(f *prefixSync, known, rank int64) {
 	n.log.Info("store_restored", "prefix", f.prefix, "revision", configwatch.FormatRank(rank), "known", configwatch.FormatRank(known))
+	select {
+	case n.storeRestored <- struct{}{}:
+	default: // a wake-up is pending
+	}
 	switch f {
 	case n.servers:
 		n.backends.RecordStoreRestored(time.Now())
