Refresh no pools when a server asks for rest

The rest stands in the pool at once, and every later refresh takes it from the table. Counting it as a change of the region's servers made each instance copy all of them up to ten times a second while servers turn requests away. No choice changes.

--- a/state/backends/notices.go
+++ b/state/backends/notices.go
@@ -54,7 +54,8 @@
 }
 
 // RecordRest records that a server wants no requests from this instance until a time, and
-// reports whether it did not rest before. A later answer does not shorten a rest.
+// reports whether it did not rest before. A later answer does not shorten a rest. It is no change
+// of the region's servers: whoever chooses among them records the rest as well.
 func (t *Table) RecordRest(s *Server, until, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -65,7 +66,6 @@
 	}
 	notice.recordedAt = now
 	t.notices[s.key()] = notice
-	t.recordChange(s.Region)
 	return isNew
 }
 
