Count a refusal by a server that should have room as a failure

Callers saw: requests refused by a server that turns everything away, again and again, beside servers that take all that they get.

Cause: a refusal counted 0.4 of a failure, as that of a full server that says so in time. The failure rate of a server that refuses everything tends to 0.4, the rate from which a server is ejected, and never reaches it. A refusal now counts as a failure when the server is expected to have less than half of what it is sent at most, and does not rest; a full server's refusal counts as before.

TestServerThatRefusesAllIsEjected failed before: 300 of 300 requests were sent to the server that refuses all.

--- a/coordination/placement/notices_test.go
+++ b/coordination/placement/notices_test.go
@@ -63,3 +63,26 @@
 		t.Errorf("after the first rest callers are told to wait %s", wait)
 	}
 }
+
+// Guards against a server that turns all requests away, names no time of rest, and gets most requests
+// because it runs none.
+func TestServerThatRefusesAllIsEjected(t *testing.T) {
+	p := newEnginePool(3)
+	const requests = 300
+	refused := 0
+	for i := range requests {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		r := &Request{Segments: []PromptSegment{{ID: uint64(i), Tokens: 400}}, Tokens: 400, Objective: time.Second, Arrived: now, Deadline: now.Add(5 * time.Second)}
+		pl := mustPlace(t, p, r, now)
+		if pl.Server.ID == "s0" {
+			refused++
+			p.Done(pl, OutcomeRefused, now.Add(time.Millisecond))
+			continue
+		}
+		p.RecordFirstByte(pl, now.Add(20*time.Millisecond))
+		p.Done(pl, OutcomeServed, now.Add(300*time.Millisecond))
+	}
+	if refused > requests/10 {
+		t.Errorf("%d of %d requests were sent to the server that refuses all", refused, requests)
+	}
+}
--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -24,9 +24,11 @@
 	// that lose one response in twenty, below half of that of a failing one. Error statuses of a
 	// plain service do not count.
 	ejectionThreshold = 0.4
-	// refusalWeight is the fraction of a failure that a refusal by a server counts: the server
-	// is full or leaving, and says so in time.
+	// refusalWeight is the fraction of a failure that a refusal by a full server counts: it says so
+	// in time. A refusal by a server that should have room counts as a failure.
 	refusalWeight = 0.4
+	// roomFraction is the fraction of its limit below which a server should have room.
+	roomFraction = 0.5
 	// minOutcomes is the number of outcomes before a server may be ejected.
 	minOutcomes = 4
 	// recoveryOutcomes is how many consecutive requests an ejected server has to serve.
@@ -189,9 +191,23 @@
 	if outcome == OutcomeServed && s.sentBeforeEjection(pl.Sent, now) {
 		return
 	}
+	if outcome == OutcomeRefused {
+		s.countOutcome(p.refusalFailure(s, now), now)
+		return
+	}
 	s.recordOutcome(outcome, p.settings.Engine, now)
 }
 
+// refusalFailure returns how much of a failure a refusal counts. A server that refuses everything
+// runs less and less, and would be chosen for most requests because of that. One that asks for rest
+// gets no requests anyway.
+func (p *Pool) refusalFailure(s *server, now time.Time) float64 {
+	if !s.Resting(now) && p.running(s, now) < roomFraction*p.limit(s) {
+		return 1
+	}
+	return refusalWeight
+}
+
 // sentBeforeEjection reports whether a request was sent before its server was ejected. Its
 // success says nothing about the server's present state: the streams of a whole batch end in
 // the seconds after the server has begun to fail, and would end its ejection again and again.
@@ -219,8 +235,6 @@
 		return
 	case OutcomeFailed:
 		s.recordFailure(now)
-	case OutcomeRefused:
-		s.countOutcome(refusalWeight, now)
 	case OutcomeServed:
 		s.newServed++
 		s.countOutcome(0, now)
