Bound what is held for callers that read or send slowly

Cause: the events of a stream were written to the caller by the goroutine that reads them from the server. A caller that read slowly stopped the reading: the server's slot stayed taken until the server cut the response off as unread, and the server's idle timeout ran while this instance itself did not read, so that a sound server was left for another one and the retry budget paid for it. Bodies of requests were bounded one by one (the configuration's limit), those that peers forward not at all, and nothing bounded all together; CAPACITY.md said so. A write to a caller that never reads had no end. Change: a goroutine of its own writes to the caller; up to 64 KB wait for it beside the part that is being written, and beyond that the server is read no further, with its idle timeout paused. One budget of an eighth of the process's memory holds what waits and the bodies; a request for which it has no room is refused as not run. A chunk of 4 KB has ten seconds. Left: a server that holds more than its memory is not bounded by its prompts' sizes; /v1 has its old limits. Tests, failing before: TestServerIsNotLeftForASlowCaller (121 of 400 events, 2 servers asked, with the pause of the idle timeout off), TestBodiesShareOneLimit; TestUnreadResponseIsHeldUpToALimit, TestSlowCallersShareOneLimit and TestDeadlineEndsTheWaitForACaller test what is new. go test ./transport/... ./instance/routed ./platform: pass.

--- a/instance/routed/instance.go
+++ b/instance/routed/instance.go
@@ -113,7 +113,11 @@
 	peerDialTimeout   = 450 * time.Millisecond // three round trips between regions
 	// userTimeout is how long sent bytes may stay unacknowledged (TCP_USER_TIMEOUT):
 	// several times the longest round trip with one lost packet.
-	userTimeout  = 1500 * time.Millisecond
+	userTimeout = 1500 * time.Millisecond
+	// bodyMemoryShare is the divisor of the process's memory that gives the part for bodies and unread
+	// responses. Half of the memory is for the heap, which grows to twice what is in use.
+	bodyMemoryShare = 8
+
 	maxIdleConns = 48 // per server: the most requests that one instance has in flight at a server
 )
 
@@ -188,6 +192,7 @@
 	n.syncMetrics = newSyncMetrics(n.registry)
 	n.registerVersions()
 	metrics := httproute.NewMetrics(n.registry)
+	memory := httproute.NewBudget(n.settings.MemoryMB << 20 / bodyMemoryShare)
 	n.local = &httproute.LocalDispatcher{
 		Codec: n.codec, Backends: n.backends, Quarantine: n.quarantine, Log: n.log, Metrics: metrics,
 		Client: backendhttp.New(backendhttp.Settings{DialTimeout: serverDialTimeout, UserTimeout: userTimeout, MaxIdle: maxIdleConns}),
@@ -195,11 +200,11 @@
 	n.front = &httproute.Front{
 		Region: n.settings.Region, Codec: n.codec, Routes: n.routes, Ledger: n.ledger, Quarantine: n.quarantine,
 		Retries: retry.NewWindow(retry.WindowSettings{Ratio: n.settings.Retry.Ratio, Slack: n.settings.Retry.Slack, Window: n.settings.Retry.Window}),
-		Remotes: n, Local: n.local, Log: n.log, Metrics: metrics, Features: n.features,
+		Remotes: n, Local: n.local, Log: n.log, Metrics: metrics, Features: n.features, Memory: memory,
 		Starting: n.startupWaitAllowed, Stopping: n.stopping.Load, TimeToShutdown: n.timeToShutdown, Leaving: n.leaving.Load,
 		Peers: backendhttp.New(backendhttp.Settings{DialTimeout: peerDialTimeout, UserTimeout: userTimeout, MaxIdle: maxIdleConns}),
 	}
-	n.relay = &httproute.Peer{Codec: n.codec, Local: n.local, Routes: n.routes, Stopping: n.leaving.Load}
+	n.relay = &httproute.Peer{Codec: n.codec, Local: n.local, Routes: n.routes, Stopping: n.leaving.Load, Memory: memory}
 	n.lending = &lending.Borrower{
 		Ledger: n.ledger, Pool: n.pool, Self: n.member, Lenders: n.lenders,
 		OnRefresh:      func(now time.Time) { n.ledger.Acknowledged(int64(n.shares.Size()), now) },
--- a/transport/backendhttp/client.go
+++ b/transport/backendhttp/client.go
@@ -286,6 +286,15 @@
 	})
 }
 
+// PauseIdleTimer stops the idle timeout while the instance itself does not read. The returned function
+// starts it anew.
+func (a *Response) PauseIdleTimer() (resume func()) {
+	if a.idleTimer == nil || !a.idleTimer.Stop() {
+		return func() {}
+	}
+	return func() { a.idleTimer.Reset(a.idleTimeout) }
+}
+
 func (a *Response) activityCount() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -19,7 +19,8 @@
 // attemptAll runs attempts until the caller has a response or no attempt is left. Only the
 // instance that the caller is connected to retries.
 func (f *Front) attemptAll(ctx context.Context, w http.ResponseWriter, r *request) *failure {
-	out := newDelivery(w, r)
+	out := newDelivery(w, f.Memory, r)
+	defer out.close()
 	var last *failure
 	for {
 		reply, failed := f.attempt(ctx, r, out)
--- a/transport/httproute/failure.go
+++ b/transport/httproute/failure.go
@@ -26,6 +26,7 @@
 	reasonKey         reason = "unknown_key"    // no account has the key
 	reasonBody        reason = "body_too_large" // above the limit in force
 	reasonHeader      reason = "header_too_large"
+	reasonMemory      reason = "memory"      // this instance has no memory left for the body
 	reasonQuota       reason = "quota"       // the account has reached its rate
 	reasonQuarantine  reason = "quarantined" // it crashed the servers that ran it
 	reasonNoServer    reason = "no_server"   // no usable server in a permitted region
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -137,6 +137,7 @@
 	Local    *LocalDispatcher
 	Routes   *routes.Table
 	Stopping func() bool
+	Memory   *Budget // for bodies; nil for no limit
 }
 
 // ServeHTTP implements http.Handler.
@@ -147,18 +148,26 @@
 		http.Error(w, "not a forwarded request", http.StatusBadRequest)
 		return
 	}
-	body, err := io.ReadAll(hr.Body)
-	if err != nil {
+	call := p.Codec.DecodeCall(hr.Header)
+	body, err := p.Memory.readAll(hr.Body)
+	switch {
+	case errors.Is(err, errBudgetSpent):
+		p.refuse(w, &outbound{id: call.RequestID, service: info.Service}, &failure{run: runNotRun, reason: reasonMemory})
+		return
+	case err != nil:
 		panic(http.ErrAbortHandler) // the peer closed the connection early; no response is possible
 	}
-	call := p.Codec.DecodeCall(hr.Header)
+	defer p.Memory.Release(len(body))
 	o := p.outbound(hr, &info, &call, body, arrived)
 	ctx, cancel := p.requestContext(hr.Context(), &info, o.deadline)
 	defer cancel()
-	failed := p.run(ctx, w, o)
-	if failed == nil {
-		return
+	if failed := p.run(ctx, w, o); failed != nil {
+		p.refuse(w, o, failed)
 	}
+}
+
+// refuse responds to the first instance that the request was not served.
+func (p *Peer) refuse(w http.ResponseWriter, o *outbound, failed *failure) {
 	p.Local.Log.Info("forwarded_refused", "request", o.id, "service", o.service, "reason", string(failed.reason),
 		"run", string(failed.run), "server", failed.server, "sent", failed.sent)
 	encoded, _ := json.Marshal(forwardFailure{ // strings and numbers always marshal
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net/http"
 	"sync/atomic"
@@ -59,6 +58,7 @@
 	Log        *slog.Logger
 	Metrics    *Metrics
 	Features   features.Set
+	Memory     *Budget // for bodies and unread responses; nil for no limit
 	// Stopping reports whether this instance is about to exit and accepts no more
 	// requests.
 	Stopping func() bool
@@ -120,6 +120,9 @@
 	if refused == nil && r == nil {
 		panic(http.ErrAbortHandler) // the caller has disconnected; returning would write an empty 200 response
 	}
+	if r != nil {
+		defer func() { f.Memory.Release(len(r.body)) }()
+	}
 	if refused == nil {
 		refused = f.serve(w, hr, r)
 	}
@@ -175,10 +178,11 @@
 		}
 	}
 	var refused *failure
-	if r.body, refused = readBody(w, hr, config.Limits.BodyBytes); refused != nil {
+	if r.body, refused = f.readBody(w, hr, config.Limits.BodyBytes); refused != nil {
 		return r, refused
 	}
 	if hr.Context().Err() != nil {
+		f.Memory.Release(len(r.body))
 		return nil, nil
 	}
 	f.prepare(r)
@@ -218,9 +222,9 @@
 	return size
 }
 
-// readBody reads the whole body. net/http detects that a caller has disconnected only
+// readBody reads the whole body, which it takes from the budget. net/http detects that a caller has disconnected only
 // after its request has been read completely.
-func readBody(w http.ResponseWriter, hr *http.Request, limit int64) ([]byte, *failure) {
+func (f *Front) readBody(w http.ResponseWriter, hr *http.Request, limit int64) ([]byte, *failure) {
 	if hr.ContentLength == 0 {
 		return nil, nil
 	}
@@ -228,9 +232,11 @@
 	if limit > 0 {
 		reader = http.MaxBytesReader(w, hr.Body, limit)
 	}
-	body, err := io.ReadAll(reader)
+	body, err := f.Memory.readAll(reader)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errBudgetSpent):
+		return nil, &failure{run: runNotRun, reason: reasonMemory}
 	case errors.As(err, &tooLarge):
 		return nil, &failure{run: runNotRun, reason: reasonBody}
 	case err != nil:
--- a/transport/httproute/relay.go
+++ b/transport/httproute/relay.go
@@ -30,7 +30,8 @@
 // streams that may be resumed, from several.
 type delivery struct {
 	w       http.ResponseWriter
-	control *http.ResponseController
+	caller  *callerWriter
+	budget  *Budget
 	r       *request
 	started bool // the head of the response has been written
 	events  eventBuffer
@@ -42,11 +43,25 @@
 type heldResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   []byte // taken from the budget
 }
 
-func newDelivery(w http.ResponseWriter, r *request) *delivery {
-	return &delivery{w: w, control: http.NewResponseController(w), r: r}
+func newDelivery(w http.ResponseWriter, budget *Budget, r *request) *delivery {
+	return &delivery{w: w, caller: newCallerWriter(w, budget), budget: budget, r: r}
+}
+
+// close waits until the caller has read what was passed on, and returns the memory that was held.
+func (d *delivery) close() {
+	d.caller.close()
+	d.hold(nil)
+}
+
+// hold replaces the held response.
+func (d *delivery) hold(next *heldResponse) {
+	if d.held != nil {
+		d.budget.Release(len(d.held.body))
+	}
+	d.held = next
 }
 
 // deliver writes the response to the caller. It returns nil if the caller has received it.
@@ -63,19 +78,23 @@
 
 // deliverBuffered handles a response that is not a stream.
 func (d *delivery) deliverBuffered(ctx context.Context, rep *reply) *failure {
-	body, err := io.ReadAll(io.LimitReader(rep, maxBuffered))
-	if err != nil {
-		return d.interrupted(ctx, rep, err)
+	reader := &budgetReader{body: io.LimitReader(rep, maxBuffered), budget: d.budget}
+	body, err := io.ReadAll(reader)
+	if err != nil || len(body) == maxBuffered {
+		defer d.budget.Release(reader.taken)
 	}
-	if len(body) == maxBuffered {
+	if errors.Is(err, errBudgetSpent) || err == nil && len(body) == maxBuffered {
 		return d.deliverLarge(ctx, rep, body)
 	}
+	if err != nil {
+		return d.interrupted(ctx, rep, err)
+	}
 	outcome := placement.OutcomeServed
 	if rep.Status >= http.StatusInternalServerError {
 		outcome = placement.OutcomeErrorCode
 	}
 	rep.end(outcome)
-	d.held = &heldResponse{status: rep.Status, header: rep.Header, body: body}
+	d.hold(&heldResponse{status: rep.Status, header: rep.Header, body: body})
 	if outcome == placement.OutcomeErrorCode && d.r.route.Repeatable() {
 		return &failure{run: runRan, reason: reasonShed, server: rep.server, sent: true}
 	}
@@ -88,21 +107,28 @@
 	d.copyHeader(d.held.header)
 	d.w.Header().Set("Content-Length", strconv.Itoa(len(d.held.body)))
 	d.w.WriteHeader(d.held.status)
-	_, _ = d.w.Write(d.held.body) // a write error means that the caller has disconnected
+	_ = writeTo(d.w, d.caller.control, d.held.body)    // an error means that the caller has disconnected
+	_ = d.caller.control.SetWriteDeadline(time.Time{}) // fails only on a connection that has failed
 }
 
 // deliverLarge relays a response that is too large to be buffered.
 func (d *delivery) deliverLarge(ctx context.Context, rep *reply, body []byte) *failure {
 	d.writeHead(rep)
-	if _, err := d.w.Write(body); err != nil {
-		rep.end(placement.OutcomeCancelled)
-		return nil // the caller has disconnected
-	}
-	if _, err := io.Copy(d.w, rep); err != nil {
-		return d.interrupted(ctx, rep, err)
+	part, buffer := body, make([]byte, relayBuffer)
+	for {
+		if err := d.caller.write(ctx, part, rep.Response); err != nil {
+			return d.unwritten(ctx, rep, err)
+		}
+		n, err := rep.Read(buffer)
+		part = buffer[:n]
+		switch {
+		case errors.Is(err, io.EOF) && n == 0:
+			rep.end(placement.OutcomeServed)
+			return nil
+		case err != nil && !errors.Is(err, io.EOF):
+			return d.interrupted(ctx, rep, err)
+		}
 	}
-	rep.end(placement.OutcomeServed)
-	return nil
 }
 
 // copyHeader copies a response's end-to-end headers.
@@ -146,9 +172,8 @@
 		if len(d.events.partial) > maxEvent {
 			return d.interrupted(ctx, rep, errLongEvent)
 		}
-		if failed := d.sendEvents(rep, completed); failed {
-			rep.end(placement.OutcomeCancelled)
-			return nil
+		if err := d.sendEvents(ctx, rep, completed); err != nil {
+			return d.unwritten(ctx, rep, err)
 		}
 		switch {
 		case errors.Is(err, io.EOF):
@@ -174,15 +199,15 @@
 	return max(gapTimeoutFactor*d.r.route.GapObjective, minGapTimeout)
 }
 
-// eventGaps records the gaps between the events of a response as they were sent to its
+// eventGaps records the gaps between the events of a response as they were passed on to its
 // caller.
 type eventGaps struct {
 	events  int
 	longest time.Duration // longest gap between two events
-	last    time.Time     // when the last event was sent
+	last    time.Time     // when the last event was passed on
 }
 
-// record records that events were sent to the caller. count is the total so far.
+// record records that events were passed on. count is the total so far.
 func (p *eventGaps) record(count int, now time.Time) {
 	if p.events > 0 {
 		p.longest = max(p.longest, now.Sub(p.last))
@@ -190,22 +215,28 @@
 	p.events, p.last = count, now
 }
 
-// sendEvents sends complete events to the caller. gone reports that the caller has
-// disconnected.
-func (d *delivery) sendEvents(rep *reply, completed []byte) (gone bool) {
+// sendEvents passes complete events on to the caller.
+func (d *delivery) sendEvents(ctx context.Context, rep *reply, completed []byte) error {
 	if len(completed) == 0 {
-		return false
+		return nil
 	}
 	d.writeHead(rep)
-	_, err := d.w.Write(completed)
-	if err == nil {
-		err = d.control.Flush()
-	}
+	err := d.caller.write(ctx, completed, rep.Response)
 	d.events.consume(completed)
 	now := time.Now()
 	d.r.gaps.record(d.events.count, now)
 	rep.reportProgress(now)
-	return err != nil
+	return err
+}
+
+// unwritten ends a response of which the caller does not get the rest. It returns nil if the caller
+// has disconnected, and the failure if the deadline has passed before the caller read enough.
+func (d *delivery) unwritten(ctx context.Context, rep *reply, err error) *failure {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return d.interrupted(ctx, rep, err)
+	}
+	rep.end(placement.OutcomeCancelled)
+	return nil
 }
 
 // endStream ends a stream whose last byte has arrived.
