Estimate the first byte with the mean of the reported time of work

Cause: servers of a customer share their machines with others and report how long work takes at the moment as a fourth figure of their load; nothing read it. The latency factor, measured by first bytes, is slower: an instance sees a server a few times a second, and what it measures also holds queues. A single figure is therefore noise by the time that the next request is placed, the mean is not. Change: a decaying mean a server (weight 0.1) multiplies its expected times. Not tried: a share of the figure in the instances' reports, and in the choice among holders of a prompt.

--- a/coordination/placement/cost.go
+++ b/coordination/placement/cost.go
@@ -52,7 +52,7 @@
 	*c = candidate{server: s}
 	if !p.settings.Engine {
 		slots := p.slots(s)
-		c.ownSeconds = p.serviceSeconds * s.latencyFactor
+		c.ownSeconds = p.serviceSeconds * s.latencyFactor * s.machineFactor
 		c.firstByteSeconds = c.ownSeconds
 		if queued := p.running(s, now) - slots + 1; queued > 0 {
 			c.firstByteSeconds += queued/slots*c.ownSeconds + s.excess(now)
@@ -64,8 +64,9 @@
 	c.uncached = float64(max(r.Tokens-c.cached, 0))
 	others := max(s.fromPeers.pendingUpTo(r.Urgency), s.reportedWaiting*ageWeight(now.Sub(s.reportedAt))*p.meanUncached)
 	c.backlog = s.pendingUpTo(r.Urgency) + others
-	c.firstByteSeconds = idleFirstByteSeconds + (c.backlog+c.uncached)/p.prefillRate*s.latencyFactor*p.latencyFactor + s.excess(now)
-	c.ownSeconds = c.uncached / p.prefillRate * s.latencyFactor * p.latencyFactor
+	secondsPerToken := s.latencyFactor * s.machineFactor * p.latencyFactor / p.prefillRate
+	c.firstByteSeconds = idleFirstByteSeconds + (c.backlog+c.uncached)*secondsPerToken + s.excess(now)
+	c.ownSeconds = c.uncached * secondsPerToken
 	c.cost = c.firstByteSeconds + (prefillWeight-1)*c.uncached/p.prefillRate + p.running(s, now)*runningCost
 	c.gapSeconds = expectedGap * s.gapFactor
 	if p.exceedsGap(c) {
--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -14,7 +14,10 @@
 	// latencyWeight is the weight of a new measurement in a server's latency factor.
 	latencyWeight    = 0.15
 	minLatencyFactor = 0.5
-	maxLatencyFactor = 8.0
+	// machineFactorWeight is the weight of a newly reported time of work. The time changes within tens of
+	// milliseconds, before another request is placed by it; what lasts is the server's mean.
+	machineFactorWeight = 0.1
+	maxLatencyFactor    = 8.0
 	// excessHalfLife is the half-life, in seconds, of the time that requests took beyond the expected.
 	excessHalfLife = 0.7
 	// failureWeight is the weight of a new outcome in a server's failure rate: about the last
@@ -62,6 +65,7 @@
 	othersInFlight  float64 // requests of other instances, by the server's last report
 	reportedWaiting float64 // requests that had not started, by the server's last report
 	reportedAt      time.Time
+	machineFactor   float64 // mean of the reported times of work, over the usual time; 1 if none is reported
 
 	latencyFactor     float64 // measured over expected time
 	excessSeconds     float64 // time that recent requests took beyond the expected, at excessAt
@@ -81,7 +85,7 @@
 }
 
 func newServer() *server {
-	return &server{latencyFactor: 1, gapFactor: 1, cache: newCache(), prefills: make(map[*Placement]*prefill)}
+	return &server{latencyFactor: 1, gapFactor: 1, machineFactor: 1, cache: newCache(), prefills: make(map[*Placement]*prefill)}
 }
 
 func urgencyIndex(urgency int) int { return min(max(urgency, 0), urgencyLevels-1) }
@@ -112,7 +116,10 @@
 }
 
 // ReportedLoad is the load that a server reports with a response.
-type ReportedLoad struct{ Running, Waiting, Slots int }
+type ReportedLoad struct {
+	Running, Waiting, Slots int
+	TimePercent             int // how long work takes on its machine at the moment, in percent of the usual time; 0 if not reported
+}
 
 // Outcome says how a request ended at its server.
 type Outcome int
@@ -135,6 +142,9 @@
 	s.othersInFlight = max(float64(l.Running+l.Waiting-s.inFlight), 0)
 	s.reportedWaiting = float64(l.Waiting)
 	s.reportedAt = now
+	if l.TimePercent > 0 {
+		s.machineFactor += (float64(l.TimePercent)/100 - s.machineFactor) * machineFactorWeight
+	}
 	if l.Slots > 0 && s.Slots == 0 {
 		s.Slots = l.Slots
 	}
