Answer a peer at the cost of what it lacks

Cause: an exchange computed the whole of what a peer lacks, copied and ordered, before it was found too large and thrown away. It grew with the servers times the exchanges. Ruled out: more delay between exchanges (it slows a configuration). TestCostOfChangesIsThatOfTheChanges compares allocations at 100 and 10,000 items; it has no counterpart in the old code, whose Since allocates in proportion.

--- a/instance/routed/catchup.go
+++ b/instance/routed/catchup.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"strings"
 	"sync"
 	"time"
@@ -47,45 +48,32 @@
 	return out
 }
 
-// viewsSince returns the items that a peer lacks, given the revisions that it knows.
-func (n *Instance) viewsSince(known []*peerpb.StoreView) []*peerpb.StoreView {
+// viewsSince returns the items that a peer lacks, given the revisions that it knows. A view with more
+// than maxBytes of values is reduced to its revision.
+func (n *Instance) viewsSince(known []*peerpb.StoreView, maxBytes int) []*peerpb.StoreView {
 	var out []*peerpb.StoreView
 	for _, view := range known {
 		for _, f := range n.syncs {
 			if f.prefix != view.GetPrefix() || f.mirror.Revision() <= view.GetRevision() {
 				continue
 			}
-			d := f.mirror.Since(view.GetRevision())
-			reply := &peerpb.StoreView{Prefix: f.prefix, Revision: d.Revision, After: d.After, Whole: d.Full}
-			for _, item := range d.Items {
-				reply.Items = append(reply.Items, &peerpb.Document{
-					Key: item.Key, Revision: item.Revision, Value: item.Value, Deleted: item.Removed,
-				})
+			d, complete := f.mirror.SinceWithin(view.GetRevision(), maxBytes)
+			if !complete {
+				out = append(out, &peerpb.StoreView{Prefix: f.prefix, Revision: d.Revision, After: d.Revision})
+				continue
 			}
-			out = append(out, reply)
+			out = append(out, encodeView(f.prefix, d))
 		}
 	}
 	return out
 }
 
-// exchangeViews is viewsSince for an exchange: a view that is too large for it is reduced
-// to its revision.
-func (n *Instance) exchangeViews(known []*peerpb.StoreView) []*peerpb.StoreView {
-	views := n.viewsSince(known)
-	for i, view := range views {
-		if valueBytes(view) > maxExchangeItemBytes {
-			views[i] = &peerpb.StoreView{Prefix: view.GetPrefix(), Revision: view.GetRevision(), After: view.GetRevision()}
-		}
-	}
-	return views
-}
-
-func valueBytes(view *peerpb.StoreView) int {
-	size := 0
-	for _, item := range view.GetItems() {
-		size += len(item.GetValue())
+func encodeView(prefix string, d mirror.Delta) *peerpb.StoreView {
+	view := &peerpb.StoreView{Prefix: prefix, Revision: d.Revision, After: d.After, Whole: d.Full}
+	for _, item := range d.Items {
+		view.Items = append(view.Items, &peerpb.Document{Key: item.Key, Revision: item.Revision, Value: item.Value, Deleted: item.Removed})
 	}
-	return size
+	return view
 }
 
 // markSent raises the revisions that a follower knows to those that were sent to it.
@@ -175,7 +163,7 @@
 		return status.Error(codes.ResourceExhausted, "others are catching up from this instance")
 	}
 	defer n.catchUpsServed.Add(-1)
-	return n.sendUpdate(stream, n.viewsSince(known), true)
+	return n.sendUpdate(stream, n.viewsSince(known, math.MaxInt), true)
 }
 
 // receiveUpdates applies a peer's updates until more returns false after a message; it then
--- /dev/null
+++ b/instance/routed/fleetstart_test.go
@@ -0,0 +1,136 @@
+package routed
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/basilroute/basilroute/protocol/peerpb"
+)
+
+// partBytes counts what the instances send each other, by part of the message.
+type partBytes struct {
+	mu    sync.Mutex
+	bytes map[string]int
+	calls map[string]int
+}
+
+func newPartBytes() *partBytes {
+	return &partBytes{bytes: make(map[string]int), calls: make(map[string]int)}
+}
+
+func (p *partBytes) add(part string, size int) {
+	if size == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.bytes[part] += size
+	p.calls[part]++
+}
+
+// list returns the bytes and the number of messages of each part for one instance.
+func (p *partBytes) list(instances int) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out strings.Builder
+	for _, part := range slices.Sorted(maps.Keys(p.bytes)) {
+		fmt.Fprintf(&out, " %s %.1f KB in %.1f;", part, float64(p.bytes[part])/1e3/float64(instances), float64(p.calls[part])/float64(instances))
+	}
+	return out.String()
+}
+
+func sizeOf[M proto.Message](messages []M) int {
+	size := 0
+	for _, m := range messages {
+		size += proto.Size(m)
+	}
+	return size
+}
+
+func (p *partBytes) intercept(ctx context.Context, method string, req, reply any, conn *grpc.ClientConn,
+	invoke grpc.UnaryInvoker, options ...grpc.CallOption) error {
+	err := invoke(ctx, method, req, reply, conn, options...)
+	if q, ok := req.(*peerpb.ExchangeRequest); ok {
+		p.add("exchange", proto.Size(q))
+		p.add("members", sizeOf(q.GetMembers()))
+		p.add("digests", sizeOf(q.GetDigests()))
+	}
+	if r, ok := reply.(*peerpb.ExchangeResponse); ok && err == nil {
+		p.add("exchange", proto.Size(r))
+		p.add("members", sizeOf(r.GetMembers()))
+		p.add("digests", sizeOf(r.GetDigests()))
+		p.add("holders", sizeOf(r.GetQuotaHolders()))
+		p.add("items", sizeOf(r.GetStoreViews()))
+	}
+	return err
+}
+
+func (p *partBytes) interceptStream(ctx context.Context, desc *grpc.StreamDesc, conn *grpc.ClientConn, method string,
+	open grpc.Streamer, options ...grpc.CallOption) (grpc.ClientStream, error) {
+	stream, err := open(ctx, desc, conn, method, options...)
+	return &countedStream{ClientStream: stream, counts: p}, err
+}
+
+type countedStream struct {
+	grpc.ClientStream
+	counts *partBytes
+}
+
+func (s *countedStream) RecvMsg(m any) error {
+	err := s.ClientStream.RecvMsg(m)
+	if update, ok := m.(*peerpb.FollowUpdate); ok && err == nil {
+		s.counts.add("follow", proto.Size(update))
+	}
+	return err
+}
+
+// startSpread is the time within which all instances of a fleet start.
+const startSpread = 300 * time.Millisecond
+
+// startFleet starts a fleet at once in three regions with two failure domains each, before ten
+// backend servers an instance, and returns what it sends within a time.
+func startFleet(t *testing.T, size int, period time.Duration) (*testFleet, *partBytes) {
+	counts := newPartBytes()
+	f := newTestFleet(t, 3)
+	f.dial = append(f.dial, grpc.WithUnaryInterceptor(counts.intercept), grpc.WithStreamInterceptor(counts.interceptStream))
+	f.useRegions("east", "west", "south")
+	for i := range 10 * size {
+		f.store.set(fmt.Sprintf("servers/i-%08x", i*2654435761%(1<<32)), testServerEntry(f.domains[i%len(f.domains)]))
+	}
+	for range size {
+		n := f.add(wideLink)
+		n.loops.Go(func() { n.runStoreSync(n.background) })
+		time.Sleep(startSpread / time.Duration(size))
+	}
+	time.Sleep(period)
+	return f, counts
+}
+
+func TestSizesOfAStart(t *testing.T) {
+	for _, size := range []int{24, 48, 96} {
+		synctest.Test(t, func(t *testing.T) {
+			began := processorTime()
+			f, counts := startFleet(t, size, 6*time.Second)
+			t.Logf("%d instances: %.1f KB each, store %.1f KB in %.1f calls each, %s CPU in all;%s", size, float64(f.sent())/1e3/float64(size),
+				float64(f.store.listedBytes)/1e3/float64(size), float64(f.store.lists)/float64(size), processorTime()-began, counts.list(size))
+			minting := 0
+			for _, n := range f.instances {
+				if n.shares.Mints() {
+					minting++
+				}
+			}
+			t.Logf("%d mint, %d know the configuration", minting, size-len(f.behind(1)))
+			f.stop()
+		})
+	}
+}
--- a/instance/routed/members.go
+++ b/instance/routed/members.go
@@ -177,7 +177,7 @@
 		n.quarantine.Merge(peer.DecodeQuarantine(q))
 	}
 	resp.Quarantines = peer.EncodeQuarantines(n.quarantine.Records(now))
-	resp.StoreViews = n.exchangeViews(req.GetStoreViews())
+	resp.StoreViews = n.viewsSince(req.GetStoreViews(), maxExchangeItemBytes)
 	if hash := n.shares.Hash(); hash != 0 && hash != req.GetQuotaHash() {
 		resp.QuotaComplete = n.shares.Complete()
 		for _, h := range n.shares.Holders() {
--- a/instance/routed/testfleet_test.go
+++ b/instance/routed/testfleet_test.go
@@ -35,6 +35,9 @@
 	items    map[string]platform.KeyValue
 	changed  chan struct{} // closed and replaced at every change
 	served   func(id string) bool
+
+	lists, listedItems int // calls of List and the items that they returned
+	listedBytes        int
 }
 
 func newMemoryStore() *memoryStore {
@@ -116,9 +119,20 @@
 
 func (s *memoryClient) List(_ context.Context, prefix string, after int64) ([]platform.KeyValue, int64, error) {
 	items, revision, _, err := s.store.after(s.id, prefix, after)
+	s.store.countList(items)
 	return items, revision, err
 }
 
+func (s *memoryStore) countList(items []platform.KeyValue) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists++
+	s.listedItems += len(items)
+	for _, item := range items {
+		s.listedBytes += len(item.Key) + len(item.Value)
+	}
+}
+
 func (s *memoryClient) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]platform.KeyValue, int64, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -164,8 +178,17 @@
 func (s testSource) Evacuation(string) (string, bool) { return "", false }
 func (s testSource) ServerID(key string) string       { return key }
 
-func (s testSource) Server(string, []byte) (backends.Server, error) {
-	return backends.Server{}, errors.New("no servers here")
+// testServerEntry returns the entry of a backend server of a failure domain.
+func testServerEntry(domain string) []byte {
+	return []byte("svc " + domain + ` {"version":"1.4.0","slots":16,"state":"ready","cold_left_ms":0,"seq":1,"born":1781942400000,"address":"10.1.0.25:9000"}`)
+}
+
+func (s testSource) Server(key string, value []byte) (backends.Server, error) {
+	fields := strings.SplitN(string(value), " ", 3)
+	if len(fields) != 3 {
+		return backends.Server{}, errors.New("not an entry")
+	}
+	return backends.Server{ID: key, Service: fields[0], Domain: fields[1], Address: key, Slots: 16}, nil
 }
 
 // Config reads the version that a value begins with.
@@ -208,13 +231,7 @@
 	f := newTestFleet(t, size)
 	f.accounts = loadConfig(size)
 	f.dial = append(f.dial, grpc.WithUnaryInterceptor(calls.intercept))
-	f.domains, f.regions = nil, make(map[string]string)
-	for _, region := range []string{"east", "west", "south"} {
-		for _, part := range []string{"a", "b"} {
-			f.domains = append(f.domains, region+"-"+part)
-			f.regions[region+"-"+part] = region
-		}
-	}
+	f.useRegions("east", "west", "south")
 	for range size {
 		n := f.add(wideLink)
 		for _, loop := range []func(context.Context){n.runStoreSync, n.lending.Run} {
@@ -224,6 +241,17 @@
 	return f
 }
 
+// useRegions replaces the failure domains by two in each region.
+func (f *testFleet) useRegions(regions ...string) {
+	f.domains, f.regions = nil, make(map[string]string)
+	for _, region := range regions {
+		for _, part := range []string{"a", "b"} {
+			f.domains = append(f.domains, region+"-"+part)
+			f.regions[region+"-"+part] = region
+		}
+	}
+}
+
 func startTestFleet(t *testing.T, rates ...float64) *testFleet {
 	f := newTestFleet(t, len(rates))
 	for _, rate := range rates {
--- a/instance/routed/watch.go
+++ b/instance/routed/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -169,7 +170,7 @@
 		if n.storeUnreachable() || n.leaving.Load() {
 			return nil // the follower picks another watcher
 		}
-		views := n.viewsSince(known)
+		views := n.viewsSince(known, math.MaxInt)
 		if err := n.sendUpdate(stream, views, req.GetParts()); err != nil {
 			return err
 		}
--- a/state/mirror/mirror_test.go
+++ b/state/mirror/mirror_test.go
@@ -111,3 +111,51 @@
 		t.Errorf("an item that comes back unchanged: %+v", changed)
 	}
 }
+
+// Guards against an answer to a peer that costs as much as there are items, although the peer lacks a
+// few or more than it can be sent.
+func TestCostOfChangesIsThatOfTheChanges(t *testing.T) {
+	allocated := func(items int) (few, tooMany float64) {
+		m := New()
+		d := Delta{Full: true, Revision: int64(items)}
+		for i := range items {
+			d.Items = append(d.Items, Item{Key: fmt.Sprint("k", i), Value: make([]byte, 200), Revision: int64(i + 1)})
+		}
+		m.Apply(d)
+		last := Delta{After: d.Revision, Revision: d.Revision + 3}
+		for i := range 3 {
+			last.Items = append(last.Items, Item{Key: fmt.Sprint("k", i), Value: make([]byte, 210), Revision: d.Revision + int64(i) + 1})
+		}
+		m.Apply(last)
+		few = testing.AllocsPerRun(10, func() {
+			if d, complete := m.SinceWithin(d.Revision, 1000); !complete || len(d.Items) != 3 {
+				t.Errorf("%d items, complete %t", len(d.Items), complete)
+			}
+		})
+		tooMany = testing.AllocsPerRun(10, func() {
+			if d, complete := m.SinceWithin(0, 1000); complete || len(d.Items) != 0 {
+				t.Errorf("%d items, complete %t", len(d.Items), complete)
+			}
+		})
+		return few, tooMany
+	}
+	few, tooMany := allocated(100)
+	if f, m := allocated(10_000); f > few || m > tooMany {
+		t.Errorf("%.0f and %.0f allocations at 10,000 items, %.0f and %.0f at 100", f, m, few, tooMany)
+	}
+}
+
+// Guards against changes that are kept for ever, and against a replaced item that is passed on.
+func TestReplacedChangesAreDropped(t *testing.T) {
+	m := New()
+	m.Apply(Delta{Full: true, Revision: 1, Items: []Item{{Key: "a", Revision: 1}}})
+	for revision := int64(2); revision <= 1000; revision++ {
+		m.Apply(Delta{After: revision - 1, Revision: revision, Items: []Item{{Key: "a", Value: []byte{1}, Revision: revision}}})
+		if d := m.Since(revision / 2); len(d.Items) != 1 || d.Items[0].Revision != revision {
+			t.Fatalf("since %d: %+v", revision/2, d.Items)
+		}
+	}
+	if len(m.changes) > 2*maxReplacedFactor {
+		t.Errorf("%d changes are kept of one item", len(m.changes))
+	}
+}
