Receive a long list of entries from few readers at a start

Cause: an instance that knew nothing read all entries from the store: at 985 instances and 10,002 servers 21 pages, some 4 MB of JSON each, 4 GB and 20,700 calls in all over the store's one link of 1,000 Mbit/s (worked out, not measured), also after a restart of all, and again at every restart of one. It grew with instances times servers. Change: a list of one page is read as before. Before the second page an instance looks at the instances' items in the store, which it reads at its start anyway: the two with the widest links of each failure domain read on, the others follow one of these, then one of the region's other domain, and read themselves four seconds after their start at the latest. The items carry the link's rate; an item of an earlier build has none and counts as narrow. Ruled out: reading in turn by rank (as slow as the store's link), the exchange alone (it sends lists also between regions). The readers' number grows with the logarithm of the instances, as each knows only those that started before it. TestEntriesAreReadWhenTheReadersAreGone: the way out.

--- a/instance/routed/fleetstart_test.go
+++ b/instance/routed/fleetstart_test.go
@@ -116,6 +116,51 @@
 	return f, counts
 }
 
+// Guards against a start at which the store sends all entries to each instance.
+func TestFewInstancesReadAllEntriesAtAStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 72
+		f, _ := startFleet(t, size, 6*time.Second)
+		defer f.stop()
+		// An instance knows only those that started before it. Of n that start one after the other, the sum
+		// of 1/i are the best so far.
+		limit := 0.0
+		for i := 1; i <= size/len(f.domains); i++ {
+			limit += startReadersPerDomain * float64(len(f.domains)) / float64(i)
+		}
+		if f.store.longLists > int(limit) {
+			t.Errorf("%d long lists were read, want at most %d", f.store.longLists, int(limit))
+		}
+		for _, n := range f.instances {
+			if got := len(n.servers.mirror.Items()); got != 10*size {
+				t.Errorf("%s knows %d entries", n.settings.ID, got)
+			}
+		}
+		f.wantVersion(1)
+	})
+}
+
+// Guards against an instance that waits for entries from others that are gone for good.
+func TestEntriesAreReadWhenTheReadersAreGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1)
+		defer f.stop()
+		for i := range 2 * testPage {
+			f.store.set(fmt.Sprint("servers/", i), testServerEntry("east-a"))
+		}
+		for i := range 3 {
+			f.store.set(fmt.Sprint(membersPrefix, "gone-", i), fmt.Appendf(nil,
+				`{"id":"gone-%d","region":"east","domain":"east-a","peer":"gone-%d:1","link":1000}`, i, i))
+		}
+		n := f.add(wideLink)
+		n.loops.Go(func() { n.runStoreSync(n.background) })
+		time.Sleep(startReadTimeout + time.Second)
+		if got := len(n.servers.mirror.Items()); got != 2*testPage {
+			t.Errorf("%d entries are known", got)
+		}
+	})
+}
+
 func TestSizesOfAStart(t *testing.T) {
 	for _, size := range []int{24, 48, 96} {
 		synctest.Test(t, func(t *testing.T) {
--- a/instance/routed/follow.go
+++ b/instance/routed/follow.go
@@ -58,6 +58,11 @@
 				sleep(ctx, f.debounce)
 			}
 			continue
+		case errors.Is(err, errListLong):
+			n.markStoreReachable(f)
+			n.receiveServers(ctx)
+			listed = f.mirror.Revision() != 0
+			continue
 		case errors.Is(err, platform.ErrCompacted):
 			n.log.Info("store_history_gone", "prefix", f.prefix, "after", configwatch.FormatRank(f.mirror.Revision()))
 			listed = false
@@ -74,6 +79,9 @@
 func (n *Instance) read(ctx context.Context, f *prefixSync, listed bool) (mirror.Delta, error) {
 	store := n.source.Store()
 	after := f.mirror.Revision()
+	if after == 0 && f == n.servers {
+		return n.readServers(ctx)
+	}
 	if !listed || after == 0 {
 		found, revision, err := store.List(ctx, f.prefix, 0)
 		return mirror.Delta{Revision: revision, Items: items(found), Full: true}, err
--- a/instance/routed/instance.go
+++ b/instance/routed/instance.go
@@ -63,6 +63,8 @@
 	catchingUp      atomic.Bool  // this instance is catching up from another one
 	partialUpdates  atomic.Int32 // updates of which some chunks have arrived
 
+	startReaders atomic.Pointer[startReaders] // nil until the instances' items are known
+
 	poolMu sync.Mutex
 	pooled pooledVersions // guarded by poolMu
 
--- a/instance/routed/join.go
+++ b/instance/routed/join.go
@@ -26,6 +26,7 @@
 	Domain string `json:"domain"`
 	Peer   string `json:"peer"`
 	Minted bool   `json:"minted"` // it has minted its share of the quotas at least once
+	Link   int    `json:"link"`   // Mbit/s of its machine; 0 if not known
 }
 
 // join writes this instance's item and reads those of all others. It writes the item again
@@ -85,6 +86,7 @@
 		seeds = append(seeds, membership.Seed{ID: m.ID, PeerAddress: m.Peer, Region: m.Region, Domain: m.Domain})
 	}
 	n.members.SetSeeds(append(seeds, n.staticSeeds()...))
+	n.setStartReaders(found)
 	if stored.Minted {
 		n.shares.RecordMinted()
 	} else if !n.shares.Mints() {
@@ -127,6 +129,7 @@
 func (n *Instance) putMember(ctx context.Context, minted bool) error {
 	value, err := json.Marshal(memberItem{
 		ID: n.settings.ID, Region: n.settings.Region, Domain: n.settings.Domain, Peer: n.settings.Listen.Peers, Minted: minted,
+		Link: int(n.settings.LinkMbps),
 	})
 	if err != nil {
 		return errors.Wrap(err, "member")
--- a/instance/routed/source.go
+++ b/instance/routed/source.go
@@ -1,6 +1,8 @@
 package routed
 
 import (
+	"context"
+
 	"github.com/basilroute/basilroute/state/backends"
 	"github.com/basilroute/basilroute/state/routes"
 	"github.com/basilroute/basilroute/transport/platform"
@@ -14,6 +16,9 @@
 	// ConfigPrefix and ServersPrefix return the key prefixes of the items.
 	ConfigPrefix() string
 	ServersPrefix() string
+	// ListServers lists the entries of the backend servers. It asks before each page but the first whether
+	// to go on; complete is false if not.
+	ListServers(ctx context.Context, more func() bool) (entries []platform.KeyValue, revision int64, complete bool, err error)
 	// Config decodes the configuration; ok is false for an item that is not a
 	// configuration.
 	Config(key string, value []byte) (config *routes.Config, ok bool, err error)
--- a/instance/routed/testfleet_test.go
+++ b/instance/routed/testfleet_test.go
@@ -36,8 +36,8 @@
 	changed  chan struct{} // closed and replaced at every change
 	served   func(id string) bool
 
-	lists, listedItems int // calls of List and the items that they returned
-	listedBytes        int
+	lists, longLists int // lists that were read, and those of them that are longer than a page
+	listedBytes      int
 }
 
 func newMemoryStore() *memoryStore {
@@ -119,7 +119,9 @@
 
 func (s *memoryClient) List(_ context.Context, prefix string, after int64) ([]platform.KeyValue, int64, error) {
 	items, revision, _, err := s.store.after(s.id, prefix, after)
-	s.store.countList(items)
+	if prefix != membersPrefix {
+		s.store.countList(items)
+	}
 	return items, revision, err
 }
 
@@ -127,7 +129,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
-	s.listedItems += len(items)
+	if len(items) > testPage {
+		s.longLists++
+	}
 	for _, item := range items {
 		s.listedBytes += len(item.Key) + len(item.Value)
 	}
@@ -172,9 +176,23 @@
 	accounts map[string]*routes.Account // of every version
 }
 
-func (s testSource) Store() platform.Store            { return s.client }
-func (s testSource) ConfigPrefix() string             { return "config/" }
-func (s testSource) ServersPrefix() string            { return "servers/" }
+func (s testSource) Store() platform.Store { return s.client }
+func (s testSource) ConfigPrefix() string  { return "config/" }
+func (s testSource) ServersPrefix() string { return "servers/" }
+
+// testPage is how many entries a page of a list has.
+const testPage = 50
+
+func (s testSource) ListServers(ctx context.Context, more func() bool) ([]platform.KeyValue, int64, bool, error) {
+	found, revision, _, err := s.client.store.after(s.client.id, s.ServersPrefix(), 0)
+	if err == nil && len(found) > testPage && !more() {
+		s.client.store.countList(found[:testPage])
+		return nil, 0, false, nil
+	}
+	s.client.store.countList(found)
+	return found, revision, true, err
+}
+
 func (s testSource) Evacuation(string) (string, bool) { return "", false }
 func (s testSource) ServerID(key string) string       { return key }
 
--- a/instance/routed/watch.go
+++ b/instance/routed/watch.go
@@ -137,8 +137,7 @@
 	}
 	began := time.Now()
 	lastReceived := began
-	req := &peerpb.FollowRequest{From: n.settings.ID, Known: n.knownRevisions(), Parts: true}
-	err = n.receiveUpdates(ctx, client, req, origin{source: sourceWatcher, peer: address}, func() bool {
+	err = n.receiveUpdates(ctx, client, n.followRequest(), origin{source: sourceWatcher, peer: address}, func() bool {
 		lastReceived = time.Now()
 		for _, f := range n.syncs {
 			n.markStoreReachable(f)
@@ -154,6 +153,11 @@
 	return false
 }
 
+// followRequest asks for what this instance lacks, and for the changes from then on.
+func (n *Instance) followRequest() *peerpb.FollowRequest {
+	return &peerpb.FollowRequest{From: n.settings.ID, Known: n.knownRevisions(), Parts: true}
+}
+
 // Follow implements peer.Followed: it sends changes to a follower, and ends when this
 // instance is no longer up to date.
 func (n *Instance) Follow(req *peerpb.FollowRequest, stream grpc.ServerStreamingServer[peerpb.FollowUpdate]) error {
