Exchange with the same few peers

Cause: each round drew its peers among all reachable instances, and every connection was kept: after some minutes an instance is connected to nearly all others, with goroutines, buffers and a probe every ten seconds for each. Change: in a fleet above a full mesh an instance draws among eight peers of its own failure domain and three of each other one, by rendezvous hashing over those that it reaches, and connections without calls are closed after 30 s. Ruled out: closing alone (the same peers come back within the minute, and each connection costs a handshake).

--- a/coordination/membership/targets.go
+++ b/coordination/membership/targets.go
@@ -3,9 +3,14 @@
 import (
 	"cmp"
 	"maps"
+	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/basilroute/basilroute/coordination/rendezvous"
 )
 
 const (
@@ -15,6 +20,12 @@
 	// localDomainFanout is how many peers of the local domain a round picks in a
 	// larger fleet.
 	localDomainFanout = 2
+	// localPartners and remotePartners are how many peers of the local and of each other
+	// domain an instance of a larger fleet exchanges with. It keeps a connection to each of
+	// them, whose number must not grow with the fleet. Gossip over eight random neighbours
+	// each reaches all nearly as fast as over all.
+	localPartners  = 8
+	remotePartners = 3
 	// otherDomainsRounds is the number of rounds in which an instance of a larger
 	// fleet exchanges with one peer of each other domain.
 	otherDomainsRounds = 2
@@ -56,8 +67,8 @@
 }
 
 // RoundTargets returns the peer addresses to exchange with in this round: all in a
-// small fleet; otherwise a few at random in the local domain and one in each of half
-// of the other domains. Every few rounds it adds one that is unreachable or forgotten,
+// small fleet; otherwise a few at random of its partners in the local domain and one in
+// each of half of the other domains. Every few rounds it adds one that is unreachable or forgotten,
 // so that both sides of a long partition find each other again without the platform.
 func (t *Table) RoundTargets(now time.Time, rng *rand.Rand) []string {
 	t.mu.RLock()
@@ -67,7 +78,7 @@
 	out := strangers[:min(len(strangers), unknownSeedFanout)]
 	live, lost := t.splitByReachability(now)
 	for n, domain := range slices.Sorted(maps.Keys(live)) {
-		addresses := live[domain]
+		addresses := t.partners(domain, live[domain])
 		shuffle(addresses, rng)
 		out = append(out, addresses[:min(len(addresses), t.fanout(domain, uint64(n)))]...)
 	}
@@ -78,6 +89,23 @@
 	return slices.Compact(out)
 }
 
+// partners returns those of a domain's addresses with which this instance exchanges: all in
+// a small fleet, otherwise a few by rendezvous hashing, so that they change only when one of
+// them is lost.
+func (t *Table) partners(domain string, addresses []string) []string {
+	count := remotePartners
+	if domain == t.members[t.self].entry.GetDomain() {
+		count = localPartners
+	}
+	if len(t.members) <= maxFullMesh || len(addresses) <= count {
+		return addresses
+	}
+	self := bits.RotateLeft64(xxhash.Sum64String(t.self), 1) // two instances need not choose each other
+	score := func(address string) uint64 { return rendezvous.Score(xxhash.Sum64String(address), self) }
+	slices.SortFunc(addresses, func(a, b string) int { return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a, b)) })
+	return addresses[:count]
+}
+
 // fanout returns how many peers of the n-th domain a round picks.
 func (t *Table) fanout(domain string, n uint64) int {
 	switch {
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -15,6 +15,9 @@
 )
 
 const (
+	// idleTimeout is how long a connection without calls is kept: at a start an instance calls
+	// many others once.
+	idleTimeout  = 30 * time.Second
 	pingInterval = 10 * time.Second
 	pingTimeout  = 3 * time.Second
 	// StreamWindow and ConnWindow are the flow-control windows in bytes. They are fixed because,
@@ -59,6 +62,7 @@
 		grpc.WithInitialWindowSize(StreamWindow),
 		grpc.WithInitialConnWindowSize(ConnWindow),
 		grpc.WithReadBufferSize(readBufferBytes),
+		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: connectBackoff, MinConnectTimeout: connectTimeout}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingInterval, Timeout: pingTimeout}),
 	}
