Pass items on between failure domains only once

Cause: each exchange answered with the items that the other side lacked, up to 8 KB, and what was more was fetched whole from that instance, in whatever region it was. While entries change, as at a start, every instance is a little behind most others, although its own watcher is about to send it the same; a list that came whole makes all its receivers answer those behind it with the whole list. Change: exchanges between failure domains carry revisions only. An instance fetches what it lacks within its domain; from another one only if it is a watcher of its domain, or the store fails it. Ruled out: longer delays before a fetch (they delay a withdrawn key and save nothing at a start that lasts seconds). What it costs: behind a watcher that is cut off silently, an item comes up to 0.7 s later than by an exchange.

--- a/instance/routed/catchup.go
+++ b/instance/routed/catchup.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -27,8 +28,8 @@
 // while chunks arrive, and an exchange, which is a single message with a deadline, only
 // reports that there is more.
 const (
-	// maxExchangeItemBytes is how many bytes of items an exchange carries: some thirty
-	// entries of servers.
+	// maxExchangeItemBytes is how many bytes of items an exchange within a failure domain
+	// carries: some thirty entries of servers.
 	maxExchangeItemBytes = 8 << 10
 	// catchUpDelay is how long an instance that learns of newer revisions waits for its
 	// watcher to deliver them.
@@ -37,6 +38,29 @@
 	maxCatchUpsServed = 4
 )
 
+// Between failure domains an item travels once: from a watcher of one to a watcher of the other, if the
+// store does not give it to both. If all instances passed items on between domains, then while entries
+// change, as at a start, each exchange would carry some that the receiver's own watcher is about to send,
+// and bytes would grow with instances times entries.
+
+// exchangeItemBytes returns how many bytes of items an exchange with an instance of a failure domain
+// carries. Between domains it carries revisions only.
+func (n *Instance) exchangeItemBytes(domain string) int {
+	if domain == n.settings.Domain {
+		return maxExchangeItemBytes
+	}
+	return 0
+}
+
+// mayCatchUpFrom reports whether this instance may fetch what it lacks from an instance of a failure
+// domain: within its own always, from others as a watcher, or when the store and its watchers fail it.
+func (n *Instance) mayCatchUpFrom(domain string, now time.Time) bool {
+	if domain == n.settings.Domain || slices.Contains(n.regionWatchers(now)[n.settings.Domain], n.settings.ID) {
+		return true
+	}
+	return slices.ContainsFunc(n.syncs, func(f *prefixSync) bool { return f.unreachable(n.uptime()) })
+}
+
 // knownRevisions returns the revision up to which each prefix is known. It is part of every
 // exchange: a watcher that is cut off from the store detects that only seconds later, and
 // its followers, which receive nothing in the meantime, would use outdated items.
--- a/instance/routed/fleetstart_test.go
+++ b/instance/routed/fleetstart_test.go
@@ -19,13 +19,15 @@
 
 // partBytes counts what the instances send each other, by part of the message.
 type partBytes struct {
+	domain func(instance string) string
+
 	mu    sync.Mutex
 	bytes map[string]int
 	calls map[string]int
 }
 
-func newPartBytes() *partBytes {
-	return &partBytes{bytes: make(map[string]int), calls: make(map[string]int)}
+func newPartBytes(domain func(instance string) string) *partBytes {
+	return &partBytes{domain: domain, bytes: make(map[string]int), calls: make(map[string]int)}
 }
 
 func (p *partBytes) add(part string, size int) {
@@ -71,6 +73,9 @@
 		p.add("digests", sizeOf(r.GetDigests()))
 		p.add("holders", sizeOf(r.GetQuotaHolders()))
 		p.add("items", sizeOf(r.GetStoreViews()))
+		if q, ok := req.(*peerpb.ExchangeRequest); ok && q.GetView().GetDomain() != r.GetView().GetDomain() {
+			p.add("items other domains", sizeOf(r.GetStoreViews()))
+		}
 	}
 	return err
 }
@@ -78,40 +83,63 @@
 func (p *partBytes) interceptStream(ctx context.Context, desc *grpc.StreamDesc, conn *grpc.ClientConn, method string,
 	open grpc.Streamer, options ...grpc.CallOption) (grpc.ClientStream, error) {
 	stream, err := open(ctx, desc, conn, method, options...)
-	return &countedStream{ClientStream: stream, counts: p}, err
+	return &countedStream{ClientStream: stream, counts: p, server: strings.TrimPrefix(conn.Target(), "passthrough:///")}, err
 }
 
+// countedStream counts what an instance receives from another one that it follows.
 type countedStream struct {
 	grpc.ClientStream
-	counts *partBytes
+	counts         *partBytes
+	client, server string
+}
+
+func (s *countedStream) SendMsg(m any) error {
+	if req, ok := m.(*peerpb.FollowRequest); ok {
+		s.client = req.GetFrom()
+	}
+	return s.ClientStream.SendMsg(m)
 }
 
 func (s *countedStream) RecvMsg(m any) error {
 	err := s.ClientStream.RecvMsg(m)
 	if update, ok := m.(*peerpb.FollowUpdate); ok && err == nil {
 		s.counts.add("follow", proto.Size(update))
+		if s.counts.domain(s.client) != s.counts.domain(s.server) {
+			s.counts.add("follow other domains", proto.Size(update))
+		}
 	}
 	return err
 }
 
-// startSpread is the time within which all instances of a fleet start.
-const startSpread = 300 * time.Millisecond
+const (
+	startSpread    = 300 * time.Millisecond // within which all instances of a fleet start
+	registerSpread = 2 * time.Second        // within which the backend servers register
+)
 
 // startFleet starts a fleet at once in three regions with two failure domains each, before ten
 // backend servers an instance, and returns what it sends within a time.
 func startFleet(t *testing.T, size int, period time.Duration) (*testFleet, *partBytes) {
-	counts := newPartBytes()
 	f := newTestFleet(t, 3)
+	counts := newPartBytes(func(instance string) string {
+		n := 0
+		_, _ = fmt.Sscanf(instance, "front-%d", &n) // the ids of a test fleet
+		return f.domains[n%len(f.domains)]
+	})
 	f.dial = append(f.dial, grpc.WithUnaryInterceptor(counts.intercept), grpc.WithStreamInterceptor(counts.interceptStream))
 	f.useRegions("east", "west", "south")
-	for i := range 10 * size {
-		f.store.set(fmt.Sprintf("servers/i-%08x", i*2654435761%(1<<32)), testServerEntry(f.domains[i%len(f.domains)]))
-	}
+	var starting sync.WaitGroup
+	starting.Go(func() {
+		for i := range 10 * size {
+			f.store.set(fmt.Sprintf("servers/i-%08x", i*2654435761%(1<<32)), testServerEntry(f.domains[i%len(f.domains)]))
+			time.Sleep(registerSpread / time.Duration(10*size))
+		}
+	})
 	for range size {
 		n := f.add(wideLink)
 		n.loops.Go(func() { n.runStoreSync(n.background) })
 		time.Sleep(startSpread / time.Duration(size))
 	}
+	starting.Wait()
 	time.Sleep(period)
 	return f, counts
 }
@@ -140,6 +168,24 @@
 	})
 }
 
+// Guards against entries that each instance receives from those of other failure domains too, while
+// they change.
+func TestItemsTravelOnceBetweenDomains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 72
+		f, counts := startFleet(t, size, 4*time.Second)
+		defer f.stop()
+		all := 0
+		for _, item := range f.instances[0].servers.mirror.Items() {
+			all += len(item.Key) + len(item.Value)
+		}
+		got, limit := counts.bytes["items other domains"]+counts.bytes["follow other domains"], len(f.domains)*all
+		if all == 0 || got > limit {
+			t.Errorf("%d bytes of items between domains, want at most %d", got, limit)
+		}
+	})
+}
+
 // Guards against an instance that waits for entries from others that are gone for good.
 func TestEntriesAreReadWhenTheReadersAreGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -168,6 +214,12 @@
 			f, counts := startFleet(t, size, 6*time.Second)
 			t.Logf("%d instances: %.1f KB each, store %.1f KB in %.1f calls each, %s CPU in all;%s", size, float64(f.sent())/1e3/float64(size),
 				float64(f.store.listedBytes)/1e3/float64(size), float64(f.store.lists)/float64(size), processorTime()-began, counts.list(size))
+			versions, changes := uint64(0), uint64(0)
+			for _, n := range f.instances {
+				versions += n.members.Self().GetVersion()
+				changes += n.members.Changes()
+			}
+			t.Logf("%.1f versions, %.1f changes each", float64(versions)/float64(size), float64(changes)/float64(size))
 			minting := 0
 			for _, n := range f.instances {
 				if n.shares.Mints() {
--- a/instance/routed/members.go
+++ b/instance/routed/members.go
@@ -114,7 +114,9 @@
 func (n *Instance) applyResponse(ctx context.Context, client peerpb.PeerClient, req *peerpb.ExchangeRequest, resp *peerpb.ExchangeResponse) {
 	next := n.members.ApplyResponse(resp, time.Now())
 	n.applyViews(resp.GetStoreViews(), origin{source: sourceExchange, peer: resp.GetFrom()})
-	n.catchUp(client, resp.GetFrom(), resp.GetStoreViews())
+	if n.mayCatchUpFrom(resp.GetView().GetDomain(), time.Now()) {
+		n.catchUp(client, resp.GetFrom(), resp.GetStoreViews())
+	}
 	for _, q := range resp.GetQuarantines() {
 		n.quarantine.Merge(peer.DecodeQuarantine(q))
 	}
@@ -177,7 +179,7 @@
 		n.quarantine.Merge(peer.DecodeQuarantine(q))
 	}
 	resp.Quarantines = peer.EncodeQuarantines(n.quarantine.Records(now))
-	resp.StoreViews = n.viewsSince(req.GetStoreViews(), maxExchangeItemBytes)
+	resp.StoreViews = n.viewsSince(req.GetStoreViews(), n.exchangeItemBytes(req.GetView().GetDomain()))
 	if hash := n.shares.Hash(); hash != 0 && hash != req.GetQuotaHash() {
 		resp.QuotaComplete = n.shares.Complete()
 		for _, h := range n.shares.Holders() {
