Reconcile entries of third failure domains within the own one

Cause: while entries differ, as at a start, each exchange compared all domains, with digests of 50 B an instance each way: 50 KB at 985 instances, some eighty times an instance within the first seconds, two thirds of it between regions. Change: peers of two domains compare these two; the other domains' entries come from peers of the own domain, and each domain exchanges with each other one directly, as heartbeats always did. Seeds of the own domain are tried first. A fleet small enough for a full mesh compares all as before. Ruled out: fewer exchanges at a start (quotas wait for them).

--- a/coordination/membership/exchange.go
+++ b/coordination/membership/exchange.go
@@ -222,7 +222,7 @@
 		}
 	}
 	for _, d := range resp.GetDomains() {
-		if index := t.indexes()[d.GetDomain()]; d.GetDomain() != localDomain && (index == nil || index.versionHash != d.GetVersionHash()) {
+		if index := t.indexes()[d.GetDomain()]; t.reconciles(d.GetDomain(), resp.GetView().GetDomain()) && (index == nil || index.versionHash != d.GetVersionHash()) {
 			differing[d.GetDomain()] = true
 		}
 	}
@@ -237,6 +237,18 @@
 	return next
 }
 
+// reconciles reports whether the entries of a domain are compared with a peer of another one,
+// beside those of the peer's own domain. In a large fleet peers of the local domain have them:
+// each of these exchanges with that domain itself, and digests of all domains between
+// all of them would grow with the square of the fleet.
+func (t *Table) reconciles(domain, peerDomain string) bool {
+	localDomain := t.members[t.self].entry.GetDomain()
+	if domain == localDomain {
+		return false
+	}
+	return peerDomain == localDomain || domain == peerDomain || len(t.members) <= maxFullMesh
+}
+
 func (t *Table) digests(domains []string) []*peerpb.MemberDigest {
 	var out []*peerpb.MemberDigest
 	for _, domain := range domains {
--- a/coordination/membership/targets.go
+++ b/coordination/membership/targets.go
@@ -29,8 +29,11 @@
 	// otherDomainsRounds is the number of rounds in which an instance of a larger
 	// fleet exchanges with one peer of each other domain.
 	otherDomainsRounds = 2
-	// unknownSeedFanout is the maximum number of seeds that a round tries.
-	unknownSeedFanout = 4
+	// unknownSeedFanout is the maximum number of seeds that a round tries, and
+	// unknownLocalFanout how many of them are of the local domain while there are such: these
+	// send the entries of all domains.
+	unknownSeedFanout  = 4
+	unknownLocalFanout = 2
 	// lostRetryRounds is the number of rounds between two attempts to contact an
 	// unreachable or forgotten instance.
 	lostRetryRounds = 5
@@ -73,9 +76,7 @@
 func (t *Table) RoundTargets(now time.Time, rng *rand.Rand) []string {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	strangers := t.unknownSeeds()
-	shuffle(strangers, rng)
-	out := strangers[:min(len(strangers), unknownSeedFanout)]
+	out := t.seedTargets(rng)
 	live, lost := t.splitByReachability(now)
 	for n, domain := range slices.Sorted(maps.Keys(live)) {
 		addresses := t.partners(domain, live[domain])
@@ -106,6 +107,25 @@
 	return addresses[:count]
 }
 
+// seedTargets draws from the seeds that are not known yet.
+func (t *Table) seedTargets(rng *rand.Rand) []string {
+	unknown, domain := t.unknownSeeds(), t.members[t.self].entry.GetDomain()
+	local := make(map[string]bool)
+	for _, seed := range t.seeds {
+		local[seed.PeerAddress] = seed.Domain == domain
+	}
+	shuffle(unknown, rng)
+	var out, others []string
+	for _, address := range unknown {
+		if local[address] && len(out) < unknownLocalFanout {
+			out = append(out, address)
+		} else {
+			others = append(others, address)
+		}
+	}
+	return append(out, others[:min(len(others), unknownSeedFanout-len(out))]...)
+}
+
 // fanout returns how many peers of the n-th domain a round picks.
 func (t *Table) fanout(domain string, n uint64) int {
 	switch {
