--- a/instance/routed/fleetstart_test.go
+++ b/instance/routed/fleetstart_test.go
@@ -75,6 +75,7 @@
 		p.add("items", sizeOf(r.GetStoreViews()))
 		if q, ok := req.(*peerpb.ExchangeRequest); ok && q.GetView().GetDomain() != r.GetView().GetDomain() {
 			p.add("items other domains", sizeOf(r.GetStoreViews()))
+			p.add("exchange other domains", proto.Size(q)+proto.Size(r))
 		}
 	}
 	return err
