--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -62,7 +62,6 @@
 		grpc.WithInitialWindowSize(StreamWindow),
 		grpc.WithInitialConnWindowSize(ConnWindow),
 		grpc.WithReadBufferSize(readBufferBytes),
-		grpc.WithSharedWriteBuffer(true),
 		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: connectBackoff, MinConnectTimeout: connectTimeout}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingInterval, Timeout: pingTimeout}),
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -53,7 +53,6 @@
 func ServerOptions() []grpc.ServerOption {
 	return []grpc.ServerOption{
 		grpc.ReadBufferSize(readBufferBytes),
-		grpc.SharedWriteBuffer(true), // its 32 KB for each connection would be idle nearly all the time
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPingInterval, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
 	}
