--- a/instance/routed/fleetstart_test.go
+++ b/instance/routed/fleetstart_test.go
@@ -208,27 +208,23 @@
 	})
 }
 
-func TestSizesOfAStart(t *testing.T) {
-	for _, size := range []int{24, 48, 96} {
+// Guards against a start at which what an instance sends to other failure domains grows as the fleet, so
+// that the fleet's links between regions carry the square. It logs what else is sent.
+func TestBytesBetweenDomainsAtAStart(t *testing.T) {
+	const small, large = 24, 96
+	sent := make(map[int]float64)
+	for _, size := range []int{small, large} {
 		synctest.Test(t, func(t *testing.T) {
-			began := processorTime()
 			f, counts := startFleet(t, size, 6*time.Second)
-			t.Logf("%d instances: %.1f KB each, store %.1f KB in %.1f calls each, %s CPU in all;%s", size, float64(f.sent())/1e3/float64(size),
-				float64(f.store.listedBytes)/1e3/float64(size), float64(f.store.lists)/float64(size), processorTime()-began, counts.list(size))
-			versions, changes := uint64(0), uint64(0)
-			for _, n := range f.instances {
-				versions += n.members.Self().GetVersion()
-				changes += n.members.Changes()
-			}
-			t.Logf("%.1f versions, %.1f changes each", float64(versions)/float64(size), float64(changes)/float64(size))
-			minting := 0
-			for _, n := range f.instances {
-				if n.shares.Mints() {
-					minting++
-				}
-			}
-			t.Logf("%d mint, %d know the configuration", minting, size-len(f.behind(1)))
-			f.stop()
+			defer f.stop()
+			counts.mu.Lock()
+			sent[size] = float64(counts.bytes["exchange other domains"]+counts.bytes["follow other domains"]) / float64(size)
+			counts.mu.Unlock()
+			t.Logf("%d instances:%s", size, counts.list(size))
+			f.wantVersion(1)
 		})
 	}
+	if sent[large] >= sent[small]*large/small {
+		t.Errorf("%.0f bytes an instance at %d, %.0f at %d", sent[large], large, sent[small], small)
+	}
 }
