--- a/transport/httproute/callerwriter.go
+++ b/transport/httproute/callerwriter.go
@@ -116,7 +116,10 @@
 		if part, taken = c.next(part); len(part) == 0 {
 			return
 		}
-		err := writeTo(c.w, c.control, part)
+		err := writeChunks(c.w, c.control, part)
+		if err == nil {
+			err = c.control.Flush()
+		}
 		c.budget.Release(taken)
 		if err != nil {
 			c.fail(err)
@@ -160,9 +163,9 @@
 	<-c.stopped
 }
 
-// writeTo writes and flushes a part of a response in chunks, each within callerWriteTimeout. It leaves
-// the connection's write deadline set.
-func writeTo(w http.ResponseWriter, control *http.ResponseController, part []byte) error {
+// writeChunks writes a part of a response in chunks, each within callerWriteTimeout. It leaves the
+// connection's write deadline set.
+func writeChunks(w http.ResponseWriter, control *http.ResponseController, part []byte) error {
 	for len(part) > 0 {
 		chunk := part[:min(len(part), writeChunk)]
 		part = part[len(chunk):]
@@ -170,9 +173,6 @@
 		if _, err := w.Write(chunk); err != nil {
 			return err
 		}
-		if err := control.Flush(); err != nil {
-			return err
-		}
 	}
 	return nil
 }
--- a/transport/httproute/relay.go
+++ b/transport/httproute/relay.go
@@ -107,8 +107,8 @@
 	d.copyHeader(d.held.header)
 	d.w.Header().Set("Content-Length", strconv.Itoa(len(d.held.body)))
 	d.w.WriteHeader(d.held.status)
-	_ = writeTo(d.w, d.caller.control, d.held.body)    // an error means that the caller has disconnected
-	_ = d.caller.control.SetWriteDeadline(time.Time{}) // fails only on a connection that has failed
+	_ = writeChunks(d.w, d.caller.control, d.held.body) // an error means that the caller has disconnected
+	_ = d.caller.control.SetWriteDeadline(time.Time{})  // fails only on a connection that has failed
 }
 
 // deliverLarge relays a response that is too large to be buffered.
