Let urgent requests take slots of less urgent ones

Cause: whoever came first kept a slot. Ruled out: a lower priority at the engine for late requests (suspended in the middle of their streams), a reservation alone (idle or too small).

--- a/coordination/loadhub/sum.go
+++ b/coordination/loadhub/sum.go
@@ -72,13 +72,14 @@
 	total.PendingTokens += after.PendingTokens - before.PendingTokens
 	total.UrgentTokens += after.UrgentTokens - before.UrgentTokens
 	total.InFlight += after.InFlight - before.InFlight
+	total.UrgentInFlight += after.UrgentInFlight - before.UrgentInFlight
 	total.Served += after.Served
 	total.Failed += after.Failed
 	total.Down = total.Down || after.Down
 	total.refreshes = 0
 	total.newWork = total.newWork || after.PendingTokens > before.PendingTokens
 	total.changed = total.changed || after.PendingTokens != before.PendingTokens || after.UrgentTokens != before.UrgentTokens ||
-		after.InFlight != before.InFlight || after.Served > 0 || after.Failed > 0 || after.Down
+		after.InFlight != before.InFlight || after.UrgentInFlight != before.UrgentInFlight || after.Served > 0 || after.Failed > 0 || after.Down
 	s.failureUnsent = s.failureUnsent || after.Failed > 0 || after.Down
 }
 
@@ -134,6 +135,7 @@
 		load.PendingTokens -= minus.PendingTokens
 		load.UrgentTokens -= minus.UrgentTokens
 		load.InFlight -= minus.InFlight
+		load.UrgentInFlight -= minus.UrgentInFlight
 		load.Served -= minus.Served
 		load.Failed -= minus.Failed
 		if !complete {
--- a/coordination/placement/cost.go
+++ b/coordination/placement/cost.go
@@ -41,7 +41,10 @@
 	return queueFactor * p.slots(s)
 }
 
-func (p *Pool) full(s *server, now time.Time) bool { return p.running(s, now) >= p.limit(s) }
+// full reports whether a server accepts no request of the urgency.
+func (p *Pool) full(s *server, urgency int, now time.Time) bool {
+	return p.occupied(s, urgency, now) >= p.limit(s)
+}
 
 // score computes the cost of the request at a server. A plain server with a free slot starts
 // the request at once, so that the excess time of earlier responses only makes the server
@@ -68,6 +71,9 @@
 	c.firstByteSeconds = idleFirstByteSeconds + (c.backlog+c.uncached)*secondsPerToken + s.excess(now)
 	c.ownSeconds = c.uncached * secondsPerToken
 	c.cost = c.firstByteSeconds + (prefillWeight-1)*c.uncached/p.prefillRate + p.running(s, now)*runningCost
+	if p.preempts(s, r.Urgency, now) {
+		c.cost += preemptionCost
+	}
 	c.gapSeconds = expectedGap * s.gapFactor
 	if p.exceedsGap(c) {
 		c.cost += p.running(s, now) * longGapCost
--- a/coordination/placement/loadreport.go
+++ b/coordination/placement/loadreport.go
@@ -20,9 +20,11 @@
 	PendingTokens int    // prompt tokens of requests whose first byte has not arrived
 	UrgentTokens  int    // those of the highest urgency
 	InFlight      int
-	Served        int  // succeeded since the last report
-	Failed        int  // failed since the last report
-	Down          bool // it accepts no connections
+	// UrgentInFlight is the number of urgent requests, where these take precedence.
+	UrgentInFlight int
+	Served         int  // succeeded since the last report
+	Failed         int  // failed since the last report
+	Down           bool // it accepts no connections
 }
 
 // Dispatch records that shared segments were sent to a server.
@@ -52,12 +54,13 @@
 // peerTotals sums up what the other instances have in flight at a server. Each choice reads
 // them for every server, so the sums are updated as reports arrive and expire: computed anew
 // for each choice, they took most of its time where many instances report.
-type peerTotals struct{ pending, urgent, inFlight int }
+type peerTotals struct{ pending, urgent, inFlight, urgentInFlight int }
 
 func (t *peerTotals) add(load *ServerLoad, sign int) {
 	t.pending += sign * load.PendingTokens
 	t.urgent += sign * load.UrgentTokens
 	t.inFlight += sign * load.InFlight
+	t.urgentInFlight += sign * load.UrgentInFlight
 }
 
 func (t *peerTotals) pendingUpTo(urgency int) float64 {
@@ -116,7 +119,7 @@
 		}
 		report.Servers = append(report.Servers, ServerLoad{
 			Server: uint32(s.hash), PendingTokens: int(s.totalPending()), UrgentTokens: int(s.pendingUpTo(0)), InFlight: s.inFlight,
-			Served: s.newServed, Failed: s.newFailed, Down: s.newDown,
+			UrgentInFlight: s.urgentInFlight, Served: s.newServed, Failed: s.newFailed, Down: s.newDown,
 		})
 		s.newServed, s.newFailed, s.newDown = 0, 0, false
 	}
--- a/coordination/placement/loadreport_test.go
+++ b/coordination/placement/loadreport_test.go
@@ -36,7 +36,7 @@
 		t.Errorf("%v requests at a restarted server, want 1", got)
 	}
 	now = now.Add(peerReportTTL + time.Millisecond)
-	if running, _ := p.Occupancy(now); running != 0 {
+	if running, _ := p.Occupancy(0, now); running != 0 {
 		t.Errorf("%v requests of an unresponsive instance", running)
 	}
 }
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -38,6 +38,7 @@
 
 	"github.com/basilroute/basilroute/service/features"
 	"github.com/basilroute/basilroute/state/backends"
+	"github.com/basilroute/basilroute/state/routes"
 )
 
 // Settings configures a Pool.
@@ -49,8 +50,9 @@
 	ColdRate             float64 // requests per second to a cold server from all instances together; 0 for no limit
 	OwnsColdServer       func(server string) bool
 	Features             features.Set
-	Instances            int    // of the region, this one included
-	Seed                 uint64 // of random choices; differs between instances
+	Precedence           routes.Precedence // among the service's requests
+	Instances            int               // of the region, this one included
+	Seed                 uint64            // of random choices; differs between instances
 }
 
 const (
@@ -181,6 +183,7 @@
 	server          *server
 	prefillTokens   float64 // prompt tokens to be computed
 	urgency         int
+	urgent          bool // counted among the server's urgent requests
 	expectedSeconds float64
 	gotFirstByte    bool // the response has begun
 	done            bool
@@ -208,6 +211,7 @@
 	spreadTokens   float64       // mean prompt tokens of these that are not cached
 	candidates     []candidate   // of the last search; reused
 	order          []*server     // servers in a random order, from which samples are drawn
+	urgentLoad     urgentLoad
 	rng            *rand.Rand
 	remote         map[string]map[string]remoteServer // by region and id
 }
@@ -329,6 +333,7 @@
 // choose looks for the cheapest server that may be used.
 func (p *Pool) choose(r *Request, now time.Time) *search {
 	p.dropExpiredReports(now)
+	p.sampleUrgentLoad(now)
 	ejected := p.ejectedServers(now)
 	return p.cheapest(r, ejected, now, func(s *server) bool {
 		return !ejected[s] || r.Probe && s.probeDue(now)
@@ -364,6 +369,9 @@
 	}
 	p.hasPlaced = true
 	s.inFlight++
+	if p.urgent(r.Urgency) {
+		s.urgentInFlight++
+	}
 	s.addPending(r.Urgency, c.uncached)
 	p.meanUncached += (c.uncached - p.meanUncached) * uncachedWeight
 	p.recordDispatch(s, r.Segments)
@@ -377,7 +385,7 @@
 	if r.MaxEventGap > 0 && (p.minEventGap == 0 || r.MaxEventGap < p.minEventGap) {
 		p.minEventGap = r.MaxEventGap
 	}
-	pl := &Placement{Server: s.Entry, server: s, prefillTokens: c.uncached, urgency: r.Urgency, Sent: now, expectedSeconds: c.firstByteSeconds}
+	pl := &Placement{Server: s.Entry, server: s, prefillTokens: c.uncached, urgency: r.Urgency, urgent: p.urgent(r.Urgency), Sent: now, expectedSeconds: c.firstByteSeconds}
 	s.prefills[pl] = &prefill{tokens: float64(r.Tokens), since: now}
 	return pl
 }
--- /dev/null
+++ b/coordination/placement/precedence.go
@@ -0,0 +1,91 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/basilroute/basilroute/service/features"
+)
+
+// Load pattern: a burst of patient requests, each of which holds its slot for seconds, beside
+// urgent ones that hold theirs for some tenths of a second. Whoever came first would keep the
+// slots, and urgent requests would be refused although they need few.
+//
+// So the urgent requests that are expected to run have their slots kept free of the others. More
+// of them than expected are sent to full servers: an engine admits them at once and suspends the
+// newest of its less urgent requests, which goes on as soon as a slot is freed. A server is
+// sent no further patient request until then.
+const (
+	// urgentDecaySeconds is the time constant over which the urgent load is averaged: a traffic
+	// spike begins within a second.
+	urgentDecaySeconds = 1.0
+	// urgentSampleInterval is the time between two samples of the urgent load.
+	urgentSampleInterval = 20 * time.Millisecond
+	// patientFloor is the fraction of a server's slots that less urgent requests may hold however
+	// many urgent ones there are, so that they do not starve.
+	patientFloor = 0.25
+	// preemptionCost is what a request costs at a server where another one is suspended for it, in
+	// seconds: a suspended generation may exceed its longest gap between events.
+	preemptionCost = longGapCost
+)
+
+// urgentLoad is the mean number of urgent requests at a server of the pool.
+type urgentLoad struct {
+	mean      float64
+	sampledAt time.Time
+}
+
+// urgent reports whether requests of the urgency take precedence over others.
+func (p *Pool) urgent(urgency int) bool {
+	return p.precedence() && urgency <= p.settings.Precedence.UrgentLevel
+}
+
+func (p *Pool) precedence() bool {
+	return p.settings.Precedence.Enforced && p.settings.Engine && p.enabled(features.UrgentFirst)
+}
+
+// urgentRunning returns how many urgent requests a server is expected to have.
+func (s *server) urgentRunning() float64 {
+	return float64(s.urgentInFlight + s.fromPeers.urgentInFlight)
+}
+
+// sampleUrgentLoad updates the mean urgent load.
+func (p *Pool) sampleUrgentLoad(now time.Time) {
+	elapsed := now.Sub(p.urgentLoad.sampledAt)
+	if !p.precedence() || elapsed < urgentSampleInterval {
+		return
+	}
+	p.urgentLoad.sampledAt = now
+	total, servers := 0.0, 0
+	for _, s := range p.servers {
+		if s.Usable(now) {
+			total += s.urgentRunning()
+			servers++
+		}
+	}
+	if servers == 0 {
+		return
+	}
+	weight := 1 - math.Exp(-elapsed.Seconds()/urgentDecaySeconds)
+	p.urgentLoad.mean += (total/float64(servers) - p.urgentLoad.mean) * weight
+}
+
+// occupied returns how many of a server's slots a request of the urgency cannot have.
+func (p *Pool) occupied(s *server, urgency int, now time.Time) float64 {
+	running := p.running(s, now)
+	if !p.precedence() {
+		return running
+	}
+	urgent := s.urgentRunning()
+	if p.urgent(urgency) {
+		return urgent
+	}
+	patient := max(running-urgent, 0)
+	reserved := min(max(urgent, p.urgentLoad.mean), (1-patientFloor)*p.limit(s))
+	return patient + math.Ceil(reserved)
+}
+
+// preempts reports whether a server would suspend a request for one of the urgency.
+func (p *Pool) preempts(s *server, urgency int, now time.Time) bool {
+	return p.urgent(urgency) && p.running(s, now) >= p.limit(s)
+}
--- a/coordination/placement/search.go
+++ b/coordination/placement/search.go
@@ -84,7 +84,7 @@
 			return
 		}
 	}
-	if p.full(server, now) {
+	if p.full(server, s.request.Urgency, now) {
 		s.counts.full++
 		return
 	}
--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -56,12 +56,13 @@
 	hash    uint64 // of the id
 	orderAt int    // position in the pool's random order
 
-	inFlight  int
-	pending   [urgencyLevels]float64 // prompt tokens of requests whose first byte has not arrived, by urgency
-	fromPeers peerTotals
-	eventGaps gapTracker
-	prefills  map[*Placement]*prefill
-	gapFactor float64 // its event gaps relative to those of all servers, for prompts of the same size
+	inFlight       int
+	urgentInFlight int                    // those that take precedence
+	pending        [urgencyLevels]float64 // prompt tokens of requests whose first byte has not arrived, by urgency
+	fromPeers      peerTotals
+	eventGaps      gapTracker
+	prefills       map[*Placement]*prefill
+	gapFactor      float64 // its event gaps relative to those of all servers, for prompts of the same size
 
 	othersInFlight  float64 // requests of other instances, by the server's last report
 	reportedWaiting float64 // requests that had not started, by the server's last report
@@ -199,6 +200,9 @@
 	pl.done = true
 	s := pl.server
 	s.inFlight--
+	if pl.urgent {
+		s.urgentInFlight--
+	}
 	if !pl.gotFirstByte {
 		delete(s.prefills, pl)
 		pl.gotFirstByte = true
@@ -331,7 +335,7 @@
 	defer p.mu.Unlock()
 	r := Request{Tokens: summaryPromptTokens, Urgency: urgencyLevels - 1, Arrived: now}
 	found := p.choose(&r, now)
-	running, slots := p.occupancy(now)
+	running, slots := p.occupancy(r.Urgency, now)
 	out := Summary{Servers: p.usableServers(now), Running: int(running), FreeSlots: int(max(slots-running, 0)), StallFraction: p.meanStall(now)}
 	if found.best != nil {
 		out.ExpectedFirstByte = seconds(found.best.firstByteSeconds)
@@ -352,21 +356,22 @@
 }
 
 // Occupancy returns how many requests the servers in use have, and how many they are sent
-// at most. Ejected, resting and cold servers do not count.
-func (p *Pool) Occupancy(now time.Time) (running, slots float64) {
+// at most, as far as they matter to a request of the urgency. Ejected, resting and cold servers
+// do not count.
+func (p *Pool) Occupancy(urgency int, now time.Time) (running, slots float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.occupancy(now)
+	return p.occupancy(urgency, now)
 }
 
-func (p *Pool) occupancy(now time.Time) (running, slots float64) {
+func (p *Pool) occupancy(urgency int, now time.Time) (running, slots float64) {
 	p.dropExpiredReports(now)
 	ejected := p.ejectedServers(now)
 	for _, s := range p.servers {
 		if !s.Usable(now) || s.Resting(now) || ejected[s] || p.settings.ColdRate > 0 && now.Before(s.ColdUntil) {
 			continue
 		}
-		running += min(p.running(s, now), p.limit(s))
+		running += min(p.occupied(s, urgency, now), p.limit(s))
 		slots += p.limit(s)
 	}
 	return running, slots
--- a/instance/routed/storeitems.go
+++ b/instance/routed/storeitems.go
@@ -133,6 +133,7 @@
 	for _, svc := range config.Services {
 		pool := n.local.Pool(svc.Name)
 		settings := n.poolSettings(svc)
+		settings.Precedence = config.Precedence(svc.Name)
 		pool.Configure(settings)
 		for region, c := range changes {
 			switch {
--- /dev/null
+++ b/state/routes/precedence.go
@@ -0,0 +1,71 @@
+package routes
+
+import "time"
+
+// Precedence says which requests of a service come first where its slots do not suffice for all.
+//
+// Load pattern: callers of one route need the first event within half a second, those of another
+// one wait for seconds, and each of their streams holds its slot several times as long. In a
+// traffic spike the patient ones would hold every slot.
+type Precedence struct {
+	Enforced    bool
+	UrgentLevel int // requests of this priority, or of a more urgent one, come first
+}
+
+// patienceFactor is how many times the objective of the urgent routes a less urgent one has to
+// allow: with less it cannot wait for a slot and still be on time.
+const patienceFactor = 2
+
+// Precedence returns the precedence among the streaming routes of a service. It is enforced if a
+// less urgent route can wait much longer than the most urgent ones.
+func (c *Config) Precedence(service string) Precedence { return c.precedence[service] }
+
+// competition is what the streaming routes of a service ask for.
+type competition struct {
+	urgentLevel     int
+	urgentObjective time.Duration // longest of the most urgent routes
+	patience        time.Duration // longest objective of the less urgent routes
+	known           bool
+}
+
+// precedences derives the precedence of each service from its routes.
+func (c *Config) precedences() map[string]Precedence {
+	byService := make(map[string]*competition)
+	for i := range c.Routes {
+		route := &c.Routes[i]
+		if route.Kind != KindStreaming || route.Objective <= 0 {
+			continue
+		}
+		for _, target := range route.Targets {
+			entry := byService[target.Service]
+			if entry == nil {
+				entry = &competition{}
+				byService[target.Service] = entry
+			}
+			entry.add(route)
+		}
+	}
+	out := make(map[string]Precedence)
+	for service, entry := range byService {
+		if entry.patience >= patienceFactor*entry.urgentObjective {
+			out[service] = Precedence{Enforced: true, UrgentLevel: entry.urgentLevel}
+		}
+	}
+	return out
+}
+
+// add takes a route into account. A route that is more urgent than all before makes those less
+// urgent.
+func (e *competition) add(route *Route) {
+	switch {
+	case !e.known || route.Priority < e.urgentLevel:
+		if e.known {
+			e.patience = max(e.patience, e.urgentObjective)
+		}
+		e.known, e.urgentLevel, e.urgentObjective = true, route.Priority, route.Objective
+	case route.Priority == e.urgentLevel:
+		e.urgentObjective = max(e.urgentObjective, route.Objective)
+	default:
+		e.patience = max(e.patience, route.Objective)
+	}
+}
--- a/state/routes/routes.go
+++ b/state/routes/routes.go
@@ -122,7 +122,8 @@
 	Keys     map[KeyHash]string // account by key
 	Limits   Limits
 
-	byHost map[string][]*Route // longest prefix first
+	byHost     map[string][]*Route // longest prefix first
+	precedence map[string]Precedence
 }
 
 func (c *Config) index() {
@@ -134,6 +135,7 @@
 	for _, list := range c.byHost {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
 	}
+	c.precedence = c.precedences()
 }
 
 // Match returns the route of the host with the longest prefix of the path, or nil.
--- a/transport/httproute/choose.go
+++ b/transport/httproute/choose.go
@@ -83,7 +83,7 @@
 	if r.tries > 1 {
 		return nil
 	}
-	running, slots := pool.Occupancy(now)
+	running, slots := pool.Occupancy(r.work.Urgency, now)
 	if !f.Features.On(features.SpillByOccupancy) {
 		running = 0
 	}
