Rank requests by account and route, let them wait, and forward them by room

Now an account's priority comes first and its route's decides among equals; patient requests wait while they can be on time; responses to forwarded requests carry the room of their region.

--- a/coordination/admission/estimate.go
+++ b/coordination/admission/estimate.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/basilroute/basilroute/coordination/fairqueue"
 )
 
 // minSampleWeight is the weight of a new sample once there are many.
@@ -27,20 +29,12 @@
 		return 0
 	}
 	c := q.class(t.Class)
-	count, cost := 0, t.Cost
-	if fl := c.flows.byAccount[t.Account]; fl != nil {
-		count, cost = len(fl.tickets), fl.cost+t.Cost
-	}
-	return q.waitFor(c, c.flows.requestsAhead(t.Account, count, cost, weightOf(t)))
+	return q.waitFor(c, c.flows.Ahead(t.Share()))
 }
 
 // remainingWait returns the expected wait of an account's i-th waiting request.
-func (q *Queue) remainingWait(c *class, f *flow, i int) time.Duration {
-	cost := 0.0
-	for _, t := range f.tickets[:i+1] {
-		cost += t.Cost
-	}
-	return q.waitFor(c, c.flows.requestsAhead(f.account, i, cost, f.weight))
+func (q *Queue) remainingWait(c *class, f *fairqueue.Flow[*Ticket], i int) time.Duration {
+	return q.waitFor(c, c.flows.AheadOf(f, i))
 }
 
 func (q *Queue) waitFor(c *class, ahead float64) time.Duration {
--- a/coordination/admission/queue.go
+++ b/coordination/admission/queue.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/basilroute/basilroute/coordination/fairqueue"
 	"github.com/basilroute/basilroute/protocol/refusal"
 	"github.com/basilroute/basilroute/service"
 )
@@ -43,6 +44,11 @@
 	grantedAt time.Time // when the slot was granted
 }
 
+// Share implements fairqueue.Item.
+func (t *Ticket) Share() fairqueue.Share {
+	return fairqueue.Share{Account: t.Account, Weight: t.Weight, Cost: t.Cost}
+}
+
 // Granted reports whether the request was granted a slot.
 func (t *Ticket) Granted() bool { return t.granted }
 
@@ -54,7 +60,7 @@
 
 // class is the state of the waiting and running requests of one class.
 type class struct {
-	flows    flows
+	flows    fairqueue.Queue[*Ticket]
 	running  int
 	holdTime average // how long a request keeps its slot, in seconds
 }
@@ -118,14 +124,14 @@
 		q.refuse(t, q.expectedWait(t))
 		return t
 	}
-	q.class(t.Class).flows.push(t)
+	q.class(t.Class).flows.Push(t)
 	q.grant(now)
 	return t
 }
 
 // immediate reports whether the request can start at once.
 func (q *Queue) immediate(t *Ticket) bool {
-	return q.class(t.Class).flows.count == 0 && q.free(t.Class)
+	return q.class(t.Class).flows.Len() == 0 && q.free(t.Class)
 }
 
 // Release returns the slot of a granted request.
@@ -152,7 +158,7 @@
 		return true
 	}
 	wait := q.expectedWait(t)
-	q.class(t.Class).flows.remove(t)
+	q.class(t.Class).flows.Remove(t)
 	q.refuse(t, wait)
 	return true
 }
@@ -163,21 +169,21 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, c := range []*class{&q.interactive, &q.bulk} {
-		for _, f := range c.flows.all() {
+		for _, f := range c.flows.Flows() {
 			q.shedFlow(c, f, now)
 		}
 	}
 }
 
-func (q *Queue) shedFlow(c *class, f *flow, now time.Time) {
-	for len(f.tickets) > 0 {
-		last := f.tickets[len(f.tickets)-1]
-		wait := q.remainingWait(c, f, len(f.tickets)-1)
+func (q *Queue) shedFlow(c *class, f *fairqueue.Flow[*Ticket], now time.Time) {
+	for len(f.Items) > 0 {
+		last := f.Items[len(f.Items)-1]
+		wait := q.remainingWait(c, f, len(f.Items)-1)
 		left := last.StartBy.Sub(now)
 		if left > 0 && wait.Seconds() <= shedFactor*left.Seconds() {
 			return
 		}
-		c.flows.remove(last)
+		c.flows.Remove(last)
 		q.refuse(last, wait-left)
 	}
 }
@@ -217,15 +223,15 @@
 func (q *Queue) classStats(of service.Class, freeSlots int) ClassStats {
 	c := q.class(of)
 	freeSlots = max(freeSlots, 0)
-	probe := &Ticket{Request: Request{Class: of, Weight: c.flows.meanWeight()}}
+	probe := &Ticket{Request: Request{Class: of, Weight: c.flows.MeanWeight()}}
 	return ClassStats{
-		Waiting: c.flows.count, FreeSlots: freeSlots, ExpectedWait: q.expectedWait(probe),
-		AcceptsRemote: c.flows.count == 0 && freeSlots > 0 && freeSlots*remoteReserveDivisor >= q.capacity,
+		Waiting: c.flows.Len(), FreeSlots: freeSlots, ExpectedWait: q.expectedWait(probe),
+		AcceptsRemote: c.flows.Len() == 0 && freeSlots > 0 && freeSlots*remoteReserveDivisor >= q.capacity,
 	}
 }
 
 func (q *Queue) running() int { return q.interactive.running + q.bulk.running }
-func (q *Queue) waiting() int { return q.interactive.flows.count + q.bulk.flows.count }
+func (q *Queue) waiting() int { return q.interactive.flows.Len() + q.bulk.flows.Len() }
 
 // refuse settles the ticket with a refusal. retryAfter is when a retry is expected to start
 // in time.
@@ -248,7 +254,7 @@
 		if c == nil {
 			return
 		}
-		t := c.flows.pop()
+		t := c.flows.Pop()
 		if now.After(t.StartBy) {
 			q.refuse(t, 0)
 			continue
@@ -262,11 +268,11 @@
 
 // next returns the class whose request starts next, or nil if none can start.
 func (q *Queue) next() *class {
-	bulkWaits := q.bulk.flows.count > 0
+	bulkWaits := q.bulk.flows.Len() > 0
 	if bulkWaits && q.running() < q.capacity && q.bulkDue() {
 		return &q.bulk
 	}
-	if q.interactive.flows.count > 0 && q.free(service.ClassInteractive) {
+	if q.interactive.flows.Len() > 0 && q.free(service.ClassInteractive) {
 		return &q.interactive
 	}
 	if bulkWaits && q.free(service.ClassBulk) {
@@ -291,7 +297,7 @@
 		q.floorCredit = max(q.floorCredit-1, 0)
 		return
 	}
-	if q.bulk.flows.count > 0 {
+	if q.bulk.flows.Len() > 0 {
 		q.floorCredit += q.settings.BulkFloor
 	}
 }
@@ -320,7 +326,7 @@
 		q.recentMax *= math.Exp(-now.Sub(q.recentMaxAt).Seconds() / recentMaxDecay.Seconds())
 	}
 	q.recentMaxAt = now
-	q.recentMax = max(q.recentMax, float64(q.interactive.running+q.interactive.flows.count))
+	q.recentMax = max(q.recentMax, float64(q.interactive.running+q.interactive.flows.Len()))
 }
 
 // displace makes room in the queue by refusing the newest request of the account that has
@@ -329,16 +335,16 @@
 // there is room.
 func (q *Queue) displace(t *Ticket) bool {
 	c := q.class(t.Class)
-	if t.Class == service.ClassInteractive && q.bulk.flows.count > 0 {
+	if t.Class == service.ClassInteractive && q.bulk.flows.Len() > 0 {
 		c = &q.bulk
 	}
-	longest := c.flows.longestBacklog()
-	if longest == nil || (c == q.class(t.Class) && longest.backlogWith(0) <= c.flows.backlogOf(t)) {
+	longest := c.flows.LongestBacklog()
+	if longest == nil || (c == q.class(t.Class) && longest.BacklogWith(0) <= c.flows.BacklogOf(t.Share())) {
 		return false
 	}
-	victim := longest.tickets[len(longest.tickets)-1]
-	wait := q.remainingWait(c, longest, len(longest.tickets)-1)
-	c.flows.remove(victim)
+	victim := longest.Items[len(longest.Items)-1]
+	wait := q.remainingWait(c, longest, len(longest.Items)-1)
+	c.flows.Remove(victim)
 	q.refuse(victim, wait)
 	return true
 }
--- a/coordination/admission/queue_test.go
+++ b/coordination/admission/queue_test.go
@@ -235,7 +235,7 @@
 	if running != h.queue.running() || waiting != h.queue.waiting() {
 		t.Fatalf("counts: running %d, %d; waiting %d, %d", running, h.queue.running(), waiting, h.queue.waiting())
 	}
-	if h.queue.interactive.flows.count > 0 && running < h.queue.capacity {
+	if h.queue.interactive.flows.Len() > 0 && running < h.queue.capacity {
 		t.Fatal("an interactive request waits while a slot is free")
 	}
 }
--- a/coordination/placement/cost.go
+++ b/coordination/placement/cost.go
@@ -65,7 +65,7 @@
 	}
 	c.cached = s.cache.match(r.Segments)
 	c.uncached = float64(max(r.Tokens-c.cached, 0))
-	others := max(s.fromPeers.pendingUpTo(r.Urgency), s.reportedWaiting*ageWeight(now.Sub(s.reportedAt))*p.meanUncached)
+	others := max(p.peersPending(s, r.Urgency), s.reportedWaiting*ageWeight(now.Sub(s.reportedAt))*p.meanUncached)
 	c.backlog = s.pendingUpTo(r.Urgency) + others
 	secondsPerToken := s.latencyFactor * s.machineFactor * p.latencyFactor / p.prefillRate
 	c.firstByteSeconds = idleFirstByteSeconds + (c.backlog+c.uncached)*secondsPerToken + s.excess(now)
--- a/coordination/placement/loadreport.go
+++ b/coordination/placement/loadreport.go
@@ -63,13 +63,6 @@
 	t.urgentInFlight += sign * load.UrgentInFlight
 }
 
-func (t *peerTotals) pendingUpTo(urgency int) float64 {
-	if urgency <= 0 {
-		return float64(t.urgent)
-	}
-	return float64(t.pending)
-}
-
 // dropReport removes the last report of another instance from the sums.
 func (p *Pool) dropReport(from string) {
 	report := p.peerReports[from]
@@ -118,7 +111,7 @@
 			continue
 		}
 		report.Servers = append(report.Servers, ServerLoad{
-			Server: uint32(s.hash), PendingTokens: int(s.totalPending()), UrgentTokens: int(s.pendingUpTo(0)), InFlight: s.inFlight,
+			Server: uint32(s.hash), PendingTokens: int(s.totalPending()), UrgentTokens: int(p.urgentPending(s)), InFlight: s.inFlight,
 			UrgentInFlight: s.urgentInFlight, Served: s.newServed, Failed: s.newFailed, Down: s.newDown,
 		})
 		s.newServed, s.newFailed, s.newDown = 0, 0, false
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -123,6 +123,7 @@
 	RejectIfLate bool        // refuse the request when it would miss its objective
 	AllowEjected bool        // may go to an ejected server that fails part of its requests rather than be refused
 	Probe        bool        // may run on an ejected server, to find out whether it has recovered
+	Waits        bool        // waits when it is refused, and is placed again later
 }
 
 // prefixHash returns the hash of the shared segments, or 0 when there are none.
@@ -250,7 +251,7 @@
 		choice.Placement = p.start(chosen, r, now)
 		return choice
 	}
-	if r.RejectIfLate {
+	if r.RejectIfLate || r.Waits {
 		return choice
 	}
 	if fallback := p.ejectedFallback(r, now); fallback != nil {
--- a/coordination/placement/precedence.go
+++ b/coordination/placement/precedence.go
@@ -27,6 +27,8 @@
 	// preemptionCost is what a request costs at a server where another one is suspended for it, in
 	// seconds: a suspended generation may exceed its longest gap between events.
 	preemptionCost = longGapCost
+	// leastUrgentRank is the least urgent rank that takes precedence over others.
+	leastUrgentRank = urgencyLevels - 2
 )
 
 // urgentLoad is the mean number of urgent requests at a server of the pool.
@@ -37,7 +39,7 @@
 
 // urgent reports whether requests of the urgency take precedence over others.
 func (p *Pool) urgent(urgency int) bool {
-	return p.precedence() && urgency <= p.settings.Precedence.UrgentLevel
+	return p.precedence() && p.settings.Precedence.Urgent(urgency)
 }
 
 func (p *Pool) precedence() bool {
@@ -70,6 +72,29 @@
 	p.urgentLoad.mean += (total/float64(servers) - p.urgentLoad.mean) * weight
 }
 
+// urgentPending returns the prompt tokens of the urgent requests whose first byte has not arrived.
+func (p *Pool) urgentPending(s *server) float64 {
+	if !p.precedence() {
+		return s.pendingUpTo(0)
+	}
+	total := 0.0
+	for rank, tokens := range s.pending {
+		if p.urgent(rank) {
+			total += tokens
+		}
+	}
+	return total
+}
+
+// peersPending returns the prompt tokens of the other instances that a server computes before a
+// request of the urgency.
+func (p *Pool) peersPending(s *server, urgency int) float64 {
+	if p.urgent(urgency) || urgency <= 0 {
+		return float64(s.fromPeers.urgent)
+	}
+	return float64(s.fromPeers.pending)
+}
+
 // occupied returns how many of a server's slots a request of the urgency cannot have.
 func (p *Pool) occupied(s *server, urgency int, now time.Time) float64 {
 	running := p.running(s, now)
--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -308,7 +308,7 @@
 type Summary struct {
 	Servers           int
 	Running           int           // requests at the servers, from all instances
-	FreeSlots         int           // requests that can start at once
+	FreeSlots         int           // requests of the lowest urgency that can start at once
 	ExpectedFirstByte time.Duration // for a prompt of summaryPromptTokens
 	StallFraction     float64       // fraction of the servers' time that does not go into decoding running generations
 }
@@ -334,8 +334,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := Request{Tokens: summaryPromptTokens, Urgency: urgencyLevels - 1, Arrived: now}
-	found := p.choose(&r, now)
 	running, slots := p.occupancy(r.Urgency, now)
+	if p.precedence() {
+		r.Urgency = leastUrgentRank // a full pool still takes urgent requests
+	}
+	found := p.choose(&r, now)
 	out := Summary{Servers: p.usableServers(now), Running: int(running), FreeSlots: int(max(slots-running, 0)), StallFraction: p.meanStall(now)}
 	if found.best != nil {
 		out.ExpectedFirstByte = seconds(found.best.firstByteSeconds)
--- /dev/null
+++ b/coordination/spill/room.go
@@ -0,0 +1,91 @@
+package spill
+
+import (
+	"slices"
+	"time"
+)
+
+// Load pattern: a region in a traffic spike forwards hundreds of requests a second to another one
+// whose slots turn over within seconds. By a report that is a second old all its instances send to
+// the same free slots, long after these are taken, and nine of ten requests come back refused after
+// a round trip. So responses to forwarded requests carry a new report, and what was sent too late to
+// be part of a report is taken off it.
+
+// reportTTL is how long a report tells the room of a region: several times the time in which
+// slots turn over.
+const reportTTL = 2 * time.Second
+
+// Report is what a region says about the servers of a service.
+type Report struct {
+	Servers           int
+	Running           int
+	FreeSlots         int // for less urgent requests
+	StallFraction     float64
+	ExpectedFirstByte time.Duration
+	ReceivedAt        time.Time
+}
+
+// Rooms holds the latest reports of other regions and what was sent there since. It is not safe
+// for concurrent use.
+type Rooms struct {
+	instances int // of the local region, this one included
+	regions   map[roomKey]*regionRoom
+}
+
+type roomKey struct{ region, service string }
+
+type regionRoom struct {
+	report Report
+	sent   []time.Time // ordered
+}
+
+// NewRooms returns an empty set.
+func NewRooms() *Rooms { return &Rooms{instances: 1, regions: make(map[roomKey]*regionRoom)} }
+
+// SetInstances sets the number of instances of the local region. The others are assumed to send as
+// much as this one.
+func (r *Rooms) SetInstances(n int) { r.instances = max(n, 1) }
+
+func (r *Rooms) room(region, service string) *regionRoom {
+	key := roomKey{region, service}
+	room := r.regions[key]
+	if room == nil {
+		room = &regionRoom{}
+		r.regions[key] = room
+	}
+	return room
+}
+
+// Record takes over a report if it is newer than the last one of its region.
+func (r *Rooms) Record(region, service string, report Report) {
+	room := r.room(region, service)
+	if report.ReceivedAt.After(room.report.ReceivedAt) {
+		room.report = report
+	}
+}
+
+// RecordSend counts a request that is sent to a region.
+func (r *Rooms) RecordSend(region, service string, now time.Time) {
+	room := r.room(region, service)
+	room.sent = append(slices.DeleteFunc(room.sent, func(at time.Time) bool { return now.Sub(at) > reportTTL }), now)
+}
+
+// Latest returns the state of a region as its last report says, with what the local region has sent
+// too late to be part of it. It returns false without a report, and with one that is too old.
+func (r *Rooms) Latest(region, service string, roundTrip time.Duration, now time.Time) (Report, bool) {
+	room := r.room(region, service)
+	report := room.report
+	if report.ReceivedAt.IsZero() || now.Sub(report.ReceivedAt) > reportTTL {
+		return Report{}, false
+	}
+	unreported := 0
+	for _, at := range room.sent {
+		if at.After(report.ReceivedAt.Add(-roundTrip)) {
+			unreported++
+		}
+	}
+	taken := min(unreported*r.instances, report.FreeSlots)
+	report.Running += taken
+	report.FreeSlots -= taken
+	return report, true
+}
--- a/instance/routed/instance.go
+++ b/instance/routed/instance.go
@@ -121,6 +121,8 @@
 	// bodyMemoryShare is the divisor of the process's memory that gives the part for bodies and unread
 	// responses. Half of the memory is for the heap, which grows to twice what is in use.
 	bodyMemoryShare = 8
+	// waitMemoryShare is the divisor for the bodies of requests that wait for a slot, among these.
+	waitMemoryShare = 16
 
 	maxIdleConns = 48 // per server: the most requests that one instance has in flight at a server
 )
@@ -201,6 +203,7 @@
 		Codec: n.codec, Backends: n.backends, Quarantine: n.quarantine, Log: n.log, Metrics: metrics,
 		Client: backendhttp.New(backendhttp.Settings{DialTimeout: serverDialTimeout, UserTimeout: userTimeout, MaxIdle: maxIdleConns}),
 	}
+	n.local.Waiting = &httproute.Waiting{Metrics: metrics, MaxBytes: int(n.settings.MemoryMB << 20 / waitMemoryShare)}
 	n.front = &httproute.Front{
 		Region: n.settings.Region, Codec: n.codec, Routes: n.routes, Ledger: n.ledger, Quarantine: n.quarantine,
 		Retries: retry.NewWindow(retry.WindowSettings{Ratio: n.settings.Retry.Ratio, Slack: n.settings.Retry.Slack, Window: n.settings.Retry.Window}),
@@ -208,7 +211,7 @@
 		Starting: n.startupWaitAllowed, Stopping: n.stopping.Load, TimeToShutdown: n.timeToShutdown, Leaving: n.leaving.Load,
 		Peers: backendhttp.New(backendhttp.Settings{DialTimeout: peerDialTimeout, UserTimeout: userTimeout, MaxIdle: maxIdleConns}),
 	}
-	n.relay = &httproute.Peer{Codec: n.codec, Local: n.local, Routes: n.routes, Stopping: n.leaving.Load, Memory: memory}
+	n.relay = &httproute.Peer{Codec: n.codec, Local: n.local, Routes: n.routes, Stopping: n.leaving.Load, Features: n.features, Memory: memory}
 	n.lending = &lending.Borrower{
 		Ledger: n.ledger, Pool: n.pool, Self: n.member, Lenders: n.lenders,
 		OnRefresh:      func(now time.Time) { n.ledger.Acknowledged(int64(n.shares.Size()), now) },
@@ -234,7 +237,7 @@
 			n.listenerErrors <- err
 		}
 	}()
-	for _, loop := range []func(context.Context){n.runStoreSync, n.join, n.rejoin, n.reseed, n.exchange, n.queryLoans, n.lending.Run, n.broadcaster.Run, n.housekeep} {
+	for _, loop := range []func(context.Context){n.runStoreSync, n.join, n.rejoin, n.reseed, n.exchange, n.queryLoans, n.lending.Run, n.broadcaster.Run, n.local.Waiting.Run, n.housekeep} {
 		n.loops.Go(func() { loop(n.background) })
 	}
 	n.log.Info("started", "region", n.settings.Region, "domain", n.settings.Domain, "callers", n.settings.Listen.Callers,
--- a/instance/routed/stop.go
+++ b/instance/routed/stop.go
@@ -45,6 +45,7 @@
 	began := time.Now()
 	n.endsAt.Store(int64(time.Since(n.started) + n.settings.Bounds.Grace - exitMargin))
 	n.leaving.Store(true)
+	n.local.Waiting.Refuse()
 	n.members.UpdateSelf(began, func(m *peerpb.Member) { m.State = peerpb.MemberState_MEMBER_STATE_LEAVING })
 	n.triggerExchange()
 	n.log.Info("stopping", "grace_ms", n.settings.Bounds.Grace.Milliseconds())
--- a/service/features/features.go
+++ b/service/features/features.go
@@ -31,13 +31,14 @@
 	ConfirmLoans       Name = "ask_loans"       // a restarted instance asks all others for its loans
 	OvertakeLargeWaits Name = "pass_large_wait" // small requests overtake large ones that wait for tokens
 	UrgentFirst        Name = "urgent_first"    // urgent requests take slots of less urgent ones
+	WaitForSlot        Name = "wait_for_slot"   // less urgent requests wait for a slot
 )
 
 // All returns every feature, ordered by name.
 func All() []Name {
 	return []Name{
 		ConfirmLoans, RetryAfterPacing, LoadReports, RemoteFetch, Fetch, PreferredServers, EjectedFallback, SpillByStall, SpillByOccupancy,
-		OvertakeLargeWaits, PoolLatencyFactor, SampledChoice, Ejection, LimitEventGaps, Spread, StartupWait, UrgentFirst,
+		OvertakeLargeWaits, PoolLatencyFactor, SampledChoice, Ejection, LimitEventGaps, Spread, StartupWait, UrgentFirst, WaitForSlot,
 	}
 }
 
--- a/state/routes/precedence.go
+++ b/state/routes/precedence.go
@@ -9,9 +9,32 @@
 // traffic spike the patient ones would hold every slot.
 type Precedence struct {
 	Enforced    bool
-	UrgentLevel int // requests of this priority, or of a more urgent one, come first
+	urgentLevel int // priority of the most urgent routes
 }
 
+// ranksPerPriority is the number of ranks of one priority where precedence is enforced.
+const ranksPerPriority = 2
+
+// Rank returns the urgency of a request, 0 for the most urgent. The priority of its account, or of its
+// route if the account has none, comes first. Among requests of the same priority those of urgent
+// routes come first.
+func (p Precedence) Rank(r *Route, a *Account) int {
+	priority := r.Priority
+	if a != nil && a.Priority >= 0 {
+		priority = a.Priority
+	}
+	switch {
+	case !p.Enforced:
+		return priority
+	case r.Priority <= p.urgentLevel:
+		return ranksPerPriority * priority
+	}
+	return ranksPerPriority*priority + 1
+}
+
+// Urgent reports whether requests of the rank take precedence over others.
+func (p Precedence) Urgent(rank int) bool { return p.Enforced && rank%ranksPerPriority == 0 }
+
 // patienceFactor is how many times the objective of the urgent routes a less urgent one has to
 // allow: with less it cannot wait for a slot and still be on time.
 const patienceFactor = 2
@@ -48,7 +71,7 @@
 	out := make(map[string]Precedence)
 	for service, entry := range byService {
 		if entry.patience >= patienceFactor*entry.urgentObjective {
-			out[service] = Precedence{Enforced: true, UrgentLevel: entry.urgentLevel}
+			out[service] = Precedence{Enforced: true, urgentLevel: entry.urgentLevel}
 		}
 	}
 	return out
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -147,12 +147,14 @@
 	if r.tries == 1 {
 		f.Metrics.stepEnded(r.service, stepAdmission, now.Sub(r.arrived))
 	}
-	choice, remote, refused := f.choose(r, now)
+	choice, remote, refused := f.chooseOrWait(ctx, r, now)
 	if refused != nil {
 		return nil, refused
 	}
+	now = time.Now()
 	attemptCtx, cancel := f.attemptContext(ctx, r)
 	o := r.outbound(out.events.lastID)
+	o.ranked = f.precedence(r).Enforced
 	var rep *reply
 	var failed *failure
 	step, expected := stepLocal, choice.ExpectedFirstByte
@@ -162,6 +164,7 @@
 		r.record(eventForwarded, "peer", remote.Instance, "region", remote.Region, "servers", remote.Servers,
 			"expected_ms", remote.firstByteTime().Milliseconds(), "heard_ms_ago", now.Sub(remote.ReportedAt).Milliseconds())
 		f.sent.add(remote, r.service, r.PromptTokens)
+		f.rooms.recordSend(remote, r.service, now)
 		r.shouldAbort = f.abortCheck(r)
 		o.shouldAbort = r.shouldAbort
 		rep, failed = f.forward(attemptCtx, r, o, remote)
@@ -200,6 +203,23 @@
 	return rep, nil
 }
 
+// chooseOrWait chooses where a request is sent. One that no server takes now may wait for a slot.
+func (f *Front) chooseOrWait(ctx context.Context, r *request, now time.Time) (placement.Choice, *Remote, *failure) {
+	choice, remote, refused := f.choose(r, now, true)
+	if !mayWait(r.config, f.Features, r.service, r.work.Urgency) {
+		return choice, remote, refused
+	}
+	switch {
+	case refused == nil:
+		f.Local.Waiting.recordStart(r.service, now)
+		return choice, remote, nil
+	case r.hasWaited || f.Leaving() || refused.reason != reasonLoad && refused.reason != reasonCold:
+		return choice, remote, refused
+	}
+	r.hasWaited = true
+	return f.awaitSlot(ctx, r, refused)
+}
+
 // attemptContext returns the context of one attempt. A request that may not be retried
 // runs to completion after its caller has disconnected: it may have taken effect, and
 // nobody would know its outcome if it were aborted.
--- a/transport/httproute/choose.go
+++ b/transport/httproute/choose.go
@@ -13,8 +13,8 @@
 
 // choose places the request on a server of the local region that responds within the
 // objective, else in another region that does, else on a late server of the local region,
-// else in another region.
-func (f *Front) choose(r *request, now time.Time) (placement.Choice, *Remote, *failure) {
+// else in another region. Late servers are left out unless acceptLate is set.
+func (f *Front) choose(r *request, now time.Time, acceptLate bool) (placement.Choice, *Remote, *failure) {
 	homes, anywhere := routes.AllowedRegions(r.route, r.account)
 	pool := f.Local.Pool(r.service)
 	localAllowed := (anywhere || slices.Contains(homes, f.Region)) && !slices.Contains(r.triedRegions, f.Region)
@@ -32,10 +32,10 @@
 	}
 	remote := f.bestRemote(r, r.triedRegions, homes, anywhere)
 	left := r.work.Objective - now.Sub(r.arrived)
-	if remote != nil && (r.work.Objective == 0 || remote.firstByteTime() <= left || noneTakesWork(local.Reason)) {
+	if remote != nil && (r.work.Objective == 0 || remote.firstByteTime() <= left || noneTakesWork(local.Reason) || r.work.Waits && acceptLate) {
 		return placement.Choice{}, remote, nil
 	}
-	if localAllowed && local.Reason != placement.ReasonNoServer {
+	if acceptLate && localAllowed && local.Reason != placement.ReasonNoServer {
 		r.work.RejectIfLate = false
 		if local = pool.Place(&r.work, now); local.Placement != nil {
 			return local, nil, nil
@@ -45,6 +45,14 @@
 	return placement.Choice{}, nil, refusalOf(local)
 }
 
+// precedence returns the precedence among the requests of a request's service.
+func (f *Front) precedence(r *request) routes.Precedence {
+	if r.config == nil || !f.Features.On(features.UrgentFirst) {
+		return routes.Precedence{}
+	}
+	return r.config.Precedence(r.service)
+}
+
 // noneTakesWork reports whether a refusal means that no server takes a request, whether late or not.
 func noneTakesWork(reason placement.Reason) bool {
 	return reason == placement.ReasonNoServer || reason == placement.ReasonResting
@@ -88,6 +96,9 @@
 		running = 0
 	}
 	local := spill.Occupancy{Running: running, Slots: slots, StallFraction: pool.StallFraction(now)}
+	if f.precedence(r).Urgent(r.work.Urgency) {
+		local.StallFraction = 0 // its objective is shorter than what another region would save
+	}
 	if !local.ShouldSpill() {
 		return nil
 	}
@@ -152,13 +163,22 @@
 // adjusted by the load that this region sent there since their last reports.
 func (f *Front) permittedRemotes(r *request, tried, homes []string, anywhere bool) []Remote {
 	_, instances := f.Remotes.InstanceCounts()
+	precedence := f.precedence(r)
+	now := time.Now()
 	var out []Remote
 	for _, o := range f.Remotes.Remotes(r.service) {
 		allowed := anywhere || slices.Contains(homes, o.Region)
-		if !allowed || o.Servers == 0 || slices.Contains(tried, o.Region) {
+		if !allowed || slices.Contains(tried, o.Region) {
+			continue
+		}
+		if !precedence.Enforced {
+			f.sent.adjust(&o, r.service, instances)
+		} else if !f.rooms.update(&o, r.service, instances, now) {
+			continue
+		}
+		if o.Servers == 0 || precedence.Enforced && !precedence.Urgent(r.work.Urgency) && o.FreeSlots == 0 {
 			continue
 		}
-		f.sent.adjust(&o, r.service, instances)
 		o.ExpectedFirstByte += placement.ExtraPrefillTime(&r.work)
 		out = append(out, o)
 	}
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/basilroute/basilroute/coordination/placement"
+	"github.com/basilroute/basilroute/service/features"
 	"github.com/basilroute/basilroute/state/routes"
 	"github.com/basilroute/basilroute/transport/backendhttp"
 )
@@ -82,6 +83,7 @@
 	if err != nil {
 		return nil, f.forwardFailed(ctx, o, remote, err)
 	}
+	f.rooms.recordResponse(remote, o.service, response.Header, time.Now())
 	if encodedFailure := response.Header.Get(headerFailure); encodedFailure != "" {
 		return nil, decodeForwardFailure(response, encodedFailure, remote)
 	}
@@ -137,7 +139,10 @@
 	Local    *LocalDispatcher
 	Routes   *routes.Table
 	Stopping func() bool
+	Features features.Set
 	Memory   *Budget // for bodies; nil for no limit
+
+	summaries summaries
 }
 
 // ServeHTTP implements http.Handler.
@@ -174,11 +179,25 @@
 		Run: failed.run, Reason: failed.reason, Sent: failed.sent, Server: failed.server, RetryAfterMs: failed.retryAfter.Milliseconds(),
 	})
 	w.Header().Set(headerRequest, o.id)
+	p.reportRoom(w.Header(), o.service)
 	w.Header().Set(headerFailure, string(encoded))
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// ranked reports whether the urgencies of a service's requests are ranks.
+func (p *Peer) ranked(service string) bool {
+	config := p.Routes.Current()
+	return config != nil && p.Features.On(features.UrgentFirst) && config.Precedence(service).Enforced
+}
+
+// reportRoom adds the room of the local region to a response.
+func (p *Peer) reportRoom(h http.Header, service string) {
+	if p.ranked(service) {
+		h.Set(headerRoom, p.summaries.encoded(service, p.Local.Pool(service), time.Now()))
+	}
+}
+
 func (p *Peer) requestContext(ctx context.Context, info *forwardInfo, deadline time.Time) (context.Context, context.CancelFunc) {
 	if info.Detached {
 		ctx = context.WithoutCancel(ctx)
@@ -197,7 +216,7 @@
 	return &outbound{
 		id: call.RequestID, service: info.Service, account: info.Account, method: hr.Method, target: hr.RequestURI,
 		host: hr.Host, header: header, body: body, deadline: deadline, repeatable: info.Repeatable, print: info.Fingerprint,
-		lastEventID: info.LastEventID, config: info.Config,
+		lastEventID: info.LastEventID, config: info.Config, ranked: p.ranked(info.Service),
 		work: &placement.Request{
 			Segments: call.Segments, Tokens: call.PromptTokens, Urgency: info.Urgency, Probe: info.Repeatable,
 			AllowEjected: !info.Detached,
@@ -215,9 +234,9 @@
 	if until, bad := p.Local.Quarantine.Quarantined(o.print, time.Now()); bad {
 		return &failure{run: runNotRun, reason: reasonQuarantine, retryAfter: time.Until(until)}
 	}
-	choice := p.Local.Pool(o.service).Place(o.work, time.Now())
-	if choice.Placement == nil {
-		return refusalOf(choice)
+	choice, failed := p.place(ctx, o)
+	if failed != nil {
+		return failed
 	}
 	rep, failed := p.Local.send(ctx, o, choice)
 	if failed != nil {
@@ -231,6 +250,7 @@
 		h["Content-Type"] = nil // net/http would guess one
 	}
 	h.Set(headerRequest, o.id)
+	p.reportRoom(h, o.service)
 	h.Set(headerServer, rep.server)
 	if rep.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(rep.Length, 10))
@@ -240,6 +260,30 @@
 	return nil
 }
 
+// place places the request. One that no server takes now may wait for a slot while it can be on time.
+func (p *Peer) place(ctx context.Context, o *outbound) (placement.Choice, *failure) {
+	pool, now := p.Local.Pool(o.service), time.Now()
+	choice := pool.Place(o.work, now)
+	waits := mayWait(p.Routes.Current(), p.Features, o.service, o.work.Urgency)
+	switch {
+	case choice.Placement != nil && waits:
+		p.Local.Waiting.recordStart(o.service, now)
+		return choice, nil
+	case choice.Placement != nil:
+		return choice, nil
+	case !waits || choice.Reason != placement.ReasonFull && choice.Reason != placement.ReasonCold:
+		return choice, refusalOf(choice)
+	}
+	waiting := waitRequest(o.work, o.body)
+	waiting.Account, waiting.Latest = o.account, waiting.OnTime
+	o.work.Waits = true
+	failed := p.Local.Waiting.await(ctx, o.service, waiting, func(now time.Time, _ bool) bool {
+		choice = pool.Place(o.work, now)
+		return choice.Placement != nil
+	})
+	return choice, failed
+}
+
 // copy relays the response body as it arrives. If the server aborts the response, copy
 // aborts the one to the peer too.
 func (p *Peer) copy(w http.ResponseWriter, rep *reply) {
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -71,7 +71,8 @@
 	// Leaving reports whether callers are to close their connections.
 	Leaving func() bool
 
-	sent sentLoad
+	sent  sentLoad
+	rooms regionRooms
 }
 
 // request is the state of one request of a caller.
@@ -97,6 +98,7 @@
 	firstByte     time.Duration // time until the head of the response
 	gaps          eventGaps     // between the events of the response
 	tries         int           // attempts, sent or not
+	hasWaited     bool          // it has waited for a slot
 	retryReserved atomic.Bool   // the next retry has been taken from the budget
 	shouldAbort   func() bool   // see Front.abortCheck
 }
@@ -264,12 +266,8 @@
 	}
 	r.deadline = r.arrived.Add(wait)
 	r.print = quarantine.Fingerprint(r.accountName(), r.service, r.method+" "+r.target+"\n"+string(r.body))
-	urgency := r.route.Priority
-	if r.account != nil && r.account.Priority >= 0 {
-		urgency = r.account.Priority
-	}
 	r.work = placement.Request{
-		Segments: r.Segments, Tokens: r.PromptTokens, Urgency: urgency, Objective: r.route.Objective, MaxEventGap: r.route.GapObjective,
+		Segments: r.Segments, Tokens: r.PromptTokens, Urgency: f.precedence(r).Rank(r.route, r.account), Objective: r.route.Objective, MaxEventGap: r.route.GapObjective,
 		Arrived: r.arrived, Deadline: r.deadline, Probe: r.route.Repeatable(),
 		AllowEjected: r.route.Kind != routes.KindNonIdempotent,
 	}
--- a/transport/httproute/local.go
+++ b/transport/httproute/local.go
@@ -23,6 +23,7 @@
 	Quarantine *quarantine.List
 	Log        *slog.Logger
 	Metrics    *Metrics
+	Waiting    *Waiting // requests that wait for a slot; nil if none does
 
 	mu    sync.Mutex
 	pools map[string]*placement.Pool
@@ -60,6 +61,7 @@
 	print       string      // fingerprint of the request
 	lastEventID string
 	config      int64
+	ranked      bool // the urgency is a rank, see routes.Precedence
 }
 
 // reply is the head of a response whose body has not been read yet.
@@ -141,7 +143,12 @@
 // urgency does not depend on whether a request will miss its objective. If such requests
 // got a lower urgency, engines would preempt them in the middle of their generation for
 // each more urgent request that finds the batch full, and recompute their whole prompt.
-func (o *outbound) urgency() int { return min(1+urgencyStep*o.work.Urgency, lowestUrgency) }
+func (o *outbound) urgency() int {
+	if o.ranked {
+		return min(1+o.work.Urgency, lowestUrgency)
+	}
+	return min(1+urgencyStep*o.work.Urgency, lowestUrgency)
+}
 
 // checkResponse evaluates the response headers of the server.
 func (l *LocalDispatcher) checkResponse(o *outbound, pool *placement.Pool, placed *placement.Placement, resp *backendhttp.Response) (*reply, *failure) {
@@ -154,6 +161,7 @@
 	r := &reply{Response: resp, meta: meta, server: placed.Server.ID}
 	r.onEnd = func(outcome placement.Outcome) {
 		pool.Done(placed, outcome, time.Now())
+		l.Waiting.Wake(o.service)
 		if outcome == placement.OutcomeFailed {
 			l.checkCrash(o, placed)
 		}
--- a/transport/httproute/metrics.go
+++ b/transport/httproute/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/basilroute/basilroute/coordination/waitqueue"
 )
 
 // Metrics holds the metrics of HTTP routes. No label contains an account, a route or a
@@ -17,6 +19,9 @@
 	deviation *prometheus.HistogramVec
 	notices   *prometheus.CounterVec
 	against   *prometheus.CounterVec
+	waits     *prometheus.HistogramVec
+	refusals  *prometheus.CounterVec
+	returns   *prometheus.CounterVec
 	noService string
 }
 
@@ -56,9 +61,21 @@
 			Namespace: namespace, Subsystem: subsystem, Name: "sent_against_notice_total",
 			Help: "Requests sent to a backend server after it had said that it leaves, or while it wants none.",
 		}, []string{"service", "notice"}),
+		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Subsystem: subsystem, Name: "wait_seconds",
+			Help: "Time that requests waited for a slot, by how the wait ended.", Buckets: []float64{.01, .03, .1, .3, .6, 1, 2, 4, 8},
+		}, []string{"service", "outcome"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Subsystem: subsystem, Name: "wait_refusals_total",
+			Help: "Requests that found no slot and were refused at once, by reason.",
+		}, []string{"service", "reason"}),
+		returns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Subsystem: subsystem, Name: "returns_total",
+			Help: "Requests whose caller returned after a refusal and found no slot at once, by whether they were placed.",
+		}, []string{"service", "outcome"}),
 		noService: "none",
 	}
-	registry.MustRegister(m.requests, m.seconds, m.retries, m.forwards, m.steps, m.deviation, m.notices, m.against)
+	registry.MustRegister(m.requests, m.seconds, m.retries, m.forwards, m.steps, m.deviation, m.notices, m.against, m.waits, m.refusals, m.returns)
 	return m
 }
 
@@ -112,3 +129,42 @@
 func (m *Metrics) sentAgainst(service, notice string) {
 	m.against.WithLabelValues(service, notice).Inc()
 }
+
+// Outcomes of a wait.
+const (
+	waitStarted     = "started"
+	waitStartedLate = "started_late"
+	waitRefused     = "refused"
+	waitLeft        = "left" // the caller disconnected, or its deadline passed
+)
+
+func waitOutcome(ticket *waitqueue.Ticket[*waiter], failed *failure) string {
+	switch {
+	case failed == nil && ticket.Late:
+		return waitStartedLate
+	case failed == nil:
+		return waitStarted
+	case failed.reason == reasonDeadline:
+		return waitLeft
+	}
+	return waitRefused
+}
+
+func (m *Metrics) waited(service, outcome string, took time.Duration) {
+	m.waits.WithLabelValues(service, outcome).Observe(took.Seconds())
+}
+
+func (m *Metrics) notWaited(service string, reason waitqueue.Reason) {
+	m.refusals.WithLabelValues(service, string(reason)).Inc()
+}
+
+// returned records what became of a request whose caller was refused before.
+func (m *Metrics) returned(service string, returned, placed bool) {
+	switch {
+	case !returned:
+	case placed:
+		m.returns.WithLabelValues(service, "placed").Inc()
+	default:
+		m.returns.WithLabelValues(service, "refused").Inc()
+	}
+}
--- a/transport/httproute/trace.go
+++ b/transport/httproute/trace.go
@@ -15,6 +15,7 @@
 	eventPlaced    = "request_placed"
 	eventForwarded = "request_forwarded"
 	eventUnplaced  = "request_unplaced"
+	eventWaited    = "request_waited"
 	eventRetried   = "request_retried"
 	eventResumed   = "request_resumed"
 	eventRefused   = "request_refused"
