--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -213,6 +213,7 @@
 	candidates     []candidate   // of the last search; reused
 	order          []*server     // servers in a random order, from which samples are drawn
 	urgentLoad     urgentLoad
+	sharedMachines bool // servers have reported how long work takes on their machines
 	rng            *rand.Rand
 	remote         map[string]map[string]remoteServer // by region and id
 }
@@ -265,6 +266,14 @@
 	return choice
 }
 
+// SharedMachines reports whether the servers share their machines with other work: they report how
+// long work takes there at the moment.
+func (p *Pool) SharedMachines() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sharedMachines
+}
+
 func (p *Pool) enabled(name features.Name) bool { return p.settings.Features.On(name) }
 
 // evaluate decides whether the request goes to the best server, and if not, why.
--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -153,6 +153,7 @@
 	s.reportedWaiting = float64(l.Waiting)
 	s.reportedAt = now
 	if l.TimePercent > 0 {
+		p.sharedMachines = true
 		s.machineFactor += (float64(l.TimePercent)/100 - s.machineFactor) * machineFactorWeight
 	}
 	if l.Slots > 0 && s.Slots == 0 {
@@ -311,6 +312,7 @@
 	FreeSlots         int           // requests of the lowest urgency that can start at once
 	ExpectedFirstByte time.Duration // for a prompt of summaryPromptTokens
 	StallFraction     float64       // fraction of the servers' time that does not go into decoding running generations
+	PrefillRate       float64       // prompt tokens per second of a server, as measured
 }
 
 // summaryPromptTokens is the size of the prompt that a summary refers to, in uncached
@@ -321,9 +323,13 @@
 // take in another region. Without it a prompt that is late because of its own length looks on
 // time in a remote region, is sent there, and is later still. Most of the shared segments are
 // expected to be cached in the remote region too.
-func ExtraPrefillTime(r *Request) time.Duration {
+// prefillRate is in prompt tokens per second; 0 if it is not known.
+func ExtraPrefillTime(r *Request, prefillRate float64) time.Duration {
+	if prefillRate <= 0 {
+		prefillRate = defaultPrefillRate
+	}
 	uncached := float64(r.Tokens) - remoteCachedFraction*float64(r.sharedTokens())
-	return seconds(max(uncached-summaryPromptTokens, 0) / defaultPrefillRate)
+	return seconds(max(uncached-summaryPromptTokens, 0) / prefillRate)
 }
 
 // remoteCachedFraction is the fraction of the shared tokens that another region is expected to have cached.
@@ -339,13 +345,25 @@
 		r.Urgency = leastUrgentRank // a full pool still takes urgent requests
 	}
 	found := p.choose(&r, now)
-	out := Summary{Servers: p.usableServers(now), Running: int(running), FreeSlots: int(max(slots-running, 0)), StallFraction: p.meanStall(now)}
+	out := Summary{Servers: p.usableServers(now), Running: int(running), FreeSlots: int(max(slots-running, 0)), StallFraction: p.meanStall(now), PrefillRate: p.measuredPrefillRate(now)}
 	if found.best != nil {
 		out.ExpectedFirstByte = seconds(found.best.firstByteSeconds)
 	}
 	return out
 }
 
+// measuredPrefillRate returns the mean prefill rate of the usable servers.
+func (p *Pool) measuredPrefillRate(now time.Time) float64 {
+	total, servers := 0.0, 0
+	for _, s := range p.servers {
+		if s.Usable(now) {
+			total += p.prefillRate / (s.latencyFactor * s.machineFactor * p.latencyFactor)
+			servers++
+		}
+	}
+	return total / float64(max(servers, 1))
+}
+
 // usableServers returns how many servers can be used. A search may count those of a sample only.
 func (p *Pool) usableServers(now time.Time) int {
 	ejected := p.ejectedServers(now)
--- a/coordination/spill/room.go
+++ b/coordination/spill/room.go
@@ -22,6 +22,7 @@
 	FreeSlots         int // for less urgent requests
 	StallFraction     float64
 	ExpectedFirstByte time.Duration
+	PrefillRate       float64 // prompt tokens per second of a server; 0 if the report does not say
 	ReceivedAt        time.Time
 }
 
@@ -36,7 +37,12 @@
 
 type regionRoom struct {
 	report Report
-	sent   []time.Time // ordered
+	sent   []send // ordered by time
+}
+
+type send struct {
+	at     time.Time
+	tokens int
 }
 
 // NewRooms returns an empty set.
@@ -65,9 +71,9 @@
 }
 
 // RecordSend counts a request that is sent to a region.
-func (r *Rooms) RecordSend(region, service string, now time.Time) {
+func (r *Rooms) RecordSend(region, service string, tokens int, now time.Time) {
 	room := r.room(region, service)
-	room.sent = append(slices.DeleteFunc(room.sent, func(at time.Time) bool { return now.Sub(at) > reportTTL }), now)
+	room.sent = append(slices.DeleteFunc(room.sent, func(s send) bool { return now.Sub(s.at) > reportTTL }), send{now, tokens})
 }
 
 // Latest returns the state of a region as its last report says, with what the local region has sent
@@ -78,14 +84,23 @@
 	if report.ReceivedAt.IsZero() || now.Sub(report.ReceivedAt) > reportTTL {
 		return Report{}, false
 	}
-	unreported := 0
-	for _, at := range room.sent {
-		if at.After(report.ReceivedAt.Add(-roundTrip)) {
-			unreported++
-		}
-	}
-	taken := min(unreported*r.instances, report.FreeSlots)
+	requests, tokens := room.sentAfter(report.ReceivedAt.Add(-roundTrip))
+	taken := min(requests*r.instances, report.FreeSlots)
 	report.Running += taken
 	report.FreeSlots -= taken
+	if report.PrefillRate > 0 && report.Servers > 0 {
+		backlog := float64(tokens*r.instances) / (report.PrefillRate * float64(report.Servers))
+		report.ExpectedFirstByte += time.Duration(backlog * float64(time.Second))
+	}
 	return report, true
 }
+
+func (r *regionRoom) sentAfter(since time.Time) (requests, tokens int) {
+	for _, s := range r.sent {
+		if s.at.After(since) {
+			requests++
+			tokens += s.tokens
+		}
+	}
+	return requests, tokens
+}
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -164,7 +164,7 @@
 		r.record(eventForwarded, "peer", remote.Instance, "region", remote.Region, "servers", remote.Servers,
 			"expected_ms", remote.firstByteTime().Milliseconds(), "heard_ms_ago", now.Sub(remote.ReportedAt).Milliseconds())
 		f.sent.add(remote, r.service, r.PromptTokens)
-		f.rooms.recordSend(remote, r.service, now)
+		f.rooms.recordSend(remote, r.service, r.PromptTokens, now)
 		r.shouldAbort = f.abortCheck(r)
 		o.shouldAbort = r.shouldAbort
 		rep, failed = f.forward(attemptCtx, r, o, remote)
--- a/transport/httproute/choose.go
+++ b/transport/httproute/choose.go
@@ -53,6 +53,16 @@
 	return r.config.Precedence(r.service)
 }
 
+// forwardsByRoom reports whether requests of the service are forwarded only to regions with room,
+// see spill.Rooms: where requests compete for slots by urgency, and where servers share machines, so
+// that their speed and their room change within a second.
+func (f *Front) forwardsByRoom(r *request) bool {
+	if !f.Features.On(features.RegionRoom) {
+		return false
+	}
+	return f.precedence(r).Enforced || f.Local.Pool(r.service).SharedMachines()
+}
+
 // noneTakesWork reports whether a refusal means that no server takes a request, whether late or not.
 func noneTakesWork(reason placement.Reason) bool {
 	return reason == placement.ReasonNoServer || reason == placement.ReasonResting
@@ -163,23 +173,22 @@
 // adjusted by the load that this region sent there since their last reports.
 func (f *Front) permittedRemotes(r *request, tried, homes []string, anywhere bool) []Remote {
 	_, instances := f.Remotes.InstanceCounts()
-	precedence := f.precedence(r)
-	now := time.Now()
+	byRoom, now := f.forwardsByRoom(r), time.Now()
 	var out []Remote
 	for _, o := range f.Remotes.Remotes(r.service) {
 		allowed := anywhere || slices.Contains(homes, o.Region)
 		if !allowed || slices.Contains(tried, o.Region) {
 			continue
 		}
-		if !precedence.Enforced {
+		if !byRoom {
 			f.sent.adjust(&o, r.service, instances)
-		} else if !f.rooms.update(&o, r.service, instances, now) {
+		} else if !f.rooms.update(&o, r.service, instances, now) || o.FreeSlots == 0 && !f.precedence(r).Urgent(r.work.Urgency) {
 			continue
 		}
-		if o.Servers == 0 || precedence.Enforced && !precedence.Urgent(r.work.Urgency) && o.FreeSlots == 0 {
+		if o.Servers == 0 {
 			continue
 		}
-		o.ExpectedFirstByte += placement.ExtraPrefillTime(&r.work)
+		o.ExpectedFirstByte += placement.ExtraPrefillTime(&r.work, o.PrefillRate)
 		out = append(out, o)
 	}
 	return out
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -193,8 +193,8 @@
 
 // reportRoom adds the room of the local region to a response.
 func (p *Peer) reportRoom(h http.Header, service string) {
-	if p.ranked(service) {
-		h.Set(headerRoom, p.summaries.encoded(service, p.Local.Pool(service), time.Now()))
+	if pool := p.Local.Pool(service); p.ranked(service) || pool.SharedMachines() {
+		h.Set(headerRoom, p.summaries.encoded(service, pool, time.Now()))
 	}
 }
 
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -30,6 +30,7 @@
 	FreeSlots         int           // requests that could start at once
 	StallFraction     float64       // fraction of its servers' time that does not go into decoding running generations
 	ExpectedFirstByte time.Duration // in the remote region, for an ordinary request
+	PrefillRate       float64       // prompt tokens per second of one of its servers; 0 if not known
 	ReportedAt        time.Time     // time of the last load report
 }
 
--- a/transport/httproute/regionroom.go
+++ b/transport/httproute/regionroom.go
@@ -20,6 +20,7 @@
 	FreeSlots    int   `json:"free"`
 	StallPercent int   `json:"stall"`
 	ExpectedMs   int64 `json:"expected_ms"`
+	PrefillRate  int   `json:"prefill_rate"`
 }
 
 // summaryTTL is how long a summary of the local servers is used again: that of load reports.
@@ -47,6 +48,7 @@
 	encoded, _ := json.Marshal(roomReport{ // numbers always marshal
 		Servers: summary.Servers, Running: summary.Running, FreeSlots: summary.FreeSlots,
 		StallPercent: int(100 * summary.StallFraction), ExpectedMs: summary.ExpectedFirstByte.Milliseconds(),
+		PrefillRate: int(summary.PrefillRate),
 	})
 	if s.byService == nil {
 		s.byService = make(map[string]timedSummary)
@@ -83,14 +85,14 @@
 	defer r.mu.Unlock()
 	r.known().Record(remote.Region, service, spill.Report{
 		Servers: report.Servers, Running: report.Running, FreeSlots: report.FreeSlots, StallFraction: float64(report.StallPercent) / 100,
-		ExpectedFirstByte: time.Duration(report.ExpectedMs) * time.Millisecond, ReceivedAt: now,
+		ExpectedFirstByte: time.Duration(report.ExpectedMs) * time.Millisecond, PrefillRate: float64(report.PrefillRate), ReceivedAt: now,
 	})
 }
 
-func (r *regionRooms) recordSend(remote *Remote, service string, now time.Time) {
+func (r *regionRooms) recordSend(remote *Remote, service string, tokens int, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.known().RecordSend(remote.Region, service, now)
+	r.known().RecordSend(remote.Region, service, tokens, now)
 }
 
 // update replaces what the member list says about a region by what is known of it now. It reports
@@ -110,5 +112,6 @@
 	}
 	remote.Servers, remote.Running, remote.FreeSlots = latest.Servers, latest.Running, latest.FreeSlots
 	remote.StallFraction, remote.ExpectedFirstByte, remote.ReportedAt = latest.StallFraction, latest.ExpectedFirstByte, latest.ReceivedAt
+	remote.PrefillRate = latest.PrefillRate
 	return true
 }
