--- a/coordination/placement/cost.go
+++ b/coordination/placement/cost.go
@@ -14,6 +14,7 @@
 	backlog          float64 // prompt tokens of other requests that are computed before
 	gapSeconds       float64 // longest gap that the prefill is expected to cause in running generations
 	ownSeconds       float64 // part of firstByteSeconds that the request's own prompt or work takes
+	secondsPerToken  float64 // that a prompt token adds to the time to the first byte
 	cached           int     // prompt tokens that the server is expected to have cached
 	fetchFrom        string  // address of a server to fetch cached tokens from; may be empty
 }
@@ -67,9 +68,14 @@
 	c.uncached = float64(max(r.Tokens-c.cached, 0))
 	others := max(p.peersPending(s, r.Urgency), s.reportedWaiting*ageWeight(now.Sub(s.reportedAt))*p.meanUncached)
 	c.backlog = s.pendingUpTo(r.Urgency) + others
-	secondsPerToken := s.latencyFactor * s.machineFactor * p.latencyFactor / p.prefillRate
-	c.firstByteSeconds = idleFirstByteSeconds + (c.backlog+c.uncached)*secondsPerToken + s.excess(now)
-	c.ownSeconds = c.uncached * secondsPerToken
+	base, perToken := p.firstByteModel()
+	factor := s.latencyFactor * s.machineFactor * p.latencyFactor
+	c.secondsPerToken = perToken * factor
+	if p.fitsPace() {
+		base *= factor
+	}
+	c.firstByteSeconds = base + (c.backlog+c.uncached)*c.secondsPerToken + s.excess(now)
+	c.ownSeconds = c.uncached * c.secondsPerToken
 	c.cost = c.firstByteSeconds + (prefillWeight-1)*c.uncached/p.prefillRate + p.running(s, now)*runningCost
 	if p.preempts(s, r.Urgency, now) {
 		c.cost += preemptionCost
--- a/coordination/placement/eventgap.go
+++ b/coordination/placement/eventgap.go
@@ -27,35 +27,11 @@
 	gapFactorWeight = 0.05
 )
 
-// gapLine is a least-squares line through the longest event gap of a running generation, in
-// seconds, over the size of the prompt that was prefilled meanwhile, in tokens. Old samples
-// lose their weight.
-type gapLine struct{ n, x, y, xx, xy float64 }
-
-func (f *gapLine) add(tokens, gap float64) {
-	for _, sum := range []*float64{&f.n, &f.x, &f.y, &f.xx, &f.xy} {
-		*sum *= fitRetention
-	}
-	f.n++
-	f.x += tokens
-	f.y += gap
-	f.xx += tokens * tokens
-	f.xy += tokens * gap
-}
-
-// predict returns the value of the line for a prompt size, and false while the samples are too
-// few or too alike.
-func (f *gapLine) predict(tokens float64) (float64, bool) {
-	if f.n < minFitSamples {
-		return 0, false
-	}
-	mean := f.x / f.n
-	variance := f.xx/f.n - mean*mean
-	if variance < minFitSpread*minFitSpread {
-		return 0, false
-	}
-	slope := max((f.xy/f.n-mean*f.y/f.n)/variance, 0)
-	return f.y/f.n + slope*(tokens-mean), true
+// predictGap returns the longest event gap that a prompt of a size is expected to cause, in seconds, and
+// false while the samples are too few or too alike.
+func (p *Pool) predictGap(tokens float64) (float64, bool) {
+	intercept, slope, known := p.gapFit.coefficients(minFitSamples, minFitSpread)
+	return intercept + slope*tokens, known
 }
 
 // prefill is a prompt whose first byte has not arrived.
@@ -83,10 +59,10 @@
 	if done == nil || done.longestGap == 0 {
 		return
 	}
-	if expected, known := p.gapFit.predict(done.tokens); known && expected > 0 {
+	if expected, known := p.predictGap(done.tokens); known && expected > 0 {
 		s.gapFactor += (done.longestGap/expected - s.gapFactor) * gapFactorWeight
 	}
-	p.gapFit.add(done.tokens, done.longestGap)
+	p.gapFit.add(done.tokens, done.longestGap, fitRetention)
 }
 
 // exceedsGap reports whether prefilling the prompt at the candidate is expected to delay
@@ -101,6 +77,9 @@
 	if !p.settings.Engine || !p.enabled(features.LimitEventGaps) {
 		return 0
 	}
-	longest, _ := p.gapFit.predict(float64(r.Tokens)) // 0 while not known
+	longest, known := p.predictGap(float64(r.Tokens))
+	if !known {
+		return 0
+	}
 	return longest
 }
--- a/coordination/placement/eventgap_test.go
+++ b/coordination/placement/eventgap_test.go
@@ -93,19 +93,19 @@
 // The line follows engines that become slower: after a thousand prompts the old ones count for
 // little.
 func TestGapLineFollowsAChange(t *testing.T) {
-	var f gapLine
+	p := New()
 	sample := func(first, slope float64) {
 		for i := range 4000 {
 			tokens := float64(1000 + 300*(i%50))
-			f.add(tokens, first+slope*tokens)
+			p.gapFit.add(tokens, first+slope*tokens, fitRetention)
 		}
 	}
 	sample(0.1, 2e-6)
-	if got, ok := f.predict(50_000); !ok || got < 0.19 || got > 0.21 {
+	if got, ok := p.predictGap(50_000); !ok || got < 0.19 || got > 0.21 {
 		t.Errorf("gap %v %v, want 0.2", got, ok)
 	}
 	sample(0.2, 4e-6)
-	if got, ok := f.predict(50_000); !ok || got < 0.38 || got > 0.42 {
+	if got, ok := p.predictGap(50_000); !ok || got < 0.38 || got > 0.42 {
 		t.Errorf("gap %v %v after the change, want 0.4", got, ok)
 	}
 }
--- a/coordination/placement/fetch.go
+++ b/coordination/placement/fetch.go
@@ -50,12 +50,16 @@
 func (p *Pool) applyFetch(c *candidate, address string, tokens, secondsPerToken float64) {
 	prefillTime := tokens / p.prefillRate
 	fetchTime := fetchSetupSeconds + tokens*secondsPerToken
-	if fetchTime >= prefillTime {
+	saved := (prefillTime - fetchTime) * c.latencyFactor
+	if p.fitsPace() {
+		saved = tokens*c.secondsPerToken - fetchTime
+	}
+	if saved <= 0 {
 		return
 	}
 	c.fetchFrom = address
 	c.uncached -= tokens
-	c.firstByteSeconds += (fetchTime - prefillTime) * c.latencyFactor
-	c.ownSeconds += (fetchTime - prefillTime) * c.latencyFactor
-	c.cost += (fetchTime-prefillTime)*c.latencyFactor - (prefillWeight-1)*prefillTime + fetchWeight*prefillTime
+	c.firstByteSeconds -= saved
+	c.ownSeconds -= saved
+	c.cost -= saved + (prefillWeight-1-fetchWeight)*prefillTime
 }
--- /dev/null
+++ b/coordination/placement/pace.go
@@ -0,0 +1,47 @@
+package placement
+
+import "github.com/basilroute/basilroute/service/features"
+
+// Load pattern: servers of different speed that share their machines with other work, with short
+// prompts beside long ones. A first byte takes a fixed time and one that grows with the prompt. With
+// an assumed rate and a factor for both, short prompts look slow after long ones and long prompts
+// after short ones, and requests are refused that would be on time.
+//
+// So the two times are fitted to what was measured, relative to what the servers report of their
+// machines. A server's latency factor then says what is left: how it differs from the others.
+const (
+	// paceRetention is the factor by which each first byte decays the older ones: about the last
+	// two hundred count.
+	paceRetention = 0.995
+	// minPaceSamples and minPaceSpread are the number of first bytes and the standard deviation of
+	// their prompt tokens from which the fitted times are used.
+	minPaceSamples = 40
+	minPaceSpread  = 1000
+	// maxFirstByteBase is the longest fixed time, in seconds.
+	maxFirstByteBase = 0.3
+	// maxPrefillRate is the highest rate in prompt tokens per second.
+	maxPrefillRate = 10 * defaultPrefillRate
+)
+
+// fitsPace reports whether first bytes are estimated with fitted times.
+func (p *Pool) fitsPace() bool {
+	return p.settings.Engine && p.enabled(features.FittedPace) && (p.sharedMachines || p.settings.Precedence.Enforced)
+}
+
+// recordPace adds a measured time to the first byte.
+func (p *Pool) recordPace(pl *Placement, took float64) {
+	if p.fitsPace() {
+		p.pace.add(pl.tokensAhead, took/pl.server.machineFactor, paceRetention)
+	}
+}
+
+// firstByteModel returns the fixed time to a first byte and the time that each prompt token adds, in
+// seconds, at a server of average speed.
+func (p *Pool) firstByteModel() (base, perToken float64) {
+	if p.fitsPace() {
+		if base, perToken, known := p.pace.coefficients(minPaceSamples, minPaceSpread); known {
+			return min(max(base, idleFirstByteSeconds/2), maxFirstByteBase), max(perToken, 1/maxPrefillRate)
+		}
+	}
+	return idleFirstByteSeconds, 1 / p.prefillRate
+}
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -183,6 +183,7 @@
 	Sent            time.Time
 	server          *server
 	prefillTokens   float64 // prompt tokens to be computed
+	tokensAhead     float64 // these and those of other requests that are computed before
 	urgency         int
 	urgent          bool // counted among the server's urgent requests
 	expectedSeconds float64
@@ -201,8 +202,9 @@
 	latencyFactor  float64       // measured over expected time, of all servers
 	meanUncached   float64       // mean prompt tokens of a request that are not cached
 	minEventGap    time.Duration // shortest gap limit of any route; 0 while none is known
-	gapFit         gapLine
-	minMeanGap     float64 // smallest mean gap between response events of any server, in seconds
+	gapFit         fittedLine    // longest event gap of a running generation, in seconds, over the prompt that was prefilled meanwhile, in tokens
+	pace           fittedLine    // time to the first byte, in seconds, over the prompt tokens computed before it
+	minMeanGap     float64       // smallest mean gap between response events of any server, in seconds
 	byHash         map[uint32]*server
 	dispatches     []Dispatch             // since the last load report
 	hasPlaced      bool                   // a request was placed since then
@@ -395,7 +397,7 @@
 	if r.MaxEventGap > 0 && (p.minEventGap == 0 || r.MaxEventGap < p.minEventGap) {
 		p.minEventGap = r.MaxEventGap
 	}
-	pl := &Placement{Server: s.Entry, server: s, prefillTokens: c.uncached, urgency: r.Urgency, urgent: p.urgent(r.Urgency), Sent: now, expectedSeconds: c.firstByteSeconds}
+	pl := &Placement{Server: s.Entry, server: s, prefillTokens: c.uncached, tokensAhead: c.backlog + c.uncached, urgency: r.Urgency, urgent: p.urgent(r.Urgency), Sent: now, expectedSeconds: c.firstByteSeconds}
 	s.prefills[pl] = &prefill{tokens: float64(r.Tokens), since: now}
 	return pl
 }
--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -17,6 +17,9 @@
 	// machineFactorWeight is the weight of a newly reported time of work. The time changes within tens of
 	// milliseconds, before another request is placed by it; what lasts is the server's mean.
 	machineFactorWeight = 0.1
+	// priorMachineReports is the number of reports that the usual time counts for at first, so that a
+	// single report of a slow moment does not send prompts away from the server that has them cached.
+	priorMachineReports = 2
 	maxLatencyFactor    = 8.0
 	// excessHalfLife is the half-life, in seconds, of the time that requests took beyond the expected.
 	excessHalfLife = 0.7
@@ -68,6 +71,7 @@
 	reportedWaiting float64 // requests that had not started, by the server's last report
 	reportedAt      time.Time
 	machineFactor   float64 // mean of the reported times of work, over the usual time; 1 if none is reported
+	machineReports  int
 
 	latencyFactor     float64 // measured over expected time
 	excessSeconds     float64 // time that recent requests took beyond the expected, at excessAt
@@ -154,7 +158,9 @@
 	s.reportedAt = now
 	if l.TimePercent > 0 {
 		p.sharedMachines = true
-		s.machineFactor += (float64(l.TimePercent)/100 - s.machineFactor) * machineFactorWeight
+		s.machineReports++
+		weight := max(1/float64(s.machineReports+priorMachineReports), machineFactorWeight)
+		s.machineFactor += (float64(l.TimePercent)/100 - s.machineFactor) * weight
 	}
 	if l.Slots > 0 && s.Slots == 0 {
 		s.Slots = l.Slots
@@ -177,6 +183,7 @@
 	p.finishPrefill(s, pl)
 	s.addPending(pl.urgency, -pl.prefillTokens)
 	took := now.Sub(pl.Sent).Seconds()
+	p.recordPace(pl, took)
 	if pl.expectedSeconds <= 0 {
 		return
 	}
@@ -354,10 +361,11 @@
 
 // measuredPrefillRate returns the mean prefill rate of the usable servers.
 func (p *Pool) measuredPrefillRate(now time.Time) float64 {
+	_, perToken := p.firstByteModel()
 	total, servers := 0.0, 0
 	for _, s := range p.servers {
 		if s.Usable(now) {
-			total += p.prefillRate / (s.latencyFactor * s.machineFactor * p.latencyFactor)
+			total += 1 / (perToken * s.latencyFactor * s.machineFactor * p.latencyFactor)
 			servers++
 		}
 	}
--- a/service/features/features.go
+++ b/service/features/features.go
@@ -30,6 +30,7 @@
 	StartupWait        Name = "start_wait"      // requests wait until a starting instance has its state
 	ConfirmLoans       Name = "ask_loans"       // a restarted instance asks all others for its loans
 	OvertakeLargeWaits Name = "pass_large_wait" // small requests overtake large ones that wait for tokens
+	FittedPace         Name = "fitted_pace"     // first bytes are estimated from fitted times
 	RegionRoom         Name = "region_room"     // requests are forwarded only to regions with room
 	UrgentFirst        Name = "urgent_first"    // urgent requests take slots of less urgent ones
 	WaitForSlot        Name = "wait_for_slot"   // less urgent requests wait for a slot
@@ -38,7 +39,7 @@
 // All returns every feature, ordered by name.
 func All() []Name {
 	return []Name{
-		ConfirmLoans, RetryAfterPacing, LoadReports, RemoteFetch, Fetch, PreferredServers, EjectedFallback, SpillByStall, SpillByOccupancy,
+		ConfirmLoans, RetryAfterPacing, LoadReports, RemoteFetch, Fetch, FittedPace, PreferredServers, EjectedFallback, SpillByStall, SpillByOccupancy,
 		OvertakeLargeWaits, PoolLatencyFactor, RegionRoom, SampledChoice, Ejection, LimitEventGaps, Spread, StartupWait, UrgentFirst, WaitForSlot,
 	}
 }
