Share a region's slots between its instances

Cause: an instance learns first of the slots that its own requests free, and gave them all to its own waiting requests. Now an instance starts its share of what the region starts while slots are taken; requests that may run elsewhere only wait there.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -199,6 +199,7 @@
 	servers        []*server     // ordered by id
 	prefillRate    float64       // prompt tokens per second; the latency factors correct it
 	serviceSeconds float64       // measured time of a plain request
+	holdSeconds    float64       // measured time for which a less urgent request holds its slot; 0 while not known
 	latencyFactor  float64       // measured over expected time, of all servers
 	meanUncached   float64       // mean prompt tokens of a request that are not cached
 	minEventGap    time.Duration // shortest gap limit of any route; 0 while none is known
--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -219,6 +219,9 @@
 	if outcome == OutcomeServed && !p.settings.Engine {
 		p.serviceSeconds += (now.Sub(pl.Sent).Seconds()/max(s.latencyFactor, 1) - p.serviceSeconds) * serviceTimeWeight
 	}
+	if outcome == OutcomeServed {
+		p.recordHold(pl, now)
+	}
 	if outcome == OutcomeServed && s.sentBeforeEjection(pl.Sent, now) {
 		return
 	}
--- a/coordination/spill/room.go
+++ b/coordination/spill/room.go
@@ -22,7 +22,8 @@
 	FreeSlots         int // for less urgent requests
 	StallFraction     float64
 	ExpectedFirstByte time.Duration
-	PrefillRate       float64 // prompt tokens per second of a server; 0 if the report does not say
+	PrefillRate       float64       // prompt tokens per second of a server; 0 if the report does not say
+	Wait              time.Duration // of a less urgent request, until it gets a slot
 	ReceivedAt        time.Time
 }
 
--- a/coordination/waitqueue/waitqueue.go
+++ b/coordination/waitqueue/waitqueue.go
@@ -88,6 +88,8 @@
 	demand     meter     // requests that arrived and could be on time
 	lateCredit float64   // starts due to late requests while others wait
 	nextReturn time.Time // when the next refused caller may return
+	flow       Flow
+	nextStart  time.Time // when this instance's share allows the next start
 }
 
 // New returns an empty queue.
@@ -141,7 +143,11 @@
 	return waitFor(float64(q.onTime.Len())+ahead, spare)
 }
 
-func (q *Queue[T]) startRate(now time.Time) float64 { return max(q.starts.rate(now), minStartRate) }
+// startRate returns the expected rate of starts: this instance's share of the region's, or what it starts
+// beyond that.
+func (q *Queue[T]) startRate(now time.Time) float64 {
+	return max(q.starts.rate(now), q.flow.share(), minStartRate)
+}
 
 // Heads returns the requests that may start next, in order: the first one of each account.
 func (q *Queue[T]) Heads() []*Ticket[T] {
--- a/instance/routed/instance.go
+++ b/instance/routed/instance.go
@@ -203,7 +203,7 @@
 		Codec: n.codec, Backends: n.backends, Quarantine: n.quarantine, Log: n.log, Metrics: metrics,
 		Client: backendhttp.New(backendhttp.Settings{DialTimeout: serverDialTimeout, UserTimeout: userTimeout, MaxIdle: maxIdleConns}),
 	}
-	n.local.Waiting = &httproute.Waiting{Metrics: metrics, MaxBytes: int(n.settings.MemoryMB << 20 / waitMemoryShare)}
+	n.local.Waiting = &httproute.Waiting{Metrics: metrics, MaxBytes: int(n.settings.MemoryMB << 20 / waitMemoryShare), Flow: n.slotFlow}
 	n.front = &httproute.Front{
 		Region: n.settings.Region, Codec: n.codec, Routes: n.routes, Ledger: n.ledger, Quarantine: n.quarantine,
 		Retries: retry.NewWindow(retry.WindowSettings{Ratio: n.settings.Retry.Ratio, Slack: n.settings.Retry.Slack, Window: n.settings.Retry.Window}),
--- a/instance/routed/storeitems.go
+++ b/instance/routed/storeitems.go
@@ -10,6 +10,7 @@
 	"github.com/basilroute/basilroute/coordination/configwatch"
 	"github.com/basilroute/basilroute/coordination/placement"
 	"github.com/basilroute/basilroute/coordination/quotashare"
+	"github.com/basilroute/basilroute/coordination/waitqueue"
 	"github.com/basilroute/basilroute/protocol/peerpb"
 	"github.com/basilroute/basilroute/service"
 	"github.com/basilroute/basilroute/state/backends"
@@ -246,6 +247,12 @@
 	n.ledger.UpdateDivided(docs, n.division, int64(n.ledgerHolders), time.Now())
 }
 
+// slotFlow returns how fast the slots of a service turn over in the local region.
+func (n *Instance) slotFlow(service string, now time.Time) waitqueue.Flow {
+	flow := n.local.Pool(service).Flow(now)
+	return waitqueue.Flow{Rate: flow.Rate, FreeSlots: flow.FreeSlots, Instances: len(*n.regionMembers.Load())}
+}
+
 // publishLoads publishes the load of the services in this instance's entry.
 func (n *Instance) publishLoads(now time.Time) {
 	config := n.routes.Current()
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -205,13 +205,13 @@
 
 // chooseOrWait chooses where a request is sent. One that no server takes now may wait for a slot.
 func (f *Front) chooseOrWait(ctx context.Context, r *request, now time.Time) (placement.Choice, *Remote, *failure) {
-	choice, remote, refused := f.choose(r, now, true)
 	if !mayWait(r.config, f.Features, r.service, r.work.Urgency) {
-		return choice, remote, refused
+		return f.choose(r, now, chooseOptions{acceptLate: true})
 	}
+	choice, remote, refused := f.choose(r, now, chooseOptions{acceptLate: true, skipLocal: !f.Local.Waiting.mayStart(r.service, now)})
 	switch {
 	case refused == nil:
-		f.Local.Waiting.recordStart(r.service, now)
+		f.Local.Waiting.recordStart(r.service, remote == nil, now)
 		return choice, remote, nil
 	case r.hasWaited || f.Leaving() || refused.reason != reasonLoad && refused.reason != reasonCold:
 		return choice, remote, refused
--- a/transport/httproute/choose.go
+++ b/transport/httproute/choose.go
@@ -11,15 +11,24 @@
 	"github.com/basilroute/basilroute/state/routes"
 )
 
+// chooseOptions says which servers are left out.
+type chooseOptions struct {
+	acceptLate bool // local servers that respond too late are not left out
+	skipLocal  bool // the servers of the local region are left out
+}
+
 // choose places the request on a server of the local region that responds within the
 // objective, else in another region that does, else on a late server of the local region,
-// else in another region. Late servers are left out unless acceptLate is set.
-func (f *Front) choose(r *request, now time.Time, acceptLate bool) (placement.Choice, *Remote, *failure) {
+// else in another region.
+func (f *Front) choose(r *request, now time.Time, o chooseOptions) (placement.Choice, *Remote, *failure) {
 	homes, anywhere := routes.AllowedRegions(r.route, r.account)
 	pool := f.Local.Pool(r.service)
 	localAllowed := (anywhere || slices.Contains(homes, f.Region)) && !slices.Contains(r.triedRegions, f.Region)
 	var local placement.Choice
 	local.Reason = placement.ReasonNoServer
+	if localAllowed && o.skipLocal {
+		localAllowed, local.Reason = false, placement.ReasonFull
+	}
 	if localAllowed {
 		if remote := f.spillTarget(r, pool, homes, anywhere, now); remote != nil {
 			return placement.Choice{}, remote, nil
@@ -32,19 +41,43 @@
 	}
 	remote := f.bestRemote(r, r.triedRegions, homes, anywhere)
 	left := r.work.Objective - now.Sub(r.arrived)
-	if remote != nil && (r.work.Objective == 0 || remote.firstByteTime() <= left || noneTakesWork(local.Reason) || r.work.Waits && acceptLate) {
+	if remote != nil && (r.work.Objective == 0 || remote.firstByteTime() <= left || noneTakesWork(local.Reason) || r.work.Waits && o.acceptLate) {
 		return placement.Choice{}, remote, nil
 	}
-	if acceptLate && localAllowed && local.Reason != placement.ReasonNoServer {
+	if o.acceptLate && localAllowed && local.Reason != placement.ReasonNoServer {
 		r.work.RejectIfLate = false
 		if local = pool.Place(&r.work, now); local.Placement != nil {
 			return local, nil, nil
 		}
 	}
-	f.recordUnplaced(r, localAllowed, local, remote)
+	if !r.work.Waits {
+		f.recordUnplaced(r, localAllowed, local, remote)
+	}
+	if local.Reason == placement.ReasonNoServer && f.othersFull(r, homes, anywhere) {
+		local.Reason = placement.ReasonFull
+	}
 	return placement.Choice{}, nil, refusalOf(local)
 }
 
+// othersFull reports whether a request that may not run in the local region has found no room in
+// those in which it may.
+func (f *Front) othersFull(r *request, homes []string, anywhere bool) bool {
+	return !anywhere && !slices.Contains(homes, f.Region) && f.forwardsByRoom(r) && slices.ContainsFunc(f.Remotes.Remotes(r.service), func(o Remote) bool {
+		return slices.Contains(homes, o.Region) && o.Servers > 0
+	})
+}
+
+// hasRoom reports whether a region may get the request by its room. A request that may not run in the
+// local region may also wait there for a slot.
+func (f *Front) hasRoom(r *request, remote *Remote, homes []string, anywhere bool) bool {
+	precedence := f.precedence(r)
+	if remote.FreeSlots > 0 || precedence.Urgent(r.work.Urgency) {
+		remote.Wait = 0
+		return true
+	}
+	return precedence.Enforced && !anywhere && !slices.Contains(homes, f.Region)
+}
+
 // precedence returns the precedence among the requests of a request's service.
 func (f *Front) precedence(r *request) routes.Precedence {
 	if r.config == nil || !f.Features.On(features.UrgentFirst) {
@@ -93,7 +126,7 @@
 }
 
 // firstByteTime returns the expected time to the first byte through the region.
-func (r *Remote) firstByteTime() time.Duration { return r.RoundTrip + r.ExpectedFirstByte }
+func (r *Remote) firstByteTime() time.Duration { return r.RoundTrip + r.Wait + r.ExpectedFirstByte }
 
 // spillTarget returns the region to which a request should spill although the local region
 // may still accept it, or nil. A retry does not spill, because it has already lost time.
@@ -182,10 +215,10 @@
 		}
 		if !byRoom {
 			f.sent.adjust(&o, r.service, instances)
-		} else if !f.rooms.update(&o, r.service, instances, now) || o.FreeSlots == 0 && !f.precedence(r).Urgent(r.work.Urgency) {
+		} else if !f.rooms.update(&o, r.service, instances, now) {
 			continue
 		}
-		if o.Servers == 0 {
+		if o.Servers == 0 || byRoom && !f.hasRoom(r, &o, homes, anywhere) {
 			continue
 		}
 		o.ExpectedFirstByte += placement.ExtraPrefillTime(&r.work, o.PrefillRate)
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -194,7 +194,8 @@
 // reportRoom adds the room of the local region to a response.
 func (p *Peer) reportRoom(h http.Header, service string) {
 	if pool := p.Local.Pool(service); p.ranked(service) || pool.SharedMachines() {
-		h.Set(headerRoom, p.summaries.encoded(service, pool, time.Now()))
+		now := time.Now()
+		h.Set(headerRoom, p.summaries.encoded(service, pool, p.Local.Waiting.expectedWait(service, now), now))
 	}
 }
 
@@ -263,23 +264,35 @@
 // place places the request. One that no server takes now may wait for a slot while it can be on time.
 func (p *Peer) place(ctx context.Context, o *outbound) (placement.Choice, *failure) {
 	pool, now := p.Local.Pool(o.service), time.Now()
-	choice := pool.Place(o.work, now)
 	waits := mayWait(p.Routes.Current(), p.Features, o.service, o.work.Urgency)
-	switch {
-	case choice.Placement != nil && waits:
-		p.Local.Waiting.recordStart(o.service, now)
-		return choice, nil
-	case choice.Placement != nil:
-		return choice, nil
-	case !waits || choice.Reason != placement.ReasonFull && choice.Reason != placement.ReasonCold:
-		return choice, refusalOf(choice)
+	if !waits || p.Local.Waiting.mayStart(o.service, now) {
+		choice := pool.Place(o.work, now)
+		switch {
+		case choice.Placement != nil && waits:
+			p.Local.Waiting.recordStart(o.service, true, now)
+			return choice, nil
+		case choice.Placement != nil:
+			return choice, nil
+		case !waits || choice.Reason != placement.ReasonFull && choice.Reason != placement.ReasonCold:
+			return choice, refusalOf(choice)
+		}
 	}
+	return p.awaitSlot(ctx, o)
+}
+
+// awaitSlot lets a forwarded request wait while it can be on time.
+func (p *Peer) awaitSlot(ctx context.Context, o *outbound) (choice placement.Choice, failed *failure) {
 	waiting := waitRequest(o.work, o.body)
 	waiting.Account, waiting.Latest = o.account, waiting.OnTime
 	o.work.Waits = true
-	failed := p.Local.Waiting.await(ctx, o.service, waiting, func(now time.Time, _ bool) bool {
-		choice = pool.Place(o.work, now)
-		return choice.Placement != nil
+	failed = p.Local.Waiting.await(ctx, o.service, waiting, func(now time.Time, options tryOptions) tryResult {
+		if !options.local {
+			return notPlaced
+		}
+		if choice = p.Local.Pool(o.service).Place(o.work, now); choice.Placement == nil {
+			return notPlaced
+		}
+		return placedLocally
 	})
 	return choice, failed
 }
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -31,6 +31,7 @@
 	StallFraction     float64       // fraction of its servers' time that does not go into decoding running generations
 	ExpectedFirstByte time.Duration // in the remote region, for an ordinary request
 	PrefillRate       float64       // prompt tokens per second of one of its servers; 0 if not known
+	Wait              time.Duration // of a less urgent request in the remote region, until it gets a slot
 	ReportedAt        time.Time     // time of the last load report
 }
 
--- a/transport/httproute/regionroom.go
+++ b/transport/httproute/regionroom.go
@@ -21,6 +21,7 @@
 	StallPercent int   `json:"stall"`
 	ExpectedMs   int64 `json:"expected_ms"`
 	PrefillRate  int   `json:"prefill_rate"`
+	WaitMs       int64 `json:"wait_ms"` // of a less urgent request, until it gets a slot
 }
 
 // summaryTTL is how long a summary of the local servers is used again: that of load reports.
@@ -38,7 +39,7 @@
 }
 
 // encoded returns the report of a pool for other regions.
-func (s *summaries) encoded(service string, pool *placement.Pool, now time.Time) string {
+func (s *summaries) encoded(service string, pool *placement.Pool, wait time.Duration, now time.Time) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if last, ok := s.byService[service]; ok && now.Sub(last.at) < summaryTTL {
@@ -48,7 +49,7 @@
 	encoded, _ := json.Marshal(roomReport{ // numbers always marshal
 		Servers: summary.Servers, Running: summary.Running, FreeSlots: summary.FreeSlots,
 		StallPercent: int(100 * summary.StallFraction), ExpectedMs: summary.ExpectedFirstByte.Milliseconds(),
-		PrefillRate: int(summary.PrefillRate),
+		PrefillRate: int(summary.PrefillRate), WaitMs: wait.Milliseconds(),
 	})
 	if s.byService == nil {
 		s.byService = make(map[string]timedSummary)
@@ -86,6 +87,7 @@
 	r.known().Record(remote.Region, service, spill.Report{
 		Servers: report.Servers, Running: report.Running, FreeSlots: report.FreeSlots, StallFraction: float64(report.StallPercent) / 100,
 		ExpectedFirstByte: time.Duration(report.ExpectedMs) * time.Millisecond, PrefillRate: float64(report.PrefillRate), ReceivedAt: now,
+		Wait: time.Duration(report.WaitMs) * time.Millisecond,
 	})
 }
 
@@ -112,6 +114,6 @@
 	}
 	remote.Servers, remote.Running, remote.FreeSlots = latest.Servers, latest.Running, latest.FreeSlots
 	remote.StallFraction, remote.ExpectedFirstByte, remote.ReportedAt = latest.StallFraction, latest.ExpectedFirstByte, latest.ReceivedAt
-	remote.PrefillRate = latest.PrefillRate
+	remote.PrefillRate, remote.Wait = latest.PrefillRate, latest.Wait
 	return true
 }
--- a/transport/httproute/waiting.go
+++ b/transport/httproute/waiting.go
@@ -38,6 +38,8 @@
 type Waiting struct {
 	Metrics  *Metrics
 	MaxBytes int // bodies of the waiting requests of a service
+	// Flow returns how fast the slots of a service turn over in the local region.
+	Flow func(service string, now time.Time) waitqueue.Flow
 
 	mu    sync.Mutex
 	rooms map[string]*waitRoom // by service
@@ -47,15 +49,34 @@
 type waitRoom struct {
 	service string
 	metrics *Metrics
+	flow    func(service string, now time.Time) waitqueue.Flow
 
 	mu    sync.Mutex
 	queue *waitqueue.Queue[*waiter]
 }
 
+// tryFunc places a waiting request if it can.
+type tryFunc func(now time.Time, o tryOptions) tryResult
+
+// tryOptions says how a waiting request may be placed.
+type tryOptions struct {
+	late  bool // its response cannot be on time
+	local bool // it may take a slot of the local region
+}
+
+// tryResult says where a waiting request was placed.
+type tryResult int
+
+const (
+	notPlaced tryResult = iota
+	placedLocally
+	placedRemotely
+)
+
 // waiter is a request that waits.
 type waiter struct {
-	try  func(now time.Time, late bool) bool // places the request, and reports whether it could
-	done chan *failure                       // gets nil when the request has been placed
+	try  tryFunc
+	done chan *failure // gets nil when the request has been placed
 }
 
 func (w *Waiting) room(service string) *waitRoom {
@@ -67,7 +88,7 @@
 	room := w.rooms[service]
 	if room == nil {
 		settings := waitqueue.Settings{MaxWaiting: maxWaiting, MaxBytes: w.MaxBytes}
-		room = &waitRoom{service: service, metrics: w.Metrics, queue: waitqueue.New[*waiter](settings)}
+		room = &waitRoom{service: service, metrics: w.Metrics, flow: w.Flow, queue: waitqueue.New[*waiter](settings)}
 		w.rooms[service] = room
 	}
 	return room
@@ -123,23 +144,46 @@
 	return room.queue.Len()
 }
 
+// mayStart reports whether a request may be placed in the local region without waiting: no other one
+// waits, and this instance has not used up its share of the region's slots.
+func (w *Waiting) mayStart(service string, now time.Time) bool {
+	room := w.room(service)
+	room.mu.Lock()
+	defer room.mu.Unlock()
+	room.updateFlow(now)
+	return room.queue.Len() == 0 && room.queue.MayStart(now)
+}
+
 // recordStart counts a request that was placed without waiting.
-func (w *Waiting) recordStart(service string, now time.Time) {
+func (w *Waiting) recordStart(service string, local bool, now time.Time) {
 	room := w.room(service)
 	room.mu.Lock()
 	defer room.mu.Unlock()
 	room.queue.RecordStart(now)
+	if local {
+		room.queue.RecordSlot(now)
+	}
+}
+
+// expectedWait returns how long a new request of a service would wait.
+func (w *Waiting) expectedWait(service string, now time.Time) time.Duration {
+	room := w.room(service)
+	room.mu.Lock()
+	defer room.mu.Unlock()
+	room.updateFlow(now)
+	return room.queue.ExpectedWait(now)
 }
 
 // await lets a request wait until try has placed it. It returns the failure of a request that was
 // not placed.
-func (w *Waiting) await(ctx context.Context, service string, r waitqueue.Request, try func(now time.Time, late bool) bool) *failure {
+func (w *Waiting) await(ctx context.Context, service string, r waitqueue.Request, try tryFunc) *failure {
 	room := w.room(service)
 	joined := time.Now()
 	ticket, refused := room.join(r, &waiter{try: try, done: make(chan *failure, 1)}, joined)
 	if refused != nil {
 		return refused
 	}
+	room.wake(joined)
 	var failed *failure
 	select {
 	case failed = <-ticket.Value.done:
@@ -153,6 +197,7 @@
 func (w *waitRoom) join(r waitqueue.Request, value *waiter, now time.Time) (*waitqueue.Ticket[*waiter], *failure) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.updateFlow(now)
 	ticket, refusal := w.queue.Join(r, value, now)
 	if refusal != nil {
 		w.metrics.notWaited(w.service, refusal.Reason)
@@ -180,20 +225,36 @@
 func (w *waitRoom) wake(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.queue.Len() == 0 {
+		return
+	}
+	w.updateFlow(now)
 	for w.startOne(now) {
 	}
 }
 
+// updateFlow tells the queue how fast slots turn over now.
+func (w *waitRoom) updateFlow(now time.Time) {
+	if w.flow != nil {
+		w.queue.SetFlow(w.flow(w.service, now))
+	}
+}
+
 // startOne places the next waiting request that can be placed.
 func (w *waitRoom) startOne(now time.Time) bool {
+	local := w.queue.MayStart(now)
 	for i, ticket := range w.queue.Heads() {
 		if i >= maxFailedTries {
 			return false
 		}
-		if !ticket.Value.try(now, ticket.Late) {
+		result := ticket.Value.try(now, tryOptions{late: ticket.Late, local: local})
+		if result == notPlaced {
 			continue
 		}
 		w.queue.Start(ticket, now)
+		if result == placedLocally {
+			w.queue.RecordSlot(now)
+		}
 		ticket.Value.done <- nil
 		return true
 	}
@@ -257,10 +318,16 @@
 	var remote *Remote
 	waiting := f.waitRequest(r)
 	joined := time.Now()
-	failed := f.Local.Waiting.await(ctx, r.service, waiting, func(now time.Time, late bool) bool {
+	failed := f.Local.Waiting.await(ctx, r.service, waiting, func(now time.Time, o tryOptions) tryResult {
 		var unplaced *failure
-		choice, remote, unplaced = f.choose(r, now, late)
-		return unplaced == nil
+		choice, remote, unplaced = f.choose(r, now, chooseOptions{acceptLate: o.late, skipLocal: !o.local})
+		switch {
+		case unplaced != nil:
+			return notPlaced
+		case remote != nil:
+			return placedRemotely
+		}
+		return placedLocally
 	})
 	r.record(eventWaited, "waited_ms", time.Since(joined).Milliseconds(), "placed", failed == nil, "returned", waiting.Returned,
 		"late", time.Now().After(waiting.OnTime))
