Work without routes at the receiver of a forwarded request

TestForwardedPromptIsNotFetchedFromALeavingServer panicked: it builds a Peer without routes. Whether urgencies are ranks is asked when the request is served and not when it is decoded.

--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -164,6 +164,7 @@
 	}
 	defer p.Memory.Release(len(body))
 	o := p.outbound(hr, &info, &call, body, arrived)
+	o.ranked = p.ranked(info.Service)
 	ctx, cancel := p.requestContext(hr.Context(), &info, o.deadline)
 	defer cancel()
 	if failed := p.run(ctx, w, o); failed != nil {
@@ -217,7 +218,7 @@
 	return &outbound{
 		id: call.RequestID, service: info.Service, account: info.Account, method: hr.Method, target: hr.RequestURI,
 		host: hr.Host, header: header, body: body, deadline: deadline, repeatable: info.Repeatable, print: info.Fingerprint,
-		lastEventID: info.LastEventID, config: info.Config, ranked: p.ranked(info.Service),
+		lastEventID: info.LastEventID, config: info.Config,
 		work: &placement.Request{
 			Segments: call.Segments, Tokens: call.PromptTokens, Urgency: info.Urgency, Probe: info.Repeatable,
 			AllowEjected: !info.Detached,
