Enforce precedence only where engines serve the streams

Cause: routes.Precedence looked at routes alone. A plain service with streams of two priorities was enforced, too: its requests were ranked, waited and went by the room of regions, while its pool, which asks for engines, placed them without precedence. And a target of weight 0, which gets no request, made the service's other streams urgent or patient. Ruled out: that the pool alone decides (Front.precedence, Peer.ranked and mayWait ask the configuration). Before: TestPlainServicesHaveNoPrecedence said 'plain: enforced', 'unknown: enforced'; TestPrecedenceNeedsPatientStreams said 'patient gets no share: enforced: true' and 'urgent gets no share: enforced: true'. After: all four tests pass with -race. Conclusion: a configuration of a test that expects precedence has to give its service an Engine and its targets a weight.

--- a/state/routes/precedence.go
+++ b/state/routes/precedence.go
@@ -39,8 +39,8 @@
 // allow: with less it cannot wait for a slot and still be on time.
 const patienceFactor = 2
 
-// Precedence returns the precedence among the streaming routes of a service. It is enforced if a
-// less urgent route can wait much longer than the most urgent ones.
+// Precedence returns the precedence among the streaming routes of a service of model engines. It is
+// enforced if a less urgent route can wait much longer than the most urgent ones.
 func (c *Config) Precedence(service string) Precedence { return c.precedence[service] }
 
 // competition is what the streaming routes of a service ask for.
@@ -60,6 +60,9 @@
 			continue
 		}
 		for _, target := range route.Targets {
+			if target.Weight <= 0 || !c.hasEngines(target.Service) {
+				continue
+			}
 			entry := byService[target.Service]
 			if entry == nil {
 				entry = &competition{}
@@ -77,6 +80,13 @@
 	return out
 }
 
+// hasEngines reports whether the servers of a service are model engines: others suspend no request
+// for a more urgent one.
+func (c *Config) hasEngines(service string) bool {
+	svc := c.Services[service]
+	return svc != nil && svc.Engine != nil
+}
+
 // add takes a route into account. A route that is more urgent than all before makes those less
 // urgent.
 func (e *competition) add(route *Route) {
