Leave patient requests a quarter of the slots that urgent ones take

Cause: only the slots that patient requests leave free were bounded. An urgent one counted none of them, so that urgent requests in numbers took every slot of a server; the patient ones that were still sent there stayed suspended. At servers with one to three slots rounding up left them nothing at all, with five or six less than a quarter. Now an urgent request counts the patient ones up to their quarter, rounded up to whole slots for both. Where the mean urgent load is within one slot of all that it may have, an instance keeps to its share. Conclusion: the floor holds while a server has more slots for urgent requests than its region has instances; beyond that they do not starve, and have less than a quarter. Urgent requests are refused in these cases that were sent to queues at the engines before.

--- a/coordination/placement/precedence.go
+++ b/coordination/placement/precedence.go
@@ -102,14 +102,27 @@
 		return running
 	}
 	urgent := s.urgentRunning()
+	patient := max(running-urgent, 0)
 	if p.urgent(urgency) {
-		return urgent
+		return p.urgentOccupied(s) + min(patient, p.patientSlots(s))
 	}
-	patient := max(running-urgent, 0)
-	reserved := min(max(urgent, p.urgentLoad.mean), (1-patientFloor)*p.limit(s))
-	return patient + math.Ceil(reserved)
+	return patient + min(math.Ceil(max(urgent, p.urgentLoad.mean)), p.limit(s)-p.patientSlots(s))
+}
+
+// urgentOccupied returns how many of a server's slots the urgent requests take. Where these ask for all
+// that they may have, every instance would refill a slot before it knows that another one has: each
+// keeps to its share then.
+func (p *Pool) urgentOccupied(s *server) float64 {
+	known := s.urgentRunning()
+	if p.urgentLoad.mean < p.limit(s)-p.patientSlots(s)-1 {
+		return known
+	}
+	return max(known, float64(s.urgentInFlight*p.settings.Instances))
 }
 
+// patientSlots returns how many of a server's slots less urgent requests do not lose to urgent ones.
+func (p *Pool) patientSlots(s *server) float64 { return math.Ceil(patientFloor * p.limit(s)) }
+
 // preempts reports whether a server would suspend a request for one of the urgency.
 func (p *Pool) preempts(s *server, urgency int, now time.Time) bool {
 	return p.urgent(urgency) && p.running(s, now) >= p.limit(s)
--- a/coordination/placement/precedence_test.go
+++ b/coordination/placement/precedence_test.go
@@ -213,6 +213,17 @@
 	}
 }
 
+// Guards against patient requests that starve while urgent ones ask for more than all slots.
+func TestPatientRequestsKeepAQuarterOfTheSlots(t *testing.T) {
+	for seed := range uint64(4) {
+		got := playPrecedence(seed, precedenceLoad{urgent: 2, patient: 2}, withPrecedence)
+		t.Logf("seed %d: patient %.3f of the slots, urgent %.3f", seed, got.patientFraction(), 1-got.leftFraction())
+		if got.patientFraction() < precedenceInUse*patientFloor {
+			t.Errorf("seed %d: patient requests have %.3f of the slots", seed, got.patientFraction())
+		}
+	}
+}
+
 // Guards against a mechanism that changes choices where it is off.
 func TestChoicesWithoutPrecedenceAreAsBefore(t *testing.T) {
 	var table routes.Table
@@ -260,6 +271,27 @@
 	}
 }
 
+// Guards against servers with few slots where rounding leaves the patient or the urgent requests none.
+func TestBothClassesHaveASlotAtSmallServers(t *testing.T) {
+	for _, slots := range []int{1, 2, 3, 4, 5, 8} {
+		p := newPrecedencePool(slots)
+		floor := max((slots+3)/4, 1)
+		if got := len(placeAll(p, urgentRank, start)); got != slots {
+			t.Errorf("%d of %d idle slots for urgent requests", got, slots)
+		}
+		if got := len(placeAll(p, patientRank, start)); got != floor {
+			t.Errorf("%d of %d slots for patient requests beside urgent ones, want %d", got, slots, floor)
+		}
+		p = newPrecedencePool(slots)
+		if got := len(placeAll(p, patientRank, start)); got != slots {
+			t.Errorf("%d of %d idle slots for patient requests", got, slots)
+		}
+		if got := len(placeAll(p, urgentRank, start)); got != slots-floor {
+			t.Errorf("%d of %d slots for urgent requests beside patient ones, want %d", got, slots, slots-floor)
+		}
+	}
+}
+
 // Guards against urgent requests that are still counted, or counted off twice, when the setting or the server has changed under them.
 func TestUrgentCountsSurviveChanges(t *testing.T) {
 	for name, change := range map[string]func(p *Pool, s *Settings){
