Keep no slot free for urgent requests that no longer come

Cause: the mean urgent load decays and never reaches zero, and was rounded up to whole slots. After a single urgent request one slot of each server was kept free for good: 7 of 8 slots for patient requests ten seconds later, none at a server with one slot. Ruled out: rounding to the nearest slot. At a mean just below a half it would keep none, and every urgent request would suspend a stream, which holds its slot several times as long and exceeds its longest gap. Before: TestNoSlotIsKeptFreeWithoutUrgentRequests had one slot missing at 1, 2, 3, 4, 8 and 48 slots. Conclusion: a mean below a tenth of a request per server keeps nothing free; above it the rounding stays.

--- a/coordination/placement/precedence.go
+++ b/coordination/placement/precedence.go
@@ -24,6 +24,9 @@
 	// patientFloor is the fraction of a server's slots that less urgent requests may hold however
 	// many urgent ones there are, so that they do not starve.
 	patientFloor = 0.25
+	// negligibleUrgentLoad is the number of urgent requests per server below which no slot is kept
+	// free: it would be idle most of the time.
+	negligibleUrgentLoad = 0.1
 	// preemptionCost is what a request costs at a server where another one is suspended for it, in
 	// seconds: a suspended generation may exceed its longest gap between events.
 	preemptionCost = longGapCost
@@ -106,7 +109,7 @@
 	if p.urgent(urgency) {
 		return p.urgentOccupied(s) + min(patient, p.patientSlots(s))
 	}
-	return patient + min(math.Ceil(max(urgent, p.urgentLoad.mean)), p.limit(s)-p.patientSlots(s))
+	return patient + min(p.expectedUrgent(s), p.limit(s)-p.patientSlots(s))
 }
 
 // urgentOccupied returns how many of a server's slots the urgent requests take. Where these ask for all
@@ -123,6 +126,15 @@
 // patientSlots returns how many of a server's slots less urgent requests do not lose to urgent ones.
 func (p *Pool) patientSlots(s *server) float64 { return math.Ceil(patientFloor * p.limit(s)) }
 
+// expectedUrgent returns for how many urgent requests a server has to have slots.
+func (p *Pool) expectedUrgent(s *server) float64 {
+	expected := max(s.urgentRunning(), p.urgentLoad.mean)
+	if expected < negligibleUrgentLoad {
+		return 0
+	}
+	return math.Ceil(expected)
+}
+
 // preempts reports whether a server would suspend a request for one of the urgency.
 func (p *Pool) preempts(s *server, urgency int, now time.Time) bool {
 	return p.urgent(urgency) && p.running(s, now) >= p.limit(s)
--- a/coordination/placement/precedence_test.go
+++ b/coordination/placement/precedence_test.go
@@ -271,6 +271,24 @@
 	}
 }
 
+// Guards against slots that are kept free for urgent requests long after the last of them.
+func TestNoSlotIsKeptFreeWithoutUrgentRequests(t *testing.T) {
+	for _, slots := range []int{1, 2, 3, 4, 8, 48} {
+		p, now := newPrecedencePool(slots), start
+		placed := placeAll(p, urgentRank, now)
+		for now.Sub(start) < 10*time.Second {
+			now = now.Add(urgentHold)
+			p.Summarize(now)
+			for _, pl := range placed {
+				p.Done(pl, OutcomeServed, now)
+			}
+		}
+		if got := len(placeAll(p, patientRank, now)); got != slots {
+			t.Errorf("%d of %d slots for patient requests", got, slots)
+		}
+	}
+}
+
 // Guards against servers with few slots where rounding leaves the patient or the urgent requests none.
 func TestBothClassesHaveASlotAtSmallServers(t *testing.T) {
 	for _, slots := range []int{1, 2, 3, 4, 5, 8} {
