--- a/coordination/placement/precedence.go
+++ b/coordination/placement/precedence.go
@@ -24,6 +24,9 @@
 	// patientFloor is the fraction of a server's slots that less urgent requests may hold however
 	// many urgent ones there are, so that they do not starve.
 	patientFloor = 0.25
+	// negligibleUrgentLoad is the number of urgent requests per server below which no slot is kept
+	// free: it would be idle most of the time.
+	negligibleUrgentLoad = 0.1
 	// preemptionCost is what a request costs at a server where another one is suspended for it, in
 	// seconds: a suspended generation may exceed its longest gap between events.
 	preemptionCost = longGapCost
@@ -102,12 +105,34 @@
 		return running
 	}
 	urgent := s.urgentRunning()
+	patient := max(running-urgent, 0)
 	if p.urgent(urgency) {
-		return urgent
+		return p.urgentOccupied(s) + min(patient, p.patientSlots(s))
 	}
-	patient := max(running-urgent, 0)
-	reserved := min(max(urgent, p.urgentLoad.mean), (1-patientFloor)*p.limit(s))
-	return patient + math.Ceil(reserved)
+	return patient + min(p.expectedUrgent(s), p.limit(s)-p.patientSlots(s))
+}
+
+// urgentOccupied returns how many of a server's slots the urgent requests take. Where these ask for all
+// that they may have, every instance would refill a slot before it knows that another one has: each
+// keeps to its share then.
+func (p *Pool) urgentOccupied(s *server) float64 {
+	known := s.urgentRunning()
+	if p.urgentLoad.mean < p.limit(s)-p.patientSlots(s)-1 {
+		return known
+	}
+	return max(known, float64(s.urgentInFlight*p.settings.Instances))
+}
+
+// patientSlots returns how many of a server's slots less urgent requests do not lose to urgent ones.
+func (p *Pool) patientSlots(s *server) float64 { return math.Ceil(patientFloor * p.limit(s)) }
+
+// expectedUrgent returns for how many urgent requests a server has to have slots.
+func (p *Pool) expectedUrgent(s *server) float64 {
+	expected := max(s.urgentRunning(), p.urgentLoad.mean)
+	if expected < negligibleUrgentLoad {
+		return 0
+	}
+	return math.Ceil(expected)
 }
 
 // preempts reports whether a server would suspend a request for one of the urgency.
