Send any request on an idle connection to another region

A request that may not be repeated took only a connection that had been used within a second, else it dialled. Between regions that is a round trip of 160 ms more, of objectives of 500 to 800 ms. The limit protects against servers that drop idle connections without notice. The instances of other regions are known: they keep an idle connection for two minutes, and a new one without a request for five seconds (the time for a header), while the sender gives it up after four.

The client has a setting FreshIdle, one second by default, so nothing changes before backend servers. The client for other instances takes its idle limit.

Ruled out: an idle limit above four seconds. It needs another limit for connections without a request, and a link that is cut would leave more connections that look usable.

--- a/instance/routed/instance.go
+++ b/instance/routed/instance.go
@@ -209,7 +209,7 @@
 		Retries: retry.NewWindow(retry.WindowSettings{Ratio: n.settings.Retry.Ratio, Slack: n.settings.Retry.Slack, Window: n.settings.Retry.Window}),
 		Remotes: n, Local: n.local, Log: n.log, Metrics: metrics, Features: n.features, Memory: memory,
 		Starting: n.startupWaitAllowed, Stopping: n.stopping.Load, TimeToShutdown: n.timeToShutdown, Leaving: n.leaving.Load,
-		Peers: backendhttp.New(backendhttp.Settings{DialTimeout: peerDialTimeout, UserTimeout: userTimeout, MaxIdle: maxIdleConns}),
+		Peers: backendhttp.New(n.peerClientSettings()),
 	}
 	n.relay = &httproute.Peer{Codec: n.codec, Local: n.local, Routes: n.routes, Stopping: n.leaving.Load, Features: n.features, Memory: memory}
 	n.lending = &lending.Borrower{
--- /dev/null
+++ b/instance/routed/peerclient.go
@@ -0,0 +1,17 @@
+package routed
+
+import (
+	"github.com/basilroute/basilroute/service/features"
+	"github.com/basilroute/basilroute/transport/backendhttp"
+)
+
+// peerClientSettings configures the connections to instances of other regions. These keep idle
+// connections open for idleTimeout, so one that the client has not given up yet may carry any
+// request.
+func (n *Instance) peerClientSettings() backendhttp.Settings {
+	settings := backendhttp.Settings{DialTimeout: peerDialTimeout, UserTimeout: userTimeout, MaxIdle: maxIdleConns}
+	if n.features.On(features.WarmPeers) {
+		settings.FreshIdle = backendhttp.DefaultIdleLimit
+	}
+	return settings
+}
--- a/service/features/features.go
+++ b/service/features/features.go
@@ -32,6 +32,7 @@
 	OvertakeLargeWaits Name = "pass_large_wait" // small requests overtake large ones that wait for tokens
 	UrgentFirst        Name = "urgent_first"    // urgent requests take slots of less urgent ones
 	WaitForSlot        Name = "wait_for_slot"   // less urgent requests wait for a slot
+	WarmPeers          Name = "warm_peers"      // connections to other regions are kept and dialled ahead
 )
 
 // All returns every feature, ordered by name.
@@ -39,6 +40,7 @@
 	return []Name{
 		ConfirmLoans, RetryAfterPacing, LoadReports, RemoteFetch, Fetch, PreferredServers, EjectedFallback, SpillByStall, SpillByOccupancy,
 		OvertakeLargeWaits, PoolLatencyFactor, SampledChoice, Ejection, LimitEventGaps, Spread, StartupWait, UrgentFirst, WaitForSlot,
+		WarmPeers,
 	}
 }
 
--- a/transport/backendhttp/client.go
+++ b/transport/backendhttp/client.go
@@ -41,19 +41,21 @@
 	// deadline.
 	UserTimeout time.Duration
 	MaxIdle     int // idle connections kept for each address
+	// FreshIdle is how recently a connection must have been used to carry a request that may not
+	// be repeated, at most DefaultIdleLimit; 0 for one second, which is safe before any server.
+	FreshIdle time.Duration
 }
 
 const (
-	// defaultIdleLimit is how long an idle connection is kept if the server does not
+	// DefaultIdleLimit is how long an idle connection is kept if the server does not
 	// specify a limit: the shortest idle timeout in common use.
-	defaultIdleLimit = 4 * time.Second
+	DefaultIdleLimit = 4 * time.Second
 	// idleLimitMargin is how long before the server's timeout an idle connection is
 	// closed, so that a request does not race with the server's close.
 	idleLimitMargin = 600 * time.Millisecond
-	// maxFreshIdle is how recently a connection must have been used to carry a request
-	// that may not be repeated. A server may drop an idle connection without notice, and a
-	// request sent on it is lost with its outcome unknown.
-	maxFreshIdle = time.Second
+	// defaultFreshIdle is the FreshIdle of servers of which nothing is known. They may drop an
+	// idle connection without notice, and a request sent on it is lost with its outcome unknown.
+	defaultFreshIdle = time.Second
 
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = time.Second
@@ -71,6 +73,9 @@
 
 // New returns a client without open connections.
 func New(settings Settings) *Client {
+	if settings.FreshIdle == 0 {
+		settings.FreshIdle = defaultFreshIdle
+	}
 	c := &Client{settings: settings, idle: make(map[string][]*conn)}
 	c.dialer = net.Dialer{
 		Timeout: settings.DialTimeout,
@@ -176,7 +181,7 @@
 			return c.dial(ctx, address)
 		}
 		idle := time.Since(cn.idleSince)
-		if idle >= cn.idleLimit || fresh && idle >= maxFreshIdle || !cn.clean() {
+		if idle >= cn.idleLimit || fresh && idle >= c.settings.FreshIdle || !cn.clean() {
 			_ = cn.Close() // expired, or not reusable
 			continue
 		}
@@ -384,7 +389,7 @@
 	if err != nil {
 		return errors.Is(err, ErrRefused)
 	}
-	cn.idleLimit = defaultIdleLimit
+	cn.idleLimit = DefaultIdleLimit
 	c.put(address, cn)
 	return false
 }
--- a/transport/backendhttp/client_test.go
+++ b/transport/backendhttp/client_test.go
@@ -333,7 +333,7 @@
 	}
 	c.mu.Lock()
 	for _, kept := range c.idle {
-		kept[0].idleSince = kept[0].idleSince.Add(-maxFreshIdle)
+		kept[0].idleSince = kept[0].idleSince.Add(-defaultFreshIdle)
 	}
 	c.mu.Unlock()
 	if _, err := ask(t, c, s.address, get("1"), fresh); err != nil || s.accepted.Load() != 2 {
--- a/transport/backendhttp/conn.go
+++ b/transport/backendhttp/conn.go
@@ -153,7 +153,7 @@
 	if resp.Close {
 		return 0
 	}
-	limit := defaultIdleLimit
+	limit := DefaultIdleLimit
 	for _, part := range strings.Split(resp.Header.Get("Keep-Alive"), ",") {
 		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
 		if !ok || !strings.EqualFold(strings.TrimSpace(name), "timeout") {
