--- a/service/features/features.go
+++ b/service/features/features.go
@@ -34,6 +34,7 @@
 	RegionRoom         Name = "region_room"     // requests are forwarded only to regions with room
 	UrgentFirst        Name = "urgent_first"    // urgent requests take slots of less urgent ones
 	WaitForSlot        Name = "wait_for_slot"   // less urgent requests wait for a slot
+	WarmPeers          Name = "warm_peers"      // connections to other regions are kept and dialled ahead
 )
 
 // All returns every feature, ordered by name.
@@ -41,6 +42,7 @@
 	return []Name{
 		ConfirmLoans, RetryAfterPacing, LoadReports, RemoteFetch, Fetch, FittedPace, PreferredServers, EjectedFallback, SpillByStall, SpillByOccupancy,
 		OvertakeLargeWaits, PoolLatencyFactor, RegionRoom, SampledChoice, Ejection, LimitEventGaps, Spread, StartupWait, UrgentFirst, WaitForSlot,
+		WarmPeers,
 	}
 }
 
