Tell a region's room by when its report was made, not received

Cause: a report that comes with a reply in the exchange of members was made up to a round before. Received later than the report of a response, it replaced that newer one, and gave the slots back that were taken in between. And requests sent within the round trip before a report were forgotten before the report was: its room grew again as it aged. Now a report says for how long it may have been kept, a round for those of the exchange; sent requests are kept for twice as long. Ruled out (trial): no room where fewer slots are free than the region has instances. Also deletes an empty report header, which reached the caller.

--- a/coordination/spill/room.go
+++ b/coordination/spill/room.go
@@ -11,9 +11,14 @@
 // a round trip. So responses to forwarded requests carry a new report, and what was sent too late to
 // be part of a report is taken off it.
 
-// reportTTL is how long a report tells the room of a region: several times the time in which
-// slots turn over.
-const reportTTL = 2 * time.Second
+const (
+	// reportTTL is how long a report tells the room of a region: several times the time in which
+	// slots turn over.
+	reportTTL = 2 * time.Second
+	// sentTTL is how long a sent request may matter: a report does not cover what was sent within
+	// its age and a round trip before it was received.
+	sentTTL = 2 * reportTTL
+)
 
 // Report is what a region says about the servers of a service.
 type Report struct {
@@ -23,8 +28,12 @@
 	StallFraction     float64
 	ExpectedFirstByte time.Duration
 	ReceivedAt        time.Time
+	Age               time.Duration // maximum time for which the region kept it before it sent it
 }
 
+// madeAt returns when the report was made at the earliest, without the time that it travelled.
+func (r *Report) madeAt() time.Time { return r.ReceivedAt.Add(-r.Age) }
+
 // Rooms holds the latest reports of other regions and what was sent there since. It is not safe
 // for concurrent use.
 type Rooms struct {
@@ -59,7 +68,7 @@
 // Record takes over a report if it is newer than the last one of its region.
 func (r *Rooms) Record(region, service string, report Report) {
 	room := r.room(region, service)
-	if report.ReceivedAt.After(room.report.ReceivedAt) {
+	if report.madeAt().After(room.report.madeAt()) {
 		room.report = report
 	}
 }
@@ -67,7 +76,7 @@
 // RecordSend counts a request that is sent to a region.
 func (r *Rooms) RecordSend(region, service string, now time.Time) {
 	room := r.room(region, service)
-	room.sent = append(slices.DeleteFunc(room.sent, func(at time.Time) bool { return now.Sub(at) > reportTTL }), now)
+	room.sent = append(slices.DeleteFunc(room.sent, func(at time.Time) bool { return now.Sub(at) > sentTTL }), now)
 }
 
 // Latest returns the state of a region as its last report says, with what the local region has sent
@@ -80,7 +89,7 @@
 	}
 	unreported := 0
 	for _, at := range room.sent {
-		if at.After(report.ReceivedAt.Add(-roundTrip)) {
+		if at.After(report.madeAt().Add(-roundTrip)) {
 			unreported++
 		}
 	}
--- a/transport/httproute/regionroom.go
+++ b/transport/httproute/regionroom.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/basilroute/basilroute/coordination/membership"
 	"github.com/basilroute/basilroute/coordination/placement"
 	"github.com/basilroute/basilroute/coordination/spill"
 )
@@ -22,6 +23,10 @@
 	ExpectedMs   int64 `json:"expected_ms"`
 }
 
+// memberReportAge is the maximum age of a report when it comes with the exchange of members: each
+// instance makes one in each of its rounds.
+const memberReportAge = membership.RoundInterval
+
 // summaryTTL is how long a summary of the local servers is used again: that of load reports.
 const summaryTTL = 20 * time.Millisecond
 
@@ -71,10 +76,10 @@
 // recordResponse takes over the report of a response to a forwarded request.
 func (r *regionRooms) recordResponse(remote *Remote, service string, header http.Header, now time.Time) {
 	value := header.Get(headerRoom)
+	delete(header, headerRoom)
 	if value == "" {
 		return // an instance of an earlier version
 	}
-	delete(header, headerRoom)
 	var report roomReport
 	if err := json.Unmarshal([]byte(value), &report); err != nil {
 		return // the next response brings another report
@@ -102,7 +107,7 @@
 	rooms.SetInstances(instances)
 	rooms.Record(remote.Region, service, spill.Report{
 		Servers: remote.Servers, Running: remote.Running, FreeSlots: remote.FreeSlots, StallFraction: remote.StallFraction,
-		ExpectedFirstByte: remote.ExpectedFirstByte, ReceivedAt: remote.ReportedAt,
+		ExpectedFirstByte: remote.ExpectedFirstByte, ReceivedAt: remote.ReportedAt, Age: memberReportAge,
 	})
 	latest, known := rooms.Latest(remote.Region, service, remote.RoundTrip, now)
 	if !known {
