--- a/transport/loadcast/codec_test.go
+++ b/transport/loadcast/codec_test.go
@@ -12,7 +12,7 @@
 func TestMessageRoundTrip(t *testing.T) {
 	for _, kind := range []loadhub.Kind{loadhub.Direct, loadhub.HubReport, loadhub.RegionSum, loadhub.DomainSum} {
 		sent := loadhub.Message{Kind: kind, From: "i0", Domain: "east-a", Report: placement.LoadReport{
-			Servers:    []placement.ServerLoad{{Server: 1, PendingTokens: 2, UrgentTokens: 3, InFlight: 4, Served: 5, Failed: 6, Down: true}},
+			Servers:    []placement.ServerLoad{{Server: 1, PendingTokens: 2, UrgentTokens: 3, InFlight: 4, Served: 5, Failed: 6, Down: true, UrgentInFlight: 2}},
 			Dispatches: []placement.Dispatch{{Server: 7, Segments: []placement.PromptSegment{{ID: 8, Tokens: 9}}}},
 		}}
 		if got := decode(encode(&sent)); !reflect.DeepEqual(got, sent) {
