Dial connections to other regions ahead of requests

An idle connection is there only for as many requests as were in flight before. While a region's load rises, nearly every stream is one more at once than before, and pays 160 ms for a connection of its own.

While requests are sent to a peer, as many connections as the most requests in flight within two to four seconds, plus one, at most eight, stay idle beside those in use. Four seconds after the last request none is dialled. After a dial that failed there is one dial after each pause, of 250 ms up to 4 s. Close ends the dials, and a connection that arrives later is closed.

The decision (demand.go) does no I/O and gets the time. Each test was seen to fail with its safeguard off: - rising load, a stream of 2 s every 50 ms: all 40 found no connection with no dials ahead; at most the 4 of the first round trip else - a peer that is down for 16 s at 20 requests a second: 50 dials in the last 8 s without the pause, 4 without the limit of one at a time; want at most 2 - no requests: 1 dial after the last with the expiry off - after Close: a connection kept with the check in put off; 2 dials started (and cancelled) with the check in dialAhead off - requests in flight: 1 left over without the count in discard, and without the one after a failed dial - default settings: 1 dialled with both the early return and the bound off (either is enough)

Backend servers' client is as before: its settings dial nothing ahead.

Ruled out: handing a dial that is in progress to a request that waits for its own. It saves part of a round trip for the first requests of a burst only.

--- a/instance/routed/peerclient.go
+++ b/instance/routed/peerclient.go
@@ -5,6 +5,10 @@
 	"github.com/basilroute/basilroute/transport/backendhttp"
 )
 
+// maxReadyConns is the most idle connections that are dialled ahead to one instance: more than the
+// requests that this instance forwards to it within a round trip.
+const maxReadyConns = 8
+
 // peerClientSettings configures the connections to instances of other regions. These keep idle
 // connections open for idleTimeout, so one that the client has not given up yet may carry any
 // request.
@@ -12,6 +16,7 @@
 	settings := backendhttp.Settings{DialTimeout: peerDialTimeout, UserTimeout: userTimeout, MaxIdle: maxIdleConns}
 	if n.features.On(features.WarmPeers) {
 		settings.FreshIdle = backendhttp.DefaultIdleLimit
+		settings.MaxReady = maxReadyConns
 	}
 	return settings
 }
--- a/transport/backendhttp/client.go
+++ b/transport/backendhttp/client.go
@@ -44,6 +44,9 @@
 	// FreshIdle is how recently a connection must have been used to carry a request that may not
 	// be repeated, at most DefaultIdleLimit; 0 for one second, which is safe before any server.
 	FreshIdle time.Duration
+	// MaxReady is the most idle connections that are dialled ahead to an address to which requests
+	// are sent; 0 for none.
+	MaxReady int
 }
 
 const (
@@ -67,8 +70,10 @@
 	settings Settings
 	dialer   net.Dialer
 
-	mu   sync.Mutex
-	idle map[string][]*conn // the most recently used last
+	mu     sync.Mutex
+	idle   map[string][]*conn // the most recently used last
+	closed bool
+	ahead  dialler
 }
 
 // New returns a client without open connections.
@@ -77,6 +82,8 @@
 		settings.FreshIdle = defaultFreshIdle
 	}
 	c := &Client{settings: settings, idle: make(map[string][]*conn)}
+	c.ahead.demands = make(map[string]*demand)
+	c.ahead.context, c.ahead.cancel = context.WithCancel(context.Background())
 	c.dialer = net.Dialer{
 		Timeout: settings.DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -138,7 +145,7 @@
 			return nil, err
 		}
 		a, err := c.roundTrip(ctx, cn, address, r, o)
-		if err != nil && cn.reused && cn.written == 0 && ctx.Err() == nil {
+		if err != nil && cn.idled && cn.written == 0 && ctx.Err() == nil {
 			continue // closed while it was idle: nothing was sent
 		}
 		return a, err
@@ -174,19 +181,39 @@
 	return a, nil
 }
 
+// acquire returns an idle connection or dials one. Each successful call is followed by one of
+// requestEnded.
 func (c *Client) acquire(ctx context.Context, address string, fresh bool) (*conn, error) {
+	cn := c.takeIdle(address, fresh)
+	c.requestStarted(address)
+	if cn != nil {
+		return cn, nil
+	}
+	cn, err := c.dial(ctx, address)
+	c.dialEnded(ctx, address, err)
+	if err != nil {
+		c.requestEnded(address)
+	}
+	return cn, err
+}
+
+// takeIdle returns an idle connection that can carry a request, or nil.
+func (c *Client) takeIdle(address string, fresh bool) *conn {
 	for {
 		cn := c.pop(address)
 		if cn == nil {
-			return c.dial(ctx, address)
+			return nil
 		}
 		idle := time.Since(cn.idleSince)
 		if idle >= cn.idleLimit || fresh && idle >= c.settings.FreshIdle || !cn.clean() {
 			_ = cn.Close() // expired, or not reusable
 			continue
 		}
-		cn.reused = true
-		return cn, nil
+		if cn.ahead {
+			c.ahead.used.Add(1)
+		}
+		cn.idled, cn.reused, cn.ahead = true, !cn.ahead, false
+		return cn
 	}
 }
 
@@ -217,6 +244,10 @@
 	cn.idleSince = time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed {
+		_ = cn.Close() // the process ends
+		return
+	}
 	list := c.idle[address]
 	if len(list) >= c.settings.MaxIdle {
 		_ = list[0].Close() // the longest idle
@@ -225,10 +256,11 @@
 	c.idle[address] = append(list, cn)
 }
 
-// Sweep closes connections that have been idle too long.
+// Sweep closes connections that have been idle too long, and dials their successors ahead.
 func (c *Client) Sweep() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.refreshAhead(time.Now())
 	for address, list := range c.idle {
 		kept := list[:0]
 		for _, cn := range list {
@@ -247,8 +279,14 @@
 	}
 }
 
-// Close closes the idle connections.
+// Close closes the idle connections. None is dialled ahead any more.
 func (c *Client) Close() {
+	c.closeIdle()
+	c.ahead.cancel()
+	c.ahead.pending.Wait()
+}
+
+func (c *Client) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, list := range c.idle {
@@ -257,6 +295,7 @@
 		}
 	}
 	c.idle = make(map[string][]*conn)
+	c.closed = true
 }
 
 // Read reads the body. It returns io.EOF only if the body is complete. A body delimited by
@@ -348,6 +387,7 @@
 // end and no other data arrived. Otherwise it is closed, and the server drops the request
 // if it is still running.
 func (a *Response) Close() {
+	defer a.client.requestEnded(a.address)
 	if a.idleTimer != nil {
 		a.idleTimer.Stop()
 	}
@@ -378,6 +418,7 @@
 }
 
 func (a *Response) discard() {
+	defer a.client.requestEnded(a.address)
 	a.stop()
 	_ = a.conn.Close() // it failed
 }
--- a/transport/backendhttp/conn.go
+++ b/transport/backendhttp/conn.go
@@ -31,8 +31,10 @@
 	reader    *bufio.Reader
 	idleSince time.Time     // when the last request ended
 	idleLimit time.Duration // how long it may be idle
-	reused    bool
-	written   int // bytes of the request that were passed to the kernel
+	idled     bool          // was taken from the idle ones
+	reused    bool          // has carried a request before
+	ahead     bool          // was dialled ahead and has carried no request
+	written   int           // bytes of the request that were passed to the kernel
 }
 
 const (
