Drop idle connections that may have gone silent

A link that is cut leaves connections that never answer and are never reset.

When a request gets no sign of its peer (idle timeout, deadline, or sent data that is not acknowledged), or a dial that was not refused fails, the idle connections to that address that have not been used since are closed. Since means since data last arrived for that request, at first since it was sent.

A request whose caller cancelled it tells nothing, and one whose connection was closed or reset shows that the link works; both drop nothing.

Not covered: a link that is cut for real. It needs rights that tests don't have here.

--- a/transport/backendhttp/ahead.go
+++ b/transport/backendhttp/ahead.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // refreshMargin is how long before the end of its idle limit a connection no longer counts as ready,
@@ -96,6 +98,7 @@
 }
 
 func (c *Client) dialOneAhead(address string, d *demand) {
+	began := time.Now()
 	cn, err := c.dial(c.ahead.context, address)
 	if err == nil {
 		c.ahead.dialled.Add(1)
@@ -104,17 +107,20 @@
 	} else {
 		c.ahead.failed.Add(1)
 	}
-	c.dialEnded(c.ahead.context, address, err)
+	c.dialEnded(c.ahead.context, address, began, err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	d.dialEnded()
 }
 
 // dialEnded records whether a dial reached the server. One that was cancelled tells nothing.
-func (c *Client) dialEnded(ctx context.Context, address string, err error) {
+func (c *Client) dialEnded(ctx context.Context, address string, began time.Time, err error) {
 	if ctx.Err() != nil {
 		return
 	}
+	if err != nil && !errors.Is(err, ErrRefused) {
+		c.dropSilent(ctx, address, began)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if d := c.ahead.demands[address]; d != nil {
--- a/transport/backendhttp/client.go
+++ b/transport/backendhttp/client.go
@@ -118,6 +118,7 @@
 	Length int64
 
 	client      *Client
+	ctx         context.Context // of the request
 	address     string
 	conn        *conn
 	resp        *http.Response
@@ -128,9 +129,10 @@
 	idleTimeout time.Duration
 	idleTimer   *time.Timer
 	mu          sync.Mutex
-	activity    int  // number of times that data arrived
-	timedOut    bool // the connection was closed by the idle timeout
-	Reused      bool // the connection had carried a request before
+	activity    int       // number of times that data arrived
+	heardAt     time.Time // when data last arrived; at first when the request was sent
+	timedOut    bool      // the connection was closed by the idle timeout
+	Reused      bool      // the connection had carried a request before
 }
 
 // Do sends a request and reads the head of the response. ctx also covers the body of the
@@ -154,12 +156,12 @@
 
 // roundTrip runs a request on a connection.
 func (c *Client) roundTrip(ctx context.Context, cn *conn, address string, r *Request, o Options) (*Response, error) {
-	a := &Response{client: c, address: address, conn: cn, Reused: cn.reused}
+	a := &Response{client: c, ctx: ctx, address: address, conn: cn, Reused: cn.reused, heardAt: time.Now()}
 	cn.written = 0
 	a.stop = cn.closeOnCancel(ctx)
 	var err error
 	if a.bodyWritten, err = cn.send(r); err != nil {
-		a.discard()
+		a.discard(err)
 		if cn.written == 0 {
 			return nil, errors.Mark(err, ErrNotSent)
 		}
@@ -170,12 +172,13 @@
 	}
 	a.resp, err = cn.readResponse(r.Method, o.MatchResponse)
 	if err != nil {
-		a.discard()
+		a.discard(err)
 		return nil, a.markIdleTimeout(errors.Wrap(err, "read response"))
 	}
 	if !a.ResetIdleTimer() {
-		a.discard()
-		return nil, errors.Mark(errors.New("response arrived while its connection was being closed"), ErrIdleTimeout)
+		err := errors.Mark(errors.New("response arrived while its connection was being closed"), ErrIdleTimeout)
+		a.discard(err)
+		return nil, err
 	}
 	a.Status, a.Header, a.Length = a.resp.StatusCode, a.resp.Header, a.resp.ContentLength
 	return a, nil
@@ -189,8 +192,9 @@
 	if cn != nil {
 		return cn, nil
 	}
+	began := time.Now()
 	cn, err := c.dial(ctx, address)
-	c.dialEnded(ctx, address, err)
+	c.dialEnded(ctx, address, began, err)
 	if err != nil {
 		c.requestEnded(address)
 	}
@@ -261,21 +265,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.refreshAhead(time.Now())
-	for address, list := range c.idle {
-		kept := list[:0]
-		for _, cn := range list {
-			if time.Since(cn.idleSince) >= cn.idleLimit {
-				_ = cn.Close() // no request is in flight on it
-				continue
-			}
-			kept = append(kept, cn)
-		}
-		clear(list[len(kept):])
-		if len(kept) == 0 {
-			delete(c.idle, address)
-			continue
-		}
-		c.idle[address] = kept
+	for address := range c.idle {
+		c.keepIdle(address, func(cn *conn) bool { return time.Since(cn.idleSince) < cn.idleLimit })
 	}
 }
 
@@ -306,6 +297,7 @@
 	case err == io.EOF: // not wrapped here; io.ErrUnexpectedEOF is a different error
 		a.complete = true
 	case err != nil:
+		a.failed(err)
 		return n, a.markIdleTimeout(err)
 	}
 	if n > 0 {
@@ -363,6 +355,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.activity++
+	a.heardAt = time.Now()
 	if a.idleTimer != nil && a.idleTimer.Stop() {
 		a.idleTimer.Reset(a.idleTimeout)
 	}
@@ -417,10 +410,11 @@
 	}
 }
 
-func (a *Response) discard() {
+func (a *Response) discard(err error) {
 	defer a.client.requestEnded(a.address)
 	a.stop()
 	_ = a.conn.Close() // it failed
+	a.failed(err)
 }
 
 // ConnectionRefused reports whether nothing listens at an address. A connection that
--- /dev/null
+++ b/transport/backendhttp/silent.go
@@ -0,0 +1,65 @@
+package backendhttp
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// A link that is cut leaves connections that never answer and are never reset. The first request
+// that fails on one shows that the others may be like it.
+
+// silent reports whether a connection failed without a sign from the server: this side closed it
+// when a time had passed, or nothing was acknowledged.
+func silent(err error) bool {
+	return errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.ETIMEDOUT)
+}
+
+// failed drops the idle connections that may have gone silent together with this one.
+func (a *Response) failed(err error) {
+	if silent(err) {
+		a.client.dropSilent(a.ctx, a.address, a.heard())
+	}
+}
+
+// heard returns when data last arrived for the request, or when it was sent.
+func (a *Response) heard() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.heardAt
+}
+
+// dropSilent closes the idle connections to an address that have not been used since then: a
+// request was not answered, or a dial failed. One that the caller has cancelled tells nothing.
+// Servers of which nothing is known are not concerned, because FreshIdle keeps requests that may not
+// be repeated off their idle connections.
+func (c *Client) dropSilent(ctx context.Context, address string, since time.Time) {
+	if c.settings.FreshIdle <= defaultFreshIdle || errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keepIdle(address, func(cn *conn) bool { return cn.idleSince.After(since) })
+}
+
+// keepIdle closes the idle connections to an address that keep rejects. The client's mutex is held.
+func (c *Client) keepIdle(address string, keep func(*conn) bool) {
+	list := c.idle[address]
+	kept := list[:0]
+	for _, cn := range list {
+		if keep(cn) {
+			kept = append(kept, cn)
+			continue
+		}
+		_ = cn.Close() // no request is in flight on it
+	}
+	clear(list[len(kept):])
+	if len(kept) == 0 {
+		delete(c.idle, address)
+		return
+	}
+	c.idle[address] = kept
+}
--- /dev/null
+++ b/transport/backendhttp/silent_test.go
@@ -0,0 +1,114 @@
+package backendhttp
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Guards against requests lost one after another on connections that a cut link has left silent.
+func TestSilentConnectionsAreDropped(t *testing.T) {
+	for name, tc := range map[string]struct {
+		fail    func(t *testing.T, c *Client, address string)
+		dropped bool
+	}{
+		"idle timeout": {dropped: true, fail: func(t *testing.T, c *Client, address string) {
+			o := unrepeatable("silent")
+			o.IdleTimeout, o.ShouldAbort = time.Millisecond, func() bool { return true }
+			if _, err := ask(t, c, address, get("silent"), o); !errors.Is(err, ErrIdleTimeout) {
+				t.Errorf("ended with %v", err)
+			}
+		}},
+		"idle timeout in the body": {dropped: true, fail: func(t *testing.T, c *Client, address string) {
+			a, err := c.Do(t.Context(), address, get("half"), unrepeatable("half"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer a.Close()
+			a.SetIdleTimeout(time.Millisecond, func() bool { return true })
+			if _, err := io.ReadAll(a); !errors.Is(err, ErrIdleTimeout) {
+				t.Errorf("ended with %v", err)
+			}
+		}},
+		"deadline": {dropped: true, fail: func(t *testing.T, c *Client, address string) {
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+			defer cancel()
+			if _, err := c.Do(ctx, address, get("silent"), unrepeatable("silent")); err == nil {
+				t.Error("a silent server answered")
+			}
+		}},
+		"dial": {dropped: true, fail: func(t *testing.T, c *Client, address string) {
+			c.dialEnded(t.Context(), address, time.Now(), errors.Mark(errors.New("i/o timeout"), ErrNotSent))
+		}},
+		"cancelled by the caller": {fail: func(t *testing.T, c *Client, address string) {
+			ctx, cancel := context.WithCancel(t.Context())
+			o := unrepeatable("silent")
+			o.IdleTimeout, o.ShouldAbort = time.Millisecond, func() bool { cancel(); return false }
+			if _, err := c.Do(ctx, address, get("silent"), o); err == nil {
+				t.Error("a silent server answered")
+			}
+		}},
+		"closed by the server": {fail: func(t *testing.T, c *Client, address string) {
+			if _, err := ask(t, c, address, get("closed"), unrepeatable("closed")); err == nil {
+				t.Error("a server that closes answered")
+			}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, func(c net.Conn, next func() *http.Request) {
+				for r := next(); r != nil; r = next() {
+					switch id := r.Header.Get("Id"); id {
+					case "silent":
+						next() // until the client closes
+						return
+					case "half":
+						_, _ = io.WriteString(c, answer(id, "xx")[:len(answer(id, "xx"))-1])
+						next()
+						return
+					case "closed":
+						return
+					default:
+						_, _ = io.WriteString(c, answer(id, "x"))
+					}
+				}
+			})
+			c := New(Settings{DialTimeout: time.Second, UserTimeout: time.Second, MaxIdle: 16, FreshIdle: DefaultIdleLimit})
+			t.Cleanup(c.Close)
+			for range 3 { // one for the failure, two that stay idle
+				if c.ConnectionRefused(t.Context(), s.address) {
+					t.Fatal("connection refused")
+				}
+			}
+			age(c, 2*time.Second)
+			tc.fail(t, c, s.address)
+			want := 2
+			if tc.dropped {
+				want = 0
+			}
+			if n := c.idleConns(s.address); n != want {
+				t.Errorf("%d idle connections, want %d", n, want)
+			}
+		})
+	}
+}
+
+// Guards against dropping connections that have shown since that the link works.
+func TestConnectionsUsedSinceASilentOneAreKept(t *testing.T) {
+	s := serve(t, answerAll)
+	c := peerClient(t)
+	began := time.Now()
+	if _, err := ask(t, c, s.address, get("1"), unrepeatable("1")); err != nil {
+		t.Fatal(err)
+	}
+	c.ahead.pending.Wait()
+	kept := c.idleConns(s.address)
+	c.dropSilent(t.Context(), s.address, began)
+	if n := c.idleConns(s.address); n != kept || n == 0 {
+		t.Errorf("%d idle connections, want %d", n, kept)
+	}
+}
