--- a/transport/backendhttp/client_test.go
+++ b/transport/backendhttp/client_test.go
@@ -21,6 +21,7 @@
 // further ones by the last.
 type scriptedServer struct {
 	address  string
+	listener net.Listener
 	arrivals atomic.Int32 // requests read
 	accepted atomic.Int32
 }
@@ -32,7 +33,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	s := &scriptedServer{address: l.Addr().String()}
+	s := &scriptedServer{address: l.Addr().String(), listener: l}
 	go func() {
 		for {
 			c, err := l.Accept()
