--- a/transport/backendhttp/client.go
+++ b/transport/backendhttp/client.go
@@ -44,6 +44,9 @@
 	// FreshIdle is how recently a connection must have been used to carry a request that may not
 	// be repeated, at most DefaultIdleLimit; 0 for one second, which is safe before any server.
 	FreshIdle time.Duration
+	// MaxReady is the most idle connections that are dialled ahead to an address to which requests
+	// are sent; 0 for none.
+	MaxReady int
 }
 
 const (
@@ -67,8 +70,10 @@
 	settings Settings
 	dialer   net.Dialer
 
-	mu   sync.Mutex
-	idle map[string][]*conn // the most recently used last
+	mu     sync.Mutex
+	idle   map[string][]*conn // the most recently used last
+	closed bool
+	ahead  dialler
 }
 
 // New returns a client without open connections.
@@ -77,6 +82,8 @@
 		settings.FreshIdle = defaultFreshIdle
 	}
 	c := &Client{settings: settings, idle: make(map[string][]*conn)}
+	c.ahead.demands = make(map[string]*demand)
+	c.ahead.context, c.ahead.cancel = context.WithCancel(context.Background())
 	c.dialer = net.Dialer{
 		Timeout: settings.DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -111,6 +118,7 @@
 	Length int64
 
 	client      *Client
+	ctx         context.Context // of the request
 	address     string
 	conn        *conn
 	resp        *http.Response
@@ -121,9 +129,10 @@
 	idleTimeout time.Duration
 	idleTimer   *time.Timer
 	mu          sync.Mutex
-	activity    int  // number of times that data arrived
-	timedOut    bool // the connection was closed by the idle timeout
-	Reused      bool // the connection had carried a request before
+	activity    int       // number of times that data arrived
+	heardAt     time.Time // when data last arrived; at first when the request was sent
+	timedOut    bool      // the connection was closed by the idle timeout
+	Reused      bool      // the connection had carried a request before
 }
 
 // Do sends a request and reads the head of the response. ctx also covers the body of the
@@ -138,7 +147,7 @@
 			return nil, err
 		}
 		a, err := c.roundTrip(ctx, cn, address, r, o)
-		if err != nil && cn.reused && cn.written == 0 && ctx.Err() == nil {
+		if err != nil && cn.idled && cn.written == 0 && ctx.Err() == nil {
 			continue // closed while it was idle: nothing was sent
 		}
 		return a, err
@@ -147,12 +156,12 @@
 
 // roundTrip runs a request on a connection.
 func (c *Client) roundTrip(ctx context.Context, cn *conn, address string, r *Request, o Options) (*Response, error) {
-	a := &Response{client: c, address: address, conn: cn, Reused: cn.reused}
+	a := &Response{client: c, ctx: ctx, address: address, conn: cn, Reused: cn.reused, heardAt: time.Now()}
 	cn.written = 0
 	a.stop = cn.closeOnCancel(ctx)
 	var err error
 	if a.bodyWritten, err = cn.send(r); err != nil {
-		a.discard()
+		a.discard(err)
 		if cn.written == 0 {
 			return nil, errors.Mark(err, ErrNotSent)
 		}
@@ -163,30 +172,52 @@
 	}
 	a.resp, err = cn.readResponse(r.Method, o.MatchResponse)
 	if err != nil {
-		a.discard()
+		a.discard(err)
 		return nil, a.markIdleTimeout(errors.Wrap(err, "read response"))
 	}
 	if !a.ResetIdleTimer() {
-		a.discard()
-		return nil, errors.Mark(errors.New("response arrived while its connection was being closed"), ErrIdleTimeout)
+		err := errors.Mark(errors.New("response arrived while its connection was being closed"), ErrIdleTimeout)
+		a.discard(err)
+		return nil, err
 	}
 	a.Status, a.Header, a.Length = a.resp.StatusCode, a.resp.Header, a.resp.ContentLength
 	return a, nil
 }
 
+// acquire returns an idle connection or dials one. Each successful call is followed by one of
+// requestEnded.
 func (c *Client) acquire(ctx context.Context, address string, fresh bool) (*conn, error) {
+	cn := c.takeIdle(address, fresh)
+	c.requestStarted(address)
+	if cn != nil {
+		return cn, nil
+	}
+	began := time.Now()
+	cn, err := c.dial(ctx, address)
+	c.dialEnded(ctx, address, began, err)
+	if err != nil {
+		c.requestEnded(address)
+	}
+	return cn, err
+}
+
+// takeIdle returns an idle connection that can carry a request, or nil.
+func (c *Client) takeIdle(address string, fresh bool) *conn {
 	for {
 		cn := c.pop(address)
 		if cn == nil {
-			return c.dial(ctx, address)
+			return nil
 		}
 		idle := time.Since(cn.idleSince)
 		if idle >= cn.idleLimit || fresh && idle >= c.settings.FreshIdle || !cn.clean() {
 			_ = cn.Close() // expired, or not reusable
 			continue
 		}
-		cn.reused = true
-		return cn, nil
+		if cn.ahead {
+			c.ahead.used.Add(1)
+		}
+		cn.idled, cn.reused, cn.ahead = true, !cn.ahead, false
+		return cn
 	}
 }
 
@@ -217,6 +248,10 @@
 	cn.idleSince = time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed {
+		_ = cn.Close() // the process ends
+		return
+	}
 	list := c.idle[address]
 	if len(list) >= c.settings.MaxIdle {
 		_ = list[0].Close() // the longest idle
@@ -225,30 +260,24 @@
 	c.idle[address] = append(list, cn)
 }
 
-// Sweep closes connections that have been idle too long.
+// Sweep closes connections that have been idle too long, and dials their successors ahead.
 func (c *Client) Sweep() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for address, list := range c.idle {
-		kept := list[:0]
-		for _, cn := range list {
-			if time.Since(cn.idleSince) >= cn.idleLimit {
-				_ = cn.Close() // no request is in flight on it
-				continue
-			}
-			kept = append(kept, cn)
-		}
-		clear(list[len(kept):])
-		if len(kept) == 0 {
-			delete(c.idle, address)
-			continue
-		}
-		c.idle[address] = kept
+	c.refreshAhead(time.Now())
+	for address := range c.idle {
+		c.keepIdle(address, func(cn *conn) bool { return time.Since(cn.idleSince) < cn.idleLimit })
 	}
 }
 
-// Close closes the idle connections.
+// Close closes the idle connections. None is dialled ahead any more.
 func (c *Client) Close() {
+	c.closeIdle()
+	c.ahead.cancel()
+	c.ahead.pending.Wait()
+}
+
+func (c *Client) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, list := range c.idle {
@@ -257,6 +286,7 @@
 		}
 	}
 	c.idle = make(map[string][]*conn)
+	c.closed = true
 }
 
 // Read reads the body. It returns io.EOF only if the body is complete. A body delimited by
@@ -267,6 +297,7 @@
 	case err == io.EOF: // not wrapped here; io.ErrUnexpectedEOF is a different error
 		a.complete = true
 	case err != nil:
+		a.failed(err)
 		return n, a.markIdleTimeout(err)
 	}
 	if n > 0 {
@@ -324,6 +355,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.activity++
+	a.heardAt = time.Now()
 	if a.idleTimer != nil && a.idleTimer.Stop() {
 		a.idleTimer.Reset(a.idleTimeout)
 	}
@@ -348,6 +380,7 @@
 // end and no other data arrived. Otherwise it is closed, and the server drops the request
 // if it is still running.
 func (a *Response) Close() {
+	defer a.client.requestEnded(a.address)
 	if a.idleTimer != nil {
 		a.idleTimer.Stop()
 	}
@@ -377,9 +410,11 @@
 	}
 }
 
-func (a *Response) discard() {
+func (a *Response) discard(err error) {
+	defer a.client.requestEnded(a.address)
 	a.stop()
 	_ = a.conn.Close() // it failed
+	a.failed(err)
 }
 
 // ConnectionRefused reports whether nothing listens at an address. A connection that
