--- a/coordination/placement/cost.go
+++ b/coordination/placement/cost.go
@@ -81,6 +81,9 @@
 		c.cost += preemptionCost
 	}
 	c.gapSeconds = expectedGap * s.gapFactor
+	if p.limitsPrefillRuns() {
+		c.gapSeconds = p.longestGap(c, now)
+	}
 	if p.exceedsGap(c) {
 		c.cost += p.running(s, now) * longGapCost
 	}
--- a/coordination/placement/loadreport.go
+++ b/coordination/placement/loadreport.go
@@ -137,6 +137,7 @@
 		load := &report.Servers[i]
 		if s := p.byHash[load.Server]; s != nil {
 			latest.replace(load, s)
+			s.prefillRun.update(s.knownPending(), now)
 			s.mergeOutcomes(load, now)
 		}
 	}
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -386,6 +386,7 @@
 		s.urgentInFlight++
 	}
 	s.addPending(r.Urgency, c.uncached)
+	s.prefillRun.update(s.knownPending(), now)
 	p.meanUncached += (c.uncached - p.meanUncached) * uncachedWeight
 	p.recordDispatch(s, r.Segments)
 	if now.Before(s.ColdUntil) && p.settings.ColdRate > 0 {
--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -63,6 +63,7 @@
 	urgentInFlight int                    // those that take precedence
 	pending        [urgencyLevels]float64 // prompt tokens of requests whose first byte has not arrived, by urgency
 	fromPeers      peerTotals
+	prefillRun     prefillRun
 	eventGaps      gapTracker
 	prefills       map[*Placement]*prefill
 	gapFactor      float64 // its event gaps relative to those of all servers, for prompts of the same size
@@ -182,6 +183,7 @@
 	s := pl.server
 	p.finishPrefill(s, pl)
 	s.addPending(pl.urgency, -pl.prefillTokens)
+	s.prefillRun.update(s.knownPending(), now)
 	took := now.Sub(pl.Sent).Seconds()
 	p.recordPace(pl, took)
 	if pl.expectedSeconds <= 0 {
@@ -215,6 +217,7 @@
 		delete(s.prefills, pl)
 		pl.gotFirstByte = true
 		s.addPending(pl.urgency, -pl.prefillTokens)
+		s.prefillRun.update(s.knownPending(), now)
 	}
 	if outcome == OutcomeServed && !p.settings.Engine {
 		p.serviceSeconds += (now.Sub(pl.Sent).Seconds()/max(s.latencyFactor, 1) - p.serviceSeconds) * serviceTimeWeight
--- a/service/features/features.go
+++ b/service/features/features.go
@@ -31,6 +31,7 @@
 	ConfirmLoans       Name = "ask_loans"       // a restarted instance asks all others for its loans
 	OvertakeLargeWaits Name = "pass_large_wait" // small requests overtake large ones that wait for tokens
 	FittedPace         Name = "fitted_pace"     // first bytes are estimated from fitted times
+	PrefillRuns        Name = "prefill_runs"    // prompts avoid servers that have been prefilling for long
 	RegionRoom         Name = "region_room"     // requests are forwarded only to regions with room
 	UrgentFirst        Name = "urgent_first"    // urgent requests take slots of less urgent ones
 	WaitForSlot        Name = "wait_for_slot"   // less urgent requests wait for a slot
@@ -41,7 +42,7 @@
 func All() []Name {
 	return []Name{
 		ConfirmLoans, RetryAfterPacing, LoadReports, RemoteFetch, Fetch, FittedPace, PreferredServers, EjectedFallback, SpillByStall, SpillByOccupancy,
-		OvertakeLargeWaits, PoolLatencyFactor, RegionRoom, SampledChoice, Ejection, LimitEventGaps, Spread, StartupWait, UrgentFirst, WaitForSlot,
+		OvertakeLargeWaits, PoolLatencyFactor, PrefillRuns, RegionRoom, SampledChoice, Ejection, LimitEventGaps, Spread, StartupWait, UrgentFirst, WaitForSlot,
 		WarmPeers,
 	}
 }
