--- a/transport/httproute/waiting.go
+++ b/transport/httproute/waiting.go
@@ -167,6 +167,9 @@
 
 // expectedWait returns how long a new request of a service would wait.
 func (w *Waiting) expectedWait(service string, now time.Time) time.Duration {
+	if w == nil {
+		return 0
+	}
 	room := w.room(service)
 	room.mu.Lock()
 	defer room.mu.Unlock()
