Translate the urgency of a forwarded request between builds and configurations

Cause: a forwarded request carries a rank where its first instance enforces precedence, else a priority; the receiving one takes it for whatever its own configuration says. A priority of 2 from an earlier build, or under an older configuration, is an urgent rank there: patient requests take slots, and are counted among the urgent ones. FromPeer has both cases. It is not called yet: forward.go has to send whether the urgency is a rank, and belongs to others. Seen: TestUrgencyFromPeer passes; taken as it comes, 2 is urgent where it should be rank 5.

--- a/state/routes/precedence.go
+++ b/state/routes/precedence.go
@@ -32,6 +32,19 @@
 	return ranksPerPriority*priority + 1
 }
 
+// FromPeer returns the urgency of a request that another instance forwards, by whether the other one
+// sent a rank or, with an earlier version or another configuration, a priority. A priority does not
+// tell whether the route is urgent.
+func (p Precedence) FromPeer(urgency int, ranked bool) int {
+	switch {
+	case ranked == p.Enforced:
+		return urgency
+	case ranked:
+		return urgency / ranksPerPriority
+	}
+	return ranksPerPriority*urgency + 1
+}
+
 // Urgent reports whether requests of the rank take precedence over others.
 func (p Precedence) Urgent(rank int) bool { return p.Enforced && rank%ranksPerPriority == 0 }
 
--- a/state/routes/precedence_test.go
+++ b/state/routes/precedence_test.go
@@ -96,6 +96,29 @@
 	}
 }
 
+// Guards against priorities of an instance with another build or configuration that are taken for ranks, and ranks for priorities.
+func TestUrgencyFromPeer(t *testing.T) {
+	for _, c := range []struct {
+		enforced, ranked bool
+		urgency, want    int
+		urgent           bool
+	}{
+		{true, true, 4, 4, true},
+		{true, true, 5, 5, false},
+		{false, false, 2, 2, false},
+		{true, false, 0, 1, false},
+		{true, false, 2, 5, false},
+		{false, true, 0, 0, false},
+		{false, true, 1, 0, false},
+		{false, true, 5, 2, false},
+	} {
+		p := Precedence{Enforced: c.enforced}
+		if got := p.FromPeer(c.urgency, c.ranked); got != c.want || p.Urgent(got) != c.urgent {
+			t.Errorf("%+v: %d, urgent: %t", c, got, p.Urgent(got))
+		}
+	}
+}
+
 // Guards against a configuration that keeps the precedence of the one before.
 func TestPrecedenceChangesWithTheConfiguration(t *testing.T) {
 	var table Table
