Give the receiving region of a test a queue for patient requests

A request whose urgency is translated (routes.Precedence.FromPeer) may wait at the receiving instance.

--- a/transport/httproute/regionroom_test.go
+++ b/transport/httproute/regionroom_test.go
@@ -127,6 +127,7 @@
 			return true
 		})
 		far, _ := newTestFront(t, server)
+		far.Local.Waiting = &Waiting{Metrics: far.Metrics}
 		near, callers := newTestFront(t)
 		near.Features = c.front
 		offerUrgentRoute(far.Routes)
