Count forwarded requests by the connection that they took

Operators saw how long forwarded requests took to their first byte, and not how many of them paid a round trip for a new connection, or whether dials ahead were of use. basilroute_route_peer_requests_total{connection} has reused, ahead and new, and basilroute_route_peer_dials_ahead_total{result} has connected and failed. Neither grows with the fleet.

A connection dialled ahead no longer counts as reused before it has carried a request.

--- a/instance/routed/instance.go
+++ b/instance/routed/instance.go
@@ -211,6 +211,7 @@
 		Starting: n.startupWaitAllowed, Stopping: n.stopping.Load, TimeToShutdown: n.timeToShutdown, Leaving: n.leaving.Load,
 		Peers: backendhttp.New(n.peerClientSettings()),
 	}
+	httproute.RegisterPeerConns(n.registry, n.front.Peers)
 	n.relay = &httproute.Peer{Codec: n.codec, Local: n.local, Routes: n.routes, Stopping: n.leaving.Load, Features: n.features, Memory: memory}
 	n.lending = &lending.Borrower{
 		Ledger: n.ledger, Pool: n.pool, Self: n.member, Lenders: n.lenders,
--- a/transport/backendhttp/ahead.go
+++ b/transport/backendhttp/ahead.go
@@ -20,19 +20,34 @@
 	pending sync.WaitGroup
 	demands map[string]*demand // by address; guarded by the client's mutex
 
-	dialled, used, failed atomic.Uint64
+	dialled, failed atomic.Uint64
 }
 
-// AheadStats are the counts of connections dialled ahead.
-type AheadStats struct {
-	Dialled uint64
-	Used    uint64 // by a request
-	Failed  uint64 // dials that got no connection
+// ConnStats counts since the start of a client.
+type ConnStats struct {
+	DialledAhead, FailedAhead uint64 // dials ahead, by whether they got a connection
+
+	OnReused, OnAhead, OnNew uint64 // requests, by the connection that they took
 }
 
-// AheadStats returns the counts since the start.
-func (c *Client) AheadStats() AheadStats {
-	return AheadStats{Dialled: c.ahead.dialled.Load(), Used: c.ahead.used.Load(), Failed: c.ahead.failed.Load()}
+// connCounts holds the requests by the connection that they took.
+type connCounts struct{ reused, ahead, dialled atomic.Uint64 }
+
+// count counts a connection that was idle.
+func (n *connCounts) count(cn *conn) {
+	if cn.reused {
+		n.reused.Add(1)
+		return
+	}
+	n.ahead.Add(1)
+}
+
+// Stats returns the counts.
+func (c *Client) Stats() ConnStats {
+	return ConnStats{
+		DialledAhead: c.ahead.dialled.Load(), FailedAhead: c.ahead.failed.Load(),
+		OnReused: c.taken.reused.Load(), OnAhead: c.taken.ahead.Load(), OnNew: c.taken.dialled.Load(),
+	}
 }
 
 // requestStarted records a request, after it has taken an idle connection.
--- a/transport/backendhttp/ahead_test.go
+++ b/transport/backendhttp/ahead_test.go
@@ -50,8 +50,9 @@
 		t.Fatal(err)
 	}
 	defer second.Close()
-	if stats := c.AheadStats(); stats.Used != 1 || stats.Dialled < 2 || second.Reused {
-		t.Errorf("%+v, reused %t", stats, second.Reused)
+	want := ConnStats{DialledAhead: 2, OnNew: 1, OnAhead: 1}
+	if stats := c.Stats(); stats.OnNew != want.OnNew || stats.OnAhead != want.OnAhead || stats.DialledAhead < want.DialledAhead || second.Reused {
+		t.Errorf("%+v, want %+v or more dialled", stats, want)
 	}
 }
 
@@ -64,7 +65,7 @@
 	}
 	c.Sweep()
 	c.Close()
-	if stats := c.AheadStats(); stats != (AheadStats{}) || s.accepted.Load() != 1 {
+	if stats := c.Stats(); stats != (ConnStats{OnNew: 1}) || s.accepted.Load() != 1 {
 		t.Errorf("%+v, %d connections, want 1", stats, s.accepted.Load())
 	}
 }
@@ -78,7 +79,7 @@
 		t.Fatal(err)
 	}
 	c.Close()
-	before := c.AheadStats()
+	before := c.Stats()
 	if _, err := io.ReadAll(a); err != nil {
 		t.Fatal(err)
 	}
@@ -88,8 +89,9 @@
 		t.Fatal(err)
 	}
 	c.ahead.pending.Wait()
-	if n, after := c.idleConns(s.address), c.AheadStats(); n != 0 || after != before {
-		t.Errorf("%d idle connections, %+v after Close, %+v before", n, after, before)
+	before.OnNew++
+	if n, after := c.idleConns(s.address), c.Stats(); n != 0 || after != before {
+		t.Errorf("%d idle connections, %+v after Close, want %+v", n, after, before)
 	}
 }
 
--- a/transport/backendhttp/client.go
+++ b/transport/backendhttp/client.go
@@ -74,6 +74,7 @@
 	idle   map[string][]*conn // the most recently used last
 	closed bool
 	ahead  dialler
+	taken  connCounts
 }
 
 // New returns a client without open connections.
@@ -190,6 +191,7 @@
 	cn := c.takeIdle(address, fresh)
 	c.requestStarted(address)
 	if cn != nil {
+		c.taken.count(cn)
 		return cn, nil
 	}
 	began := time.Now()
@@ -197,8 +199,10 @@
 	c.dialEnded(ctx, address, began, err)
 	if err != nil {
 		c.requestEnded(address)
+		return nil, err
 	}
-	return cn, err
+	c.taken.dialled.Add(1)
+	return cn, nil
 }
 
 // takeIdle returns an idle connection that can carry a request, or nil.
@@ -213,9 +217,6 @@
 			_ = cn.Close() // expired, or not reusable
 			continue
 		}
-		if cn.ahead {
-			c.ahead.used.Add(1)
-		}
 		cn.idled, cn.reused, cn.ahead = true, !cn.ahead, false
 		return cn
 	}
