Keep idle connections when a dial fails for a local reason

A dial that fails because this side has no free port or file says nothing about the link, and the idle connections are what is left to use. Only a dial that timed out or found no way to the peer drops them, by the same function as for requests.

--- a/transport/backendhttp/ahead.go
+++ b/transport/backendhttp/ahead.go
@@ -5,8 +5,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // refreshMargin is how long before the end of its idle limit a connection no longer counts as ready,
@@ -133,7 +131,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if err != nil && !errors.Is(err, ErrRefused) {
+	if err != nil && silent(err) {
 		c.dropSilent(ctx, address, began)
 	}
 	c.mu.Lock()
--- a/transport/backendhttp/silent.go
+++ b/transport/backendhttp/silent.go
@@ -12,10 +12,14 @@
 // A link that is cut leaves connections that never answer and are never reset. The first request
 // that fails on one shows that the others may be like it.
 
-// silent reports whether a connection failed without a sign from the server: this side closed it
-// when a time had passed, or nothing was acknowledged.
+// silent reports whether a connection or a dial failed without a sign from the server: this side
+// closed it when a time had passed, nothing was acknowledged, or there is no way to the server.
 func silent(err error) bool {
-	return errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.ETIMEDOUT)
+	var failed net.Error
+	if errors.As(err, &failed) && failed.Timeout() {
+		return true
+	}
+	return errors.IsAny(err, net.ErrClosed, syscall.EHOSTUNREACH, syscall.ENETUNREACH)
 }
 
 // failed drops the idle connections that may have gone silent together with this one.
