Tell refused callers to return only when they are started then

What was wrong: - A Retry-After below a second returned with so much of the timeout left that the request was taken for a first attempt, and was refused again; past 5 s every caller got the same 5 s, and callers that came before their time filled the late queue.

Now a caller is told a time only if it returns within the window in which it is recognized (its remaining time shows it), one behind another at the pace of the kept share; it comes first among the late ones. Others are told the longest time and take no place in that row. Waiting requests are refused when they could not start in time although all starts were theirs.

--- a/coordination/waitqueue/waitqueue.go
+++ b/coordination/waitqueue/waitqueue.go
@@ -10,14 +10,17 @@
 //
 // So requests wait that are expected to start while their response can still be on time; the others
 // are refused at once. Those that can be on time start first, fair between accounts by their rates.
-// A request that has become late starts with what these leave over; it is refused as soon as that
-// cannot be expected. Callers that return after a refusal do not return again, so that a share of the
-// starts is kept for them.
+// A request that has become late starts with what these leave over.
+//
+// Callers that return after a refusal do not return again, so that a share of the starts is kept for
+// them. As many are told to return as that share serves. The others are told a longer time than they
+// keep; when they return all the same, they come after those that return as told.
 //
 // The package does no I/O: the time is passed to each call. A Queue is not safe for concurrent use.
 package waitqueue
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -31,12 +34,16 @@
 	// minStartRate is the lowest expected rate of starts per second: that of an instance that has
 	// started nothing yet.
 	minStartRate = 1.0
+	// expireFactor is how many times the time that a waiting request has left its expected wait
+	// may be: the rate of starts varies.
+	expireFactor = 1.5
 )
 
 // Settings bounds a queue.
 type Settings struct {
-	MaxWaiting int // requests
-	MaxBytes   int // bodies of all waiting requests
+	MaxWaiting  int     // requests
+	MaxBytes    int     // bodies of all waiting requests
+	RetryJitter float64 // fraction by which Retry-After is extended at random
 }
 
 // Request is a request that no server takes now.
@@ -47,7 +54,10 @@
 	Bytes    int       // size of the body
 	OnTime   time.Time // latest start for a response that is on time
 	Latest   time.Time // latest start that the caller waits for
-	Returned bool      // the caller was refused before
+	Returned bool      // the caller was refused before, and returns at the time that it was told
+	// ReturnFrom and ReturnUntil bound when the caller may return after a refusal so that Returned is
+	// set then. They are zero if the caller does not tell how long it waits.
+	ReturnFrom, ReturnUntil time.Time
 }
 
 // Reason is the reason for a refusal.
@@ -82,22 +92,35 @@
 type Queue[T any] struct {
 	settings   Settings
 	onTime     fairqueue.Queue[*Ticket[T]]
-	late       fairqueue.Queue[*Ticket[T]]
+	returned   fairqueue.Queue[*Ticket[T]] // late requests whose callers return as told
+	late       fairqueue.Queue[*Ticket[T]] // other late ones
 	bytes      int
 	starts     meter     // requests that started, whether they waited or not
 	demand     meter     // requests that arrived and could be on time
 	lateCredit float64   // starts due to late requests while others wait
 	nextReturn time.Time // when the next refused caller may return
+	turn       int       // of the accounts that are tried when the first in line cannot be placed
 }
 
 // New returns an empty queue.
 func New[T any](settings Settings) *Queue[T] { return &Queue[T]{settings: settings} }
 
 // Len returns the number of waiting requests.
-func (q *Queue[T]) Len() int { return q.onTime.Len() + q.late.Len() }
+func (q *Queue[T]) Len() int { return q.onTime.Len() + q.LateLen() }
 
 // LateLen returns the number of waiting requests that cannot be on time.
-func (q *Queue[T]) LateLen() int { return q.late.Len() }
+func (q *Queue[T]) LateLen() int { return q.returned.Len() + q.late.Len() }
+
+// queueOf returns the queue in which a request waits.
+func (q *Queue[T]) queueOf(t *Ticket[T]) *fairqueue.Queue[*Ticket[T]] {
+	switch {
+	case !t.Late:
+		return &q.onTime
+	case t.Returned:
+		return &q.returned
+	}
+	return &q.late
+}
 
 // RecordStart counts a request that started without waiting.
 func (q *Queue[T]) RecordStart(now time.Time) {
@@ -107,19 +130,20 @@
 
 // Join lets a request wait, or refuses it.
 func (q *Queue[T]) Join(r Request, value T, now time.Time) (*Ticket[T], *Refusal) {
-	q.demand.add(now)
+	if !now.After(r.OnTime) {
+		q.demand.add(now)
+	}
 	t := &Ticket[T]{Request: r, Value: value, Joined: now}
 	switch {
 	case q.Len() >= q.settings.MaxWaiting || q.bytes+r.Bytes > q.settings.MaxBytes:
 		return nil, q.refuse(t, ReasonFull, now)
 	case !now.Add(q.onTimeWait(t, now)).After(r.OnTime):
-		q.onTime.Push(t)
 	case !now.Add(q.lateWait(t, now)).After(r.Latest):
 		t.Late = true
-		q.late.Push(t)
 	default:
 		return nil, q.refuse(t, ReasonTooLate, now)
 	}
+	q.queueOf(t).Push(t)
 	q.bytes += r.Bytes
 	return t, nil
 }
@@ -130,34 +154,56 @@
 }
 
 // lateWait returns how long a late request is expected to wait. Late ones get what those that can be
-// on time leave over, and those that do not return again a share in any case.
+// on time leave over, and those that return a share in any case: first those that return as told.
 func (q *Queue[T]) lateWait(t *Ticket[T], now time.Time) time.Duration {
-	ahead := q.late.Ahead(t.Share()) + 1
 	rate := q.startRate(now)
-	spare := rate - q.demand.rate(now)
-	if kept := returnShare * rate; t.Returned && kept > spare {
-		return waitFor(ahead, kept)
+	ahead := q.returned.Ahead(t.Share()) + 1
+	if !t.Returned {
+		ahead = float64(q.returned.Len()) + q.late.Ahead(t.Share()) + 1
+	}
+	wait := waitFor(float64(q.onTime.Len())+ahead, rate-q.demand.rate(now))
+	if t.Returned || t.Joined.After(t.OnTime) {
+		wait = min(wait, waitFor(ahead, returnShare*rate))
 	}
-	return waitFor(float64(q.onTime.Len())+ahead, spare)
+	return wait
 }
 
 func (q *Queue[T]) startRate(now time.Time) float64 { return max(q.starts.rate(now), minStartRate) }
 
-// Heads returns the requests that may start next, in order: the first one of each account.
-func (q *Queue[T]) Heads() []*Ticket[T] {
-	onTime, late := heads(&q.onTime), heads(&q.late)
-	if q.lateCredit >= 1 {
-		return append(late, onTime...)
+// Heads returns up to n requests to be tried in order: the one that is to start next, and first ones of
+// other accounts in case that it cannot be placed. These take turns from call to call.
+func (q *Queue[T]) Heads(n int) iter.Seq[*Ticket[T]] {
+	return func(yield func(*Ticket[T]) bool) {
+		first := q.first()
+		if first == nil || !yield(first) {
+			return
+		}
+		others := slices.Concat(headsExcept(&q.onTime, first), headsExcept(&q.returned, first), headsExcept(&q.late, first))
+		for range min(n-1, len(others)) {
+			q.turn++
+			if !yield(others[q.turn%len(others)]) {
+				return
+			}
+		}
 	}
-	return append(onTime, late...)
 }
 
-func heads[T any](q *fairqueue.Queue[*Ticket[T]]) []*Ticket[T] {
-	if q.Len() == 0 {
-		return nil
+// first returns the request that is to start next, or nil if none waits.
+func (q *Queue[T]) first() *Ticket[T] {
+	order := []*fairqueue.Queue[*Ticket[T]]{&q.onTime, &q.returned, &q.late}
+	if q.lateCredit >= 1 {
+		order = []*fairqueue.Queue[*Ticket[T]]{&q.returned, &q.late, &q.onTime}
+	}
+	for _, queue := range order {
+		if queue.Len() > 0 {
+			return queue.Peek()
+		}
 	}
-	first := q.Peek()
-	out := []*Ticket[T]{first}
+	return nil
+}
+
+func headsExcept[T any](q *fairqueue.Queue[*Ticket[T]], first *Ticket[T]) []*Ticket[T] {
+	var out []*Ticket[T]
 	for _, f := range q.Flows() {
 		if f.Items[0] != first {
 			out = append(out, f.Items[0])
@@ -168,26 +214,20 @@
 
 // Start removes a request that starts now.
 func (q *Queue[T]) Start(t *Ticket[T], now time.Time) {
-	if t.Late {
+	switch {
+	case t.Late:
 		q.lateCredit = max(q.lateCredit-1, 0)
-		q.late.Take(t)
-	} else {
-		if q.late.Len() > 0 {
-			q.lateCredit += returnShare
-		}
-		q.onTime.Take(t)
+	case q.LateLen() > 0:
+		q.lateCredit = min(q.lateCredit+returnShare, 1)
 	}
+	q.queueOf(t).Take(t)
 	q.bytes -= t.Bytes
 	q.starts.add(now)
 }
 
 // Leave removes a request whose caller waits no longer. It reports whether the request was waiting.
 func (q *Queue[T]) Leave(t *Ticket[T]) bool {
-	queue := &q.onTime
-	if t.Late {
-		queue = &q.late
-	}
-	if !queue.Remove(t) {
+	if !q.queueOf(t).Remove(t) {
 		return false
 	}
 	q.bytes -= t.Bytes
@@ -204,7 +244,8 @@
 // start in time any more.
 func (q *Queue[T]) Expire(now time.Time) []Refused[T] {
 	var out []Refused[T]
-	for _, t := range expired(&q.onTime, func(t *Ticket[T]) bool { return now.After(t.OnTime) }) {
+	rate := q.startRate(now)
+	for _, t := range tooSlow(&q.onTime, rate, func(t *Ticket[T]) time.Duration { return t.OnTime.Sub(now) }) {
 		q.onTime.Remove(t)
 		t.Late = true
 		if now.Add(q.lateWait(t, now)).After(t.Latest) {
@@ -212,34 +253,50 @@
 			out = append(out, Refused[T]{t, *q.refuse(t, ReasonTooLate, now)})
 			continue
 		}
-		q.late.Push(t)
+		q.queueOf(t).Push(t)
 	}
-	for _, t := range expired(&q.late, func(t *Ticket[T]) bool { return now.After(t.Latest) }) {
+	untilLatest := func(t *Ticket[T]) time.Duration { return t.Latest.Sub(now) }
+	for _, t := range append(tooSlow(&q.returned, rate, untilLatest), tooSlow(&q.late, rate, untilLatest)...) {
 		q.Leave(t)
 		out = append(out, Refused[T]{t, *q.refuse(t, ReasonTooLate, now)})
 	}
 	return out
 }
 
-func expired[T any](q *fairqueue.Queue[*Ticket[T]], isExpired func(*Ticket[T]) bool) []*Ticket[T] {
+// tooSlow returns the requests that start too late although all starts go to this queue. An
+// account's requests are checked from its last one on, up to the first that may start in time.
+func tooSlow[T any](q *fairqueue.Queue[*Ticket[T]], rate float64, left func(*Ticket[T]) time.Duration) []*Ticket[T] {
 	var out []*Ticket[T]
 	for _, f := range q.Flows() {
-		for _, t := range f.Items {
-			if isExpired(t) {
+		n := len(f.Items)
+		for n > 0 && exceeds(waitFor(q.AheadOf(f, n-1)+1, rate), left(f.Items[n-1])) {
+			n--
+		}
+		out = append(out, f.Items[n:]...)
+		for _, t := range f.Items[:n] {
+			if left(t) < 0 {
 				out = append(out, t)
 			}
 		}
 	}
-	return slices.Clip(out)
+	return out
+}
+
+// exceeds reports whether an expected wait exceeds the time that is left.
+func exceeds(wait, left time.Duration) bool {
+	return left < 0 || wait.Seconds() > expireFactor*left.Seconds()
 }
 
 // Drain removes all waiting requests.
 func (q *Queue[T]) Drain() []*Ticket[T] {
-	all := append(expired(&q.onTime, always[T]), expired(&q.late, always[T])...)
+	var all []*Ticket[T]
+	for _, queue := range []*fairqueue.Queue[*Ticket[T]]{&q.onTime, &q.returned, &q.late} {
+		for _, f := range queue.Flows() {
+			all = append(all, f.Items...)
+		}
+	}
 	for _, t := range all {
 		q.Leave(t)
 	}
 	return all
 }
-
-func always[T any](*Ticket[T]) bool { return true }
--- a/transport/httproute/waiting.go
+++ b/transport/httproute/waiting.go
@@ -26,12 +26,15 @@
 	// firstAttemptFraction is the fraction of the route's timeout that callers have left at least
 	// when they come for the first time.
 	firstAttemptFraction = 0.8
+	// honoredFraction is the fraction of the time that callers have left up to which they honor a
+	// Retry-After.
+	honoredFraction = 1.0 / 3
 	// wakeInterval is the time between tries to place waiting requests when nothing else wakes
 	// them: that of load reports.
 	wakeInterval = 20 * time.Millisecond
-	// maxFailedTries bounds the requests that are tried in vain at a time. Requests of accounts
+	// maxTriesPerWake bounds the requests that are tried in vain at a time. Requests of accounts
 	// with home regions may have to wait although others can start.
-	maxFailedTries = 3
+	maxTriesPerWake = 3
 )
 
 // Waiting holds the requests that wait at this instance for a slot of a backend server.
@@ -66,7 +69,7 @@
 	}
 	room := w.rooms[service]
 	if room == nil {
-		settings := waitqueue.Settings{MaxWaiting: maxWaiting, MaxBytes: w.MaxBytes}
+		settings := waitqueue.Settings{MaxWaiting: maxWaiting, MaxBytes: w.MaxBytes, RetryJitter: retryJitter}
 		room = &waitRoom{service: service, metrics: w.Metrics, queue: waitqueue.New[*waiter](settings)}
 		w.rooms[service] = room
 	}
@@ -186,10 +189,7 @@
 
 // startOne places the next waiting request that can be placed.
 func (w *waitRoom) startOne(now time.Time) bool {
-	for i, ticket := range w.queue.Heads() {
-		if i >= maxFailedTries {
-			return false
-		}
+	for ticket := range w.queue.Heads(maxTriesPerWake) {
 		if !ticket.Value.try(now, ticket.Late) {
 			continue
 		}
@@ -275,14 +275,22 @@
 }
 
 // waitRequest returns how long the request may wait. A caller that returns has used its objective
-// already, and waits for a late response.
+// already, and waits for a late response. It has been told when to return if it returns before it
+// would come in any case.
 func (f *Front) waitRequest(r *request) waitqueue.Request {
 	out := waitRequest(&r.work, r.body)
 	if r.account != nil {
 		out.Account, out.Weight = r.account.Name, r.account.Rate
 	}
+	timeout := r.route.Timeout
+	if r.CallerTimeout <= 0 || timeout <= 0 {
+		return out
+	}
+	begun := r.arrived.Add(r.CallerTimeout - timeout)
+	out.ReturnFrom = begun.Add(scale(timeout, 1-firstAttemptFraction))
+	out.ReturnUntil = begun.Add(scale(timeout, honoredFraction))
 	if elapsed := r.elapsed(); elapsed > 0 {
-		out.Returned = true
+		out.Returned = r.arrived.Before(out.ReturnUntil)
 		out.OnTime = out.OnTime.Add(-elapsed)
 	}
 	return out
