Refuse requests that come to wait at an instance that leaves

A request that was checked before the instance announced that it leaves, and joined the queue after the waiting requests had been refused, waited on: its caller got "overloaded" after 6.84 s (virtual time) instead of "stopping" at once, or a stream that the shutdown would cut off. The rooms are closed now.

All refused requests shared one failure as well, to which each of them adds its attempts: a data race, and a request that another attempt may have run would have made the refusals of all others "unknown". Each gets its own.

--- a/transport/httproute/waiting.go
+++ b/transport/httproute/waiting.go
@@ -42,8 +42,9 @@
 	Metrics  *Metrics
 	MaxBytes int // bodies of the waiting requests of a service
 
-	mu    sync.Mutex
-	rooms map[string]*waitRoom // by service
+	mu     sync.Mutex
+	closed bool
+	rooms  map[string]*waitRoom // by service
 }
 
 // waitRoom holds the waiting requests of one service.
@@ -51,8 +52,9 @@
 	service string
 	metrics *Metrics
 
-	mu    sync.Mutex
-	queue *waitqueue.Queue[*waiter]
+	mu     sync.Mutex
+	closed bool // requests do not wait any more
+	queue  *waitqueue.Queue[*waiter]
 }
 
 // waiter is a request that waits.
@@ -70,7 +72,7 @@
 	room := w.rooms[service]
 	if room == nil {
 		settings := waitqueue.Settings{MaxWaiting: maxWaiting, MaxBytes: w.MaxBytes, RetryJitter: retryJitter}
-		room = &waitRoom{service: service, metrics: w.Metrics, queue: waitqueue.New[*waiter](settings)}
+		room = &waitRoom{service: service, metrics: w.Metrics, closed: w.closed, queue: waitqueue.New[*waiter](settings)}
 		w.rooms[service] = room
 	}
 	return room
@@ -111,10 +113,14 @@
 	}
 }
 
-// Refuse refuses all waiting requests: this instance leaves, and its callers can go to another one.
+// Refuse refuses all waiting requests and those that come to wait after them: this instance leaves, and
+// its callers can go to another one.
 func (w *Waiting) Refuse() {
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
 	for _, room := range w.all() {
-		room.refuseAll(&failure{run: runNotRun, reason: reasonStopping, retryAfter: minRetryAfter})
+		room.close()
 	}
 }
 
@@ -156,6 +162,9 @@
 func (w *waitRoom) join(r waitqueue.Request, value *waiter, now time.Time) (*waitqueue.Ticket[*waiter], *failure) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.closed {
+		return nil, stoppingFailure()
+	}
 	ticket, refusal := w.queue.Join(r, value, now)
 	if refusal != nil {
 		w.metrics.notWaited(w.service, refusal.Reason)
@@ -168,6 +177,10 @@
 	return &failure{run: runNotRun, reason: reasonLoad, retryAfter: refusal.RetryAfter}
 }
 
+func stoppingFailure() *failure {
+	return &failure{run: runNotRun, reason: reasonStopping, retryAfter: minRetryAfter}
+}
+
 // leave removes a request whose caller waits no longer. A request that has just been placed is not
 // removed: its attempt ends at once.
 func (w *waitRoom) leave(ticket *waitqueue.Ticket[*waiter]) *failure {
@@ -208,11 +221,14 @@
 	}
 }
 
-func (w *waitRoom) refuseAll(failed *failure) {
+// close refuses all waiting requests and lets none wait any more. Each gets a failure of its own, to
+// which its attempts are added.
+func (w *waitRoom) close() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.closed = true
 	for _, ticket := range w.queue.Drain() {
-		ticket.Value.done <- failed
+		ticket.Value.done <- stoppingFailure()
 	}
 }
 
