Place waiting requests by the configuration and the servers of now

A waiting request kept the route and the account of its arrival. Each try now looks at the configuration in force; a request whose service or route is gone, or whose key is no longer valid, is refused as not run, and one with new homes is forwarded there or refused.

Open: Peer.place (forward.go, not mine) has to do the same for requests that were forwarded.

--- a/transport/httproute/waiting.go
+++ b/transport/httproute/waiting.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -59,10 +61,14 @@
 
 // waiter is a request that waits.
 type waiter struct {
-	try  func(now time.Time, late bool) bool // places the request, and reports whether it could
-	done chan *failure                       // gets nil when the request has been placed
+	try  tryFunc
+	done chan *failure // gets nil when the request has been placed
 }
 
+// tryFunc places a waiting request and reports whether it could. A request that is to wait no longer
+// gets the failure with which it is refused.
+type tryFunc func(now time.Time, late bool) (placed bool, refused *failure)
+
 func (w *Waiting) room(service string) *waitRoom {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -143,6 +149,11 @@
 // await lets a request wait until try has placed it. It returns the failure of a request that was
 // not placed.
 func (w *Waiting) await(ctx context.Context, service string, r waitqueue.Request, try func(now time.Time, late bool) bool) *failure {
+	return w.awaitTry(ctx, service, r, func(now time.Time, late bool) (bool, *failure) { return try(now, late), nil })
+}
+
+// awaitTry is await for a request that may have to be refused while it waits.
+func (w *Waiting) awaitTry(ctx context.Context, service string, r waitqueue.Request, try tryFunc) *failure {
 	room := w.room(service)
 	joined := time.Now()
 	ticket, refused := room.join(r, &waiter{try: try, done: make(chan *failure, 1)}, joined)
@@ -200,14 +211,19 @@
 	}
 }
 
-// startOne places the next waiting request that can be placed.
+// startOne places the next waiting request that can be placed. It reports whether one left the queue.
 func (w *waitRoom) startOne(now time.Time) bool {
 	for ticket := range w.queue.Heads(maxTriesPerWake) {
-		if !ticket.Value.try(now, ticket.Late) {
+		placed, refused := ticket.Value.try(now, ticket.Late)
+		switch {
+		case placed:
+			w.queue.Start(ticket, now)
+		case refused != nil:
+			w.queue.Leave(ticket)
+		default:
 			continue
 		}
-		w.queue.Start(ticket, now)
-		ticket.Value.done <- nil
+		ticket.Value.done <- refused
 		return true
 	}
 	return false
@@ -273,10 +289,19 @@
 	var remote *Remote
 	waiting := f.waitRequest(r)
 	joined := time.Now()
-	failed := f.Local.Waiting.await(ctx, r.service, waiting, func(now time.Time, late bool) bool {
+	failed := f.Local.Waiting.awaitTry(ctx, r.service, waiting, func(now time.Time, late bool) (bool, *failure) {
+		if outdated := f.applyConfig(r); outdated != nil {
+			return false, outdated
+		}
 		var unplaced *failure
 		choice, remote, unplaced = f.choose(r, now, late)
-		return unplaced == nil
+		if unplaced == nil {
+			return true, nil
+		}
+		if unplaced.worthWaiting() {
+			return false, nil
+		}
+		return false, unplaced
 	})
 	r.record(eventWaited, "waited_ms", time.Since(joined).Milliseconds(), "placed", failed == nil, "returned", waiting.Returned,
 		"late", time.Now().After(waiting.OnTime))
@@ -290,6 +315,41 @@
 	return placement.Choice{}, nil, failed
 }
 
+// worthWaiting reports whether a request that was refused may be placed as soon as a slot is free.
+func (f *failure) worthWaiting() bool { return f.reason == reasonLoad || f.reason == reasonCold }
+
+// applyConfig applies the configuration in force to a waiting request. It returns the failure of a
+// request that may not run by it.
+func (f *Front) applyConfig(r *request) *failure {
+	config := f.Routes.Current()
+	if config == r.config {
+		return nil
+	}
+	target, err := url.ParseRequestURI(r.target)
+	if err != nil {
+		return &failure{run: runNotRun, reason: reasonNoRoute}
+	}
+	route := config.Match(r.host, target.Path)
+	if route == nil {
+		return &failure{run: runNotRun, reason: reasonNoRoute}
+	}
+	var account *routes.Account
+	if len(config.Accounts) > 0 && !route.Public {
+		if account = config.Authenticate(r.Key); account == nil {
+			return &failure{run: runNotRun, reason: reasonKey}
+		}
+	}
+	if !slices.ContainsFunc(route.Targets, func(t routes.Target) bool { return t.Service == r.service }) {
+		return &failure{run: runNotRun, reason: reasonNoServer}
+	}
+	if homes, anywhere := routes.AllowedRegions(route, account); !anywhere && len(homes) == 0 {
+		return &failure{run: runNotRun, reason: reasonResidency, retryAfter: residencyRetryAfter}
+	}
+	r.config, r.route, r.account = config, route, account
+	r.work.Urgency = f.precedence(r).Rank(route, account)
+	return nil
+}
+
 // waitRequest returns how long the request may wait. A caller that returns has used its objective
 // already, and waits for a late response. It has been told when to return if it returns before it
 // would come in any case.
--- a/transport/httproute/waiting_test.go
+++ b/transport/httproute/waiting_test.go
@@ -173,6 +173,57 @@
 	})
 }
 
+// Guards against a request that runs outside of the regions that are its account's homes by now.
+func TestHomesMoveWhileARequestWaits(t *testing.T) {
+	const home = "away"
+	for _, hasRoom := range []bool{false, true} {
+		playWait(t, func(t *testing.T, f *waitFixture) {
+			result := f.start(t.Context(), f.request())
+			if hasRoom {
+				f.Remotes = fakeRemotes{{Region: home, Servers: 1, FreeSlots: 5, ReportedAt: time.Now()}}
+			}
+			f.configure(2, home)
+			f.freeSlot()
+			got := <-result
+			if !hasRoom {
+				got.expectRefused(t, reasonNoServer)
+			} else if got.remote == nil || got.remote.Region != home {
+				t.Errorf("placed %v, failure %v", got.choice.Placement, got.failed)
+			}
+			if f.running() != 0 {
+				t.Error("it runs here")
+			}
+		})
+	}
+}
+
+// Guards against a request that runs although its account's key has been revoked.
+func TestKeyIsRevokedWhileARequestWaits(t *testing.T) {
+	playWait(t, func(t *testing.T, f *waitFixture) {
+		r := f.request()
+		r.Key = "revoked"
+		result := f.start(t.Context(), r)
+		f.configure(2)
+		f.freeSlot()
+		(<-result).expectRefused(t, reasonKey)
+	})
+}
+
+// Guards against requests that are held to their deadlines although the service has lost its servers.
+func TestServersAreLostWhileRequestsWait(t *testing.T) {
+	playWait(t, func(t *testing.T, f *waitFixture) {
+		results := []<-chan waitResult{f.start(t.Context(), f.request()), f.start(t.Context(), f.request())}
+		f.pool.Update(placement.Settings{Engine: true, Slots: 1, Precedence: f.Routes.Current().Precedence("svc")}, nil)
+		for _, result := range results {
+			got := <-result
+			got.expectRefused(t, reasonNoServer)
+			if got.took > wakeInterval {
+				t.Errorf("refused after %v", got.took)
+			}
+		}
+	})
+}
+
 // Guards against a slot that stays taken by a request that was placed while its caller left.
 func TestRequestPlacedWhileItsCallerLeavesGivesItsSlotBack(t *testing.T) {
 	for range 20 { // the caller may be seen to leave before or after the placement
