Keep no trace of each try to place a waiting request

Each try in vain added a step to the trace of the request, with every wake-up of its service: some hundred a second and first in line, kept and logged for a request that waits for seconds. The trace says when the wait ended and how.

--- a/transport/httproute/waiting.go
+++ b/transport/httproute/waiting.go
@@ -289,6 +289,7 @@
 	var remote *Remote
 	waiting := f.waitRequest(r)
 	joined := time.Now()
+	steps := len(r.trace)
 	failed := f.Local.Waiting.awaitTry(ctx, r.service, waiting, func(now time.Time, late bool) (bool, *failure) {
 		if outdated := f.applyConfig(r); outdated != nil {
 			return false, outdated
@@ -298,6 +299,7 @@
 		if unplaced == nil {
 			return true, nil
 		}
+		r.trace = r.trace[:steps] // there are tries by the thousand
 		if unplaced.worthWaiting() {
 			return false, nil
 		}
--- a/transport/httproute/waiting_test.go
+++ b/transport/httproute/waiting_test.go
@@ -116,13 +116,18 @@
 // Guards against a freed slot that stays empty until the next load report.
 func TestWaitingRequestGetsTheFreedSlot(t *testing.T) {
 	playWait(t, func(t *testing.T, f *waitFixture) {
-		result := f.start(t.Context(), f.request())
+		r := f.request()
+		result := f.start(t.Context(), r)
 		const held = 10*wakeInterval + wakeInterval/2
 		time.Sleep(held)
 		f.freeSlot()
 		if got := <-result; got.failed != nil || got.took != held {
 			t.Errorf("waited %v, %v", got.took, got.failed)
 		}
+		const bound = 10
+		if len(r.trace) > bound {
+			t.Errorf("the trace has %d steps", len(r.trace))
+		}
 	})
 }
 
