--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -213,7 +213,7 @@
 	case refused == nil:
 		f.Local.Waiting.recordStart(r.service, remote == nil, now)
 		return choice, remote, nil
-	case r.hasWaited || f.Leaving() || refused.reason != reasonLoad && refused.reason != reasonCold:
+	case r.hasWaited || f.Leaving() || !refused.worthWaiting():
 		return choice, remote, refused
 	}
 	r.hasWaited = true
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -286,14 +286,18 @@
 	waiting := waitRequest(o.work, o.body)
 	waiting.Account, waiting.Latest = o.account, waiting.OnTime
 	o.work.Waits = true
-	failed = p.Local.Waiting.await(ctx, o.service, waiting, func(now time.Time, options tryOptions) tryResult {
+	failed = p.Local.Waiting.await(ctx, o.service, waiting, func(now time.Time, options tryOptions) (tryResult, *failure) {
 		if !options.local {
-			return notPlaced
+			return notPlaced, nil
 		}
-		if choice = p.Local.Pool(o.service).Place(o.work, now); choice.Placement == nil {
-			return notPlaced
+		choice = p.Local.Pool(o.service).Place(o.work, now)
+		if choice.Placement != nil {
+			return placedLocally, nil
 		}
-		return placedLocally
+		if refused := refusalOf(choice); !refused.worthWaiting() {
+			return notPlaced, refused
+		}
+		return notPlaced, nil
 	})
 	return choice, failed
 }
--- a/transport/httproute/waiting.go
+++ b/transport/httproute/waiting.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,12 +28,15 @@
 	// firstAttemptFraction is the fraction of the route's timeout that callers have left at least
 	// when they come for the first time.
 	firstAttemptFraction = 0.8
+	// honoredFraction is the fraction of the time that callers have left up to which they honor a
+	// Retry-After.
+	honoredFraction = 1.0 / 3
 	// wakeInterval is the time between tries to place waiting requests when nothing else wakes
 	// them: that of load reports.
 	wakeInterval = 20 * time.Millisecond
-	// maxFailedTries bounds the requests that are tried in vain at a time. Requests of accounts
+	// maxTriesPerWake bounds the requests that are tried in vain at a time. Requests of accounts
 	// with home regions may have to wait although others can start.
-	maxFailedTries = 3
+	maxTriesPerWake = 3
 )
 
 // Waiting holds the requests that wait at this instance for a slot of a backend server.
@@ -41,8 +46,9 @@
 	// Flow returns how fast the slots of a service turn over in the local region.
 	Flow func(service string, now time.Time) waitqueue.Flow
 
-	mu    sync.Mutex
-	rooms map[string]*waitRoom // by service
+	mu     sync.Mutex
+	closed bool
+	rooms  map[string]*waitRoom // by service
 }
 
 // waitRoom holds the waiting requests of one service.
@@ -51,12 +57,14 @@
 	metrics *Metrics
 	flow    func(service string, now time.Time) waitqueue.Flow
 
-	mu    sync.Mutex
-	queue *waitqueue.Queue[*waiter]
+	mu     sync.Mutex
+	closed bool // requests do not wait any more
+	queue  *waitqueue.Queue[*waiter]
 }
 
-// tryFunc places a waiting request if it can.
-type tryFunc func(now time.Time, o tryOptions) tryResult
+// tryFunc places a waiting request if it can. A request that is to wait no longer gets the failure with
+// which it is refused.
+type tryFunc func(now time.Time, o tryOptions) (tryResult, *failure)
 
 // tryOptions says how a waiting request may be placed.
 type tryOptions struct {
@@ -87,8 +95,8 @@
 	}
 	room := w.rooms[service]
 	if room == nil {
-		settings := waitqueue.Settings{MaxWaiting: maxWaiting, MaxBytes: w.MaxBytes}
-		room = &waitRoom{service: service, metrics: w.Metrics, flow: w.Flow, queue: waitqueue.New[*waiter](settings)}
+		settings := waitqueue.Settings{MaxWaiting: maxWaiting, MaxBytes: w.MaxBytes, RetryJitter: retryJitter}
+		room = &waitRoom{service: service, metrics: w.Metrics, flow: w.Flow, closed: w.closed, queue: waitqueue.New[*waiter](settings)}
 		w.rooms[service] = room
 	}
 	return room
@@ -129,10 +137,14 @@
 	}
 }
 
-// Refuse refuses all waiting requests: this instance leaves, and its callers can go to another one.
+// Refuse refuses all waiting requests and those that come to wait after them: this instance leaves, and
+// its callers can go to another one.
 func (w *Waiting) Refuse() {
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
 	for _, room := range w.all() {
-		room.refuseAll(&failure{run: runNotRun, reason: reasonStopping, retryAfter: minRetryAfter})
+		room.close()
 	}
 }
 
@@ -200,6 +212,9 @@
 func (w *waitRoom) join(r waitqueue.Request, value *waiter, now time.Time) (*waitqueue.Ticket[*waiter], *failure) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.closed {
+		return nil, stoppingFailure()
+	}
 	w.updateFlow(now)
 	ticket, refusal := w.queue.Join(r, value, now)
 	if refusal != nil {
@@ -213,6 +228,10 @@
 	return &failure{run: runNotRun, reason: reasonLoad, retryAfter: refusal.RetryAfter}
 }
 
+func stoppingFailure() *failure {
+	return &failure{run: runNotRun, reason: reasonStopping, retryAfter: minRetryAfter}
+}
+
 // leave removes a request whose caller waits no longer. A request that has just been placed is not
 // removed: its attempt ends at once.
 func (w *waitRoom) leave(ticket *waitqueue.Ticket[*waiter]) *failure {
@@ -243,22 +262,23 @@
 	}
 }
 
-// startOne places the next waiting request that can be placed.
+// startOne places the next waiting request that can be placed. It reports whether one left the queue.
 func (w *waitRoom) startOne(now time.Time) bool {
 	local := w.queue.MayStart(now)
-	for i, ticket := range w.queue.Heads() {
-		if i >= maxFailedTries {
-			return false
-		}
-		result := ticket.Value.try(now, tryOptions{late: ticket.Late, local: local})
-		if result == notPlaced {
+	for ticket := range w.queue.Heads(maxTriesPerWake) {
+		result, refused := ticket.Value.try(now, tryOptions{late: ticket.Late, local: local})
+		switch {
+		case result != notPlaced:
+			w.queue.Start(ticket, now)
+		case refused != nil:
+			w.queue.Leave(ticket)
+		default:
 			continue
 		}
-		w.queue.Start(ticket, now)
 		if result == placedLocally {
 			w.queue.RecordSlot(now)
 		}
-		ticket.Value.done <- nil
+		ticket.Value.done <- refused
 		return true
 	}
 	return false
@@ -272,11 +292,14 @@
 	}
 }
 
-func (w *waitRoom) refuseAll(failed *failure) {
+// close refuses all waiting requests and lets none wait any more. Each gets a failure of its own, to
+// which its attempts are added.
+func (w *waitRoom) close() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.closed = true
 	for _, ticket := range w.queue.Drain() {
-		ticket.Value.done <- failed
+		ticket.Value.done <- stoppingFailure()
 	}
 }
 
@@ -321,16 +344,24 @@
 	var remote *Remote
 	waiting := f.waitRequest(r)
 	joined := time.Now()
-	failed := f.Local.Waiting.await(ctx, r.service, waiting, func(now time.Time, o tryOptions) tryResult {
+	steps := len(r.trace)
+	failed := f.Local.Waiting.await(ctx, r.service, waiting, func(now time.Time, o tryOptions) (tryResult, *failure) {
+		if outdated := f.applyConfig(r); outdated != nil {
+			return notPlaced, outdated
+		}
 		var unplaced *failure
 		choice, remote, unplaced = f.choose(r, now, chooseOptions{acceptLate: o.late, skipLocal: !o.local})
 		switch {
-		case unplaced != nil:
-			return notPlaced
-		case remote != nil:
-			return placedRemotely
+		case unplaced == nil && remote != nil:
+			return placedRemotely, nil
+		case unplaced == nil:
+			return placedLocally, nil
+		}
+		r.trace = r.trace[:steps] // there are tries by the thousand
+		if unplaced.worthWaiting() {
+			return notPlaced, nil
 		}
-		return placedLocally
+		return notPlaced, unplaced
 	})
 	r.record(eventWaited, "waited_ms", time.Since(joined).Milliseconds(), "placed", failed == nil, "returned", waiting.Returned,
 		"late", time.Now().After(waiting.OnTime))
@@ -344,15 +375,58 @@
 	return placement.Choice{}, nil, failed
 }
 
+// worthWaiting reports whether a request that was refused may be placed as soon as a slot is free.
+func (f *failure) worthWaiting() bool { return f.reason == reasonLoad || f.reason == reasonCold }
+
+// applyConfig applies the configuration in force to a waiting request. It returns the failure of a
+// request that may not run by it.
+func (f *Front) applyConfig(r *request) *failure {
+	config := f.Routes.Current()
+	if config == r.config {
+		return nil
+	}
+	target, err := url.ParseRequestURI(r.target)
+	if err != nil {
+		return &failure{run: runNotRun, reason: reasonNoRoute}
+	}
+	route := config.Match(r.host, target.Path)
+	if route == nil {
+		return &failure{run: runNotRun, reason: reasonNoRoute}
+	}
+	var account *routes.Account
+	if len(config.Accounts) > 0 && !route.Public {
+		if account = config.Authenticate(r.Key); account == nil {
+			return &failure{run: runNotRun, reason: reasonKey}
+		}
+	}
+	if !slices.ContainsFunc(route.Targets, func(t routes.Target) bool { return t.Service == r.service }) {
+		return &failure{run: runNotRun, reason: reasonNoServer}
+	}
+	if homes, anywhere := routes.AllowedRegions(route, account); !anywhere && len(homes) == 0 {
+		return &failure{run: runNotRun, reason: reasonResidency, retryAfter: residencyRetryAfter}
+	}
+	r.config, r.route, r.account = config, route, account
+	r.work.Urgency = f.precedence(r).Rank(route, account)
+	return nil
+}
+
 // waitRequest returns how long the request may wait. A caller that returns has used its objective
-// already, and waits for a late response.
+// already, and waits for a late response. It has been told when to return if it returns before it
+// would come in any case.
 func (f *Front) waitRequest(r *request) waitqueue.Request {
 	out := waitRequest(&r.work, r.body)
 	if r.account != nil {
 		out.Account, out.Weight = r.account.Name, r.account.Rate
 	}
+	timeout := r.route.Timeout
+	if r.CallerTimeout <= 0 || timeout <= 0 {
+		return out
+	}
+	begun := r.arrived.Add(r.CallerTimeout - timeout)
+	out.ReturnFrom = begun.Add(scale(timeout, 1-firstAttemptFraction))
+	out.ReturnUntil = begun.Add(scale(timeout, honoredFraction))
 	if elapsed := r.elapsed(); elapsed > 0 {
-		out.Returned = true
+		out.Returned = r.arrived.Before(out.ReturnUntil)
 		out.OnTime = out.OnTime.Add(-elapsed)
 	}
 	return out
