Let no account fill the queue of waiting requests for the others

The bounds on the number and the bytes of waiting requests refused whoever came next. One account with large bodies (two of 4 MB in an instance of 184 MB, a sixteenth of which is the bound) could keep the others' small requests out, although the order is fair between them. As in admission, a request of an account with a smaller backlog now takes the place of the newest ones of the account with the largest. A request that is too late in any case is told so rather than that the queue is full.

Without it the test sees the other account refused as full, by number and by size.

--- a/coordination/waitqueue/replay_test.go
+++ b/coordination/waitqueue/replay_test.go
@@ -179,7 +179,11 @@
 	case !p.waits:
 		p.refuse(c, maxRetryAfter)
 	default:
-		if _, refusal := p.queue.Join(c.request(), c, p.now); refusal != nil {
+		_, displaced, refusal := p.queue.Join(c.request(), c, p.now)
+		for _, other := range displaced {
+			p.refuse(other.Value, other.RetryAfter)
+		}
+		if refusal != nil {
 			p.refuse(c, refusal.RetryAfter)
 		}
 	}
--- a/coordination/waitqueue/waitqueue.go
+++ b/coordination/waitqueue/waitqueue.go
@@ -128,24 +128,47 @@
 	q.starts.add(now)
 }
 
-// Join lets a request wait, or refuses it.
-func (q *Queue[T]) Join(r Request, value T, now time.Time) (*Ticket[T], *Refusal) {
+// Join lets a request wait, or refuses it. In a full queue it takes the places of requests of the
+// account with the largest backlog, which are refused.
+func (q *Queue[T]) Join(r Request, value T, now time.Time) (*Ticket[T], []Refused[T], *Refusal) {
 	if !now.After(r.OnTime) {
 		q.demand.add(now)
 	}
 	t := &Ticket[T]{Request: r, Value: value, Joined: now}
 	switch {
-	case q.Len() >= q.settings.MaxWaiting || q.bytes+r.Bytes > q.settings.MaxBytes:
-		return nil, q.refuse(t, ReasonFull, now)
 	case !now.Add(q.onTimeWait(t, now)).After(r.OnTime):
 	case !now.Add(q.lateWait(t, now)).After(r.Latest):
 		t.Late = true
 	default:
-		return nil, q.refuse(t, ReasonTooLate, now)
+		return nil, nil, q.refuse(t, ReasonTooLate, now)
+	}
+	displaced := q.displace(t, now)
+	if !q.fits(t) {
+		return nil, displaced, q.refuse(t, ReasonFull, now)
 	}
 	q.queueOf(t).Push(t)
 	q.bytes += r.Bytes
-	return t, nil
+	return t, displaced, nil
+}
+
+func (q *Queue[T]) fits(t *Ticket[T]) bool {
+	return q.Len() < q.settings.MaxWaiting && q.bytes+t.Bytes <= q.settings.MaxBytes
+}
+
+// displace refuses the newest requests of accounts with larger backlogs until a request fits.
+func (q *Queue[T]) displace(t *Ticket[T], now time.Time) []Refused[T] {
+	var out []Refused[T]
+	queue := q.queueOf(t)
+	for t.Bytes <= q.settings.MaxBytes && !q.fits(t) {
+		longest := queue.LongestBacklog()
+		if longest == nil || longest.BacklogWith(0) <= queue.BacklogOf(t.Share()) {
+			break
+		}
+		newest := longest.Items[len(longest.Items)-1]
+		q.Leave(newest)
+		out = append(out, Refused[T]{newest, *q.refuse(newest, ReasonFull, now)})
+	}
+	return out
 }
 
 // onTimeWait returns how long a request is expected to wait among those that can be on time.
--- a/coordination/waitqueue/waitqueue_test.go
+++ b/coordination/waitqueue/waitqueue_test.go
@@ -24,7 +24,7 @@
 
 func join(t *testing.T, q *Queue[int], r Request) *Ticket[int] {
 	t.Helper()
-	ticket, refusal := q.Join(r, 0, replayStart)
+	ticket, _, refusal := q.Join(r, 0, replayStart)
 	if refusal != nil {
 		t.Fatal(refusal)
 	}
@@ -62,6 +62,25 @@
 	t.Error("the last account was not tried")
 }
 
+// Guards against an account that fills the queue, by number or by size, and keeps the others out.
+func TestFullQueueRefusesTheLargestBacklog(t *testing.T) {
+	for _, size := range []int{1, 64} {
+		q := newBusyQueue(500)
+		large := waitUpTo(0, 4*time.Second)
+		large.Bytes = size
+		for range 512 / size {
+			join(t, q, large)
+		}
+		ticket, displaced, refusal := q.Join(waitUpTo(1, 4*time.Second), 0, replayStart)
+		if refusal != nil || len(displaced) != 1 || displaced[0].Account != large.Account || displaced[0].Reason != ReasonFull {
+			t.Errorf("size %d: joined %v, displaced %v, refusal %v", size, ticket, displaced, refusal)
+		}
+		if _, _, refusal = q.Join(large, 0, replayStart); refusal == nil || refusal.Reason != ReasonFull {
+			t.Errorf("size %d: the queue took more than its bounds, %v", size, refusal)
+		}
+	}
+}
+
 // Guards against a request that is settled twice or never, and against bytes and counts that drift.
 func TestQueueInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -84,7 +103,11 @@
 				r := waitUpTo(rapid.IntRange(0, 3).Draw(t, "account"), 0)
 				r.Bytes, r.Returned = rapid.IntRange(0, 9).Draw(t, "bytes"), rapid.Bool().Draw(t, "returned")
 				r.OnTime, r.Latest = after("on time"), after("latest")
-				if ticket, refusal := q.Join(r, 0, now); refusal == nil {
+				ticket, displaced, refusal := q.Join(r, 0, now)
+				for _, refused := range displaced {
+					settle(refused.Ticket)
+				}
+				if refusal == nil {
 					waiting[ticket] = true
 				}
 			case 2:
--- a/transport/httproute/waiting.go
+++ b/transport/httproute/waiting.go
@@ -176,7 +176,8 @@
 	if w.closed {
 		return nil, stoppingFailure()
 	}
-	ticket, refusal := w.queue.Join(r, value, now)
+	ticket, displaced, refusal := w.queue.Join(r, value, now)
+	w.refuse(displaced)
 	if refusal != nil {
 		w.metrics.notWaited(w.service, refusal.Reason)
 		return nil, waitFailure(refusal)
@@ -232,8 +233,12 @@
 func (w *waitRoom) expire(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, refused := range w.queue.Expire(now) {
-		refused.Value.done <- waitFailure(&refused.Refusal)
+	w.refuse(w.queue.Expire(now))
+}
+
+func (w *waitRoom) refuse(all []waitqueue.Refused[*waiter]) {
+	for i := range all {
+		all[i].Value.done <- waitFailure(&all[i].Refusal)
 	}
 }
 
