Let the deadline of a silent request pass by event

Ten milliseconds of real time could pass before the request was sent on a busy machine; it then fails as not sent, and drops nothing. The context now ends when the server has been silent, and says that its deadline has passed. Found by reading; not seen to fail.

--- a/transport/backendhttp/silent_test.go
+++ b/transport/backendhttp/silent_test.go
@@ -13,6 +13,16 @@
 	"github.com/cockroachdb/errors"
 )
 
+// expiringContext reports its end as a deadline that has passed.
+type expiringContext struct{ context.Context }
+
+func (c expiringContext) Err() error {
+	if c.Context.Err() != nil {
+		return context.DeadlineExceeded
+	}
+	return nil
+}
+
 // failedDial returns a function that ends a dial with an error and uses up one connection.
 func failedDial(cause error) func(*testing.T, *Client, string) {
 	return func(t *testing.T, c *Client, address string) {
@@ -47,9 +57,10 @@
 			}
 		}},
 		"deadline": {dropped: true, fail: func(t *testing.T, c *Client, address string) {
-			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
-			defer cancel()
-			if _, err := c.Do(ctx, address, get("silent"), unrepeatable("silent")); err == nil {
+			ctx, cancel := context.WithCancel(t.Context())
+			o := unrepeatable("silent")
+			o.IdleTimeout, o.ShouldAbort = time.Millisecond, func() bool { cancel(); return false }
+			if _, err := c.Do(expiringContext{ctx}, address, get("silent"), o); err == nil {
 				t.Error("a silent server answered")
 			}
 		}},
