Say of lost requests whether they had waited or returned

`losses` counted a request that was refused at once and one that was refused after a second of waiting as the same, and so a refused caller that returned. What an operator has to do differs: Retry-After is too short, or slots came later than expected. `explain` printed the new event already; a test holds its place in the trace.

--- a/cmd/basilroute/explain_test.go
+++ b/cmd/basilroute/explain_test.go
@@ -28,3 +28,23 @@
 		t.Errorf("a request that no line names: exit code %d", code)
 	}
 }
+
+// The trace of a request that another region refused, and that then waited for a slot of its own.
+func TestExplainShowsTheWaitForASlot(t *testing.T) {
+	out, problems, code := runCLI(t, "explain", "000000000000049c", "testdata/waits.log")
+	if code != 0 {
+		t.Fatal(problems)
+	}
+	var events []string
+	for line := range strings.Lines(out) {
+		events = append(events, strings.Join(strings.Fields(line)[1:3], " "))
+	}
+	want := "front-3 request_admitted, front-3 request_forwarded, front-0 forwarded_refused, front-3 request_retried, front-3 request_unplaced, " +
+		"front-3 request_unplaced, front-3 request_waited, front-3 request_placed, front-3 request_served"
+	if got := strings.Join(events, ", "); got != want {
+		t.Errorf("have %s\nwant %s", got, want)
+	}
+	if !strings.Contains(out, "late=false placed=true returned=false waited_ms=32") {
+		t.Errorf("the wait is missing:\n%s", out)
+	}
+}
--- a/cmd/basilroute/logs.go
+++ b/cmd/basilroute/logs.go
@@ -32,6 +32,12 @@
 	return value
 }
 
+// flag returns a boolean field, false if it is missing.
+func (l *logLine) flag(key string) bool {
+	value, _ := l.Fields[key].(bool)
+	return value
+}
+
 // maxLogLine bounds a line, in bytes.
 const maxLogLine = 1 << 20
 
--- a/cmd/basilroute/losses.go
+++ b/cmd/basilroute/losses.go
@@ -71,6 +71,7 @@
 func classifyLoss(trace []logLine) (loss, bool) {
 	l := loss{at: trace[0].Time, route: "-"}
 	var objective, gap float64
+	wait := ""
 	for i := range trace {
 		line := &trace[i]
 		switch line.Event {
@@ -80,6 +81,8 @@
 			l.server = line.text("server")
 		case "request_forwarded":
 			l.server = line.text("region")
+		case "request_waited":
+			wait = waitSuffix(line)
 		}
 	}
 	end := &trace[len(trace)-1]
@@ -87,19 +90,38 @@
 	case "request_served":
 		l.server = cmp.Or(end.text("server"), l.server)
 		l.reason = lateReason(end, objective, gap)
-	case "request_refused", "request_cut":
-		l.reason = strings.TrimPrefix(end.Event, "request_") + ": " + end.text("reason")
+		if l.reason == lateFirstByte {
+			l.reason += wait
+		}
+	case "request_refused":
+		l.reason = "refused: " + end.text("reason") + wait
+	case "request_cut":
+		l.reason = "cut: " + end.text("reason")
 	default:
 		l.reason = "no end in the log"
 	}
 	return l, l.reason != ""
 }
 
+// waitSuffix returns what the wait for a slot adds to the reason of a loss: nothing if the request
+// found no slot but did not wait. A caller that returned had been refused before.
+func waitSuffix(waited *logLine) string {
+	switch {
+	case waited.flag("returned"):
+		return ", returned"
+	case waited.number("waited_ms") > 0:
+		return ", waited"
+	}
+	return ""
+}
+
+const lateFirstByte = "late: first byte"
+
 // lateReason returns why a served response was late, empty if it was not.
 func lateReason(end *logLine, objective, gap float64) string {
 	switch {
 	case objective > 0 && end.number("first_byte_ms") > objective:
-		return "late: first byte"
+		return lateFirstByte
 	case gap > 0 && end.number("longest_pause_ms") > gap:
 		return "late: pause"
 	}
--- a/cmd/basilroute/losses_test.go
+++ b/cmd/basilroute/losses_test.go
@@ -32,3 +32,26 @@
 		t.Error("a window of 0 s is accepted")
 	}
 }
+
+// The recorded lines are of requests that found no slot: one refused at once, one whose caller had
+// returned and was refused again, one refused after a wait, one that returned and was served late,
+// and one served in time after a wait.
+func TestLossesSayWhetherRequestsWaited(t *testing.T) {
+	out, problems, code := runCLI(t, "losses", "--window", "1m", "testdata/waits.log")
+	if code != 0 {
+		t.Fatal(problems)
+	}
+	var routes []string
+	for line := range strings.Lines(out) {
+		if row := strings.Join(strings.Fields(line), " "); strings.HasPrefix(row, "patient ") {
+			routes = append(routes, row)
+		}
+	}
+	want := []string{
+		"patient late: first byte, returned 1", "patient refused: overloaded 1", "patient refused: overloaded, returned 1",
+		"patient refused: overloaded, waited 1",
+	}
+	if !slices.Equal(routes, want) {
+		t.Errorf("rows by route:\n%s\nwant:\n%s", strings.Join(routes, "\n"), strings.Join(want, "\n"))
+	}
+}
