Refuse each waiting request of a stopping instance with a failure of its own

All requests that waited when an instance began to stop got the same *failure. attemptAll writes into it whether the request ran (`failed.run = combineRun(...)`): with one whose first attempt may have run beside one that has not, the last writer decided for both, so that a caller could be told `not run` of a request that had run, or the other way round.

--- a/transport/httproute/waiting.go
+++ b/transport/httproute/waiting.go
@@ -111,7 +111,7 @@
 // Refuse refuses all waiting requests: this instance leaves, and its callers can go to another one.
 func (w *Waiting) Refuse() {
 	for _, room := range w.all() {
-		room.refuseAll(&failure{run: runNotRun, reason: reasonStopping, retryAfter: minRetryAfter})
+		room.refuseAll()
 	}
 }
 
@@ -208,11 +208,12 @@
 	}
 }
 
-func (w *waitRoom) refuseAll(failed *failure) {
+func (w *waitRoom) refuseAll() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, ticket := range w.queue.Drain() {
-		ticket.Value.done <- failed
+		// Each request records in its failure whether it ran before.
+		ticket.Value.done <- &failure{run: runNotRun, reason: reasonStopping, retryAfter: minRetryAfter}
 	}
 }
 
