--- a/coordination/placement/cost.go
+++ b/coordination/placement/cost.go
@@ -66,7 +66,10 @@
 	}
 	c.cached = s.cache.match(r.Segments)
 	c.uncached = float64(max(r.Tokens-c.cached, 0))
-	others := max(p.peersPending(s, r.Urgency), s.reportedWaiting*ageWeight(now.Sub(s.reportedAt))*p.meanUncached)
+	others := p.peersPending(s, r.Urgency)
+	if !p.urgent(r.Urgency) { // the engine starts an urgent request before those that wait
+		others = max(others, s.reportedWaiting*ageWeight(now.Sub(s.reportedAt))*p.meanUncached)
+	}
 	c.backlog = s.pendingUpTo(r.Urgency) + others
 	base, perToken := p.firstByteModel()
 	factor := s.latencyFactor * s.machineFactor * p.latencyFactor
@@ -81,10 +84,7 @@
 		c.cost += preemptionCost
 	}
 	c.gapSeconds = expectedGap * s.gapFactor
-	if p.limitsPrefillRuns() {
-		c.gapSeconds = p.longestGap(c, now)
-	}
-	if p.exceedsGap(c) {
+	if !p.limitsPrefillRuns() && p.exceedsGap(c) {
 		c.cost += p.running(s, now) * longGapCost
 	}
 	if s == preferred {
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -123,7 +123,7 @@
 	RejectIfLate bool        // refuse the request when it would miss its objective
 	AllowEjected bool        // may go to an ejected server that fails part of its requests rather than be refused
 	Probe        bool        // may run on an ejected server, to find out whether it has recovered
-	Waits        bool        // waits when it is refused, and is placed again later
+	Waits        bool        // waits when it is refused, and is told later when to return
 }
 
 // prefixHash returns the hash of the shared segments, or 0 when there are none.
@@ -255,7 +255,7 @@
 		choice.Placement = p.start(chosen, r, now)
 		return choice
 	}
-	if r.RejectIfLate || r.Waits {
+	if r.RejectIfLate {
 		return choice
 	}
 	if fallback := p.ejectedFallback(r, now); fallback != nil {
@@ -263,7 +263,7 @@
 		choice.Placement = p.start(fallback, r, now)
 		return choice
 	}
-	if (choice.Reason == ReasonFull || choice.Reason == ReasonResting) && p.enabled(features.RetryAfterPacing) {
+	if (choice.Reason == ReasonFull || choice.Reason == ReasonResting) && !r.Waits && p.enabled(features.RetryAfterPacing) {
 		choice.RetryAfter = p.retries.retryAfter(max(choice.RetryAfter, retryAfterFull), now)
 	}
 	return choice
@@ -386,7 +386,6 @@
 		s.urgentInFlight++
 	}
 	s.addPending(r.Urgency, c.uncached)
-	s.prefillRun.update(s.knownPending(), now)
 	p.meanUncached += (c.uncached - p.meanUncached) * uncachedWeight
 	p.recordDispatch(s, r.Segments)
 	if now.Before(s.ColdUntil) && p.settings.ColdRate > 0 {
--- a/coordination/placement/precedence_test.go
+++ b/coordination/placement/precedence_test.go
@@ -392,3 +392,28 @@
 		t.Errorf("%v urgent requests of an unresponsive instance", got)
 	}
 }
+
+// Guards against urgent requests that are refused as late because suspended patient ones wait at the server.
+func TestWaitingPatientRequestsDelayNoUrgentOnes(t *testing.T) {
+	p := newPrecedencePool(8)
+	placed := placeAll(p, patientRank, start)
+	p.meanUncached = 8000
+	p.RecordLoad(placed[0], ReportedLoad{Running: 8, Waiting: 6, Slots: 8}, start)
+	if choice := p.Place(ranked(urgentRank, start), start); choice.Placement == nil {
+		t.Errorf("refused: %s, %s expected", choice.Reason, choice.ExpectedFirstByte)
+	}
+}
+
+// Guards against a region that looks faster to patient requests of others than it is.
+func TestSummaryIsThatOfPatientRequests(t *testing.T) {
+	p := newPrecedencePool(8)
+	p.ApplyReport("peer", &LoadReport{Servers: []ServerLoad{{Server: uint32(p.servers[0].hash), PendingTokens: 60_000, InFlight: 4}}}, start)
+	if got := p.Summarize(start).ExpectedFirstByte; got < time.Second {
+		t.Errorf("%s until the first byte behind 60,000 tokens", got)
+	}
+	p = newPrecedencePool(8)
+	placeAll(p, patientRank, start)
+	if got := p.Summarize(start); got.FreeSlots != 0 || got.ExpectedFirstByte == 0 {
+		t.Errorf("full: %+v", got)
+	}
+}
--- a/coordination/placement/search.go
+++ b/coordination/placement/search.go
@@ -93,6 +93,9 @@
 		p.applyLocalFetch(&s.next, s.holder, s.held)
 	}
 	p.applyRemoteFetch(&s.next, s.request)
+	if p.limitsPrefillRuns() {
+		p.limitPrefillRun(&s.next, p.running(server, now))
+	}
 	s.candidates = append(s.candidates, s.next)
 	if s.best == nil {
 		s.best = new(candidate)
--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -63,7 +63,6 @@
 	urgentInFlight int                    // those that take precedence
 	pending        [urgencyLevels]float64 // prompt tokens of requests whose first byte has not arrived, by urgency
 	fromPeers      peerTotals
-	prefillRun     prefillRun
 	eventGaps      gapTracker
 	prefills       map[*Placement]*prefill
 	gapFactor      float64 // its event gaps relative to those of all servers, for prompts of the same size
@@ -183,7 +182,6 @@
 	s := pl.server
 	p.finishPrefill(s, pl)
 	s.addPending(pl.urgency, -pl.prefillTokens)
-	s.prefillRun.update(s.knownPending(), now)
 	took := now.Sub(pl.Sent).Seconds()
 	p.recordPace(pl, took)
 	if pl.expectedSeconds <= 0 {
@@ -217,7 +215,6 @@
 		delete(s.prefills, pl)
 		pl.gotFirstByte = true
 		s.addPending(pl.urgency, -pl.prefillTokens)
-		s.prefillRun.update(s.knownPending(), now)
 	}
 	if outcome == OutcomeServed && !p.settings.Engine {
 		p.serviceSeconds += (now.Sub(pl.Sent).Seconds()/max(s.latencyFactor, 1) - p.serviceSeconds) * serviceTimeWeight
@@ -354,10 +351,11 @@
 	defer p.mu.Unlock()
 	r := Request{Tokens: summaryPromptTokens, Urgency: urgencyLevels - 1, Arrived: now}
 	running, slots := p.occupancy(r.Urgency, now)
-	if p.precedence() {
+	found := p.choose(&r, now)
+	if found.best == nil && p.precedence() {
 		r.Urgency = leastUrgentRank // a full pool still takes urgent requests
+		found = p.choose(&r, now)
 	}
-	found := p.choose(&r, now)
 	out := Summary{Servers: p.usableServers(now), Running: int(running), FreeSlots: int(max(slots-running, 0)), StallFraction: p.meanStall(now), PrefillRate: p.measuredPrefillRate(now)}
 	if found.best != nil {
 		out.ExpectedFirstByte = seconds(found.best.firstByteSeconds)
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -208,6 +208,7 @@
 	if !mayWait(r.config, f.Features, r.service, r.work.Urgency) {
 		return f.choose(r, now, chooseOptions{acceptLate: true})
 	}
+	r.work.Waits = true
 	choice, remote, refused := f.choose(r, now, chooseOptions{acceptLate: true, skipLocal: !f.Local.Waiting.mayStart(r.service, now)})
 	switch {
 	case refused == nil:
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -30,8 +30,9 @@
 	Service     string `json:"service"`
 	Account     string `json:"account,omitempty"`
 	Urgency     int    `json:"urgency"`
-	LeftMs      int64  `json:"left_ms"`      // time until the deadline
-	ObjectiveMs int64  `json:"objective_ms"` // remaining time of the objective; 0 for none
+	Ranked      bool   `json:"ranked,omitempty"` // the urgency is a rank, see routes.Precedence
+	LeftMs      int64  `json:"left_ms"`          // time until the deadline
+	ObjectiveMs int64  `json:"objective_ms"`     // remaining time of the objective; 0 for none
 	Repeatable  bool   `json:"repeatable"`
 	Last        bool   `json:"last"`     // no other attempt may follow
 	Detached    bool   `json:"detached"` // runs to completion after the caller has disconnected
@@ -60,7 +61,7 @@
 	holder := f.localFetchSource(r, now)
 	encoded, err := json.Marshal(forwardInfo{
 		HolderAddress: holder.Address, HolderTokens: holder.Tokens,
-		Service: o.service, Account: o.account, Urgency: o.work.Urgency, LeftMs: o.deadline.Sub(now).Milliseconds(),
+		Service: o.service, Account: o.account, Urgency: o.work.Urgency, Ranked: o.ranked, LeftMs: o.deadline.Sub(now).Milliseconds(),
 		ObjectiveMs: max(r.work.Objective-now.Sub(r.arrived), 0).Milliseconds(), Repeatable: o.repeatable,
 		Detached: r.route.Kind == routes.KindNonIdempotent, Fingerprint: o.print, LastEventID: o.lastEventID, Config: o.config,
 	})
@@ -164,7 +165,6 @@
 	}
 	defer p.Memory.Release(len(body))
 	o := p.outbound(hr, &info, &call, body, arrived)
-	o.ranked = p.ranked(info.Service)
 	ctx, cancel := p.requestContext(hr.Context(), &info, o.deadline)
 	defer cancel()
 	if failed := p.run(ctx, w, o); failed != nil {
@@ -186,15 +186,25 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// ranked reports whether the urgencies of a service's requests are ranks.
-func (p *Peer) ranked(service string) bool {
-	config := p.Routes.Current()
-	return config != nil && p.Features.On(features.UrgentFirst) && config.Precedence(service).Enforced
+// precedence returns the precedence among the requests of a service.
+func (p *Peer) precedence(service string) routes.Precedence {
+	config := p.config()
+	if config == nil || !p.Features.On(features.UrgentFirst) {
+		return routes.Precedence{}
+	}
+	return config.Precedence(service)
+}
+
+func (p *Peer) config() *routes.Config {
+	if p.Routes == nil {
+		return nil
+	}
+	return p.Routes.Current()
 }
 
 // reportRoom adds the room of the local region to a response.
 func (p *Peer) reportRoom(h http.Header, service string) {
-	if pool := p.Local.Pool(service); p.ranked(service) || pool.SharedMachines() {
+	if pool := p.Local.Pool(service); p.precedence(service).Enforced || pool.SharedMachines() {
 		now := time.Now()
 		h.Set(headerRoom, p.summaries.encoded(service, pool, p.Local.Waiting.expectedWait(service, now), now))
 	}
@@ -211,6 +221,7 @@
 	header := EndToEnd(hr.Header)
 	delete(header, headerForward)
 	deadline := arrived.Add(time.Duration(info.LeftMs) * time.Millisecond)
+	precedence := p.precedence(info.Service)
 	var holder placement.FetchSource
 	if info.HolderAddress != "" && p.Local.Backends.AddressAcceptsWork(info.HolderAddress, arrived) {
 		holder = placement.FetchSource{Address: info.HolderAddress, Tokens: info.HolderTokens}
@@ -218,9 +229,9 @@
 	return &outbound{
 		id: call.RequestID, service: info.Service, account: info.Account, method: hr.Method, target: hr.RequestURI,
 		host: hr.Host, header: header, body: body, deadline: deadline, repeatable: info.Repeatable, print: info.Fingerprint,
-		lastEventID: info.LastEventID, config: info.Config,
+		lastEventID: info.LastEventID, config: info.Config, ranked: precedence.Enforced,
 		work: &placement.Request{
-			Segments: call.Segments, Tokens: call.PromptTokens, Urgency: info.Urgency, Probe: info.Repeatable,
+			Segments: call.Segments, Tokens: call.PromptTokens, Urgency: precedence.FromPeer(info.Urgency, info.Ranked), Probe: info.Repeatable,
 			AllowEjected: !info.Detached,
 			RemoteSource: holder,
 			Objective:    time.Duration(info.ObjectiveMs) * time.Millisecond, Arrived: arrived, Deadline: deadline,
@@ -265,39 +276,51 @@
 // place places the request. One that no server takes now may wait for a slot while it can be on time.
 func (p *Peer) place(ctx context.Context, o *outbound) (placement.Choice, *failure) {
 	pool, now := p.Local.Pool(o.service), time.Now()
-	waits := mayWait(p.Routes.Current(), p.Features, o.service, o.work.Urgency)
-	if !waits || p.Local.Waiting.mayStart(o.service, now) {
-		choice := pool.Place(o.work, now)
-		switch {
-		case choice.Placement != nil && waits:
-			p.Local.Waiting.recordStart(o.service, true, now)
-			return choice, nil
-		case choice.Placement != nil:
-			return choice, nil
-		case !waits || choice.Reason != placement.ReasonFull && choice.Reason != placement.ReasonCold:
-			return choice, refusalOf(choice)
-		}
+	o.work.Waits = mayWait(p.config(), p.Features, o.service, o.work.Urgency)
+	if !o.work.Waits {
+		return placed(pool.Place(o.work, now))
+	}
+	if !p.Local.Waiting.mayStart(o.service, now) {
+		return p.awaitSlot(ctx, o)
+	}
+	choice, refused := placed(pool.Place(o.work, now))
+	switch {
+	case refused == nil:
+		p.Local.Waiting.recordStart(o.service, true, now)
+		return choice, nil
+	case !refused.worthWaiting():
+		return choice, refused
 	}
 	return p.awaitSlot(ctx, o)
 }
 
+func placed(choice placement.Choice) (placement.Choice, *failure) {
+	if choice.Placement == nil {
+		return choice, refusalOf(choice)
+	}
+	return choice, nil
+}
+
 // awaitSlot lets a forwarded request wait while it can be on time.
 func (p *Peer) awaitSlot(ctx context.Context, o *outbound) (choice placement.Choice, failed *failure) {
 	waiting := waitRequest(o.work, o.body)
 	waiting.Account, waiting.Latest = o.account, waiting.OnTime
-	o.work.Waits = true
+	if account := p.config().Accounts[o.account]; account != nil {
+		waiting.Weight = account.Rate
+	}
 	failed = p.Local.Waiting.await(ctx, o.service, waiting, func(now time.Time, options tryOptions) (tryResult, *failure) {
 		if !options.local {
 			return notPlaced, nil
 		}
-		choice = p.Local.Pool(o.service).Place(o.work, now)
-		if choice.Placement != nil {
+		var refused *failure
+		choice, refused = placed(p.Local.Pool(o.service).Place(o.work, now))
+		switch {
+		case refused == nil:
 			return placedLocally, nil
+		case refused.worthWaiting():
+			return notPlaced, nil
 		}
-		if refused := refusalOf(choice); !refused.worthWaiting() {
-			return notPlaced, refused
-		}
-		return notPlaced, nil
+		return notPlaced, refused
 	})
 	return choice, failed
 }
--- a/transport/httproute/regionroom_test.go
+++ b/transport/httproute/regionroom_test.go
@@ -158,3 +158,17 @@
 		}
 	}
 }
+
+// Guards against a priority that an earlier build forwards and that is taken for the rank of an urgent request.
+func TestForwardedPriorityIsNoRank(t *testing.T) {
+	far, _ := newTestFront(t)
+	offerUrgentRoute(far.Routes)
+	p := &Peer{Codec: testCodec{}, Local: far.Local, Routes: far.Routes}
+	for isRank, want := range map[bool]int{true: 2, false: 5} {
+		info := &forwardInfo{Service: "svc", Urgency: 2, Ranked: isRank}
+		o := p.outbound(httptest.NewRequest(http.MethodPost, "/advise/1", nil), info, &Call{}, nil, time.Now())
+		if o.work.Urgency != want || !o.ranked {
+			t.Errorf("rank sent: %t: rank %d", isRank, o.work.Urgency)
+		}
+	}
+}
--- a/transport/httproute/waiting.go
+++ b/transport/httproute/waiting.go
@@ -342,8 +342,6 @@
 
 // awaitSlot lets a request wait that no server takes now. It returns what choose returns.
 func (f *Front) awaitSlot(ctx context.Context, r *request, refused *failure) (placement.Choice, *Remote, *failure) {
-	r.work.Waits = true
-	defer func() { r.work.Waits = false }()
 	r.triedRegions = nil // a region that was full may have room by now
 	var choice placement.Choice
 	var remote *Remote
--- a/transport/httproute/waiting_test.go
+++ b/transport/httproute/waiting_test.go
@@ -53,7 +53,7 @@
 	urgent.Objective = 500 * time.Millisecond
 	patient.Objective, patient.Timeout, patient.Priority = 2500*time.Millisecond, 15*time.Second, 2
 	f.Routes.Offer(&routes.Config{
-		Version: version, Services: map[string]*routes.Service{"svc": {Name: "svc"}},
+		Version: version, Services: map[string]*routes.Service{"svc": {Name: "svc", Engine: &routes.Engine{Slots: 1}}},
 		Accounts: map[string]*routes.Account{"grocers": {Name: "grocers", Priority: -1, HomeRegions: homes}},
 		Keys:     map[routes.KeyHash]string{sha256.Sum256([]byte(testKey)): "grocers"},
 		Routes:   []routes.Route{urgent, patient},
