--- a/coordination/placement/pace.go
+++ b/coordination/placement/pace.go
@@ -25,7 +25,7 @@
 
 // fitsPace reports whether first bytes are estimated with fitted times.
 func (p *Pool) fitsPace() bool {
-	return p.settings.Engine && p.enabled(features.FittedPace) && (p.sharedMachines || p.settings.Precedence.Enforced)
+	return p.settings.Engine && p.enabled(features.FittedPace) && (p.sharedMachines || p.precedence())
 }
 
 // recordPace adds a measured time to the first byte.
--- a/coordination/placement/prefillrun.go
+++ b/coordination/placement/prefillrun.go
@@ -13,7 +13,7 @@
 
 // limitsPrefillRuns reports whether the time is limited for which a server prefills without a pause.
 func (p *Pool) limitsPrefillRuns() bool {
-	return p.settings.Engine && p.enabled(features.PrefillRuns) && (p.sharedMachines || p.settings.Precedence.Enforced)
+	return p.settings.Engine && p.enabled(features.PrefillRuns) && (p.sharedMachines || p.precedence())
 }
 
 // limitPrefillRun raises the cost of a candidate at which generations would get late.
