Report the servers' times of work to the other instances

Cause: an instance sees a server's answers once in a second or two, so that it learned late in a spike which servers are twice as fast. Load reports carry the mean when a server has told it since the last one.

--- a/coordination/loadhub/sum.go
+++ b/coordination/loadhub/sum.go
@@ -1,6 +1,7 @@
 package loadhub
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -73,13 +74,16 @@
 	total.UrgentTokens += after.UrgentTokens - before.UrgentTokens
 	total.InFlight += after.InFlight - before.InFlight
 	total.UrgentInFlight += after.UrgentInFlight - before.UrgentInFlight
+	if after.TimePercent > 0 {
+		total.TimePercent = after.TimePercent
+	}
 	total.Served += after.Served
 	total.Failed += after.Failed
 	total.Down = total.Down || after.Down
 	total.refreshes = 0
 	total.newWork = total.newWork || after.PendingTokens > before.PendingTokens
 	total.changed = total.changed || after.PendingTokens != before.PendingTokens || after.UrgentTokens != before.UrgentTokens ||
-		after.InFlight != before.InFlight || after.UrgentInFlight != before.UrgentInFlight || after.Served > 0 || after.Failed > 0 || after.Down
+		after.InFlight != before.InFlight || after.UrgentInFlight != before.UrgentInFlight || after.TimePercent > 0 || after.Served > 0 || after.Failed > 0 || after.Down
 	s.failureUnsent = s.failureUnsent || after.Failed > 0 || after.Down
 }
 
@@ -111,7 +115,7 @@
 // clearOutcomes forgets what a complete tick has sent, and the servers without load.
 func (s *loadSum) clearOutcomes() {
 	for id, total := range s.servers {
-		total.Served, total.Failed, total.Down = 0, 0, false
+		total.Served, total.Failed, total.Down, total.TimePercent = 0, 0, false, 0
 		if !hasLoad(total.ServerLoad) && (!s.repeats || total.refreshes >= idleRefreshes) {
 			delete(s.servers, id)
 		}
@@ -139,7 +143,7 @@
 		load.Served -= minus.Served
 		load.Failed -= minus.Failed
 		if !complete {
-			load.Served, load.Failed, load.Down = 0, 0, false
+			load.Served, load.Failed, load.Down, load.TimePercent = 0, 0, false, 0
 		}
 		out.Servers = append(out.Servers, load)
 	}
@@ -170,6 +174,7 @@
 		load.Served += before.Served
 		load.Failed += before.Failed
 		load.Down = load.Down || before.Down
+		load.TimePercent = cmp.Or(load.TimePercent, before.TimePercent)
 		out.Servers = append(out.Servers, load)
 	}
 	for _, load := range first.Servers {
--- a/coordination/placement/loadreport.go
+++ b/coordination/placement/loadreport.go
@@ -22,9 +22,12 @@
 	InFlight      int
 	// UrgentInFlight is the number of urgent requests, where these take precedence.
 	UrgentInFlight int
-	Served         int  // succeeded since the last report
-	Failed         int  // failed since the last report
-	Down           bool // it accepts no connections
+	// TimePercent is the mean time of work on its machine in percent of the usual one; 0 if the server
+	// has not reported it since the last report.
+	TimePercent int
+	Served      int  // succeeded since the last report
+	Failed      int  // failed since the last report
+	Down        bool // it accepts no connections
 }
 
 // Dispatch records that shared segments were sent to a server.
@@ -107,14 +110,14 @@
 	report := LoadReport{Dispatches: p.dispatches}
 	p.dispatches, p.hasPlaced = nil, false
 	for _, s := range p.servers {
-		if s.inFlight == 0 && s.newServed == 0 && s.newFailed == 0 && !s.newDown {
+		if s.inFlight == 0 && s.newServed == 0 && s.newFailed == 0 && !s.newDown && !s.newTimeReport {
 			continue
 		}
 		report.Servers = append(report.Servers, ServerLoad{
 			Server: uint32(s.hash), PendingTokens: int(s.totalPending()), UrgentTokens: int(p.urgentPending(s)), InFlight: s.inFlight,
-			UrgentInFlight: s.urgentInFlight, Served: s.newServed, Failed: s.newFailed, Down: s.newDown,
+			UrgentInFlight: s.urgentInFlight, TimePercent: s.newTimePercent(), Served: s.newServed, Failed: s.newFailed, Down: s.newDown,
 		})
-		s.newServed, s.newFailed, s.newDown = 0, 0, false
+		s.newServed, s.newFailed, s.newDown, s.newTimeReport = 0, 0, false, false
 	}
 	return report
 }
@@ -138,6 +141,7 @@
 		if s := p.byHash[load.Server]; s != nil {
 			latest.replace(load, s)
 			s.mergeOutcomes(load, now)
+			p.mergeMachineTime(s, load.TimePercent)
 		}
 	}
 	for _, dispatch := range report.Dispatches {
--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -14,13 +14,7 @@
 	// latencyWeight is the weight of a new measurement in a server's latency factor.
 	latencyWeight    = 0.15
 	minLatencyFactor = 0.5
-	// machineFactorWeight is the weight of a newly reported time of work. The time changes within tens of
-	// milliseconds, before another request is placed by it; what lasts is the server's mean.
-	machineFactorWeight = 0.1
-	// priorMachineReports is the number of reports that the usual time counts for at first, so that a
-	// single report of a slow moment does not send prompts away from the server that has them cached.
-	priorMachineReports = 2
-	maxLatencyFactor    = 8.0
+	maxLatencyFactor = 8.0
 	// excessHalfLife is the half-life, in seconds, of the time that requests took beyond the expected.
 	excessHalfLife = 0.7
 	// failureWeight is the weight of a new outcome in a server's failure rate: about the last
@@ -72,6 +66,7 @@
 	reportedAt      time.Time
 	machineFactor   float64 // mean of the reported times of work, over the usual time; 1 if none is reported
 	machineReports  int
+	newTimeReport   bool // the server has reported it since the last load report
 
 	latencyFactor     float64 // measured over expected time
 	excessSeconds     float64 // time that recent requests took beyond the expected, at excessAt
@@ -157,10 +152,7 @@
 	s.reportedWaiting = float64(l.Waiting)
 	s.reportedAt = now
 	if l.TimePercent > 0 {
-		p.sharedMachines = true
-		s.machineReports++
-		weight := max(1/float64(s.machineReports+priorMachineReports), machineFactorWeight)
-		s.machineFactor += (float64(l.TimePercent)/100 - s.machineFactor) * weight
+		p.recordMachineTime(s, float64(l.TimePercent)/100)
 	}
 	if l.Slots > 0 && s.Slots == 0 {
 		s.Slots = l.Slots
--- a/transport/loadcast/codec.go
+++ b/transport/loadcast/codec.go
@@ -29,7 +29,7 @@
 	for _, s := range m.Report.Servers {
 		out.Servers = append(out.Servers, &peerpb.ServerLoadCast{
 			Server: s.Server, Pending: uint32(s.PendingTokens), Urgent: uint32(s.UrgentTokens), InFlight: uint32(s.InFlight),
-			Served: uint32(s.Served), Failed: uint32(s.Failed), Down: s.Down, UrgentInFlight: uint32(s.UrgentInFlight),
+			Served: uint32(s.Served), Failed: uint32(s.Failed), Down: s.Down, UrgentInFlight: uint32(s.UrgentInFlight), TimePercent: uint32(s.TimePercent),
 		})
 	}
 	for _, sent := range m.Report.Dispatches {
@@ -53,7 +53,7 @@
 	for _, s := range m.GetServers() {
 		d.Servers = append(d.Servers, placement.ServerLoad{
 			Server: s.GetServer(), PendingTokens: int(s.GetPending()), UrgentTokens: int(s.GetUrgent()), InFlight: int(s.GetInFlight()),
-			Served: int(s.GetServed()), Failed: int(s.GetFailed()), Down: s.GetDown(), UrgentInFlight: int(s.GetUrgentInFlight()),
+			Served: int(s.GetServed()), Failed: int(s.GetFailed()), Down: s.GetDown(), UrgentInFlight: int(s.GetUrgentInFlight()), TimePercent: int(s.GetTimePercent()),
 		})
 	}
 	for _, sent := range m.GetDispatches() {
