--- a/instance/routed/features_test.go
+++ b/instance/routed/features_test.go
@@ -22,7 +22,7 @@
 		{features.LoadReports, func(n *Instance) bool { return len(n.loadReportPeers(others)) > 0 }},
 		{features.StartupWait, func(n *Instance) bool { return n.startupWaitAllowed() }},
 		{features.WarmPeers, func(n *Instance) bool {
-			settings := n.peerClientSettings()
+			settings := n.warmPeerClientSettings()
 			return settings.FreshIdle > 0 || settings.MaxReady > 0
 		}},
 		{features.ConfirmLoans, func(n *Instance) bool { // keeps asking until the context ends
--- a/instance/routed/instance.go
+++ b/instance/routed/instance.go
@@ -209,9 +209,9 @@
 		Retries: retry.NewWindow(retry.WindowSettings{Ratio: n.settings.Retry.Ratio, Slack: n.settings.Retry.Slack, Window: n.settings.Retry.Window}),
 		Remotes: n, Local: n.local, Log: n.log, Metrics: metrics, Features: n.features, Memory: memory,
 		Starting: n.startupWaitAllowed, Stopping: n.stopping.Load, TimeToShutdown: n.timeToShutdown, Leaving: n.leaving.Load,
-		Peers: backendhttp.New(n.peerClientSettings()),
+		Peers: backendhttp.New(peerClientSettings()), WarmPeers: backendhttp.New(n.warmPeerClientSettings()),
 	}
-	httproute.RegisterPeerConns(n.registry, n.front.Peers)
+	httproute.RegisterPeerConns(n.registry, n.front.WarmPeers)
 	n.relay = &httproute.Peer{Codec: n.codec, Local: n.local, Routes: n.routes, Stopping: n.leaving.Load, Features: n.features, Memory: memory}
 	n.lending = &lending.Borrower{
 		Ledger: n.ledger, Pool: n.pool, Self: n.member, Lenders: n.lenders,
@@ -278,6 +278,7 @@
 			n.applyMembers(now)
 			n.local.Client.Sweep()
 			n.front.Peers.Sweep()
+			n.front.WarmPeers.Sweep()
 		}
 	}
 }
--- a/instance/routed/peerclient.go
+++ b/instance/routed/peerclient.go
@@ -9,11 +9,16 @@
 // requests of the round trip that further dials take.
 const maxReadyConns = 8
 
-// peerClientSettings configures the connections to instances of other regions. These keep idle
-// connections open for idleTimeout, so one that the client has not given up yet may carry any
+// peerClientSettings configures the connections to instances of other regions.
+func peerClientSettings() backendhttp.Settings {
+	return backendhttp.Settings{DialTimeout: peerDialTimeout, UserTimeout: userTimeout, MaxIdle: maxIdleConns}
+}
+
+// warmPeerClientSettings configures those for services whose requests are forwarded by room. Instances
+// keep idle connections open for idleTimeout, so one that the client has not given up yet may carry any
 // request.
-func (n *Instance) peerClientSettings() backendhttp.Settings {
-	settings := backendhttp.Settings{DialTimeout: peerDialTimeout, UserTimeout: userTimeout, MaxIdle: maxIdleConns}
+func (n *Instance) warmPeerClientSettings() backendhttp.Settings {
+	settings := peerClientSettings()
 	if n.features.On(features.WarmPeers) {
 		settings.FreshIdle = backendhttp.DefaultIdleLimit
 		settings.MaxReady = maxReadyConns
--- a/instance/routed/stop.go
+++ b/instance/routed/stop.go
@@ -73,6 +73,7 @@
 	n.pool.Close()
 	n.local.Client.Close()
 	n.front.Peers.Close()
+	n.front.WarmPeers.Close()
 }
 
 // operatorHandler serves the metrics and the state dump.
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -74,7 +74,7 @@
 	if idleTimeout > 0 {
 		idleTimeout += remote.RoundTrip
 	}
-	response, err := f.Peers.Do(ctx, remote.Address, &backendhttp.Request{
+	response, err := f.peerClient(r).Do(ctx, remote.Address, &backendhttp.Request{
 		Method: o.method, Target: o.target, Host: o.host, Header: header, Body: o.body,
 	}, backendhttp.Options{
 		FreshConn: !o.repeatable, IdleTimeout: idleTimeout, ShouldAbort: o.shouldAbort,
@@ -100,6 +100,14 @@
 	return out, nil
 }
 
+// peerClient returns the client that forwards a request.
+func (f *Front) peerClient(r *request) *backendhttp.Client {
+	if f.WarmPeers != nil && f.forwardsByRoom(r) {
+		return f.WarmPeers
+	}
+	return f.Peers
+}
+
 // decodeForwardFailure decodes why a peer did not serve the request.
 func decodeForwardFailure(resp *backendhttp.Response, encoded string, remote *Remote) *failure {
 	_, _ = io.Copy(io.Discard, resp) // an incomplete body means that the connection is not reused
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -57,6 +57,7 @@
 	Remotes    Remotes
 	Local      *LocalDispatcher
 	Peers      *backendhttp.Client
+	WarmPeers  *backendhttp.Client // for requests that are forwarded by room; keeps connections ready
 	Log        *slog.Logger
 	Metrics    *Metrics
 	Features   features.Set
