--- a/coordination/placement/cost.go
+++ b/coordination/placement/cost.go
@@ -15,10 +15,8 @@
 	gapSeconds       float64 // longest gap that the prefill is expected to cause in running generations
 	ownSeconds       float64 // part of firstByteSeconds that the request's own prompt or work takes
 	secondsPerToken  float64 // that a prompt token adds to the time to the first byte
-	// objectiveFraction is the fraction of the objective that firstByteSeconds may take.
-	objectiveFraction float64
-	cached            int    // prompt tokens that the server is expected to have cached
-	fetchFrom         string // address of a server to fetch cached tokens from; may be empty
+	cached           int     // prompt tokens that the server is expected to have cached
+	fetchFrom        string  // address of a server to fetch cached tokens from; may be empty
 }
 
 // tooLate reports whether a request that misses its objective is to be refused.
@@ -55,7 +53,7 @@
 // one slow response of a region's only server would have all further requests refused beside
 // free slots until the excess has decayed.
 func (p *Pool) score(c *candidate, s *server, r *Request, preferred *server, expectedGap float64, now time.Time) {
-	*c = candidate{server: s, objectiveFraction: p.objectiveFraction()}
+	*c = candidate{server: s}
 	if !p.settings.Engine {
 		slots := p.slots(s)
 		c.ownSeconds = p.serviceSeconds * s.latencyFactor * s.machineFactor
@@ -100,5 +98,5 @@
 
 // onTime reports whether the response is expected to begin within the objective.
 func (c *candidate) onTime(r *Request, now time.Time) bool {
-	return r.Objective <= 0 || seconds(c.firstByteSeconds) <= scaleDuration(r.Objective-now.Sub(r.Arrived), c.objectiveFraction)
+	return r.Objective <= 0 || seconds(c.firstByteSeconds) <= scaleDuration(r.Objective-now.Sub(r.Arrived), objectiveFraction)
 }
--- a/coordination/placement/pace.go
+++ b/coordination/placement/pace.go
@@ -28,15 +28,6 @@
 	return p.settings.Engine && p.enabled(features.FittedPace) && (p.sharedMachines || p.precedence())
 }
 
-// objectiveFraction returns the fraction of the objective that an expected time may take when a request
-// is placed. Fitted times leave nothing out.
-func (p *Pool) objectiveFraction() float64 {
-	if p.fitsPace() {
-		return 1
-	}
-	return objectiveFraction
-}
-
 // recordPace adds a measured time to the first byte.
 func (p *Pool) recordPace(pl *Placement, took float64) {
 	if p.fitsPace() {
