Set the queues of waiting requests apart from what a request may wait for

A newcomer has to guess at 'room', which is also a region's, and at two functions of one name; one file had 430 lines and two jobs. Only names, files and comments; the lowest fixed time to a first byte is a constant of its own (5 ms in place of 7.5 ms).

--- a/coordination/placement/pace.go
+++ b/coordination/placement/pace.go
@@ -3,8 +3,8 @@
 import "github.com/basilroute/basilroute/service/features"
 
 // Load pattern: servers of different speed that share their machines with other work, with short
-// prompts beside long ones. A first byte takes a fixed time and one that grows with the prompt. With
-// an assumed rate and a factor for both, short prompts look slow after long ones and long prompts
+// prompts beside long ones. A first byte takes a fixed time and one that grows with the prompt. Where one
+// measured factor corrects an assumed rate, short prompts look slow after long ones and long prompts
 // after short ones, and requests are refused that would be on time.
 //
 // So the two times are fitted to what was measured, relative to what the servers report of their
@@ -17,7 +17,9 @@
 	// their prompt tokens from which the fitted times are used.
 	minPaceSamples = 40
 	minPaceSpread  = 1000
-	// maxFirstByteBase is the longest fixed time, in seconds.
+	// minFirstByteBase and maxFirstByteBase bound the fixed time, in seconds: the network's, and a step
+	// of an engine with a full batch many times over.
+	minFirstByteBase = 0.005
 	maxFirstByteBase = 0.3
 	// maxPrefillRate is the highest rate in prompt tokens per second.
 	maxPrefillRate = 10 * defaultPrefillRate
@@ -38,10 +40,12 @@
 // firstByteModel returns the fixed time to a first byte and the time that each prompt token adds, in
 // seconds, at a server of average speed.
 func (p *Pool) firstByteModel() (base, perToken float64) {
-	if p.fitsPace() {
-		if base, perToken, known := p.pace.coefficients(minPaceSamples, minPaceSpread); known {
-			return min(max(base, idleFirstByteSeconds/2), maxFirstByteBase), max(perToken, 1/maxPrefillRate)
-		}
+	if !p.fitsPace() {
+		return idleFirstByteSeconds, 1 / p.prefillRate
+	}
+	base, perToken, known := p.pace.coefficients(minPaceSamples, minPaceSpread)
+	if !known {
+		return idleFirstByteSeconds, 1 / p.prefillRate
 	}
-	return idleFirstByteSeconds, 1 / p.prefillRate
+	return min(max(base, minFirstByteBase), maxFirstByteBase), max(perToken, 1/maxPrefillRate)
 }
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -311,7 +311,7 @@
 
 // awaitSlot lets a forwarded request wait while it can be on time.
 func (p *Peer) awaitSlot(ctx context.Context, o *outbound) (choice placement.Choice, failed *failure) {
-	waiting := waitRequest(o.work, o.body)
+	waiting := waitBounds(o.work, o.body)
 	waiting.Account, waiting.Latest = o.account, waiting.OnTime
 	if account := p.config().Accounts[o.account]; account != nil {
 		waiting.Weight = account.Rate
--- a/transport/httproute/waiting_test.go
+++ b/transport/httproute/waiting_test.go
@@ -244,11 +244,11 @@
 			runtime.Gosched()
 		}
 		f.pool.Done(f.taken, placement.OutcomeServed, time.Now())
-		room := f.Local.Waiting.room("svc")
-		room.mu.Lock()
+		queue := f.Local.Waiting.queue("svc")
+		queue.mu.Lock()
 		leave()
-		placed := room.startOne(time.Now())
-		room.mu.Unlock()
+		placed := queue.startOne(time.Now())
+		queue.mu.Unlock()
 		failed := <-ended
 		if !placed || failed == nil || failed.run != runNotRun || f.running() != 0 {
 			t.Fatalf("placed %v, failure %v, %d run", placed, failed, f.running())
