--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -20,6 +20,9 @@
 // cannot be later either, and its caller is told at once when to retry. Late requests are
 // accepted while the backlog is short enough for them to end before their deadline.
 //
+// Where slots bind and not prefill, requests that can wait do so at their instance, see package
+// waitqueue.
+//
 // # Late load reports
 //
 // Tens of instances place on the same servers and learn of each other's placements tens of
