Forward requests of plain services as before where machines are shared

Cause: a region whose plain servers have no free slot was left out, though these queue four times their slots. Plain services choose their regions as before again; connections kept ready stay on for them.

--- a/transport/httproute/choose.go
+++ b/transport/httproute/choose.go
@@ -87,13 +87,23 @@
 }
 
 // forwardsByRoom reports whether requests of the service are forwarded only to regions with room,
-// see spill.Rooms: where requests compete for slots by urgency, and where servers share machines, so
-// that their speed and their room change within a second.
+// see spill.Rooms: where requests compete for slots by urgency, and where engines share machines, so
+// that their speed and their room change within a second. Plain servers queue requests, so that a
+// region without a free slot may still be the faster one.
 func (f *Front) forwardsByRoom(r *request) bool {
 	if !f.Features.On(features.RegionRoom) {
 		return false
 	}
-	return f.precedence(r).Enforced || f.Local.Pool(r.service).SharedMachines()
+	return f.precedence(r).Enforced || r.hasEngines() && f.Local.Pool(r.service).SharedMachines()
+}
+
+// hasEngines reports whether the servers of the request's service are model engines.
+func (r *request) hasEngines() bool {
+	if r.config == nil {
+		return false
+	}
+	service := r.config.Services[r.service]
+	return service != nil && service.Engine != nil
 }
 
 // noneTakesWork reports whether a refusal means that no server takes a request, whether late or not.
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -102,7 +102,7 @@
 
 // peerClient returns the client that forwards a request.
 func (f *Front) peerClient(r *request) *backendhttp.Client {
-	if f.WarmPeers != nil && f.forwardsByRoom(r) {
+	if f.WarmPeers != nil && (f.forwardsByRoom(r) || f.Local.Pool(r.service).SharedMachines()) {
 		return f.WarmPeers
 	}
 	return f.Peers
