Free the slot of a test while the queue is locked

TestRequestPlacedWhileItsCallerLeavesGivesItsSlotBack failed in 3 of 10 runs of the package beside load (placed false, failure unreachable): a request tries once when it has joined, and could take the slot between the test's Done and its lock, before the caller left. That is allowed, and is not the case that the test brings about. Done is called under the queue's lock now; what is checked is as it was. 400 runs of the test passed afterwards.

--- a/transport/httproute/waiting_test.go
+++ b/transport/httproute/waiting_test.go
@@ -243,9 +243,9 @@
 		for f.Local.Waiting.Len("svc") == 0 {
 			runtime.Gosched()
 		}
-		f.pool.Done(f.taken, placement.OutcomeServed, time.Now())
 		queue := f.Local.Waiting.queue("svc")
 		queue.mu.Lock()
+		f.pool.Done(f.taken, placement.OutcomeServed, time.Now())
 		leave()
 		placed := queue.startOne(time.Now())
 		queue.mu.Unlock()
