--- a/instance/routed/entrylog.go
+++ b/instance/routed/entrylog.go
@@ -35,7 +35,7 @@
 
 func (e *entryLog) changed(s *backends.Server, revision int64) {
 	if !e.summary {
-		e.log.Info("server_entry", "server", s.ID, "service", s.Service, "domain", s.Domain, "born", s.StartUnixMs,
+		e.log.Info("server_entry", "server", s.ID, "service", s.Service, "domain", s.Domain, "build", s.Version, "born", s.StartUnixMs,
 			"draining", s.Draining, "cold_ms", s.ColdRemaining.Milliseconds(), "left_ms", s.TimeLeft.Milliseconds(),
 			"revision", configwatch.FormatRank(revision))
 		return
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -173,7 +173,7 @@
 		}
 	} else {
 		r.work.Exclude = append(r.work.Exclude, choice.Placement.Server.ID)
-		r.record(eventPlaced, "server", choice.Placement.Server.ID, "expected_ms", choice.ExpectedFirstByte.Milliseconds(),
+		r.record(eventPlaced, "server", choice.Placement.Server.ID, "build", choice.Placement.Server.Version, "expected_ms", choice.ExpectedFirstByte.Milliseconds(),
 			"cached", choice.CachedTokens, "late", choice.Late, "fetch_from", choice.FetchFrom,
 			"running", choice.Running, "backlog", choice.BacklogTokens, "pause_ms", choice.ExpectedEventGap.Milliseconds())
 		r.shouldAbort = f.abortCheck(r)
--- a/transport/httproute/codec.go
+++ b/transport/httproute/codec.go
@@ -24,6 +24,7 @@
 	OutputTokens  int // upper bound
 	Segments      []placement.PromptSegment
 	LastEventID   string
+	Resumes       string // id of the request that brought the first event of a stream that is taken up again
 }
 
 // Tokens returns the number of tokens that the request counts against its account's rate.
--- a/transport/httproute/trace.go
+++ b/transport/httproute/trace.go
@@ -95,7 +95,11 @@
 
 // recordAdmitted records the properties that determine how a request is handled.
 func (r *request) recordAdmitted() {
-	r.record(eventAdmitted, "route", r.route.Name, "service", r.service, "account", r.accountName(), "config", r.config.Version,
+	attrs := []any{"route", r.route.Name, "service", r.service, "account", r.accountName(), "config", r.config.Version,
 		"tokens", r.PromptTokens, "left_ms", r.deadline.Sub(r.arrived).Milliseconds(), "objective_ms", r.route.Objective.Milliseconds(),
-		"gap_ms", r.route.GapObjective.Milliseconds())
+		"gap_ms", r.route.GapObjective.Milliseconds()}
+	if r.Resumes != "" || r.LastEventID != "" {
+		attrs = append(attrs, "resumes", r.Resumes, "last_event", r.LastEventID)
+	}
+	r.record(eventAdmitted, attrs...)
 }
