Let an interrupted stream go on only at the build that began it

Cause: servers of one service were taken for interchangeable. Within one answer the instance knew the server and did not compare builds; over a caller's tries the next instance did not know the build: Resumes was not read, and no instance told another.

Ruled out: servers that change build under their id (each start in the record has an id of its own).

Now the instance that passes a stream's first event on records its service and build under the request's id and, while a second build cannot be ruled out, sends the record to three keepers, one of them in another region. The instance at which the stream is taken up asks for it. Each later choice is restricted to that build, here and in other regions. Where the build is not known, the stream is refused as not run, with a true Retry-After.

Why it works: the build is a fact of the stream, written once before its first event reaches the caller, and every path that picks a server goes through one filter.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -127,8 +127,18 @@
 	AllowEjected bool        // may go to an ejected server that fails part of its requests rather than be refused
 	Probe        bool        // may run on an ejected server, to find out whether it has recovered
 	Waits        bool        // waits when it is refused, and is told later when to return
+	Build        Build       // only servers of this build may be used; the zero value allows all
 }
 
+// Build is a version of the servers' software.
+type Build struct {
+	Known   bool
+	Version string
+}
+
+// Allows reports whether a server of a version may be used.
+func (b Build) Allows(version string) bool { return !b.Known || b.Version == version }
+
 // prefixHash returns the hash of the shared segments, or 0 when there are none.
 func (r *Request) prefixHash() uint64 {
 	if len(r.Segments) < 2 {
--- /dev/null
+++ b/coordination/streambuild/history.go
@@ -0,0 +1,74 @@
+package streambuild
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// History records which builds the servers of each service had lately. It is safe for concurrent use.
+type History struct {
+	mu       sync.Mutex
+	since    time.Time                       // from when on the builds are known
+	lastSeen map[string]map[string]time.Time // by service and build
+}
+
+// NewHistory returns a history that begins at a time.
+func NewHistory(since time.Time) *History {
+	return &History{since: since, lastSeen: make(map[string]map[string]time.Time)}
+}
+
+// SetComplete records that no server ran before the history began.
+func (h *History) SetComplete() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.since = time.Time{}
+}
+
+// Saw records that a service has servers of a build. It reports whether this is another build than those of the last
+// StreamLifetime.
+func (h *History) Saw(o Origin, now time.Time) (added bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	builds := h.lastSeen[o.Service]
+	if builds == nil {
+		builds = make(map[string]time.Time)
+		h.lastSeen[o.Service] = builds
+	}
+	last, known := builds[o.Build]
+	builds[o.Build] = now
+	return !known || now.Sub(last) > StreamLifetime
+}
+
+// Services returns the services that had servers.
+func (h *History) Services() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Sorted(maps.Keys(h.lastSeen))
+}
+
+// Covers reports whether the history is long enough to rule out another build.
+func (h *History) Covers(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.covers(now)
+}
+
+func (h *History) covers(now time.Time) bool { return now.Sub(h.since) >= StreamLifetime }
+
+// OneBuild returns the build of a service that had no other one for StreamLifetime, and false if it may have had
+// another one or no server is known.
+func (h *History) OneBuild(service string, now time.Time) (string, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	builds := h.lastSeen[service]
+	maps.DeleteFunc(builds, func(_ string, last time.Time) bool { return now.Sub(last) > StreamLifetime })
+	if !h.covers(now) || len(builds) != 1 {
+		return "", false
+	}
+	for build := range builds {
+		return build, true
+	}
+	return "", false
+}
--- /dev/null
+++ b/coordination/streambuild/streambuild.go
@@ -0,0 +1,85 @@
+// Package streambuild finds the build of the servers' software that began a stream. A stream that was
+// interrupted may go on only at a server of that build: what two builds write does not fit together, and
+// servers do not check it.
+//
+// # Who knows the build
+//
+// The instance that passes a stream's first event on to its caller knows the build. A caller that takes the
+// stream up again, at any instance, names the request that brought the first event, so the build is recorded
+// under that request's id. The record has to be where the next instance finds it when the first one has ended
+// or cannot be reached, and in another region when a whole region is lost. So the first instance also sends
+// it to a few others, its keepers. Rendezvous hashing over the members names them, and the instance at which
+// the stream is taken up asks the instances that the hash names from its own view of the members.
+//
+// # When records are sent
+//
+// While a service has had one build only for as long as a stream can last, every stream began there, and no
+// record is needed: History decides that. An instance sends its records from when it cannot rule out a second
+// build, at first those of all streams that are still running.
+//
+// # What is kept
+//
+// A record is kept for StreamLifetime to twice as long, and at most maxRecords of each half. Records are not
+// replicated further, and are lost with their keepers. A stream whose build nobody knows does not go on.
+package streambuild
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+// Errors of a search for the build of a stream.
+var (
+	ErrUnknown  = errors.New("no instance knows the stream's build")
+	ErrNoAnswer = errors.New("no instance answers a question about the stream's build")
+)
+
+// StreamLifetime is the longest time from a stream's first event until its caller takes it up for the last time: the
+// longest timeout of a request.
+const StreamLifetime = time.Minute
+
+// StreamID identifies a stream: the hash of the id of the request that brought its first event.
+type StreamID uint64
+
+// IDOf returns the id of the stream that a request began.
+func IDOf(requestID string) StreamID { return StreamID(xxhash.Sum64String(requestID)) }
+
+// Origin is where a stream began.
+type Origin struct {
+	Service string
+	Build   string // version of the server's software
+}
+
+// Record is the origin of one stream.
+type Record struct {
+	Stream StreamID
+	Origin Origin
+}
+
+// Answer is what one instance knows of a stream.
+type Answer struct {
+	Known  bool
+	Origin Origin // if Known
+	// OneBuild reports that the stream's service had no other build than Build for StreamLifetime.
+	OneBuild bool
+	Build    string
+}
+
+// Agreed returns the one build that a service had by all answers of other instances and by the own one, if it has
+// one. It returns false if any of them has seen another build or, without an answer, if the instance has peers: it may
+// be cut off from news of another build.
+func Agreed(own Answer, hasHistory bool, answers []Answer, hasPeers bool) (string, bool) {
+	build, agreed := own.Build, own.OneBuild
+	if hasHistory && !own.OneBuild || hasPeers && len(answers) == 0 {
+		return "", false
+	}
+	for _, a := range answers {
+		if !a.OneBuild || agreed && a.Build != build {
+			return "", false
+		}
+		build, agreed = a.Build, true
+	}
+	return build, agreed
+}
--- a/instance/routed/instance.go
+++ b/instance/routed/instance.go
@@ -55,6 +55,7 @@
 	pool        *peer.Pool
 	lending     *lending.Borrower
 	broadcaster *loadcast.Broadcaster
+	builds      *streamBuilds
 
 	config, servers *prefixSync
 	syncs           []*prefixSync
@@ -203,11 +204,13 @@
 		Codec: n.codec, Backends: n.backends, Quarantine: n.quarantine, Log: n.log, Metrics: metrics,
 		Client: backendhttp.New(backendhttp.Settings{DialTimeout: serverDialTimeout, UserTimeout: userTimeout, MaxIdle: maxIdleConns}),
 	}
+	n.builds = newStreamBuilds(&n.settings, n.started)
+	n.builds.hasPeers, n.builds.starting = n.hasPeers, n.startupWaitAllowed
 	n.local.Waiting = &httproute.Waiting{Metrics: metrics, MaxBytes: int(n.settings.MemoryMB << 20 / waitMemoryShare), Flow: n.slotFlow}
 	n.front = &httproute.Front{
 		Region: n.settings.Region, Codec: n.codec, Routes: n.routes, Ledger: n.ledger, Quarantine: n.quarantine,
 		Retries: retry.NewWindow(retry.WindowSettings{Ratio: n.settings.Retry.Ratio, Slack: n.settings.Retry.Slack, Window: n.settings.Retry.Window}),
-		Remotes: n, Local: n.local, Log: n.log, Metrics: metrics, Features: n.features, Memory: memory,
+		Remotes: n, Builds: n.builds, Local: n.local, Log: n.log, Metrics: metrics, Features: n.features, Memory: memory,
 		Starting: n.startupWaitAllowed, Stopping: n.stopping.Load, TimeToShutdown: n.timeToShutdown, Leaving: n.leaving.Load,
 		Peers: backendhttp.New(peerClientSettings()), WarmPeers: backendhttp.New(n.warmPeerClientSettings()),
 	}
@@ -221,6 +224,7 @@
 	n.broadcaster = loadcast.New(n.settings.ID, n.members.Self().GetIncarnation(),
 		loadhub.New(n.settings.ID, n.settings.Domain, int(n.settings.LinkMbps)))
 	n.broadcaster.LoadReport, n.broadcaster.HasPlaced, n.broadcaster.ApplyReport = n.loadReport, n.hasPlaced, n.applyLoadReport
+	n.broadcaster.ReceiveOther, n.builds.exchange.Send = n.builds.exchange.Receive, n.broadcaster.SendOther
 	n.callers = &http.Server{
 		Handler: n.countInFlight(n.front), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
@@ -276,6 +280,7 @@
 		if due {
 			swept = now
 			n.applyMembers(now)
+			n.builds.recordServers(n.backends.Builds(), now)
 			n.local.Client.Sweep()
 			n.front.Peers.Sweep()
 			n.front.WarmPeers.Sweep()
--- a/instance/routed/members.go
+++ b/instance/routed/members.go
@@ -195,7 +195,9 @@
 	var peers []loadhub.Peer
 	fleet := 0
 	agreed := n.shares.AgreementHash()
-	for _, m := range n.members.Members(now) {
+	members := n.members.Members(now)
+	n.builds.setMembers(n.settings.Region, n.settings.ID, members)
+	for _, m := range members {
 		n.shares.ApplyReport(m.Entry.GetId(), quotashare.Report{
 			Incarnation: m.Entry.GetIncarnation(), Hash: m.Entry.GetQuotaHash(), AgreementHash: m.Entry.GetQuotaAgreed(),
 		})
@@ -229,6 +231,12 @@
 	return int(max(n.fleetSize.Load(), 1)), max(len(*n.regionMembers.Load()), 1)
 }
 
+// hasPeers reports whether the fleet has other instances, reachable or not.
+func (n *Instance) hasPeers() bool {
+	fleet, _ := n.InstanceCounts()
+	return fleet > 1 || len(n.members.Members(time.Now())) > 1
+}
+
 // reachableCounts returns how many instances of the fleet can be reached, this one
 // included, and how many of them are in the local region.
 func (n *Instance) reachableCounts() (fleet, region int) {
--- a/instance/routed/settings.go
+++ b/instance/routed/settings.go
@@ -31,6 +31,8 @@
 	Bounds   Bounds            `yaml:"bounds"`
 	Retry    Retry             `yaml:"retry"`
 	Log      Log               `yaml:"log"`
+	// FirstStart is set when the whole system starts for the first time: nothing ran before.
+	FirstStart bool `yaml:"first_start"`
 	// Features switches decision mechanisms off by name; those that are not named are on.
 	Features map[features.Name]bool `yaml:"features"`
 }
--- a/instance/routed/storeitems.go
+++ b/instance/routed/storeitems.go
@@ -93,6 +93,7 @@
 func (n *Instance) applyServerItems(changed []mirror.Item) {
 	now := time.Now()
 	entries := newEntryLog(n.log, len(changed))
+	var servers []backends.Server
 	for _, item := range changed {
 		id := n.source.ServerID(item.Key)
 		if item.Removed {
@@ -110,8 +111,10 @@
 		server.Region = n.settings.Domains[server.Domain]
 		entries.changed(&server, item.Revision)
 		n.backends.Put(server, now)
+		servers = append(servers, server)
 	}
 	entries.end()
+	n.builds.recordServers(servers, now)
 	n.refreshPools(now)
 }
 
--- /dev/null
+++ b/instance/routed/streambuilds_test.go
@@ -0,0 +1,132 @@
+package routed
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/basilroute/basilroute/coordination/streambuild"
+	"github.com/basilroute/basilroute/state/backends"
+)
+
+// buildNetwork connects the stream builds of instances, by address.
+type buildNetwork struct {
+	instances map[netip.AddrPort]*streamBuilds
+	lost      func(from, to netip.AddrPort) bool
+}
+
+// newBuildNetwork returns instances that have watched a service with one build for long enough, two in each region.
+func newBuildNetwork(count int) (*buildNetwork, []*streamBuilds) {
+	network := &buildNetwork{instances: make(map[netip.AddrPort]*streamBuilds), lost: func(_, _ netip.AddrPort) bool { return false }}
+	var all []*streamBuilds
+	var members []streambuild.Member
+	for i := range count {
+		settings := DefaultSettings()
+		settings.Region = fmt.Sprint("region-", i/2)
+		b := newStreamBuilds(&settings, time.Now())
+		b.hasPeers, b.starting = func() bool { return true }, func() bool { return false }
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7600)
+		b.exchange.Send = func(packet []byte, to netip.AddrPort) {
+			if receiver := network.instances[to]; receiver != nil && !network.lost(address, to) {
+				receiver.exchange.Receive(packet, address, time.Now())
+			}
+		}
+		network.instances[address] = b
+		all = append(all, b)
+		members = append(members, streambuild.Member{ID: fmt.Sprint("front-", i), Region: settings.Region, Address: address})
+	}
+	for i, b := range all {
+		others := append(append([]streambuild.Member{}, members[:i]...), members[i+1:]...)
+		b.members.Store(streambuild.NewMembers(members[i].Region, others))
+	}
+	return network, all
+}
+
+func seeBuilds(all []*streamBuilds, builds ...string) {
+	var servers []backends.Server
+	for _, build := range builds {
+		servers = append(servers, backends.Server{Service: "svc", Version: build})
+	}
+	for _, b := range all {
+		b.recordServers(servers, time.Now())
+	}
+}
+
+// Guards against running streams whose build nobody knows when a second build appears and their instance ends.
+func TestRunningStreamsAreReportedWhenASecondBuildAppears(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, all := newBuildNetwork(6)
+		seeBuilds(all, "v1")
+		time.Sleep(streambuild.StreamLifetime)
+		seeBuilds(all, "v1")
+		all[0].Begin("running", streambuild.Origin{Service: "svc", Build: "v1"})
+		all[0].Begin("complete", streambuild.Origin{Service: "svc", Build: "v1"})
+		all[0].End("complete")
+		for _, b := range all[1:] {
+			if n := b.records.Len(); n != 0 {
+				t.Errorf("%d records were sent while the service had one build", n)
+			}
+		}
+		seeBuilds(all, "v1", "v2")
+		delete(network.instances, netip.MustParseAddrPort("10.0.0.0:7600"))
+		for i, b := range all[1:] {
+			if origin, err := b.Find(t.Context(), "running", "svc"); err != nil || origin.Build != "v1" {
+				t.Errorf("instance %d: %v, %v", i+1, origin, err)
+			}
+			if _, err := b.Find(t.Context(), "complete", "svc"); !errors.Is(err, streambuild.ErrUnknown) {
+				t.Errorf("instance %d on a stream that nobody knows: %v", i+1, err)
+			}
+		}
+	})
+}
+
+// Guards against an instance that has not seen the second build and lets a stream go on at the first: one that is cut
+// from the others has no answer, and one that is cut from the store alone learns from the others.
+func TestCutOffInstanceDoesNotGuessTheBuild(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, all := newBuildNetwork(6)
+		seeBuilds(all, "v1")
+		time.Sleep(streambuild.StreamLifetime)
+		seeBuilds(all, "v1")
+		if origin, err := all[5].Find(t.Context(), "first", "svc"); err != nil || origin.Build != "v1" {
+			t.Errorf("one build: %v, %v", origin, err)
+		}
+		seeBuilds(all[:5], "v1", "v2")
+		all[0].Begin("first", streambuild.Origin{Service: "svc", Build: "v2"})
+		if origin, err := all[5].Find(t.Context(), "first", "svc"); err != nil || origin.Build != "v2" {
+			t.Errorf("cut from the store: %v, %v", origin, err)
+		}
+		if _, err := all[5].Find(t.Context(), "unknown", "svc"); !errors.Is(err, streambuild.ErrUnknown) {
+			t.Errorf("cut from the store, unknown stream: %v", err)
+		}
+		isolated := netip.MustParseAddrPort("10.0.0.5:7600")
+		network.lost = func(from, to netip.AddrPort) bool { return from == isolated || to == isolated }
+		if _, err := all[5].Find(t.Context(), "second", "svc"); !errors.Is(err, streambuild.ErrNoAnswer) {
+			t.Errorf("cut off: %v", err)
+		}
+	})
+}
+
+// Guards against a question that is lost with one datagram.
+func TestLostQuestionIsAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, all := newBuildNetwork(4)
+		seeBuilds(all, "v1", "v2")
+		all[0].Begin("first", streambuild.Origin{Service: "svc", Build: "v2"})
+		dropped := make(map[netip.AddrPort]bool)
+		network.lost = func(_, to netip.AddrPort) bool {
+			first := !dropped[to]
+			dropped[to] = true
+			return first
+		}
+		for _, b := range all {
+			if origin, err := b.Find(t.Context(), "first", "svc"); err != nil || origin.Build != "v2" {
+				t.Errorf("%v, %v", origin, err)
+			}
+		}
+	})
+}
--- a/state/backends/backends.go
+++ b/state/backends/backends.go
@@ -277,6 +277,34 @@
 	return false
 }
 
+// Builds returns one server of each service and version.
+func (t *Table) Builds() []Server {
+	type build struct{ service, version string }
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	seen := make(map[build]bool)
+	var out []Server
+	for _, e := range t.entries {
+		if b := (build{e.Service, e.Version}); !seen[b] {
+			seen[b] = true
+			out = append(out, e.Server)
+		}
+	}
+	return out
+}
+
+// HasVersion reports whether a region has a server of a service and version that may be sent work.
+func (t *Table) HasVersion(service, region, version string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.entries {
+		if e.Service == service && e.Region == region && e.Version == version && t.acceptsWork(e, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Count returns how many servers of a service a region has.
 func (t *Table) Count(service, region string) int {
 	t.mu.Lock()
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -20,6 +20,7 @@
 // instance that the caller is connected to retries.
 func (f *Front) attemptAll(ctx context.Context, w http.ResponseWriter, r *request) *failure {
 	out := newDelivery(w, f.Memory, r)
+	out.onFirstEvents = func(rep *reply) { f.recordBuild(r, rep) }
 	defer out.close()
 	var last *failure
 	for {
@@ -28,6 +29,7 @@
 			failed = out.deliver(ctx, reply)
 		}
 		if failed == nil {
+			f.streamEnded(ctx, r)
 			return nil
 		}
 		if failed.reason == reasonNoServer && last != nil {
@@ -64,7 +66,7 @@
 		return false
 	case failed.run != runNotRun && !r.route.Repeatable():
 		return false
-	case out.started && !r.route.Resumable:
+	case out.started && !(r.route.Resumable && r.build.Known):
 		return false
 	case failed.reason == reasonNoServer, failed.reason == reasonLoad, failed.reason == reasonCold:
 		return failed.remote // another region may have capacity
@@ -183,6 +185,9 @@
 	if failed == nil || failed.sent {
 		r.sends++
 	}
+	if failed == nil {
+		failed = r.checkBuild(rep)
+	}
 	if failed != nil {
 		cancel()
 		return nil, failed
--- a/transport/httproute/choose.go
+++ b/transport/httproute/choose.go
@@ -44,7 +44,8 @@
 	if remote != nil && (r.work.Objective == 0 || remote.firstByteTime() <= left || noneTakesWork(local.Reason) || r.work.Waits && o.acceptLate) {
 		return placement.Choice{}, remote, nil
 	}
-	if o.acceptLate && localAllowed && local.Reason != placement.ReasonNoServer {
+	// The only servers of a stream's build may be ejected ones.
+	if o.acceptLate && localAllowed && (local.Reason != placement.ReasonNoServer || r.work.Build.Known) {
 		r.work.RejectIfLate = false
 		if local = pool.Place(&r.work, now); local.Placement != nil {
 			return local, nil, nil
@@ -212,6 +213,12 @@
 	return best
 }
 
+// hasBuild reports whether a region has a server of the build that a request has to go on at.
+func (f *Front) hasBuild(r *request, region string, now time.Time) bool {
+	build := r.work.Build
+	return !build.Known || f.Local.Backends.HasVersion(r.service, region, build.Version, now)
+}
+
 // permittedRemotes returns the other regions that may run the request and have servers,
 // adjusted by the load that this region sent there since their last reports.
 func (f *Front) permittedRemotes(r *request, tried, homes []string, anywhere bool) []Remote {
@@ -220,7 +227,7 @@
 	var out []Remote
 	for _, o := range f.Remotes.Remotes(r.service) {
 		allowed := anywhere || slices.Contains(homes, o.Region)
-		if !allowed || slices.Contains(tried, o.Region) {
+		if !allowed || slices.Contains(tried, o.Region) || !f.hasBuild(r, o.Region, now) {
 			continue
 		}
 		if !byRoom {
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -39,6 +39,8 @@
 	Fingerprint string `json:"print"`
 	LastEventID string `json:"last_event_id,omitempty"`
 	Config      int64  `json:"config"`
+	// Build is the version of the servers' software that the stream has to go on at; nil for any.
+	Build *string `json:"build,omitempty"`
 	// HolderAddress is the address of a server of the first region that has HolderTokens
 	// of the prompt cached.
 	HolderAddress string `json:"holder_address,omitempty"`
@@ -64,6 +66,7 @@
 		Service: o.service, Account: o.account, Urgency: o.work.Urgency, Ranked: o.ranked, LeftMs: o.deadline.Sub(now).Milliseconds(),
 		ObjectiveMs: max(r.work.Objective-now.Sub(r.arrived), 0).Milliseconds(), Repeatable: o.repeatable,
 		Detached: r.route.Kind == routes.KindNonIdempotent, Fingerprint: o.print, LastEventID: o.lastEventID, Config: o.config,
+		Build: requiredBuild(o.work.Build),
 	})
 	if err != nil {
 		return nil, &failure{run: runNotRun, reason: reasonPeer, cause: err}
@@ -90,7 +93,7 @@
 	}
 	out := &reply{
 		Response: response, meta: f.Codec.DecodeResponse(response.Status, response.Header),
-		server: response.Header.Get(headerServer), onEnd: func(placement.Outcome) {},
+		server: response.Header.Get(headerServer), build: decodeBuild(response.Header), onEnd: func(placement.Outcome) {},
 	}
 	if out.meta.Leaving {
 		f.Local.Backends.RecordRemoteLeaving(out.server, time.Now()) // nothing is fetched from it any more
@@ -241,8 +244,8 @@
 		work: &placement.Request{
 			Segments: call.Segments, Tokens: call.PromptTokens, Urgency: precedence.FromPeer(info.Urgency, info.Ranked), Probe: info.Repeatable,
 			AllowEjected: !info.Detached,
-			RemoteSource: holder,
-			Objective:    time.Duration(info.ObjectiveMs) * time.Millisecond, Arrived: arrived, Deadline: deadline,
+			RemoteSource: holder, Build: info.build(),
+			Objective: time.Duration(info.ObjectiveMs) * time.Millisecond, Arrived: arrived, Deadline: deadline,
 		},
 	}
 }
@@ -273,6 +276,7 @@
 	h.Set(headerRequest, o.id)
 	p.reportRoom(h, o.service)
 	h.Set(headerServer, rep.server)
+	encodeBuild(h, rep.build.Version)
 	if rep.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(rep.Length, 10))
 	}
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -55,6 +55,7 @@
 	Quarantine *quarantine.List
 	Retries    *retry.Window
 	Remotes    Remotes
+	Builds     StreamBuilds
 	Local      *LocalDispatcher
 	Peers      *backendhttp.Client
 	WarmPeers  *backendhttp.Client // for requests that are forwarded by room; keeps connections ready
@@ -94,6 +95,7 @@
 	deadline      time.Time
 	print         string // fingerprint of the request
 	work          placement.Request
+	build         placement.Build // that the stream may go on at, once it has begun
 	triedRegions  []string
 	sends         int // sends to backend servers
 	trace         []traceStep
@@ -190,8 +192,11 @@
 		f.Memory.Release(len(r.body))
 		return nil, nil
 	}
-	f.prepare(r)
 	r.recordAdmitted()
+	if refused = f.pinBuild(hr.Context(), r); refused != nil {
+		return r, refused
+	}
+	f.prepare(r)
 	return r, nil
 }
 
@@ -259,20 +264,25 @@
 // defaultTimeout bounds a request if neither its caller nor its route sets a limit.
 const defaultTimeout = time.Minute
 
-// prepare sets the deadline, the fingerprint and the placement inputs of a request.
-func (f *Front) prepare(r *request) {
+// wait returns how long the caller waits.
+func (r *request) wait() time.Duration {
 	wait := defaultTimeout
 	for _, limit := range []time.Duration{r.route.Timeout, r.CallerTimeout} {
 		if limit > 0 {
 			wait = min(wait, limit)
 		}
 	}
-	r.deadline = r.arrived.Add(wait)
+	return wait
+}
+
+// prepare sets the deadline, the fingerprint and the placement inputs of a request.
+func (f *Front) prepare(r *request) {
+	r.deadline = r.arrived.Add(r.wait())
 	r.print = quarantine.Fingerprint(r.accountName(), r.service, r.method+" "+r.target+"\n"+string(r.body))
 	r.work = placement.Request{
 		Segments: r.Segments, Tokens: r.PromptTokens, Urgency: f.precedence(r).Rank(r.route, r.account), Objective: r.route.Objective, MaxEventGap: r.route.GapObjective,
 		Arrived: r.arrived, Deadline: r.deadline, Probe: r.route.Repeatable(),
-		AllowEjected: r.route.Kind != routes.KindNonIdempotent,
+		AllowEjected: r.route.Kind != routes.KindNonIdempotent, Build: r.build,
 	}
 }
 
--- a/transport/httproute/local.go
+++ b/transport/httproute/local.go
@@ -69,6 +69,7 @@
 	*backendhttp.Response
 	meta       ResponseMeta
 	server     string
+	build      placement.Build // of the server's software
 	onEnd      func(placement.Outcome)
 	onProgress func(time.Time) // called when more of the body has been passed on; nil if not needed
 }
@@ -158,7 +159,7 @@
 	if meta.Load != nil {
 		pool.RecordLoad(placed, *meta.Load, now)
 	}
-	r := &reply{Response: resp, meta: meta, server: placed.Server.ID}
+	r := &reply{Response: resp, meta: meta, server: placed.Server.ID, build: placement.Build{Known: true, Version: placed.Server.Version}}
 	r.onEnd = func(outcome placement.Outcome) {
 		pool.Done(placed, outcome, time.Now())
 		l.Waiting.Wake(o.service)
--- a/transport/httproute/metrics.go
+++ b/transport/httproute/metrics.go
@@ -22,6 +22,7 @@
 	waits     *prometheus.HistogramVec
 	refusals  *prometheus.CounterVec
 	returns   *prometheus.CounterVec
+	takeUps   *prometheus.CounterVec
 	noService string
 }
 
@@ -73,9 +74,13 @@
 			Namespace: namespace, Subsystem: subsystem, Name: "returns_total",
 			Help: "Requests whose caller returned after a refusal and found no slot at once, by whether they were placed.",
 		}, []string{"service", "outcome"}),
+		takeUps: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Subsystem: subsystem, Name: "streams_taken_up_total",
+			Help: "Interrupted streams that callers took up again, by whether the build that began them was found.",
+		}, []string{"service", "outcome"}),
 		noService: "none",
 	}
-	registry.MustRegister(m.requests, m.seconds, m.retries, m.forwards, m.steps, m.deviation, m.notices, m.against, m.waits, m.refusals, m.returns)
+	registry.MustRegister(m.requests, m.seconds, m.retries, m.forwards, m.steps, m.deviation, m.notices, m.against, m.waits, m.refusals, m.returns, m.takeUps)
 	return m
 }
 
@@ -116,6 +121,15 @@
 	m.deviation.WithLabelValues(service, step).Observe((took - expected).Seconds())
 }
 
+// Outcomes of a stream that a caller takes up again.
+const (
+	takenUpPinned     = "pinned"     // its build is known
+	takenUpUnknown    = "unknown"    // no instance knows its build
+	takenUpUnanswered = "unanswered" // no other instance could be asked
+)
+
+func (m *Metrics) takenUp(service, outcome string) { m.takeUps.WithLabelValues(service, outcome).Inc() }
+
 func (m *Metrics) retried(service string)   { m.retries.WithLabelValues(service).Inc() }
 func (m *Metrics) forwarded(service string) { m.forwards.WithLabelValues(service).Inc() }
 
--- a/transport/httproute/path_test.go
+++ b/transport/httproute/path_test.go
@@ -23,6 +23,7 @@
 	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/coordination/quota"
 	"github.com/basilroute/basilroute/coordination/retry"
+	"github.com/basilroute/basilroute/coordination/streambuild"
 	"github.com/basilroute/basilroute/state/backends"
 	"github.com/basilroute/basilroute/state/routes"
 	"github.com/basilroute/basilroute/transport/backendhttp"
@@ -139,6 +140,16 @@
 func (noRemotes) Remotes(string) []Remote             { return nil }
 func (noRemotes) InstanceCounts() (fleet, region int) { return 1, 1 }
 
+// anyBuild lets streams that callers take up go on anywhere.
+type anyBuild struct{}
+
+func (anyBuild) Begin(string, streambuild.Origin) {}
+func (anyBuild) End(string)                       {}
+
+func (anyBuild) Find(_ context.Context, _, service string) (streambuild.Origin, error) {
+	return streambuild.Origin{Service: service}, nil
+}
+
 const (
 	testHost = "desk.example"
 	testKey  = "key-of-the-grocers"
@@ -161,7 +172,7 @@
 	f := &Front{
 		Region: "r", Codec: testCodec{}, Routes: &routes.Table{}, Ledger: quota.New("i"), Quarantine: list,
 		Retries: retry.NewWindow(retry.WindowSettings{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second}),
-		Remotes: noRemotes{}, Local: local, Peers: local.Client, Log: log, Metrics: metrics,
+		Remotes: noRemotes{}, Builds: anyBuild{}, Local: local, Peers: local.Client, Log: log, Metrics: metrics,
 		Starting: never, Stopping: never, Leaving: never, TimeToShutdown: func() time.Duration { return 0 },
 	}
 	front := httptest.NewServer(f)
--- a/transport/httproute/relay.go
+++ b/transport/httproute/relay.go
@@ -35,7 +35,9 @@
 	r       *request
 	started bool // the head of the response has been written
 	events  eventBuffer
-	held    *heldResponse
+	// onFirstEvents is called before the first events are passed on.
+	onFirstEvents func(rep *reply)
+	held          *heldResponse
 }
 
 // heldResponse is a buffered response. A server's own error is held while another server
@@ -148,6 +150,9 @@
 		return
 	}
 	d.started = true
+	if d.r.route.Kind == routes.KindStreaming {
+		d.onFirstEvents(rep)
+	}
 	d.copyHeader(rep.Header)
 	d.w.WriteHeader(rep.Status)
 }
--- a/transport/httproute/trace.go
+++ b/transport/httproute/trace.go
@@ -11,16 +11,17 @@
 
 // Events of a request trace, documented in docs/OPERATIONS.md.
 const (
-	eventAdmitted  = "request_admitted"
-	eventPlaced    = "request_placed"
-	eventForwarded = "request_forwarded"
-	eventUnplaced  = "request_unplaced"
-	eventWaited    = "request_waited"
-	eventRetried   = "request_retried"
-	eventResumed   = "request_resumed"
-	eventRefused   = "request_refused"
-	eventCut       = "request_cut"
-	eventServed    = "request_served"
+	eventAdmitted   = "request_admitted"
+	eventPlaced     = "request_placed"
+	eventForwarded  = "request_forwarded"
+	eventUnplaced   = "request_unplaced"
+	eventBuildFound = "request_build_found"
+	eventWaited     = "request_waited"
+	eventRetried    = "request_retried"
+	eventResumed    = "request_resumed"
+	eventRefused    = "request_refused"
+	eventCut        = "request_cut"
+	eventServed     = "request_served"
 )
 
 // normalSampleInterval is the number of normal requests of which one is logged. At a usual
@@ -96,7 +97,7 @@
 // recordAdmitted records the properties that determine how a request is handled.
 func (r *request) recordAdmitted() {
 	attrs := []any{"route", r.route.Name, "service", r.service, "account", r.accountName(), "config", r.config.Version,
-		"tokens", r.PromptTokens, "left_ms", r.deadline.Sub(r.arrived).Milliseconds(), "objective_ms", r.route.Objective.Milliseconds(),
+		"tokens", r.PromptTokens, "left_ms", r.wait().Milliseconds(), "objective_ms", r.route.Objective.Milliseconds(),
 		"gap_ms", r.route.GapObjective.Milliseconds()}
 	if r.Resumes != "" || r.LastEventID != "" {
 		attrs = append(attrs, "resumes", r.Resumes, "last_event", r.LastEventID)
--- a/transport/loadcast/loadcast.go
+++ b/transport/loadcast/loadcast.go
@@ -18,6 +18,10 @@
 	"github.com/basilroute/basilroute/protocol/peerpb"
 )
 
+// otherMarker is the first byte of datagrams that hold no load report. No message begins with it, so that an
+// instance that does not know such datagrams drops them.
+const otherMarker = 0
+
 // maxDatagram bounds the size of a received datagram. Sent datagrams stay below the MTU of
 // a link unless they contain about a hundred servers.
 const maxDatagram = 16 << 10
@@ -33,6 +37,8 @@
 	// ApplyReport applies the load report of a source. It replaces the source's previous
 	// report, or changes it if it is partial.
 	ApplyReport func(source string, d *placement.LoadReport, now time.Time)
+	// ReceiveOther receives the datagrams that other instances sent with SendOther; nil to drop them.
+	ReceiveOther func(packet []byte, from netip.AddrPort, now time.Time)
 
 	conn *net.UDPConn
 	seq  uint64
@@ -119,6 +125,14 @@
 	}
 }
 
+// SendOther sends a datagram that holds no load report.
+func (c *Broadcaster) SendOther(packet []byte, to netip.AddrPort) {
+	if c.conn == nil {
+		return
+	}
+	_, _ = c.conn.WriteToUDPAddrPort(append([]byte{otherMarker}, packet...), to) // its sender expects losses
+}
+
 func (c *Broadcaster) receive(ctx context.Context) {
 	buffer := make([]byte, maxDatagram)
 	for {
@@ -129,6 +143,12 @@
 		if err != nil {
 			continue // an error of one datagram, such as a peer whose port is closed
 		}
+		if n > 0 && buffer[0] == otherMarker {
+			if c.ReceiveOther != nil {
+				c.ReceiveOther(buffer[1:n], from, time.Now())
+			}
+			continue
+		}
 		var m peerpb.LoadCast
 		if err := proto.Unmarshal(buffer[:n], &m); err != nil || m.GetFrom() == c.Self {
 			continue
