Keep a silent server of a stream whose build has no other server

What callers see: a stream of a build that one server has is broken off when that server is silent for the idle timeout, though nothing else could go on with it. The check for an alternative was made with the servers that the attempt could choose among, before the stream had begun.

TestSilentServerOfAStreamIsKeptWithoutAnotherOfItsBuild failed before: 4 of 8 streams ended after their first event. Now the check reads the build that the stream has taken on; 8 of 8 are whole.

--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -66,7 +66,7 @@
 		return false
 	case failed.run != runNotRun && !r.route.Repeatable():
 		return false
-	case out.started && !(r.route.Resumable && r.build.Known):
+	case out.started && !(r.route.Resumable && r.requiredBuild().Known):
 		return false
 	case failed.reason == reasonNoServer, failed.reason == reasonLoad, failed.reason == reasonCold:
 		return failed.remote // another region may have capacity
@@ -98,6 +98,7 @@
 	work, tried := r.work, slices.Clone(r.triedRegions)
 	work.Exclude = slices.Clone(work.Exclude)
 	return func() bool {
+		work.Build = r.requiredBuild() // the stream may have begun meanwhile
 		if !f.hasAlternative(r, &work, tried) {
 			return false
 		}
@@ -145,6 +146,7 @@
 // another one.
 func (f *Front) attempt(ctx context.Context, r *request, out *delivery) (*reply, *failure) {
 	r.tries++
+	r.work.Build = r.requiredBuild()
 	now := time.Now()
 	if r.tries == 1 {
 		f.Metrics.stepEnded(r.service, stepAdmission, now.Sub(r.arrived))
--- a/transport/httproute/choose.go
+++ b/transport/httproute/choose.go
@@ -215,7 +215,7 @@
 
 // hasBuild reports whether a region has a server of the build that a request has to go on at.
 func (f *Front) hasBuild(r *request, region string, now time.Time) bool {
-	build := r.work.Build
+	build := r.requiredBuild()
 	return !build.Known || f.Local.Backends.HasVersion(r.service, region, build.Version, now)
 }
 
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -66,7 +66,7 @@
 		Service: o.service, Account: o.account, Urgency: o.work.Urgency, Ranked: o.ranked, LeftMs: o.deadline.Sub(now).Milliseconds(),
 		ObjectiveMs: max(r.work.Objective-now.Sub(r.arrived), 0).Milliseconds(), Repeatable: o.repeatable,
 		Detached: r.route.Kind == routes.KindNonIdempotent, Fingerprint: o.print, LastEventID: o.lastEventID, Config: o.config,
-		Build: requiredBuild(o.work.Build),
+		Build: encodeRequired(o.work.Build),
 	})
 	if err != nil {
 		return nil, &failure{run: runNotRun, reason: reasonPeer, cause: err}
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -95,7 +95,7 @@
 	deadline      time.Time
 	print         string // fingerprint of the request
 	work          placement.Request
-	build         placement.Build // that the stream may go on at, once it has begun
+	build         atomic.Pointer[placement.Build] // that the stream may go on at; nil before it has begun
 	triedRegions  []string
 	sends         int // sends to backend servers
 	trace         []traceStep
@@ -282,7 +282,7 @@
 	r.work = placement.Request{
 		Segments: r.Segments, Tokens: r.PromptTokens, Urgency: f.precedence(r).Rank(r.route, r.account), Objective: r.route.Objective, MaxEventGap: r.route.GapObjective,
 		Arrived: r.arrived, Deadline: r.deadline, Probe: r.route.Repeatable(),
-		AllowEjected: r.route.Kind != routes.KindNonIdempotent, Build: r.build,
+		AllowEjected: r.route.Kind != routes.KindNonIdempotent, Build: r.requiredBuild(),
 	}
 }
 
--- a/transport/httproute/path_test.go
+++ b/transport/httproute/path_test.go
@@ -121,18 +121,28 @@
 // writeEvents writes the events of a range of ids, complete or cut off within the next
 // event.
 func writeEvents(c net.Conn, r *http.Request, from, to int, whole bool) {
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+	writeHead(c, r)
 	for i := from; i <= to; i++ {
-		event := fmt.Sprintf("id: %d\ndata: token%d\n\n", i, i)
-		_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
+		writeEvent(c, i)
 	}
 	if whole {
-		_, _ = io.WriteString(c, "0\r\n\r\n")
+		writeEnd(c)
 		return
 	}
 	_, _ = fmt.Fprintf(c, "4\r\nid: \r\n")
 }
 
+func writeHead(c net.Conn, r *http.Request) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+}
+
+func writeEvent(c net.Conn, id int) {
+	event := fmt.Sprintf("id: %d\ndata: token%d\n\n", id, id)
+	_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
+}
+
+func writeEnd(c net.Conn) { _, _ = io.WriteString(c, "0\r\n\r\n") }
+
 type noRemotes struct{}
 
 func (noRemotes) MarkUnreachable(string) {}
--- a/transport/httproute/streambuild.go
+++ b/transport/httproute/streambuild.go
@@ -44,6 +44,14 @@
 	return r.RequestID
 }
 
+// requiredBuild returns the build that the stream may go on at.
+func (r *request) requiredBuild() placement.Build {
+	if build := r.build.Load(); build != nil {
+		return *build
+	}
+	return placement.Build{}
+}
+
 // pinBuild restricts a stream that a caller takes up to the service and the build that began it.
 func (f *Front) pinBuild(ctx context.Context, r *request) *failure {
 	if !r.takesUp() {
@@ -64,7 +72,8 @@
 			cause: errors.Newf("the stream began at service %s, which the route does not name", origin.Service)}
 	}
 	f.Metrics.takenUp(origin.Service, takenUpPinned)
-	r.service, r.build = origin.Service, placement.Build{Known: true, Version: origin.Build}
+	r.service = origin.Service
+	r.build.Store(&placement.Build{Known: true, Version: origin.Build})
 	r.record(eventBuildFound, "resumes", r.Resumes, "build", origin.Build)
 	return nil
 }
@@ -76,11 +85,10 @@
 		return
 	}
 	if !r.takesUp() {
-		r.build = rep.build
-		r.work.Build = rep.build
+		r.build.Store(&rep.build)
 	}
-	if r.route.Resumable && r.build.Known && r.streamID() != "" {
-		f.Builds.Begin(r.streamID(), streambuild.Origin{Service: r.service, Build: r.build.Version})
+	if build := r.requiredBuild(); r.route.Resumable && build.Known && r.streamID() != "" {
+		f.Builds.Begin(r.streamID(), streambuild.Origin{Service: r.service, Build: build.Version})
 	}
 }
 
@@ -94,7 +102,8 @@
 // checkBuild checks that a stream which goes on does so at its build: an instance of an older version does not know
 // which one is wanted.
 func (r *request) checkBuild(rep *reply) *failure {
-	if rep.Status != http.StatusOK || r.build.Allows(rep.build.Version) && rep.build.Known || !r.build.Known {
+	build := r.requiredBuild()
+	if rep.Status != http.StatusOK || !build.Known || rep.build == build {
 		return nil
 	}
 	rep.end(placement.OutcomeCancelled)
@@ -103,8 +112,8 @@
 
 var errOtherBuild = errors.New("the response comes from another build than the one that began the stream")
 
-// requiredBuild returns the version that a forwarded stream has to go on at, or nil.
-func requiredBuild(b placement.Build) *string {
+// encodeRequired returns the version that a forwarded stream has to go on at, or nil.
+func encodeRequired(b placement.Build) *string {
 	if !b.Known {
 		return nil
 	}
--- a/transport/httproute/streambuild_test.go
+++ b/transport/httproute/streambuild_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/basilroute/basilroute/coordination/placement"
-	"github.com/basilroute/basilroute/state/backends"
 )
 
 // startBuildServers starts servers whose first tries break off after three events, in the order of their builds,
@@ -38,12 +37,7 @@
 	}
 	f, front := newTestFront(t, servers...)
 	configure(f)
-	now := time.Now()
-	for i, s := range servers {
-		f.Local.Backends.Put(backends.Server{ID: fmt.Sprint("s", i), Service: "svc", Address: s.address, Domain: "d", Region: "r", Slots: 8,
-			Version: versions[i]}, now)
-	}
-	f.Local.Pool("svc").Update(placement.Settings{Slots: 8}, f.Local.Backends.InRegion("r", now))
+	setVersions(f, versions...)
 	return front, func(path string) []string {
 		mu.Lock()
 		defer mu.Unlock()
@@ -51,6 +45,16 @@
 	}
 }
 
+// setVersions sets the versions of a front's servers.
+func setVersions(f *Front, versions ...string) {
+	now := time.Now()
+	for i, e := range f.Local.Backends.InRegion("r", now) {
+		e.Version = versions[i]
+		f.Local.Backends.Put(e.Server, now)
+	}
+	f.Local.Pool("svc").Update(placement.Settings{Slots: 8}, f.Local.Backends.InRegion("r", now))
+}
+
 // Guards against a stream whose server broke off and that is resumed at a server of another build.
 func TestResumedStreamKeepsItsBuild(t *testing.T) {
 	front, builds := startBuildServers(t, "v1", "v2", "v1", "v2")
@@ -66,3 +70,28 @@
 		t.Errorf("builds %v wrote one stream that looks complete: %q", builds("/draft/1"), body)
 	}
 }
+
+// Guards against a silent server that is given up in the middle of a stream although the only other server has another
+// build, where the stream cannot go on.
+func TestSilentServerOfAStreamIsKeptWithoutAnotherOfItsBuild(t *testing.T) {
+	script := func(c net.Conn, r *http.Request) bool {
+		writeEvents(c, r, 0, 1, true)
+		return true
+	}
+	silent := func(c net.Conn, r *http.Request) bool {
+		writeHead(c, r)
+		writeEvent(c, 0)
+		time.Sleep(minGapTimeout + 200*time.Millisecond)
+		writeEvent(c, 1)
+		writeEnd(c)
+		return true
+	}
+	f, front := newTestFront(t, startFakeServer(t, silent), startFakeServer(t, script))
+	configure(f)
+	setVersions(f, "v1", "v2")
+	for range 8 {
+		if _, body, err := call(t, t.Context(), front, "POST", "/draft/1", "x"); err != nil || strings.Count(body, "data:") != 2 {
+			t.Errorf("%q, %v", body, err)
+		}
+	}
+}
