Refuse requests with a part in their prompts that crashes servers

Cause: requests were told apart as a whole. The quarantine's fingerprint covers account, service, path and body; each was blamed for one crash.

Ruled out: crashes that are not recognised (18 of 18 were), retries (one attempt each). Beside it, all requests in flight at a crash were blamed, 198 fingerprints for 18 crashes, most of streams that had been running for seconds.

Now each part of a prompt but the last is judged by itself, from crashes of servers at which a request with it waited for its first event. A part is cleared as soon as a request with it is answered anywhere; after crashes at three moments it is refused at all instances, and explains these crashes for the others. One instance lets one request try it after 3 s, then ever less often; an answer frees the part everywhere. Streams that had begun are no longer blamed.

Why it works: what crashes a server is never answered, and what sound requests use is, within moments; the two are told apart by that and not by likeness.

--- /dev/null
+++ b/coordination/quarantine/parts.go
@@ -0,0 +1,452 @@
+package quarantine
+
+import (
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/basilroute/basilroute/coordination/rendezvous"
+)
+
+// A part of a prompt may crash each server that begins to answer a request with it, whatever else the request holds.
+// No two such requests have the same fingerprint, so parts are judged by themselves.
+//
+// # Who is blamed
+//
+// When a server crashes, all requests that had no event yet may be to blame, and each of their parts. If some had the head of
+// their response, only these are. A part is cleared of a crash when a request with it begins to be answered after
+// that crash, at any instance. So parts that sound requests use are cleared within moments, and the part that
+// crashes servers never is. What is still blamed for partCrashLimit crashes at different moments is refused, the part with the most
+// crashes first; crashes that it explains no longer count against the others. Servers that crash together, for a reason of their
+// own, are one moment.
+//
+// # How it is found out that a part no longer crashes servers
+//
+// One instance lets one request try it, after trialInterval and then ever less often: the one with the highest score among those
+// that reported its crashes, as requests with the part come there. A trial that is answered clears the part
+// everywhere. A part that was blamed wrongly is back after one trial.
+//
+// # What the instances tell each other
+//
+// Each exchange carries the blamed parts with their crashes, merged by union, and what was cleared of them. Without a recent crash
+// there are none.
+const (
+	// partCrashLimit is the number of moments of crashes after which requests with a part are refused.
+	partCrashLimit = 3
+	// momentSpacing is the least time between two crashes that count as two moments.
+	momentSpacing = 250 * time.Millisecond
+	// announceDelay is how old a crash is when peers are told of the parts that are blamed for it: by then most of
+	// them are cleared.
+	announceDelay = 150 * time.Millisecond
+	// trialInterval is the time from the last crash to the first trial, and trialFactor how much longer each further one waits.
+	trialInterval    = 3 * time.Second
+	trialFactor      = 4
+	maxTrialInterval = 10 * time.Minute
+	// trialTimeout is how long another trial waits for the outcome of one.
+	trialTimeout = 10 * time.Second
+	// clearedTTL is how long it is remembered that a part was cleared of a crash, so that a late report does not blame it again.
+	clearedTTL = time.Minute
+	// recentTTL is how long at least an answered part is remembered, for crashes that peers report later.
+	recentTTL = 2 * time.Second
+
+	maxParts          = 512
+	maxCrashesPerPart = 16
+	maxRecentParts    = 4096
+	// maxPartRecords bounds the parts that are sent to a peer.
+	maxPartRecords = 32
+)
+
+// PartKey identifies a part of the prompts of a service.
+type PartKey uint64
+
+// KeysOfParts returns the keys of the parts of a prompt for which requests of a service may be blamed: not the last one, which
+// belongs to the request itself.
+func KeysOfParts(service string, ids []uint64) []PartKey {
+	if len(ids) < 2 {
+		return nil
+	}
+	out := make([]PartKey, 0, len(ids)-1)
+	for _, id := range ids[:len(ids)-1] {
+		out = append(out, PartKey(xxhash.Sum64String(service+"\x00"+strconv.FormatUint(id, 16))))
+	}
+	return out
+}
+
+// crashKey identifies a crash: the hash of its CrashID.
+type crashKey uint64
+
+// PartCrash is a crash for which a part is blamed.
+type PartCrash struct {
+	Key        uint64        // of the server and its incarnation
+	Age        time.Duration // since an instance learned of the crash
+	Begun      bool          // the server had begun the response to a request with the part
+	Cleared    bool
+	ClearedAge time.Duration // since an instance cleared the part of it, if Cleared
+	Reporter   uint64        // hash of the id of an instance that had a request with the part at the server
+}
+
+// PartRecord holds what is known of a part.
+type PartRecord struct {
+	Part    PartKey
+	Crashes []PartCrash
+}
+
+// partCrash is a crash of which an instance has learned.
+type partCrash struct {
+	at        time.Time
+	begun     bool
+	clearedAt time.Time // zero if the part is blamed for it
+	told      bool      // a peer has been told, or has told this instance, that the part is blamed for it
+	reporter  uint64
+}
+
+// cleared reports whether the part is not blamed for the crash any more.
+func (c *partCrash) cleared() bool { return !c.clearedAt.IsZero() }
+
+// clear clears the part of the crash. The earliest time counts: what peers tell each other again does not renew it.
+func (c *partCrash) clear(at time.Time) {
+	if !c.cleared() || at.Before(c.clearedAt) {
+		c.clearedAt = at
+	}
+}
+
+// ban is a part whose requests are refused.
+type ban struct {
+	lastCrash time.Time
+	moments   int
+	reporters []uint64
+}
+
+// Parts is the judgement on parts of prompts. It is safe for concurrent use.
+type Parts struct {
+	self  uint64                     // hash of this instance's id
+	alive func(reporter uint64) bool // whether another instance can be reached
+
+	anyBanned atomic.Bool
+	anyBlamed atomic.Bool
+
+	mu        sync.Mutex
+	blamed    map[PartKey]map[crashKey]partCrash
+	banned    map[PartKey]ban
+	trials    map[PartKey]time.Time // when the last trial of a part was admitted
+	recent    map[PartKey]time.Time // when a request with the part was last answered
+	previous  map[PartKey]time.Time // as recent, older
+	rotatedAt time.Time
+	changed   bool // since the last judgement
+	judgedAt  time.Time
+	onCrash   func()
+}
+
+// ReporterHash returns the hash of an instance's id.
+func ReporterHash(instance string) uint64 { return xxhash.Sum64String(instance) }
+
+// NewParts returns an empty judgement for an instance. alive reports whether an instance with a hash of its id can be reached.
+func NewParts(instance string, alive func(reporter uint64) bool) *Parts {
+	return &Parts{
+		self: ReporterHash(instance), alive: alive, blamed: make(map[PartKey]map[crashKey]partCrash), banned: make(map[PartKey]ban),
+		trials: make(map[PartKey]time.Time), recent: make(map[PartKey]time.Time),
+	}
+}
+
+// OnCrash sets the function that is called some time after this instance saw a crash, to tell the peers. It has to be set before
+// the judgement is used.
+func (p *Parts) OnCrash(notify func()) { p.onCrash = notify }
+
+// RecordCrash blames parts for the crash of a server at which a request with them had no event yet. begun reports whether its
+// response had begun.
+func (p *Parts) RecordCrash(parts []PartKey, server, bootID string, begun bool, now time.Time) {
+	if len(parts) == 0 {
+		return
+	}
+	key := crashKey(xxhash.Sum64String(CrashID(server, bootID)))
+	p.mu.Lock()
+	for _, part := range parts {
+		p.add(part, key, partCrash{at: now, begun: begun, reporter: p.self})
+	}
+	p.judge(now)
+	p.mu.Unlock()
+	if p.onCrash != nil {
+		time.AfterFunc(announceDelay, p.onCrash)
+	}
+}
+
+// add merges a crash into what is known. The caller holds the lock.
+func (p *Parts) add(part PartKey, key crashKey, c partCrash) {
+	crashes := p.blamed[part]
+	if crashes == nil {
+		if len(p.blamed) >= maxParts && !p.evict() {
+			return
+		}
+		crashes = make(map[crashKey]partCrash)
+		p.blamed[part] = crashes
+		p.anyBlamed.Store(true)
+	}
+	if known, ok := crashes[key]; ok {
+		c.begun = c.begun || known.begun
+		if known.cleared() {
+			c.clear(known.clearedAt)
+		}
+		c.told = c.told || known.told
+		c.reporter = min(c.reporter, known.reporter)
+		if known.at.Before(c.at) {
+			c.at = known.at
+		}
+	}
+	if last := p.lastAnswered(part); last.After(c.at) {
+		c.clear(last)
+	}
+	if crashes[key] == c {
+		return
+	}
+	crashes[key] = c
+	p.changed = true
+	for len(crashes) > maxCrashesPerPart {
+		delete(crashes, oldest(crashes))
+	}
+}
+
+// oldest returns the oldest crash, of those that were cleared if there are any.
+func oldest(crashes map[crashKey]partCrash) (out crashKey) {
+	first := true
+	for key, c := range crashes {
+		o := crashes[out]
+		if first || c.cleared() && !o.cleared() || c.cleared() == o.cleared() && c.at.Before(o.at) {
+			out, first = key, false
+		}
+	}
+	return out
+}
+
+// evict drops the part that is blamed least, unless all are banned. The caller holds the lock.
+func (p *Parts) evict() bool {
+	var least PartKey
+	fewest := maxCrashesPerPart + 1
+	for part, crashes := range p.blamed {
+		if _, banned := p.banned[part]; banned {
+			continue
+		}
+		count := 0
+		for _, c := range crashes {
+			if !c.cleared() {
+				count++
+			}
+		}
+		if count < fewest {
+			least, fewest = part, count
+		}
+	}
+	if fewest > maxCrashesPerPart {
+		return false
+	}
+	delete(p.blamed, least)
+	return true
+}
+
+// lastAnswered returns when a request with a part was last answered, if that is not long ago. The caller holds the lock.
+func (p *Parts) lastAnswered(part PartKey) time.Time {
+	if at, ok := p.recent[part]; ok {
+		return at
+	}
+	return p.previous[part]
+}
+
+// RecordAnswer clears parts of the crashes before: a server has begun to answer a request with them and did not crash.
+func (p *Parts) RecordAnswer(parts []PartKey, now time.Time) {
+	if len(parts) == 0 {
+		return
+	}
+	p.mu.Lock()
+	if now.Sub(p.rotatedAt) >= recentTTL || len(p.recent) >= maxRecentParts {
+		p.previous, p.recent, p.rotatedAt = p.recent, make(map[PartKey]time.Time), now
+	}
+	freed := false
+	for _, part := range parts {
+		p.recent[part] = now
+		for key, c := range p.blamed[part] {
+			if !c.cleared() {
+				c.clear(now)
+				p.changed = true
+				p.blamed[part][key] = c
+			}
+		}
+		if _, banned := p.banned[part]; banned {
+			freed = true
+		}
+	}
+	if freed {
+		p.judge(now)
+	}
+	p.mu.Unlock()
+	if freed && p.onCrash != nil {
+		p.onCrash()
+	}
+}
+
+// Verdict says what to do with a request.
+type Verdict int
+
+// Verdicts on a request.
+const (
+	Admitted Verdict = iota
+	Trial            // admitted, to find out whether its parts still crash servers; it is sent once
+	Refused
+)
+
+// Admit returns what to do with a new request with parts and, if it is refused, after what time that may change.
+func (p *Parts) Admit(parts []PartKey, now time.Time) (Verdict, time.Duration) {
+	if !p.anyBanned.Load() {
+		return Admitted, 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.judge(now)
+	verdict, wait := Admitted, time.Duration(0)
+	for _, part := range parts {
+		b, banned := p.banned[part]
+		if !banned {
+			continue
+		}
+		verdict = Trial
+		if due := b.lastCrash.Add(b.interval()); now.Before(due) {
+			wait = max(wait, due.Sub(now))
+		} else if !p.runsTrial(part, b, now) {
+			wait = max(wait, trialInterval)
+		}
+	}
+	if wait > 0 {
+		return Refused, wait
+	}
+	if verdict == Trial {
+		for _, part := range parts {
+			if _, banned := p.banned[part]; banned {
+				p.trials[part] = now
+			}
+		}
+	}
+	return verdict, 0
+}
+
+// Banned reports whether requests with one of the parts are refused.
+func (p *Parts) Banned(parts []PartKey, now time.Time) bool {
+	if !p.anyBanned.Load() {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.judge(now)
+	return slices.ContainsFunc(parts, func(part PartKey) bool { _, banned := p.banned[part]; return banned })
+}
+
+// interval returns the time from the last crash to the next trial.
+func (b *ban) interval() time.Duration {
+	out := trialInterval
+	for range b.moments - partCrashLimit {
+		out = min(trialFactor*out, maxTrialInterval)
+	}
+	return out
+}
+
+// runsTrial reports whether this instance may let a request try a part now. The caller holds the lock.
+func (p *Parts) runsTrial(part PartKey, b ban, now time.Time) bool {
+	if at, ok := p.trials[part]; ok && now.Sub(at) < trialTimeout {
+		return false
+	}
+	var owner uint64
+	for _, reporter := range b.reporters {
+		if reporter != p.self && !p.alive(reporter) {
+			continue
+		}
+		if owner == 0 || rendezvous.Score(reporter, uint64(part)) > rendezvous.Score(owner, uint64(part)) {
+			owner = reporter
+		}
+	}
+	return owner == p.self
+}
+
+// Merge applies a peer's record.
+func (p *Parts) Merge(records []PartRecord, now time.Time) {
+	if len(records) == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range records {
+		for _, c := range r.Crashes {
+			crash := partCrash{at: now.Add(-c.Age), begun: c.Begun, told: true, reporter: c.Reporter}
+			if c.Cleared {
+				crash.clear(now.Add(-c.ClearedAge))
+			}
+			p.add(r.Part, crashKey(c.Key), crash)
+		}
+	}
+	p.judge(now)
+}
+
+// Records returns what to send to a peer: the parts with most crashes first, at most maxPartRecords.
+func (p *Parts) Records(now time.Time) []PartRecord {
+	if !p.anyBlamed.Load() {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.judge(now)
+	var out []PartRecord
+	for part, crashes := range p.blamed {
+		r := PartRecord{Part: part}
+		for key, c := range crashes {
+			if age := now.Sub(c.at); age >= announceDelay && (c.told || !c.cleared()) {
+				r.Crashes = append(r.Crashes, c.message(key, now))
+			}
+		}
+		if len(r.Crashes) > 0 {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b PartRecord) int { return blame(b) - blame(a) })
+	out = out[:min(len(out), maxPartRecords)]
+	for _, r := range out {
+		p.recordTold(r)
+	}
+	return out
+}
+
+// message returns the crash as it is sent to a peer.
+func (c *partCrash) message(key crashKey, now time.Time) PartCrash {
+	out := PartCrash{Key: uint64(key), Age: now.Sub(c.at), Begun: c.begun, Cleared: c.cleared(), Reporter: c.reporter}
+	if out.Cleared {
+		out.ClearedAge = now.Sub(c.clearedAt)
+	}
+	return out
+}
+
+// recordTold records that peers are told of the crashes of a part, so that they are also told when it is cleared of them. The
+// caller holds the lock.
+func (p *Parts) recordTold(r PartRecord) {
+	for _, sent := range r.Crashes {
+		c := p.blamed[r.Part][crashKey(sent.Key)]
+		c.told = true
+		p.blamed[r.Part][crashKey(sent.Key)] = c
+	}
+}
+
+// blame returns for how many crashes a part is blamed.
+func blame(r PartRecord) (n int) {
+	for _, c := range r.Crashes {
+		if !c.Cleared {
+			n++
+		}
+	}
+	return n
+}
+
+// BannedCount returns how many parts are refused.
+func (p *Parts) BannedCount(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.judge(now)
+	return len(p.banned)
+}
--- a/instance/routed/instance.go
+++ b/instance/routed/instance.go
@@ -49,6 +49,7 @@
 	shares      *quotashare.HolderSet
 	features    features.Set
 	quarantine  *quarantine.List
+	parts       *quarantine.Parts
 	local       *httproute.LocalDispatcher
 	front       *httproute.Front
 	relay       *httproute.Peer
@@ -75,15 +76,16 @@
 	ledgerConfig  int64
 	ledgerHolders int
 
-	appliedMembers  atomic.Value             // memberVersion that was last applied
-	regionMembers   atomic.Pointer[[]string] // ids of the live instances of the local region
-	coldOwners      rendezvous.Owners        // which instance of the region sends to a cold server
-	fleetSize       atomic.Int64             // instances that share the retry budget
-	liveSize        atomic.Int64             // instances that can be reached
-	unreachableAt   sync.Map                 // uptime at which a call last failed to reach an instance, by its id
-	exchanging      sync.Map                 // peer addresses with an exchange in progress
-	failures        sync.Map                 // consecutive failed exchanges, by peer address
-	holderAddresses sync.Map                 // peer address of each instance that shares the quotas, by id
+	appliedMembers  atomic.Value                    // memberVersion that was last applied
+	reachable       atomic.Pointer[map[uint64]bool] // hashes of the ids of the instances that can be reached
+	regionMembers   atomic.Pointer[[]string]        // ids of the live instances of the local region
+	coldOwners      rendezvous.Owners               // which instance of the region sends to a cold server
+	fleetSize       atomic.Int64                    // instances that share the retry budget
+	liveSize        atomic.Int64                    // instances that can be reached
+	unreachableAt   sync.Map                        // uptime at which a call last failed to reach an instance, by its id
+	exchanging      sync.Map                        // peer addresses with an exchange in progress
+	failures        sync.Map                        // consecutive failed exchanges, by peer address
+	holderAddresses sync.Map                        // peer address of each instance that shares the quotas, by id
 	exchangeTrigger chan struct{}
 	unreadable      prometheus.Counter
 	syncMetrics     *syncMetrics
@@ -161,6 +163,9 @@
 	n.members.SetSeeds(n.staticSeeds())
 	n.initSyncs(source)
 	n.quarantine.OnCrash(n.triggerExchange)
+	n.reachable.Store(&map[uint64]bool{})
+	n.parts = quarantine.NewParts(settings.ID, n.isReachable)
+	n.parts.OnCrash(n.triggerExchange)
 	n.wire()
 	return n
 }
@@ -201,7 +206,7 @@
 	metrics := httproute.NewMetrics(n.registry)
 	memory := httproute.NewBudget(n.settings.MemoryMB << 20 / bodyMemoryShare)
 	n.local = &httproute.LocalDispatcher{
-		Codec: n.codec, Backends: n.backends, Quarantine: n.quarantine, Log: n.log, Metrics: metrics,
+		Codec: n.codec, Backends: n.backends, Quarantine: n.quarantine, Parts: n.parts, Log: n.log, Metrics: metrics,
 		Client: backendhttp.New(backendhttp.Settings{DialTimeout: serverDialTimeout, UserTimeout: userTimeout, MaxIdle: maxIdleConns}),
 	}
 	n.builds = newStreamBuilds(&n.settings, n.started)
--- a/instance/routed/members.go
+++ b/instance/routed/members.go
@@ -9,6 +9,7 @@
 
 	"github.com/basilroute/basilroute/coordination/loadhub"
 	"github.com/basilroute/basilroute/coordination/membership"
+	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/coordination/quotashare"
 	"github.com/basilroute/basilroute/protocol/peerpb"
 	"github.com/basilroute/basilroute/service/features"
@@ -82,6 +83,7 @@
 	defer cancel()
 	req := n.members.Request(n.members.ByPeerAddress(address))
 	req.Quarantines = peer.EncodeQuarantines(n.quarantine.Records(time.Now()))
+	req.PartQuarantines = peer.EncodePartQuarantines(n.parts.Records(time.Now()))
 	req.StoreViews = n.knownRevisions()
 	req.LentBefore = !n.shares.Cleared()
 	req.QuotaHash = n.shares.Hash()
@@ -119,6 +121,7 @@
 	for _, q := range resp.GetQuarantines() {
 		n.quarantine.Merge(peer.DecodeQuarantine(q))
 	}
+	n.parts.Merge(peer.DecodePartQuarantines(resp.GetPartQuarantines()), time.Now())
 	if req.GetLentBefore() && !resp.GetOwes() {
 		n.shares.ConfirmNoLoans(resp.GetFrom())
 	}
@@ -178,6 +181,8 @@
 		n.quarantine.Merge(peer.DecodeQuarantine(q))
 	}
 	resp.Quarantines = peer.EncodeQuarantines(n.quarantine.Records(now))
+	n.parts.Merge(peer.DecodePartQuarantines(req.GetPartQuarantines()), now)
+	resp.PartQuarantines = peer.EncodePartQuarantines(n.parts.Records(now))
 	resp.StoreViews = n.viewsSince(req.GetStoreViews(), n.exchangeItemBytes(req.GetView().GetDomain()))
 	if hash := n.shares.Hash(); hash != 0 && hash != req.GetQuotaHash() {
 		resp.QuotaComplete = n.shares.Complete()
@@ -193,7 +198,7 @@
 	n.appliedMembers.Store(memberVersion{n.members.Changes(), n.shares.Hash()})
 	var regional []string
 	var peers []loadhub.Peer
-	fleet := 0
+	fleet, reachable := 0, make(map[uint64]bool)
 	agreed := n.shares.AgreementHash()
 	members := n.members.Members(now)
 	n.builds.setMembers(n.settings.Region, n.settings.ID, members)
@@ -205,6 +210,7 @@
 			continue
 		}
 		fleet++
+		reachable[quarantine.ReporterHash(m.Entry.GetId())] = true
 		if m.Entry.GetRegion() == n.settings.Region {
 			regional = append(regional, m.Entry.GetId())
 			if address, err := netip.ParseAddrPort(m.Entry.GetRelayAddress()); err == nil && m.Entry.GetId() != n.settings.ID {
@@ -217,6 +223,7 @@
 	if n.shares.AgreementHash() != agreed {
 		n.triggerExchange() // a joining instance waits for this report of all others
 	}
+	n.reachable.Store(&reachable)
 	n.broadcaster.SetPeers(n.loadReportPeers(peers))
 	if !slices.Equal(*n.regionMembers.Load(), regional) {
 		n.regionMembers.Store(&regional)
@@ -231,6 +238,9 @@
 	return int(max(n.fleetSize.Load(), 1)), max(len(*n.regionMembers.Load()), 1)
 }
 
+// isReachable reports whether an instance with a hash of its id can be reached.
+func (n *Instance) isReachable(idHash uint64) bool { return (*n.reachable.Load())[idHash] }
+
 // hasPeers reports whether the fleet has other instances, reachable or not.
 func (n *Instance) hasPeers() bool {
 	fleet, _ := n.InstanceCounts()
--- a/instance/routed/stop.go
+++ b/instance/routed/stop.go
@@ -103,6 +103,7 @@
 	QuotaMints    bool
 	BodyBytes     int64 // held for bodies and for responses that callers have not read
 	StreamRecords int   // origins of streams that are kept
+	BannedParts   int   // parts of prompts whose requests are refused
 	FeaturesOff   []features.Name
 }
 
@@ -112,7 +113,7 @@
 	d := Dump{
 		ID: n.settings.ID, Ready: n.Ready(), Revisions: make(map[string]string), Members: make(map[string]string),
 		Servers: make(map[string][]placement.State), Evacuated: n.backends.Evacuated(),
-		QuotaHolders: n.shares.Holders(), QuotaMints: n.shares.Mints(), BodyBytes: n.front.Memory.Used(), StreamRecords: n.builds.records.Len(), FeaturesOff: n.features.Off(),
+		QuotaHolders: n.shares.Holders(), QuotaMints: n.shares.Mints(), BodyBytes: n.front.Memory.Used(), StreamRecords: n.builds.records.Len(), BannedParts: n.parts.BannedCount(now), FeaturesOff: n.features.Off(),
 	}
 	for _, f := range n.syncs {
 		d.Revisions[f.prefix] = configwatch.FormatRank(f.mirror.Revision())
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -62,7 +62,7 @@
 // mayRetry reports whether another attempt may follow.
 func (f *Front) mayRetry(r *request, out *delivery, failed *failure) bool {
 	switch {
-	case r.tries >= maxTries, failed.reason == reasonQuarantine, failed.reason == reasonDeadline:
+	case r.tries >= maxTries, r.trial && failed.sent, failed.reason == reasonQuarantine, failed.reason == reasonDeadline:
 		return false
 	case failed.run != runNotRun && !r.route.Repeatable():
 		return false
@@ -151,6 +151,9 @@
 	if r.tries == 1 {
 		f.Metrics.stepEnded(r.service, stepAdmission, now.Sub(r.arrived))
 	}
+	if r.tries > 1 && f.partsBanned(r, now) {
+		return nil, &failure{run: runNotRun, reason: reasonQuarantine}
+	}
 	choice, remote, refused := f.chooseOrWait(ctx, r, now)
 	if refused != nil {
 		return nil, refused
@@ -245,6 +248,6 @@
 	return &outbound{
 		id: r.RequestID, service: r.service, account: r.accountName(), method: r.method, target: r.target, host: r.host,
 		header: r.header, body: r.body, work: &r.work, deadline: r.deadline, repeatable: r.route.Repeatable(),
-		print: r.print, lastEventID: lastEventID, config: r.config.Version,
+		print: r.print, parts: r.parts, trial: r.trial, lastEventID: lastEventID, config: r.config.Version,
 	}
 }
--- a/transport/httproute/awaitslot.go
+++ b/transport/httproute/awaitslot.go
@@ -74,6 +74,9 @@
 		if outdated := f.applyConfig(r); outdated != nil {
 			return notPlaced, outdated
 		}
+		if f.partsBanned(r, now) {
+			return notPlaced, &failure{run: runNotRun, reason: reasonQuarantine}
+		}
 		var unplaced *failure
 		choice, remote, unplaced = f.choose(r, now, chooseOptions{acceptLate: o.late, skipLocal: !o.local})
 		switch {
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -39,6 +39,7 @@
 	Fingerprint string `json:"print"`
 	LastEventID string `json:"last_event_id,omitempty"`
 	Config      int64  `json:"config"`
+	Trial       bool   `json:"trial,omitempty"` // it finds out whether its parts still crash servers
 	// Build is the version of the servers' software that the stream has to go on at; nil for any.
 	Build *string `json:"build,omitempty"`
 	// HolderAddress is the address of a server of the first region that has HolderTokens
@@ -66,7 +67,7 @@
 		Service: o.service, Account: o.account, Urgency: o.work.Urgency, Ranked: o.ranked, LeftMs: o.deadline.Sub(now).Milliseconds(),
 		ObjectiveMs: max(r.work.Objective-now.Sub(r.arrived), 0).Milliseconds(), Repeatable: o.repeatable,
 		Detached: r.route.Kind == routes.KindNonIdempotent, Fingerprint: o.print, LastEventID: o.lastEventID, Config: o.config,
-		Build: encodeRequired(o.work.Build),
+		Build: encodeRequired(o.work.Build), Trial: o.trial,
 	})
 	if err != nil {
 		return nil, &failure{run: runNotRun, reason: reasonPeer, cause: err}
@@ -240,6 +241,7 @@
 	return &outbound{
 		id: call.RequestID, service: info.Service, account: info.Account, method: hr.Method, target: hr.RequestURI,
 		host: hr.Host, header: header, body: body, deadline: deadline, repeatable: info.Repeatable, print: info.Fingerprint,
+		parts: partsOf(info.Service, call.Segments), trial: info.Trial,
 		lastEventID: info.LastEventID, config: info.Config, ranked: precedence.Enforced,
 		work: &placement.Request{
 			Segments: call.Segments, Tokens: call.PromptTokens, Urgency: precedence.FromPeer(info.Urgency, info.Ranked), Probe: info.Repeatable,
@@ -258,6 +260,9 @@
 	if until, bad := p.Local.Quarantine.Quarantined(o.print, time.Now()); bad {
 		return &failure{run: runNotRun, reason: reasonQuarantine, retryAfter: time.Until(until)}
 	}
+	if !o.trial && p.Local.Parts.Banned(o.parts, time.Now()) {
+		return &failure{run: runNotRun, reason: reasonQuarantine}
+	}
 	choice, failed := p.place(ctx, o)
 	if failed != nil {
 		return failed
@@ -324,6 +329,9 @@
 		if !options.local {
 			return notPlaced, nil
 		}
+		if !o.trial && p.Local.Parts.Banned(o.parts, now) {
+			return notPlaced, &failure{run: runNotRun, reason: reasonQuarantine}
+		}
 		var refused *failure
 		choice, refused = placed(p.Local.Pool(o.service).Place(o.work, now))
 		switch {
@@ -346,6 +354,9 @@
 		n, err := rep.Read(buffer)
 		if n > 0 {
 			rep.reportProgress(time.Now())
+			if lastBoundary(buffer[:n]) > 0 {
+				rep.markBegun()
+			}
 			_, failed := w.Write(buffer[:n])
 			if failed == nil {
 				failed = control.Flush()
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -93,7 +93,9 @@
 	body          []byte
 	arrived       time.Time
 	deadline      time.Time
-	print         string // fingerprint of the request
+	print         string               // fingerprint of the request
+	parts         []quarantine.PartKey // parts of the prompt that may be blamed for a crash
+	trial         bool                 // it finds out whether its parts still crash servers
 	work          placement.Request
 	build         atomic.Pointer[placement.Build] // that the stream may go on at; nil before it has begun
 	triedRegions  []string
@@ -279,6 +281,7 @@
 func (f *Front) prepare(r *request) {
 	r.deadline = r.arrived.Add(r.wait())
 	r.print = quarantine.Fingerprint(r.accountName(), r.service, r.method+" "+r.target+"\n"+string(r.body))
+	r.parts = partsOf(r.service, r.Segments)
 	r.work = placement.Request{
 		Segments: r.Segments, Tokens: r.PromptTokens, Urgency: f.precedence(r).Rank(r.route, r.account), Objective: r.route.Objective, MaxEventGap: r.route.GapObjective,
 		Arrived: r.arrived, Deadline: r.deadline, Probe: r.route.Repeatable(),
@@ -288,8 +291,8 @@
 
 // serve charges a request and runs it. It returns nil if the caller got a response.
 func (f *Front) serve(w http.ResponseWriter, hr *http.Request, r *request) *failure {
-	if until, bad := f.Quarantine.Quarantined(r.print, r.arrived); bad {
-		return &failure{run: runNotRun, reason: reasonQuarantine, retryAfter: time.Until(until)}
+	if refused := f.checkQuarantine(r); refused != nil {
+		return refused
 	}
 	if homes, anywhere := routes.AllowedRegions(r.route, r.account); !anywhere && len(homes) == 0 {
 		return &failure{run: runNotRun, reason: reasonResidency, retryAfter: residencyRetryAfter}
--- a/transport/httproute/local.go
+++ b/transport/httproute/local.go
@@ -21,6 +21,7 @@
 	Backends   *backends.Table
 	Client     *backendhttp.Client
 	Quarantine *quarantine.List
+	Parts      *quarantine.Parts
 	Log        *slog.Logger
 	Metrics    *Metrics
 	Waiting    *Waiting // requests that wait for a slot; nil if none does
@@ -57,8 +58,10 @@
 	work        *placement.Request
 	deadline    time.Time
 	repeatable  bool
-	shouldAbort func() bool // reports whether to abandon an idle server for another one; nil for never
-	print       string      // fingerprint of the request
+	shouldAbort func() bool          // reports whether to abandon an idle server for another one; nil for never
+	print       string               // fingerprint of the request
+	parts       []quarantine.PartKey // parts of the prompt that may be blamed for a crash
+	trial       bool                 // it finds out whether its parts still crash servers
 	lastEventID string
 	config      int64
 	ranked      bool // the urgency is a rank, see routes.Precedence
@@ -70,6 +73,8 @@
 	meta       ResponseMeta
 	server     string
 	build      placement.Build // of the server's software
+	begun      bool            // an event has been passed on
+	onBegin    func()          // called when the first event has been passed on; nil if not needed
 	onEnd      func(placement.Outcome)
 	onProgress func(time.Time) // called when more of the body has been passed on; nil if not needed
 }
@@ -81,8 +86,19 @@
 	}
 }
 
+// markBegun records that an event has been passed on: the server has begun to answer and did not crash by that.
+func (r *reply) markBegun() {
+	if !r.begun && r.onBegin != nil {
+		r.onBegin()
+	}
+	r.begun = true
+}
+
 // end closes the response and reports its outcome.
 func (r *reply) end(outcome placement.Outcome) {
+	if outcome == placement.OutcomeServed {
+		r.markBegun()
+	}
 	r.Close()
 	r.onEnd(outcome)
 }
@@ -164,9 +180,10 @@
 		pool.Done(placed, outcome, time.Now())
 		l.Waiting.Wake(o.service)
 		if outcome == placement.OutcomeFailed {
-			l.checkCrash(o, placed)
+			l.checkCrash(o, placed, blame{headReceived: true, begun: r.begun})
 		}
 	}
+	r.onBegin = func() { l.Parts.RecordAnswer(o.parts, time.Now()) }
 	switch {
 	case meta.Misdirected:
 		l.Backends.RemoveReplaced(placed.Server.ID, placed.Server.Incarnation)
@@ -219,17 +236,24 @@
 	}
 	pool.Done(placed, outcome, time.Now())
 	if f.reason == reasonBroken {
-		l.checkCrash(o, placed)
+		l.checkCrash(o, placed, blame{})
 	}
 	l.Log.Info("attempt_failed", "request", o.id, "service", o.service, "server", f.server, "reason", string(f.reason),
 		"run", string(f.run), "error", err.Error(), "config", o.config)
 	return f
 }
 
+// blame is how far a request had come when its server failed.
+type blame struct {
+	headReceived bool // the server had begun the response
+	begun        bool // an event has been passed on
+}
+
 // checkCrash detects in the background whether the server's process ended while the
 // request was in flight, in which case connections to its address are refused. The crash
-// is recorded against the request's fingerprint.
-func (l *LocalDispatcher) checkCrash(o *outbound, placed *placement.Placement) {
+// is recorded against the request's fingerprint and the parts of its prompt, unless the
+// server had answered in part: then the request is one of many that ran there.
+func (l *LocalDispatcher) checkCrash(o *outbound, placed *placement.Placement, b blame) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
@@ -238,8 +262,12 @@
 		}
 		now := time.Now()
 		l.Pool(o.service).RecordDown(placed, now)
-		l.Quarantine.RecordCrash(o.print, placed.Server.ID, incarnationName(placed), now)
-		l.Log.Info("server_crashed", "request", o.id, "server", placed.Server.ID, "fingerprint", o.print)
+		if !b.begun {
+			l.Quarantine.RecordCrash(o.print, placed.Server.ID, incarnationName(placed), now)
+			l.Parts.RecordCrash(o.parts, placed.Server.ID, incarnationName(placed), b.headReceived, now)
+		}
+		l.Log.Info("server_crashed", "request", o.id, "server", placed.Server.ID, "fingerprint", o.print, "blamed", !b.begun,
+			"head", b.headReceived, "parts", o.parts, "trial", o.trial)
 	}()
 }
 
--- a/transport/httproute/metrics.go
+++ b/transport/httproute/metrics.go
@@ -23,6 +23,7 @@
 	refusals  *prometheus.CounterVec
 	returns   *prometheus.CounterVec
 	takeUps   *prometheus.CounterVec
+	parts     *prometheus.CounterVec
 	noService string
 }
 
@@ -78,9 +79,13 @@
 			Namespace: namespace, Subsystem: subsystem, Name: "streams_taken_up_total",
 			Help: "Interrupted streams that callers took up again, by whether the build that began them was found.",
 		}, []string{"service", "outcome"}),
+		parts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Subsystem: subsystem, Name: "crashing_part_requests_total",
+			Help: "Requests with a part in their prompts that crashes servers: refused, or tried to find out whether it still does.",
+		}, []string{"service", "outcome"}),
 		noService: "none",
 	}
-	registry.MustRegister(m.requests, m.seconds, m.retries, m.forwards, m.steps, m.deviation, m.notices, m.against, m.waits, m.refusals, m.returns, m.takeUps)
+	registry.MustRegister(m.requests, m.seconds, m.retries, m.forwards, m.steps, m.deviation, m.notices, m.against, m.waits, m.refusals, m.returns, m.takeUps, m.parts)
 	return m
 }
 
@@ -130,6 +135,9 @@
 
 func (m *Metrics) takenUp(service, outcome string) { m.takeUps.WithLabelValues(service, outcome).Inc() }
 
+func (m *Metrics) partRefused(service string) { m.parts.WithLabelValues(service, "refused").Inc() }
+func (m *Metrics) partTried(service string)   { m.parts.WithLabelValues(service, "tried").Inc() }
+
 func (m *Metrics) retried(service string)   { m.retries.WithLabelValues(service).Inc() }
 func (m *Metrics) forwarded(service string) { m.forwards.WithLabelValues(service).Inc() }
 
--- a/transport/httproute/path_test.go
+++ b/transport/httproute/path_test.go
@@ -176,6 +176,7 @@
 	metrics := NewMetrics(prometheus.NewRegistry())
 	list := quarantine.New()
 	local := &LocalDispatcher{Codec: testCodec{}, Backends: table, Quarantine: list, Log: log, Metrics: metrics,
+		Parts:  quarantine.NewParts("i", func(uint64) bool { return false }),
 		Client: backendhttp.New(backendhttp.Settings{DialTimeout: time.Second, UserTimeout: time.Second, MaxIdle: 8})}
 	local.Pool("svc").Update(placement.Settings{Slots: 8}, table.InRegion("r", time.Now()))
 	never := func() bool { return false }
--- /dev/null
+++ b/transport/httproute/quarantine.go
@@ -0,0 +1,40 @@
+package httproute
+
+import (
+	"time"
+
+	"github.com/basilroute/basilroute/coordination/placement"
+	"github.com/basilroute/basilroute/coordination/quarantine"
+)
+
+// partsOf returns the keys of the parts of a prompt that may be blamed for a crash.
+func partsOf(service string, segments []placement.PromptSegment) []quarantine.PartKey {
+	ids := make([]uint64, len(segments))
+	for i, s := range segments {
+		ids[i] = s.ID
+	}
+	return quarantine.KeysOfParts(service, ids)
+}
+
+// checkQuarantine refuses a request that crashed servers, or one with a part in its prompt that does.
+func (f *Front) checkQuarantine(r *request) *failure {
+	if until, bad := f.Quarantine.Quarantined(r.print, r.arrived); bad {
+		return &failure{run: runNotRun, reason: reasonQuarantine, retryAfter: time.Until(until)}
+	}
+	verdict, wait := f.Local.Parts.Admit(r.parts, r.arrived)
+	if verdict == quarantine.Refused {
+		f.Metrics.partRefused(r.service)
+		return &failure{run: runNotRun, reason: reasonQuarantine, retryAfter: wait}
+	}
+	if verdict == quarantine.Trial {
+		r.trial = true
+		f.Metrics.partTried(r.service)
+		f.Log.Info("prompt_part_tried", "request", r.RequestID, "service", r.service, "parts", r.parts)
+	}
+	return nil
+}
+
+// partsBanned reports whether requests with a part of the request's prompt have come to be refused since it was admitted.
+func (f *Front) partsBanned(r *request, now time.Time) bool {
+	return !r.trial && f.Local.Parts.Banned(r.parts, now)
+}
--- a/transport/httproute/relay.go
+++ b/transport/httproute/relay.go
@@ -231,6 +231,7 @@
 	now := time.Now()
 	d.r.gaps.record(d.events.count, now)
 	rep.reportProgress(now)
+	rep.markBegun()
 	return err
 }
 
--- a/transport/httproute/waiting_test.go
+++ b/transport/httproute/waiting_test.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/basilroute/basilroute/coordination/placement"
+	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/state/backends"
 	"github.com/basilroute/basilroute/state/routes"
 	"github.com/basilroute/basilroute/transport/backendhttp"
@@ -30,6 +31,7 @@
 	log, metrics := slog.New(slog.DiscardHandler), NewMetrics(prometheus.NewRegistry())
 	local := &LocalDispatcher{
 		Codec: testCodec{}, Backends: backends.New(), Log: log, Metrics: metrics, Client: backendhttp.New(backendhttp.Settings{}),
+		Parts:   quarantine.NewParts("i", func(uint64) bool { return false }),
 		Waiting: &Waiting{Metrics: metrics, MaxBytes: 1 << 20},
 	}
 	never := func() bool { return false }
