Take a stream that ends with its connection before an event for broken off

What callers saw: a server that crashes as it begins an answer without length and chunks closes the connection after the head. Callers got an empty stream that looked complete, and the crash was not looked for, so that nothing was blamed for it.

TestAnswersThatEndWithTheirConnection failed before in this case, here and by way of another region; whole answers of this kind, streams and others, and those that end inside an event passed already. Now the stream is broken off and its server checked; an instance that serves a forwarded stream also checks that the last event is whole, and so learns of the crash itself.

--- a/transport/backendhttp/client.go
+++ b/transport/backendhttp/client.go
@@ -117,6 +117,9 @@
 	Header http.Header
 	// Length is the length of the body, or -1 if unknown.
 	Length int64
+	// EndsWithConn is set for a body with neither a length nor chunks: it ends with the connection, and whether it is whole
+	// only its content can tell.
+	EndsWithConn bool
 
 	client      *Client
 	ctx         context.Context // of the request
@@ -182,6 +185,7 @@
 		return nil, err
 	}
 	a.Status, a.Header, a.Length = a.resp.StatusCode, a.resp.Header, a.resp.ContentLength
+	a.EndsWithConn = a.Length < 0 && len(a.resp.TransferEncoding) == 0
 	return a, nil
 }
 
--- a/transport/httproute/events.go
+++ b/transport/httproute/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"strconv"
 	"strings"
 )
@@ -50,6 +51,25 @@
 	return end
 }
 
+// streamTail is the end of what has arrived of a stream.
+type streamTail []byte
+
+// maxBoundary is the length of the longest end of an event.
+const maxBoundary = len("\n\r\n")
+
+func (t *streamTail) push(b []byte) {
+	all := append(*t, b[max(len(b)-maxBoundary, 0):]...)
+	*t = append((*t)[:0], all[max(len(all)-maxBoundary, 0):]...)
+}
+
+// endsEvent reports whether the stream ends with a complete event.
+func (t streamTail) endsEvent() bool { return len(t) > 0 && lastBoundary(t) == len(t) }
+
+// isEventStream reports whether a response is a stream of server-sent events.
+func isEventStream(h http.Header) bool {
+	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
+}
+
 func (e *eventBuffer) recordIDs(complete []byte) {
 	for line := range bytes.Lines(complete) {
 		line = bytes.TrimRight(line, "\r\n")
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -350,9 +350,11 @@
 func (p *Peer) copy(w http.ResponseWriter, rep *reply) {
 	control := http.NewResponseController(w)
 	buffer := make([]byte, relayBuffer)
+	var tail streamTail
 	for {
 		n, err := rep.Read(buffer)
 		if n > 0 {
+			tail.push(buffer[:n])
 			rep.reportProgress(time.Now())
 			if lastBoundary(buffer[:n]) > 0 {
 				rep.markBegun()
@@ -367,6 +369,9 @@
 			}
 		}
 		switch {
+		case errors.Is(err, io.EOF) && rep.EndsWithConn && isEventStream(rep.Header) && !tail.endsEvent():
+			rep.end(placement.OutcomeFailed)
+			panic(http.ErrAbortHandler)
 		case errors.Is(err, io.EOF):
 			rep.end(outcomeOf(rep.Status))
 			return
--- a/transport/httproute/relay.go
+++ b/transport/httproute/relay.go
@@ -193,6 +193,7 @@
 	errOutOfOrder      = errors.New("the server did not resume after the last event")
 	errLongEvent       = errors.New("event exceeds the size limit")
 	errIncompleteEvent = errors.New("the response ends within an event")
+	errNoEvent         = errors.New("the connection ended before the first event")
 )
 
 // gapTimeout returns the idle timeout of the server during the stream, or 0 for no limit
@@ -250,6 +251,9 @@
 	if len(d.events.partial) > 0 {
 		return d.interrupted(ctx, rep, errIncompleteEvent)
 	}
+	if rep.EndsWithConn && !rep.begun {
+		return d.interrupted(ctx, rep, errNoEvent)
+	}
 	d.writeHead(rep)
 	rep.end(placement.OutcomeServed)
 	return nil
