Judge the beginnings of /v1 prompts as parts that may crash engines

The same cause behind the other front end: /v1's quarantine knows the whole prompt only. A prompt there is text without named parts, so its beginnings of 1 to 128 blocks are judged by the same mechanism (quarantine.Parts), each at most half as long again as the one before. A crash that a load report confirms later blames them, too.

--- a/coordination/quarantine/parts.go
+++ b/coordination/quarantine/parts.go
@@ -121,7 +121,7 @@
 	reporters []uint64
 }
 
-// Parts is the judgement on parts of prompts. It is safe for concurrent use.
+// Parts is the judgement on parts of prompts. It is safe for concurrent use. A nil Parts blames none.
 type Parts struct {
 	self  uint64                     // hash of this instance's id
 	alive func(reporter uint64) bool // whether another instance can be reached
@@ -159,7 +159,7 @@
 // RecordCrash blames parts for the crash of a server at which a request with them had no event yet. begun reports whether its
 // response had begun.
 func (p *Parts) RecordCrash(parts []PartKey, server, bootID string, begun bool, now time.Time) {
-	if len(parts) == 0 {
+	if p == nil || len(parts) == 0 {
 		return
 	}
 	key := crashKey(xxhash.Sum64String(CrashID(server, bootID)))
@@ -256,7 +256,7 @@
 
 // RecordAnswer clears parts of the crashes before: a server has begun to answer a request with them and did not crash.
 func (p *Parts) RecordAnswer(parts []PartKey, now time.Time) {
-	if len(parts) == 0 {
+	if p == nil || len(parts) == 0 {
 		return
 	}
 	p.mu.Lock()
@@ -282,7 +282,7 @@
 	}
 	p.mu.Unlock()
 	if freed && p.onCrash != nil {
-		p.onCrash()
+		go p.onCrash()
 	}
 }
 
@@ -298,7 +298,7 @@
 
 // Admit returns what to do with a new request with parts and, if it is refused, after what time that may change.
 func (p *Parts) Admit(parts []PartKey, now time.Time) (Verdict, time.Duration) {
-	if !p.anyBanned.Load() {
+	if p == nil || !p.anyBanned.Load() {
 		return Admitted, 0
 	}
 	p.mu.Lock()
@@ -332,7 +332,7 @@
 
 // Banned reports whether requests with one of the parts are refused.
 func (p *Parts) Banned(parts []PartKey, now time.Time) bool {
-	if !p.anyBanned.Load() {
+	if p == nil || !p.anyBanned.Load() {
 		return false
 	}
 	p.mu.Lock()
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -88,6 +88,7 @@
 	fingerprint string
 	bootID      string
 	at          time.Time
+	onConfirmed func()
 }
 
 // List is safe for concurrent use.
@@ -154,11 +155,11 @@
 }
 
 // PresumeCrash records that a server may have crashed with the request in flight. The
-// server's next report decides.
-func (l *List) PresumeCrash(fingerprint, server, bootID string, now time.Time) {
+// server's next report decides; onConfirmed is called if it confirms the crash.
+func (l *List) PresumeCrash(fingerprint, server, bootID string, now time.Time, onConfirmed func()) {
 	l.mu.Lock()
 	l.addCrash(fingerprint, CrashID(server, bootID), now.Add(presumptionTTL))
-	l.presumed[server] = append(l.presumed[server], presumedCrash{fingerprint, bootID, now})
+	l.presumed[server] = append(l.presumed[server], presumedCrash{fingerprint, bootID, now, onConfirmed})
 	l.mu.Unlock()
 	l.notify()
 }
@@ -187,6 +188,7 @@
 			continue
 		}
 		l.addCrash(p.fingerprint, CrashID(server, p.bootID), now.Add(CrashTTL))
+		p.onConfirmed()
 	}
 	l.presumed[server] = undecided
 	if len(undecided) == 0 {
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -40,7 +40,7 @@
 		want bool
 	}{{"boot", false}, {"another", true}} {
 		l := New()
-		l.PresumeCrash("f", "s1", "boot", start)
+		l.PresumeCrash("f", "s1", "boot", start, func() {})
 		if !l.Suspected("f", start) {
 			t.Error("a presumed crash does not count against the request")
 		}
@@ -54,7 +54,7 @@
 		}
 	}
 	l := New()
-	l.PresumeCrash("f", "s1", "boot", start)
+	l.PresumeCrash("f", "s1", "boot", start, func() {})
 	if l.Suspected("f", start.Add(presumptionTTL)) {
 		t.Error("the presumption about a server that is cut off does not expire")
 	}
--- a/instance/exchange.go
+++ b/instance/exchange.go
@@ -107,6 +107,7 @@
 	req := i.members.Request(known)
 	i.addConfigToRequest(req, known)
 	req.Quarantines = i.quarantines()
+	req.PartQuarantines = peer.EncodePartQuarantines(i.parts.Records(time.Now()))
 	req.ServersHash = uint64(i.serversState())
 	resp, err := client.Exchange(ctx, req)
 	if err != nil {
@@ -114,6 +115,7 @@
 	}
 	next := i.members.ApplyResponse(resp, time.Now())
 	i.mergeQuarantines(resp.GetQuarantines())
+	i.parts.Merge(peer.DecodePartQuarantines(resp.GetPartQuarantines()), time.Now())
 	i.applyServersFromPeer(resp.GetServers())
 	next = i.applyConfigResponse(resp, next)
 	if next != nil {
@@ -147,6 +149,8 @@
 	}
 	i.mergeQuarantines(req.GetQuarantines())
 	resp.Quarantines = i.quarantines()
+	i.parts.Merge(peer.DecodePartQuarantines(req.GetPartQuarantines()), time.Now())
+	resp.PartQuarantines = peer.EncodePartQuarantines(i.parts.Records(time.Now()))
 	if req.GetView().GetDomain() == i.settings.Domain {
 		resp.Servers = i.serversFor(serversState(req.GetServersHash()))
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -57,6 +57,7 @@
 	lending    *lending.Borrower
 	retries    *retry.Budget
 	quarantine *quarantine.List
+	parts      *quarantine.Parts
 
 	platform *platform.Client
 	backend  *backend.Client
@@ -115,6 +116,8 @@
 	i.background, i.stopLoops = context.WithCancel(context.Background())
 	i.config = configwatch.New(i.catalog)
 	i.quarantine.OnCrash(i.announceCrash)
+	i.parts = quarantine.NewParts(settings.ID, i.isReachable)
+	i.parts.OnCrash(i.announceCrash)
 	i.quarantine.OnServerExit(i.servers.MarkProcessEnded)
 	i.catalog.OnWithdraw(i.requests.CancelKey)
 	i.catalog.OnWithdraw(i.forwarded.CancelKey)
@@ -199,13 +202,13 @@
 	i.lending = &lending.Borrower{Ledger: i.ledger, Pool: i.pool, Self: i.member, Lenders: i.lenders}
 	i.claims = claim.New(i.background, i.platform, i.settings.ID, i.log)
 	i.local = &dispatch.LocalDispatcher{
-		Catalog: i.catalog, Servers: i.servers, Backend: i.backend, Quarantine: i.quarantine,
+		Catalog: i.catalog, Servers: i.servers, Backend: i.backend, Quarantine: i.quarantine, Parts: i.parts,
 		Admission: dispatch.NewAdmission(i.servers), Prefixes: dispatch.NewPrefixIndexes(i.settings.Region),
 		Isolation: quarantine.NewIsolation(), Metrics: i.metrics, Claims: i.claims,
 	}
 	i.front = &dispatch.Front{
 		Region: i.settings.Region, Domain: i.settings.Domain, Catalog: i.catalog, Ledger: i.ledger,
-		Retries: i.retries, Quarantine: i.quarantine, Domains: i, Router: routing.NewRouter(i.settings.Region, i.settings.Domain),
+		Retries: i.retries, Quarantine: i.quarantine, Parts: i.parts, Domains: i, Router: routing.NewRouter(i.settings.Region, i.settings.Domain),
 		Local: i.local, Forwarder: &dispatch.Resumer{Next: i.pool, Peers: i.peersInDomainOf}, Log: i.log, Metrics: i.metrics,
 	}
 	return i.wireServers(creds)
--- a/instance/quarantine.go
+++ b/instance/quarantine.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/basilroute/basilroute/coordination/membership"
+	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/protocol/peerpb"
 	"github.com/basilroute/basilroute/transport/peer"
 )
@@ -56,6 +59,13 @@
 	}
 }
 
+// isReachable reports whether an instance with a hash of its id can be reached.
+func (i *Instance) isReachable(idHash uint64) bool {
+	return slices.ContainsFunc(i.members.Members(time.Now()), func(m membership.Member) bool {
+		return m.Reachable && !m.Leaving() && quarantine.ReporterHash(m.Entry.GetId()) == idHash
+	})
+}
+
 func (i *Instance) quarantines() []*peerpb.Quarantine {
 	return peer.EncodeQuarantines(i.quarantine.Records(time.Now()))
 }
--- a/instance/routed/instance.go
+++ b/instance/routed/instance.go
@@ -76,16 +76,15 @@
 	ledgerConfig  int64
 	ledgerHolders int
 
-	appliedMembers  atomic.Value                    // memberVersion that was last applied
-	reachable       atomic.Pointer[map[uint64]bool] // hashes of the ids of the instances that can be reached
-	regionMembers   atomic.Pointer[[]string]        // ids of the live instances of the local region
-	coldOwners      rendezvous.Owners               // which instance of the region sends to a cold server
-	fleetSize       atomic.Int64                    // instances that share the retry budget
-	liveSize        atomic.Int64                    // instances that can be reached
-	unreachableAt   sync.Map                        // uptime at which a call last failed to reach an instance, by its id
-	exchanging      sync.Map                        // peer addresses with an exchange in progress
-	failures        sync.Map                        // consecutive failed exchanges, by peer address
-	holderAddresses sync.Map                        // peer address of each instance that shares the quotas, by id
+	appliedMembers  atomic.Value             // memberVersion that was last applied
+	regionMembers   atomic.Pointer[[]string] // ids of the live instances of the local region
+	coldOwners      rendezvous.Owners        // which instance of the region sends to a cold server
+	fleetSize       atomic.Int64             // instances that share the retry budget
+	liveSize        atomic.Int64             // instances that can be reached
+	unreachableAt   sync.Map                 // uptime at which a call last failed to reach an instance, by its id
+	exchanging      sync.Map                 // peer addresses with an exchange in progress
+	failures        sync.Map                 // consecutive failed exchanges, by peer address
+	holderAddresses sync.Map                 // peer address of each instance that shares the quotas, by id
 	exchangeTrigger chan struct{}
 	unreadable      prometheus.Counter
 	syncMetrics     *syncMetrics
@@ -163,7 +162,6 @@
 	n.members.SetSeeds(n.staticSeeds())
 	n.initSyncs(source)
 	n.quarantine.OnCrash(n.triggerExchange)
-	n.reachable.Store(&map[uint64]bool{})
 	n.parts = quarantine.NewParts(settings.ID, n.isReachable)
 	n.parts.OnCrash(n.triggerExchange)
 	n.wire()
--- a/instance/routed/members.go
+++ b/instance/routed/members.go
@@ -198,7 +198,7 @@
 	n.appliedMembers.Store(memberVersion{n.members.Changes(), n.shares.Hash()})
 	var regional []string
 	var peers []loadhub.Peer
-	fleet, reachable := 0, make(map[uint64]bool)
+	fleet := 0
 	agreed := n.shares.AgreementHash()
 	members := n.members.Members(now)
 	n.builds.setMembers(n.settings.Region, n.settings.ID, members)
@@ -210,7 +210,6 @@
 			continue
 		}
 		fleet++
-		reachable[quarantine.ReporterHash(m.Entry.GetId())] = true
 		if m.Entry.GetRegion() == n.settings.Region {
 			regional = append(regional, m.Entry.GetId())
 			if address, err := netip.ParseAddrPort(m.Entry.GetRelayAddress()); err == nil && m.Entry.GetId() != n.settings.ID {
@@ -223,7 +222,6 @@
 	if n.shares.AgreementHash() != agreed {
 		n.triggerExchange() // a joining instance waits for this report of all others
 	}
-	n.reachable.Store(&reachable)
 	n.broadcaster.SetPeers(n.loadReportPeers(peers))
 	if !slices.Equal(*n.regionMembers.Load(), regional) {
 		n.regionMembers.Store(&regional)
@@ -239,7 +237,11 @@
 }
 
 // isReachable reports whether an instance with a hash of its id can be reached.
-func (n *Instance) isReachable(idHash uint64) bool { return (*n.reachable.Load())[idHash] }
+func (n *Instance) isReachable(idHash uint64) bool {
+	return slices.ContainsFunc(n.members.Members(time.Now()), func(m membership.Member) bool {
+		return m.Reachable && !m.Leaving() && quarantine.ReporterHash(m.Entry.GetId()) == idHash
+	})
+}
 
 // hasPeers reports whether the fleet has other instances, reachable or not.
 func (n *Instance) hasPeers() bool {
--- a/localfleet/poison_test.go
+++ b/localfleet/poison_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/basilroute/basilroute/instance"
+	"github.com/basilroute/basilroute/protocol/tokens"
 	"github.com/basilroute/basilroute/standin/engine"
 	"github.com/basilroute/basilroute/state/catalog"
 )
@@ -199,3 +200,44 @@
 		}
 	}
 }
+
+// Guards against prompts with one part that crash engine after engine, though no two of them are alike, and against prompts
+// that are refused because they share the beginning with them.
+func TestPromptPartThatCrashesEnginesIsRefused(t *testing.T) {
+	const (
+		rounds     = 24
+		bound      = 2 * time.Second // after the fifth crash
+		afterBound = 3               // crashes later than that: trials
+	)
+	f := startPoisonFleet(t)
+	shared := strings.Repeat("the rules for recall notices say", 2*tokens.BlockBytes/32)
+	part := strings.Repeat("poison in a formulation sheet...", 4*tokens.BlockBytes/32)
+	var fifthAt time.Time
+	crashes, late, sound := int64(0), int64(0), 0
+	for n := range rounds {
+		i := f.Instances[f.StartOrder[n%len(f.StartOrder)]]
+		isLate := !fifthAt.IsZero() && time.Since(fifthAt) > bound
+		if bad, err := f.complete(i, shared+part+fmt.Sprintf("question %d", n), 5); err != nil || bad.Status == http.StatusOK {
+			t.Fatalf("request %d with the part: %+v, %v", n, bad, err)
+		}
+		good, err := f.complete(f.Instances[f.StartOrder[(n+1)%len(f.StartOrder)]], shared+fmt.Sprintf("question %d", n), 5)
+		if err == nil && good.Status == http.StatusOK {
+			sound++
+		}
+		time.Sleep(300 * time.Millisecond)
+		now := f.crashes()
+		if isLate {
+			late += now - crashes
+		}
+		if crashes = now; crashes >= 5 && fifthAt.IsZero() {
+			fifthAt = time.Now()
+		}
+	}
+	t.Logf("%d crashes, %d of them later than %s after the fifth, %d of %d sound ones served", crashes, late, bound, sound, rounds)
+	if late > afterBound || fifthAt.IsZero() {
+		t.Errorf("%d crashes from prompts with one part later than %s after the fifth crash", late, bound)
+	}
+	if sound < rounds*9/10 {
+		t.Errorf("%d of %d sound prompts served", sound, rounds)
+	}
+}
--- a/transport/dispatch/crash.go
+++ b/transport/dispatch/crash.go
@@ -17,7 +17,7 @@
 
 // connectionFailed records that the connection to a server failed with work in flight, and
 // finds out whether the server crashed.
-func (l *LocalDispatcher) connectionFailed(ctx context.Context, w *Work, server servers.Server, err error) {
+func (l *LocalDispatcher) connectionFailed(ctx context.Context, w *Work, server servers.Server, begun bool, err error) {
 	r := refusal.FromError(err)
 	if ctx.Err() != nil || r.Code != refusal.CodeBackendFailed {
 		return
@@ -26,24 +26,31 @@
 	if r.RunState != refusal.RunUnknown {
 		return
 	}
-	l.detectCrash(ctx, w, server)
+	l.detectCrash(ctx, w, server, begun)
 }
 
 // detectCrash distinguishes a crash from a broken connection. The package comment of
 // quarantine gives the reasons.
-func (l *LocalDispatcher) detectCrash(ctx context.Context, w *Work, server servers.Server) {
+func (l *LocalDispatcher) detectCrash(ctx context.Context, w *Work, server servers.Server, begun bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	bootID := server.Load.BootID
 	load, err := l.fetchLoad(ctx, w, server)
 	now := time.Now()
+	blameParts := func() {
+		if !begun {
+			l.Parts.RecordCrash(w.parts(), server.ID, bootID, false, time.Now())
+		}
+	}
 	switch {
 	case err == nil && load.BootID == bootID:
 		return
 	case err == nil || errors.Is(err, syscall.ECONNREFUSED):
 		l.Quarantine.RecordCrash(w.quarantineKey(), server.ID, bootID, now)
+		blameParts()
 	default:
-		l.Quarantine.PresumeCrash(w.quarantineKey(), server.ID, bootID, now)
+		w.parts() // computed before another goroutine reads them
+		l.Quarantine.PresumeCrash(w.quarantineKey(), server.ID, bootID, now, blameParts)
 	}
 }
 
--- a/transport/dispatch/front.go
+++ b/transport/dispatch/front.go
@@ -36,6 +36,7 @@
 	Ledger         *quota.Ledger
 	Retries        *retry.Budget
 	Quarantine     *quarantine.List
+	Parts          *quarantine.Parts // may be nil
 	Domains        Domains
 	Router         *routing.Router
 	Local          *LocalDispatcher
@@ -87,6 +88,9 @@
 	if until, refused := f.Quarantine.Quarantined(w.quarantineKey(), time.Now()); refused {
 		return quarantined(until)
 	}
+	if refused := f.checkParts(w); refused != nil {
+		return refused
+	}
 	cost := w.Cost(svc)
 	charge, refused := f.charge(ctx, account, w, cost)
 	if refused != nil {
@@ -122,6 +126,9 @@
 		if ctx.Err() != nil {
 			return f.cancelError(ctx, refused)
 		}
+		if w.trial || f.Parts.Banned(w.parts(), time.Now()) {
+			return refused
+		}
 		if !u.restart() || !retry.Retryable(current, w.Repeatable(svc)) {
 			return refused
 		}
@@ -140,6 +147,20 @@
 	}
 }
 
+// checkParts refuses work with a part in its prompt that crashes servers.
+func (f *Front) checkParts(w *Work) *refusal.Refusal {
+	verdict, wait := f.Parts.Admit(w.parts(), time.Now())
+	w.trial = verdict == quarantine.Trial
+	if verdict == quarantine.Refused {
+		return partRefused(wait)
+	}
+	return nil
+}
+
+func partRefused(wait time.Duration) *refusal.Refusal {
+	return refusal.New(refusal.CodeQuarantined, "requests with a part of this prompt crashed backend servers").WithRetryAfter(wait)
+}
+
 // request returns the inputs of routing for the work.
 func (f *Front) request(svc *service.Service, w *Work) *routing.Request {
 	r := &routing.Request{
--- a/transport/dispatch/local.go
+++ b/transport/dispatch/local.go
@@ -35,6 +35,7 @@
 	Servers    *servers.Table
 	Backend    *backend.Client
 	Quarantine *quarantine.List
+	Parts      *quarantine.Parts // may be nil
 	Admission  *Admission
 	Prefixes   *PrefixIndexes
 	Isolation  *quarantine.Isolation
@@ -247,7 +248,10 @@
 func (l *LocalDispatcher) dispatch(ctx context.Context, w *Work, p *placement, sink Sink) error {
 	bulk := w.Class == service.ClassBulk
 	var m *latencySink
-	m = newLatencySink(sink, p, func() { l.recordFirstToken(p, m, bulk) })
+	m = newLatencySink(sink, p, func() {
+		l.Parts.RecordAnswer(w.parts(), time.Now())
+		l.recordFirstToken(p, m, bulk)
+	})
 	p.entry.Begin(p.prompt, bulk)
 	if w.Generation != nil {
 		l.Prefixes.recordDispatch(w, p.entry.Slot())
--- a/transport/dispatch/operate.go
+++ b/transport/dispatch/operate.go
@@ -25,7 +25,7 @@
 		held.Finish(runState(err))
 	}
 	if err != nil {
-		l.connectionFailed(ctx, w, server, err)
+		l.connectionFailed(ctx, w, server, false, err)
 		return err
 	}
 	return sink.Answer(server.ID, answer)
--- a/transport/dispatch/stream.go
+++ b/transport/dispatch/stream.go
@@ -49,7 +49,7 @@
 			return err
 		}
 		if next == 0 || resumed >= maxResumes || !sleep(ctx, resumeBackoff) {
-			l.connectionFailed(ctx, w, server, err)
+			l.connectionFailed(ctx, w, server, next > 0, err)
 			l.cancelUnlessResumable(ctx, server, w)
 			return err
 		}
--- a/transport/dispatch/work.go
+++ b/transport/dispatch/work.go
@@ -27,10 +27,12 @@
 	MaxWait   time.Duration // maximum time in queues
 	Via       string
 
-	ConfigRevision int64    // revision at the first instance, on forwarded work
-	triedServers   []string // servers of the local domain that failed this request
-	fingerprint    string   // set by quarantineKey
-	designated     bool     // this instance was chosen to run the suspect request
+	ConfigRevision int64                // revision at the first instance, on forwarded work
+	triedServers   []string             // servers of the local domain that failed this request
+	fingerprint    string               // set by quarantineKey
+	partKeys       []quarantine.PartKey // set by parts
+	trial          bool                 // it finds out whether a part of its prompt still crashes servers
+	designated     bool                 // this instance was chosen to run the suspect request
 
 	Generation *Generation // exactly one of Generation and Operation is set
 	Operation  *Operation
@@ -96,6 +98,27 @@
 	return w.fingerprint
 }
 
+// partDepths are the lengths, in blocks, of the beginnings of a prompt that are judged as parts. Each is at most half as long
+// again as the one before, so that one of them ends within any part that makes up a third of what it ends.
+var partDepths = []int{1, 2, 3, 4, 6, 8, 12, 16, 24, 32, 48, 64, 96, 128}
+
+// parts returns the parts of the prompt that may be blamed for a crash. They are computed once.
+func (w *Work) parts() []quarantine.PartKey {
+	if w.partKeys != nil || w.Generation == nil {
+		return w.partKeys
+	}
+	blocks := promptBlocks(w.Generation.Prompt)
+	var ids []uint64
+	for _, depth := range partDepths {
+		if depth <= len(blocks) {
+			ids = append(ids, uint64(blocks[depth-1]))
+		}
+	}
+	const rest = 0 // belongs to the request itself
+	w.partKeys = quarantine.KeysOfParts(w.Service, append(ids, rest))
+	return w.partKeys
+}
+
 // body returns the content that the work's fingerprint covers.
 func (w *Work) body() string {
 	if w.Generation != nil {
