--- a/coordination/quarantine/parts.go
+++ b/coordination/quarantine/parts.go
@@ -26,7 +26,7 @@
 //
 // # How it is found out that a part no longer crashes servers
 //
-// One instance lets one request try it, after trialInterval and then ever less often: the one with the highest score among those
+// One instance lets one request try it, after TrialInterval and then ever less often: the one with the highest score among those
 // that reported its crashes, as requests with the part come there. A trial that is answered clears the part
 // everywhere. A part that was blamed wrongly is back after one trial.
 //
@@ -42,8 +42,8 @@
 	// announceDelay is how old a crash is when peers are told of the parts that are blamed for it: by then most of
 	// them are cleared.
 	announceDelay = 150 * time.Millisecond
-	// trialInterval is the time from the last crash to the first trial, and trialFactor how much longer each further one waits.
-	trialInterval    = 3 * time.Second
+	// TrialInterval is the time from the last crash to the first trial, and trialFactor how much longer each further one waits.
+	TrialInterval    = 3 * time.Second
 	trialFactor      = 4
 	maxTrialInterval = 10 * time.Minute
 	// trialTimeout is how long another trial waits for the outcome of one.
@@ -314,7 +314,7 @@
 		if due := b.lastCrash.Add(b.interval()); now.Before(due) {
 			wait = max(wait, due.Sub(now))
 		} else if !p.runsTrial(part, b, now) {
-			wait = max(wait, trialInterval)
+			wait = max(wait, TrialInterval)
 		}
 	}
 	if wait > 0 {
@@ -343,7 +343,7 @@
 
 // interval returns the time from the last crash to the next trial.
 func (b *ban) interval() time.Duration {
-	out := trialInterval
+	out := TrialInterval
 	for range b.moments - partCrashLimit {
 		out = min(trialFactor*out, maxTrialInterval)
 	}
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/basilroute/basilroute/coordination/placement"
+	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/state/routes"
 )
 
@@ -152,7 +153,7 @@
 		f.Metrics.stepEnded(r.service, stepAdmission, now.Sub(r.arrived))
 	}
 	if r.tries > 1 && f.partsBanned(r, now) {
-		return nil, &failure{run: runNotRun, reason: reasonQuarantine}
+		return nil, &failure{run: runNotRun, reason: reasonQuarantine, retryAfter: quarantine.TrialInterval}
 	}
 	choice, remote, refused := f.chooseOrWait(ctx, r, now)
 	if refused != nil {
--- a/transport/httproute/awaitslot.go
+++ b/transport/httproute/awaitslot.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/basilroute/basilroute/coordination/placement"
+	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/coordination/waitqueue"
 	"github.com/basilroute/basilroute/service/features"
 	"github.com/basilroute/basilroute/state/routes"
@@ -75,7 +76,7 @@
 			return notPlaced, outdated
 		}
 		if f.partsBanned(r, now) {
-			return notPlaced, &failure{run: runNotRun, reason: reasonQuarantine}
+			return notPlaced, &failure{run: runNotRun, reason: reasonQuarantine, retryAfter: quarantine.TrialInterval}
 		}
 		var unplaced *failure
 		choice, remote, unplaced = f.choose(r, now, chooseOptions{acceptLate: o.late, skipLocal: !o.local})
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/basilroute/basilroute/coordination/placement"
+	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/service/features"
 	"github.com/basilroute/basilroute/state/routes"
 	"github.com/basilroute/basilroute/transport/backendhttp"
@@ -261,7 +262,7 @@
 		return &failure{run: runNotRun, reason: reasonQuarantine, retryAfter: time.Until(until)}
 	}
 	if !o.trial && p.Local.Parts.Banned(o.parts, time.Now()) {
-		return &failure{run: runNotRun, reason: reasonQuarantine}
+		return &failure{run: runNotRun, reason: reasonQuarantine, retryAfter: quarantine.TrialInterval}
 	}
 	choice, failed := p.place(ctx, o)
 	if failed != nil {
@@ -330,7 +331,7 @@
 			return notPlaced, nil
 		}
 		if !o.trial && p.Local.Parts.Banned(o.parts, now) {
-			return notPlaced, &failure{run: runNotRun, reason: reasonQuarantine}
+			return notPlaced, &failure{run: runNotRun, reason: reasonQuarantine, retryAfter: quarantine.TrialInterval}
 		}
 		var refused *failure
 		choice, refused = placed(p.Local.Pool(o.service).Place(o.work, now))
