--- a/coordination/quarantine/parts.go
+++ b/coordination/quarantine/parts.go
@@ -1,15 +1,12 @@
 package quarantine
 
 import (
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/basilroute/basilroute/coordination/rendezvous"
 )
 
 // A part of a prompt may crash each server that begins to answer a request with it, whatever else the request holds.
@@ -42,12 +39,6 @@
 	// announceDelay is how old a crash is when peers are told of the parts that are blamed for it: by then most of
 	// them are cleared.
 	announceDelay = 150 * time.Millisecond
-	// TrialInterval is the time from the last crash to the first trial, and trialFactor how much longer each further one waits.
-	TrialInterval    = 3 * time.Second
-	trialFactor      = 4
-	maxTrialInterval = 10 * time.Minute
-	// trialTimeout is how long another trial waits for the outcome of one.
-	trialTimeout = 10 * time.Second
 	// clearedTTL is how long it is remembered that a part was cleared of a crash, so that a late report does not blame it again.
 	clearedTTL = time.Minute
 	// recentTTL is how long at least an answered part is remembered, for crashes that peers report later.
@@ -56,8 +47,6 @@
 	maxParts          = 512
 	maxCrashesPerPart = 16
 	maxRecentParts    = 4096
-	// maxPartRecords bounds the parts that are sent to a peer.
-	maxPartRecords = 32
 )
 
 // PartKey identifies a part of the prompts of a service.
@@ -79,22 +68,6 @@
 // crashKey identifies a crash: the hash of its CrashID.
 type crashKey uint64
 
-// PartCrash is a crash for which a part is blamed.
-type PartCrash struct {
-	Key        uint64        // of the server and its incarnation
-	Age        time.Duration // since an instance learned of the crash
-	Begun      bool          // the server had begun the response to a request with the part
-	Cleared    bool
-	ClearedAge time.Duration // since an instance cleared the part of it, if Cleared
-	Reporter   uint64        // hash of the id of an instance that had a request with the part at the server
-}
-
-// PartRecord holds what is known of a part.
-type PartRecord struct {
-	Part    PartKey
-	Crashes []PartCrash
-}
-
 // partCrash is a crash of which an instance has learned.
 type partCrash struct {
 	at        time.Time
@@ -114,13 +87,6 @@
 	}
 }
 
-// ban is a part whose requests are refused.
-type ban struct {
-	lastCrash time.Time
-	moments   int
-	reporters []uint64
-}
-
 // Parts is the judgement on parts of prompts. It is safe for concurrent use. A nil Parts blames none.
 type Parts struct {
 	self  uint64                     // hash of this instance's id
@@ -285,168 +251,3 @@
 		go p.onCrash()
 	}
 }
-
-// Verdict says what to do with a request.
-type Verdict int
-
-// Verdicts on a request.
-const (
-	Admitted Verdict = iota
-	Trial            // admitted, to find out whether its parts still crash servers; it is sent once
-	Refused
-)
-
-// Admit returns what to do with a new request with parts and, if it is refused, after what time that may change.
-func (p *Parts) Admit(parts []PartKey, now time.Time) (Verdict, time.Duration) {
-	if p == nil || !p.anyBanned.Load() {
-		return Admitted, 0
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.judge(now)
-	verdict, wait := Admitted, time.Duration(0)
-	for _, part := range parts {
-		b, banned := p.banned[part]
-		if !banned {
-			continue
-		}
-		verdict = Trial
-		if due := b.lastCrash.Add(b.interval()); now.Before(due) {
-			wait = max(wait, due.Sub(now))
-		} else if !p.runsTrial(part, b, now) {
-			wait = max(wait, TrialInterval)
-		}
-	}
-	if wait > 0 {
-		return Refused, wait
-	}
-	if verdict == Trial {
-		for _, part := range parts {
-			if _, banned := p.banned[part]; banned {
-				p.trials[part] = now
-			}
-		}
-	}
-	return verdict, 0
-}
-
-// Banned reports whether requests with one of the parts are refused.
-func (p *Parts) Banned(parts []PartKey, now time.Time) bool {
-	if p == nil || !p.anyBanned.Load() {
-		return false
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.judge(now)
-	return slices.ContainsFunc(parts, func(part PartKey) bool { _, banned := p.banned[part]; return banned })
-}
-
-// interval returns the time from the last crash to the next trial.
-func (b *ban) interval() time.Duration {
-	out := TrialInterval
-	for range b.moments - partCrashLimit {
-		out = min(trialFactor*out, maxTrialInterval)
-	}
-	return out
-}
-
-// runsTrial reports whether this instance may let a request try a part now. The caller holds the lock.
-func (p *Parts) runsTrial(part PartKey, b ban, now time.Time) bool {
-	if at, ok := p.trials[part]; ok && now.Sub(at) < trialTimeout {
-		return false
-	}
-	var owner uint64
-	for _, reporter := range b.reporters {
-		if reporter != p.self && !p.alive(reporter) {
-			continue
-		}
-		if owner == 0 || rendezvous.Score(reporter, uint64(part)) > rendezvous.Score(owner, uint64(part)) {
-			owner = reporter
-		}
-	}
-	return owner == p.self
-}
-
-// Merge applies a peer's record.
-func (p *Parts) Merge(records []PartRecord, now time.Time) {
-	if len(records) == 0 {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, r := range records {
-		for _, c := range r.Crashes {
-			crash := partCrash{at: now.Add(-c.Age), begun: c.Begun, told: true, reporter: c.Reporter}
-			if c.Cleared {
-				crash.clear(now.Add(-c.ClearedAge))
-			}
-			p.add(r.Part, crashKey(c.Key), crash)
-		}
-	}
-	p.judge(now)
-}
-
-// Records returns what to send to a peer: the parts with most crashes first, at most maxPartRecords.
-func (p *Parts) Records(now time.Time) []PartRecord {
-	if !p.anyBlamed.Load() {
-		return nil
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.judge(now)
-	var out []PartRecord
-	for part, crashes := range p.blamed {
-		r := PartRecord{Part: part}
-		for key, c := range crashes {
-			if age := now.Sub(c.at); age >= announceDelay && (c.told || !c.cleared()) {
-				r.Crashes = append(r.Crashes, c.message(key, now))
-			}
-		}
-		if len(r.Crashes) > 0 {
-			out = append(out, r)
-		}
-	}
-	slices.SortFunc(out, func(a, b PartRecord) int { return blame(b) - blame(a) })
-	out = out[:min(len(out), maxPartRecords)]
-	for _, r := range out {
-		p.recordTold(r)
-	}
-	return out
-}
-
-// message returns the crash as it is sent to a peer.
-func (c *partCrash) message(key crashKey, now time.Time) PartCrash {
-	out := PartCrash{Key: uint64(key), Age: now.Sub(c.at), Begun: c.begun, Cleared: c.cleared(), Reporter: c.reporter}
-	if out.Cleared {
-		out.ClearedAge = now.Sub(c.clearedAt)
-	}
-	return out
-}
-
-// recordTold records that peers are told of the crashes of a part, so that they are also told when it is cleared of them. The
-// caller holds the lock.
-func (p *Parts) recordTold(r PartRecord) {
-	for _, sent := range r.Crashes {
-		c := p.blamed[r.Part][crashKey(sent.Key)]
-		c.told = true
-		p.blamed[r.Part][crashKey(sent.Key)] = c
-	}
-}
-
-// blame returns for how many crashes a part is blamed.
-func blame(r PartRecord) (n int) {
-	for _, c := range r.Crashes {
-		if !c.Cleared {
-			n++
-		}
-	}
-	return n
-}
-
-// BannedCount returns how many parts are refused.
-func (p *Parts) BannedCount(now time.Time) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.judge(now)
-	return len(p.banned)
-}
--- /dev/null
+++ b/coordination/quarantine/trial.go
@@ -0,0 +1,113 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/basilroute/basilroute/coordination/rendezvous"
+)
+
+const (
+	// TrialInterval is the time from the last crash to the first trial, and trialFactor how much longer each further one waits.
+	TrialInterval    = 3 * time.Second
+	trialFactor      = 4
+	maxTrialInterval = 10 * time.Minute
+	// trialTimeout is how long another trial waits for the outcome of one.
+	trialTimeout = 10 * time.Second
+)
+
+// ban is a part whose requests are refused.
+type ban struct {
+	lastCrash time.Time
+	moments   int
+	reporters []uint64
+}
+
+// Verdict says what to do with a request.
+type Verdict int
+
+// Verdicts on a request.
+const (
+	Admitted Verdict = iota
+	Trial            // admitted, to find out whether its parts still crash servers; it is sent once
+	Refused
+)
+
+// Admit returns what to do with a new request with parts and, if it is refused, after what time that may change.
+func (p *Parts) Admit(parts []PartKey, now time.Time) (Verdict, time.Duration) {
+	if p == nil || !p.anyBanned.Load() {
+		return Admitted, 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.judge(now)
+	verdict, wait := Admitted, time.Duration(0)
+	for _, part := range parts {
+		b, banned := p.banned[part]
+		if !banned {
+			continue
+		}
+		verdict = Trial
+		if due := b.lastCrash.Add(b.interval()); now.Before(due) {
+			wait = max(wait, due.Sub(now))
+		} else if !p.runsTrial(part, b, now) {
+			wait = max(wait, TrialInterval)
+		}
+	}
+	if wait > 0 {
+		return Refused, wait
+	}
+	if verdict == Trial {
+		for _, part := range parts {
+			if _, banned := p.banned[part]; banned {
+				p.trials[part] = now
+			}
+		}
+	}
+	return verdict, 0
+}
+
+// Banned reports whether requests with one of the parts are refused.
+func (p *Parts) Banned(parts []PartKey, now time.Time) bool {
+	if p == nil || !p.anyBanned.Load() {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.judge(now)
+	return slices.ContainsFunc(parts, func(part PartKey) bool { _, banned := p.banned[part]; return banned })
+}
+
+// interval returns the time from the last crash to the next trial.
+func (b *ban) interval() time.Duration {
+	out := TrialInterval
+	for range b.moments - partCrashLimit {
+		out = min(trialFactor*out, maxTrialInterval)
+	}
+	return out
+}
+
+// runsTrial reports whether this instance may let a request try a part now. The caller holds the lock.
+func (p *Parts) runsTrial(part PartKey, b ban, now time.Time) bool {
+	if at, ok := p.trials[part]; ok && now.Sub(at) < trialTimeout {
+		return false
+	}
+	var owner uint64
+	for _, reporter := range b.reporters {
+		if reporter != p.self && !p.alive(reporter) {
+			continue
+		}
+		if owner == 0 || rendezvous.Score(reporter, uint64(part)) > rendezvous.Score(owner, uint64(part)) {
+			owner = reporter
+		}
+	}
+	return owner == p.self
+}
+
+// BannedCount returns how many parts are refused.
+func (p *Parts) BannedCount(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.judge(now)
+	return len(p.banned)
+}
