Let streams go on beside instances that have just started

Cause: an instance that has just started cannot rule out another build, and its answer was taken as if it had seen one. That holds at that instance and at all that asked it.

Ruled out: lost records and datagrams (a debug trial shows all answers; these callers name no request in Resumes, so that only the builds count).

Now an answer tells how many builds the instance has seen and whether it has seen all. A build is agreed on if somebody has and nobody has seen another. TestStreamGoesOnBesideInstancesThatHaveJustStarted failed at 5 of 6 instances before; after all have started at once it is refused as before.

--- a/coordination/streambuild/history.go
+++ b/coordination/streambuild/history.go
@@ -48,27 +48,23 @@
 	return slices.Sorted(maps.Keys(h.lastSeen))
 }
 
-// Covers reports whether the history is long enough to rule out another build.
-func (h *History) Covers(now time.Time) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.covers(now)
-}
-
-func (h *History) covers(now time.Time) bool { return now.Sub(h.since) >= StreamLifetime }
-
-// OneBuild returns the build of a service that had no other one for StreamLifetime, and false if it may have had
-// another one or no server is known.
-func (h *History) OneBuild(service string, now time.Time) (string, bool) {
+// Builds returns what is known of the builds that a service had for StreamLifetime.
+func (h *History) Builds(service string, now time.Time) Builds {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	builds := h.lastSeen[service]
 	maps.DeleteFunc(builds, func(_ string, last time.Time) bool { return now.Sub(last) > StreamLifetime })
-	if !h.covers(now) || len(builds) != 1 {
-		return "", false
-	}
-	for build := range builds {
-		return build, true
+	out := Builds{Count: len(builds), Covered: now.Sub(h.since) >= StreamLifetime}
+	if out.Count == 1 {
+		for build := range builds {
+			out.One = build
+		}
 	}
-	return "", false
+	return out
+}
+
+// HadOneBuild reports whether a service had one build for StreamLifetime and certainly no other.
+func (h *History) HadOneBuild(service string, now time.Time) bool {
+	b := h.Builds(service, now)
+	return b.Covered && b.Count == 1
 }
--- a/coordination/streambuild/streambuild.go
+++ b/coordination/streambuild/streambuild.go
@@ -58,28 +58,40 @@
 	Origin Origin
 }
 
-// Answer is what one instance knows of a stream.
+// Answer is what one instance knows of a stream and of the builds of its service.
 type Answer struct {
 	Known  bool
 	Origin Origin // if Known
-	// OneBuild reports that the stream's service had no other build than Build for StreamLifetime.
-	OneBuild bool
-	Build    string
+	Builds Builds
 }
 
-// Agreed returns the one build that a service had by all answers of other instances and by the own one, if it has
-// one. It returns false if any of them has seen another build or, without an answer, if the instance has peers: it may
-// be cut off from news of another build.
-func Agreed(own Answer, hasHistory bool, answers []Answer, hasPeers bool) (string, bool) {
-	build, agreed := own.Build, own.OneBuild
-	if hasHistory && !own.OneBuild || hasPeers && len(answers) == 0 {
+// Builds is what one instance knows of the builds that a service had for StreamLifetime.
+type Builds struct {
+	Count   int    // that this instance has seen
+	One     string // the only one, if Count is 1
+	Covered bool   // this instance has seen all of them
+}
+
+// Agreed returns the one build that a service had by what this instance knows and what others have answered, if it had
+// one: somebody has to know of all builds, and nobody may have seen another. Without an answer it returns false if the
+// instance has peers: it may be cut off from news of another build.
+func Agreed(own Builds, answers []Answer, hasPeers bool) (string, bool) {
+	if hasPeers && len(answers) == 0 {
 		return "", false
 	}
+	all := []Builds{own}
 	for _, a := range answers {
-		if !a.OneBuild || agreed && a.Build != build {
+		all = append(all, a.Builds)
+	}
+	build, seen, covered := "", false, false
+	for _, b := range all {
+		if b.Count == 0 {
+			continue
+		}
+		if b.Count > 1 || seen && b.One != build {
 			return "", false
 		}
-		build, agreed = a.Build, true
+		build, seen, covered = b.One, true, covered || b.Covered
 	}
-	return build, agreed
+	return build, covered
 }
--- a/coordination/streambuild/streambuild_test.go
+++ b/coordination/streambuild/streambuild_test.go
@@ -17,8 +17,8 @@
 	seen := func(build string, at time.Duration) { h.Saw(Origin{"svc", build}, start.Add(at)) }
 	want := func(at time.Duration, build string, ok bool) {
 		t.Helper()
-		if got, one := h.OneBuild("svc", start.Add(at)); one != ok || got != build {
-			t.Errorf("after %s: %q, %v", at, got, one)
+		if got, one := h.Builds("svc", start.Add(at)), h.HadOneBuild("svc", start.Add(at)); one != ok || ok && got.One != build {
+			t.Errorf("after %s: %+v, %v", at, got, one)
 		}
 	}
 	seen("v1", 0)
@@ -40,26 +40,33 @@
 
 // Guards against an inference that another instance contradicts, or that an instance draws which no other one answers.
 func TestBuildIsAgreedOnByAllAnswers(t *testing.T) {
-	v1, v2, mixed := Answer{OneBuild: true, Build: "v1"}, Answer{OneBuild: true, Build: "v2"}, Answer{}
+	v1, v2, several := Builds{1, "v1", true}, Builds{1, "v2", true}, Builds{Count: 2, Covered: true}
+	started, startedV2 := Builds{1, "v1", false}, Builds{1, "v2", false}
 	for _, tc := range []struct {
-		name       string
-		own        Answer
-		hasHistory bool
-		answers    []Answer
-		hasPeers   bool
-		want       string
+		name     string
+		own      Builds
+		others   []Builds
+		hasPeers bool
+		want     string
 	}{
-		{"alone in the fleet", v1, true, nil, false, "v1"},
-		{"cut off", v1, true, nil, true, ""},
-		{"just started", mixed, false, []Answer{v1, v1}, true, "v1"},
-		{"just started, as all others", mixed, false, []Answer{mixed}, true, ""},
-		{"just started and alone", mixed, false, nil, false, ""},
-		{"one has seen two builds", v1, true, []Answer{v1, mixed}, true, ""},
-		{"this one has seen two builds", mixed, true, []Answer{v1}, true, ""},
-		{"two do not agree", mixed, false, []Answer{v1, v2}, true, ""},
-		{"another does not agree", v1, true, []Answer{v2}, true, ""},
+		{"alone in the fleet", v1, nil, false, "v1"},
+		{"cut off", v1, nil, true, ""},
+		{"just started", started, []Builds{v1, v1}, true, "v1"},
+		{"just started and without a server yet", Builds{}, []Builds{v1}, true, "v1"},
+		{"beside one that has just started", v1, []Builds{started}, true, "v1"},
+		{"just started, as all others", started, []Builds{started}, true, ""},
+		{"just started and alone", started, nil, false, ""},
+		{"one has seen two builds", v1, []Builds{v1, several}, true, ""},
+		{"this one has seen two builds", several, []Builds{v1}, true, ""},
+		{"one that has just started has seen another", v1, []Builds{startedV2}, true, ""},
+		{"two do not agree", started, []Builds{v1, v2}, true, ""},
+		{"another does not agree", v1, []Builds{v2}, true, ""},
 	} {
-		if got, ok := Agreed(tc.own, tc.hasHistory, tc.answers, tc.hasPeers); got != tc.want || ok != (tc.want != "") {
+		var answers []Answer
+		for _, b := range tc.others {
+			answers = append(answers, Answer{Builds: b})
+		}
+		if got, ok := Agreed(tc.own, answers, tc.hasPeers); ok != (tc.want != "") || ok && got != tc.want {
 			t.Errorf("%s: %q, %v", tc.name, got, ok)
 		}
 	}
--- a/instance/routed/streambuilds.go
+++ b/instance/routed/streambuilds.go
@@ -54,7 +54,7 @@
 // reportIfNeeded sends the unreported records of a service to their keepers if the service may have two builds.
 func (b *streamBuilds) reportIfNeeded(service string, now time.Time) {
 	members := b.members.Load()
-	if _, one := b.history.OneBuild(service, now); one || members.None() {
+	if b.history.HadOneBuild(service, now) || members.None() {
 		return
 	}
 	b.exchange.Report(b.records.TakeUnreported(service), members.Keepers)
@@ -77,7 +77,7 @@
 // answer returns what this instance knows of a stream.
 func (b *streamBuilds) answer(stream streambuild.StreamID, service string, now time.Time) (a streambuild.Answer) {
 	a.Origin, a.Known = b.records.Find(stream)
-	a.Build, a.OneBuild = b.history.OneBuild(service, now)
+	a.Builds = b.history.Builds(service, now)
 	return a
 }
 
@@ -102,12 +102,12 @@
 			answers = append(answers, a)
 		case <-ctx.Done():
 		}
-		build, agreed := streambuild.Agreed(own, b.history.Covers(now), answers, true)
+		build, agreed := streambuild.Agreed(own.Builds, answers, true)
 		if agreed && len(answers) >= max(local, 1) {
 			return streambuild.Origin{Service: service, Build: build}, nil
 		}
 	}
-	if build, agreed := streambuild.Agreed(own, b.history.Covers(now), answers, b.hasPeers()); agreed {
+	if build, agreed := streambuild.Agreed(own.Builds, answers, b.hasPeers()); agreed {
 		return streambuild.Origin{Service: service, Build: build}, nil
 	}
 	if len(answers) == 0 && b.hasPeers() {
--- a/instance/routed/streambuilds_test.go
+++ b/instance/routed/streambuilds_test.go
@@ -111,6 +111,34 @@
 	})
 }
 
+// Guards against streams that are refused, where all servers have one build, because an instance that has started lately cannot
+// rule out another one: at that instance and at those that ask it.
+func TestStreamGoesOnBesideInstancesThatHaveJustStarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, all := newBuildNetwork(6)
+		seeBuilds(all, "v1")
+		time.Sleep(streambuild.StreamLifetime)
+		for i, b := range all {
+			if i < 4 {
+				b.history = streambuild.NewHistory(time.Now())
+			}
+		}
+		seeBuilds(all, "v1")
+		for i, b := range all {
+			if origin, err := b.Find(t.Context(), "", "svc"); err != nil || origin.Build != "v1" {
+				t.Errorf("instance %d: %v, %v", i, origin, err)
+			}
+		}
+		for _, b := range all {
+			b.history = streambuild.NewHistory(time.Now())
+		}
+		seeBuilds(all, "v1")
+		if _, err := all[0].Find(t.Context(), "", "svc"); !errors.Is(err, streambuild.ErrUnknown) {
+			t.Errorf("after all have started: %v", err)
+		}
+	})
+}
+
 // Guards against a question that is lost with one datagram.
 func TestLostQuestionIsAskedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/transport/streamcast/streamcast.go
+++ b/transport/streamcast/streamcast.go
@@ -153,7 +153,9 @@
 }
 
 func encodeAnswer(q *peerpb.StreamQuery, a streambuild.Answer) *peerpb.StreamAnswer {
-	out := &peerpb.StreamAnswer{Number: q.GetNumber(), OneBuild: a.OneBuild, Build: a.Build}
+	out := &peerpb.StreamAnswer{
+		Number: q.GetNumber(), Builds: uint32(a.Builds.Count), Build: a.Builds.One, Covered: a.Builds.Covered,
+	}
 	if a.Known {
 		out.Record = encodeRecord(streambuild.Record{Stream: streambuild.StreamID(q.GetStream()), Origin: a.Origin})
 	}
@@ -161,7 +163,9 @@
 }
 
 func decodeAnswer(a *peerpb.StreamAnswer) streambuild.Answer {
-	out := streambuild.Answer{OneBuild: a.GetOneBuild(), Build: a.GetBuild()}
+	out := streambuild.Answer{
+		Builds: streambuild.Builds{Count: int(a.GetBuilds()), One: a.GetBuild(), Covered: a.GetCovered()},
+	}
 	if r := a.GetRecord(); r != nil {
 		out.Known, out.Origin = true, decodeRecord(r).Origin
 	}
