--- a/coordination/quarantine/parts.go
+++ b/coordination/quarantine/parts.go
@@ -9,28 +9,6 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// A part of a prompt may crash each server that begins to answer a request with it, whatever else the request holds.
-// No two such requests have the same fingerprint, so parts are judged by themselves.
-//
-// # Who is blamed
-//
-// When a server crashes, all requests that had no event yet may be to blame, and each of their parts. If some had the head of
-// their response, only these are. A part is cleared of a crash when a request with it begins to be answered after
-// that crash, at any instance. So parts that sound requests use are cleared within moments, and the part that
-// crashes servers never is. What is still blamed for partCrashLimit crashes at different moments is refused, the part with the most
-// crashes first; crashes that it explains no longer count against the others. Servers that crash together, for a reason of their
-// own, are one moment.
-//
-// # How it is found out that a part no longer crashes servers
-//
-// One instance lets one request try it, after TrialInterval and then ever less often: the one with the highest score among those
-// that reported its crashes, as requests with the part come there. A trial that is answered clears the part
-// everywhere. A part that was blamed wrongly is back after one trial.
-//
-// # What the instances tell each other
-//
-// Each exchange carries the blamed parts with their crashes, merged by union, and what was cleared of them. Without a recent crash
-// there are none.
 const (
 	// partCrashLimit is the number of moments of crashes after which requests with a part are refused.
 	partCrashLimit = 3
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -1,5 +1,5 @@
-// Package quarantine refuses requests that crash backend servers. A request is
-// identified by the fingerprint of its account, service and body, so that it is
+// Package quarantine refuses requests that crash backend servers, and requests with a
+// part in their prompts that does. A request is identified by the fingerprint of its account, service and body, so that it is
 // recognised when a caller sends it again through another instance.
 //
 // # What counts as a crash
@@ -26,6 +26,26 @@
 // if it runs a suspect while it knows of one crash only. It waits for a while before
 // it does, so that k+1 crashes take updates that are slower than that. The sides of
 // a partition count separately.
+//
+// # Parts of prompts
+//
+// A part of a prompt may crash each server that begins to answer a request with it, whatever else the request holds. No two
+// such requests have the same fingerprint, so Parts judges each part by itself, and never the last one, which belongs to the
+// request.
+//
+// When a server crashes, all requests that had no event yet may be to blame, and each of their parts. If some had the head
+// of their response, only these are. A part is cleared of a crash when a request with it is answered after that crash, at
+// any instance. So parts that sound requests use are cleared within moments, and the part that crashes servers never is.
+// What is still blamed for crashes at partCrashLimit different moments is refused, the part with the most crashes first;
+// crashes that it explains no longer count against the others. Servers that crash together, for a reason of their own, are
+// one moment.
+//
+// One instance lets one request try a refused part, after TrialInterval and then ever less often: of the instances that
+// reported its crashes, as requests with the part come there, the one with the highest score. A trial that is answered
+// clears the part everywhere. A part that was blamed wrongly is back after one trial.
+//
+// Each exchange between instances carries the blamed parts with their crashes, merged by union, and what was cleared of
+// them. Without a recent crash there are none.
 package quarantine
 
 import (
