--- a/review/.cases/case_cold.go
+++ b/review/.cases/case_cold.go
@@ -28,7 +28,9 @@
 // playCold restarts the fronts of a region in turn, while its workers are cold.
 func playCold(run *caseRun) (string, error) {
 	const deadline = 5 * time.Second
-	run.configure(route("dossier-draft", "streaming", writer, deadline, 2, true))
+	bound := route("dossier-draft", "streaming", writer, deadline, 2, true)
+	bound["home_regions"] = []string{region}
+	run.configure(bound)
 	var workers []*worker
 	for n := range 4 {
 		w, err := startWorker(run, fmt.Sprint("i-writer-", n), writer, zone, writerSlots)
