Count how each request that was read whole has ended

Callers' and forwarded requests that ended in a panic, at the end of the process or on a connection that failed were either in no count or in that of served requests: nothing told an answered request from a lost one.

Each request read whole (head and body) is now in flight or has one outcome, in series that fit together in every collection, in its last log line, and in the line 'stopped'. No decision about a request changes; the relay ends a cut response by a failure that its handler turns into the same abort as before.

--- a/instance/routed/stop.go
+++ b/instance/routed/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -56,7 +57,9 @@
 		sleep(ctx, drainPollInterval)
 	}
 	n.lending.ReturnAll(ctx)
-	n.log.Info("stopped", "took_ms", time.Since(began).Milliseconds(), "cut", err != nil)
+	callers, forwarded := n.front.Metrics.StopOutcomes()
+	n.log.Info("stopped", "took_ms", time.Since(began).Milliseconds(), "cut", err != nil,
+		slog.Group("requests", callers.Attrs()...), slog.Group("forwarded", forwarded.Attrs()...))
 	n.Kill()
 	return err
 }
@@ -64,6 +67,7 @@
 // Kill ends the instance at once, without waiting for requests in flight.
 func (n *Instance) Kill() {
 	n.stopLoops()
+	n.front.Metrics.StopOutcomes()
 	_ = n.callers.Close() // the process ends
 	for _, s := range n.handlerServers {
 		_ = s.Close() // as above
--- a/transport/httproute/failure.go
+++ b/transport/httproute/failure.go
@@ -52,6 +52,7 @@
 	sent            bool          // it reached a backend server
 	remote          bool          // reported by an instance of another region
 	responseStarted bool          // the caller has received part of the response
+	forwarded       bool          // the response that it broke off came by way of a peer
 	server          string
 	cause           error
 }
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -15,6 +15,7 @@
 	"github.com/basilroute/basilroute/service/features"
 	"github.com/basilroute/basilroute/state/routes"
 	"github.com/basilroute/basilroute/transport/backendhttp"
+	"github.com/basilroute/basilroute/transport/outcome"
 )
 
 // Headers between instances. A forwarded request makes one hop: the receiving instance
@@ -95,7 +96,7 @@
 	}
 	out := &reply{
 		Response: response, meta: f.Codec.DecodeResponse(response.Status, response.Header),
-		server: response.Header.Get(headerServer), build: decodeBuild(response.Header), onEnd: func(placement.Outcome) {},
+		server: response.Header.Get(headerServer), build: decodeBuild(response.Header), forwarded: true, onEnd: func(placement.Outcome) {},
 	}
 	if out.meta.Leaving {
 		f.Local.Backends.RecordRemoteLeaving(out.server, time.Now()) // nothing is fetched from it any more
@@ -167,6 +168,8 @@
 		http.Error(w, "not a forwarded request", http.StatusBadRequest)
 		return
 	}
+	watched, counted := watchWriter(w, hr), p.Local.Metrics.peers.Request()
+	defer counted.End(outcome.Ending{Outcome: outcome.Cut, By: outcome.ByPanic}) // only if nothing else has ended it
 	call := p.Codec.DecodeCall(hr.Header)
 	body, err := p.Memory.readAll(hr.Body)
 	switch {
@@ -176,12 +179,18 @@
 	case err != nil:
 		panic(http.ErrAbortHandler) // the peer closed the connection early; no response is possible
 	}
+	counted.Read()
 	defer p.Memory.Release(len(body))
 	o := p.outbound(hr, &info, &call, body, arrived)
 	ctx, cancel := p.requestContext(hr.Context(), &info, o.deadline)
 	defer cancel()
-	if failed := p.run(ctx, w, o); failed != nil {
-		p.refuse(w, o, failed)
+	failed := p.run(ctx, watched, o)
+	if failed != nil && !failed.responseStarted {
+		p.refuse(watched, o, failed)
+	}
+	counted.End(watched.ending(nil, failed))
+	if failed != nil && failed.responseStarted {
+		panic(http.ErrAbortHandler) // the peer has to see that the response is incomplete
 	}
 }
 
@@ -287,8 +296,7 @@
 		h.Set("Content-Length", strconv.FormatInt(rep.Length, 10))
 	}
 	w.WriteHeader(rep.Status)
-	p.copy(w, rep)
-	return nil
+	return p.copy(ctx, w, rep)
 }
 
 // place places the request. One that no server takes now may wait for a slot while it can be on time.
@@ -346,9 +354,9 @@
 	return choice, failed
 }
 
-// copy relays the response body as it arrives. If the server aborts the response, copy
-// aborts the one to the peer too.
-func (p *Peer) copy(w http.ResponseWriter, rep *reply) {
+// copy relays the response body as it arrives. It returns the failure of a response that was cut
+// off, and nil if the peer has got all of it or has disconnected.
+func (p *Peer) copy(ctx context.Context, w http.ResponseWriter, rep *reply) *failure {
 	control := http.NewResponseController(w)
 	buffer := make([]byte, relayBuffer)
 	var tail streamTail
@@ -366,23 +374,34 @@
 			}
 			if failed != nil {
 				rep.end(placement.OutcomeCancelled)
-				return
+				return nil
 			}
 		}
 		switch {
 		case errors.Is(err, io.EOF) && rep.EndsWithConn && isEventStream(rep.Header) && !tail.endsEvent():
-			rep.end(placement.OutcomeFailed)
-			panic(http.ErrAbortHandler)
+			return cutOff(ctx, rep, errIncompleteEvent)
 		case errors.Is(err, io.EOF):
 			rep.end(outcomeOf(rep.Status))
-			return
+			return nil
 		case err != nil:
-			rep.end(placement.OutcomeFailed)
-			panic(http.ErrAbortHandler)
+			return cutOff(ctx, rep, err)
 		}
 	}
 }
 
+// cutOff ends a response of which the peer has got a part.
+func cutOff(ctx context.Context, rep *reply, err error) *failure {
+	rep.end(placement.OutcomeFailed)
+	f := &failure{run: runRan, reason: reasonBroken, server: rep.server, sent: true, responseStarted: true, cause: err}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		f.reason = reasonDeadline
+	case errors.Is(err, backendhttp.ErrIdleTimeout):
+		f.reason = reasonSilent
+	}
+	return f
+}
+
 func outcomeOf(status int) placement.Outcome {
 	if status >= http.StatusInternalServerError {
 		return placement.OutcomeErrorCode
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -16,6 +16,7 @@
 	"github.com/basilroute/basilroute/service/features"
 	"github.com/basilroute/basilroute/state/routes"
 	"github.com/basilroute/basilroute/transport/backendhttp"
+	"github.com/basilroute/basilroute/transport/outcome"
 )
 
 // Remote is the state of another region for one service, as reported by one of its
@@ -108,6 +109,8 @@
 	hasWaited     bool          // it has waited for a slot
 	retryReserved atomic.Bool   // the next retry has been taken from the budget
 	shouldAbort   func() bool   // see Front.abortCheck
+	interruption  *failure      // that last broke off the response of a server; nil if none did
+	callerLeft    bool          // the caller left before it had the whole response
 }
 
 // accountName returns the name of the request's account, or an empty string if it has
@@ -125,22 +128,28 @@
 	if f.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	r, refused := f.accept(w, hr, arrived)
+	watched, counted := watchWriter(w, hr), f.Metrics.callers.Request()
+	defer counted.End(outcome.Ending{Outcome: outcome.Cut, By: outcome.ByPanic}) // only if nothing else has ended it
+	if hr.ContentLength == 0 {
+		counted.Read()
+	}
+	r, refused := f.accept(w, hr, arrived, counted)
 	if refused == nil && r == nil {
+		counted.End(outcome.Ending{Outcome: outcome.CallerGone, By: outcome.ByClose})
 		panic(http.ErrAbortHandler) // the caller has disconnected; returning would write an empty 200 response
 	}
 	if r != nil {
 		defer func() { f.Memory.Release(len(r.body)) }()
 	}
 	if refused == nil {
-		refused = f.serve(w, hr, r)
+		refused = f.serve(watched, hr, r)
 	}
-	f.finish(w, hr, r, refused, arrived)
+	f.finish(watched, hr, r, refused, counted, arrived)
 }
 
-// finish writes the final response of a request that was not served, and logs the trace of
-// the request.
-func (f *Front) finish(w http.ResponseWriter, hr *http.Request, r *request, refused *failure, arrived time.Time) {
+// finish writes the final response of a request that was not served, counts how the request has
+// ended, and logs its trace.
+func (f *Front) finish(w *watchedWriter, hr *http.Request, r *request, refused *failure, counted *outcome.Request, arrived time.Time) {
 	took := time.Since(arrived)
 	started := refused != nil && refused.responseStarted
 	if refused != nil && !started && hr.Context().Err() == nil {
@@ -150,8 +159,9 @@
 	if r == nil {
 		r = &request{Call: f.Codec.DecodeCall(hr.Header), arrived: arrived}
 	}
-	r.recordEnd(refused, hr.Context().Err() != nil, took)
-	r.logTrace(f.Log, refused, took)
+	ending := counted.End(w.ending(r, refused))
+	r.recordEnd(refused, ending, hr.Context().Err() != nil, took)
+	r.logTrace(f.Log, ending, took)
 	if refused != nil && (started || hr.Context().Err() != nil) {
 		// Aborts the connection before the end of the body, so that the caller sees that
 		// the response is incomplete. Returning would write an empty 200 response.
@@ -161,7 +171,7 @@
 
 // accept reads a request and finds its route and account. Both results are nil if the
 // caller has disconnected.
-func (f *Front) accept(w http.ResponseWriter, hr *http.Request, arrived time.Time) (*request, *failure) {
+func (f *Front) accept(w http.ResponseWriter, hr *http.Request, arrived time.Time, counted *outcome.Request) (*request, *failure) {
 	config := f.awaitConfig(hr.Context())
 	if config == nil {
 		return nil, &failure{run: runNotRun, reason: reasonNotReady, retryAfter: notReadyRetryAfter}
@@ -190,6 +200,7 @@
 	if r.body, refused = f.readBody(w, hr, config.Limits.BodyBytes); refused != nil {
 		return r, refused
 	}
+	counted.Read()
 	if hr.Context().Err() != nil {
 		f.Memory.Release(len(r.body))
 		return nil, nil
--- a/transport/httproute/local.go
+++ b/transport/httproute/local.go
@@ -73,6 +73,7 @@
 	meta       ResponseMeta
 	server     string
 	build      placement.Build // of the server's software
+	forwarded  bool            // it came by way of a peer
 	begun      bool            // an event has been passed on
 	onBegin    func()          // called when the first event has been passed on; nil if not needed
 	onEnd      func(placement.Outcome)
--- a/transport/httproute/metrics.go
+++ b/transport/httproute/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/basilroute/basilroute/coordination/waitqueue"
+	"github.com/basilroute/basilroute/transport/outcome"
 )
 
 // Metrics holds the metrics of HTTP routes. No label contains an account, a route or a
@@ -25,6 +26,9 @@
 	takeUps   *prometheus.CounterVec
 	parts     *prometheus.CounterVec
 	noService string
+
+	callers *outcome.Counts // requests of callers
+	peers   *outcome.Counts // requests that other instances forward
 }
 
 // NewMetrics creates and registers the metrics.
@@ -84,11 +88,19 @@
 			Help: "Requests with a part in their prompts that crashes servers: refused, or tried to find out whether it still does.",
 		}, []string{"service", "outcome"}),
 		noService: "none",
+		callers:   outcome.New(namespace, subsystem),
+		peers:     outcome.New(namespace, "relay"),
 	}
-	registry.MustRegister(m.requests, m.seconds, m.retries, m.forwards, m.steps, m.deviation, m.notices, m.against, m.waits, m.refusals, m.returns, m.takeUps, m.parts)
+	registry.MustRegister(m.requests, m.seconds, m.retries, m.forwards, m.steps, m.deviation, m.notices, m.against, m.waits, m.refusals, m.returns, m.takeUps, m.parts, m.callers, m.peers)
 	return m
 }
 
+// StopOutcomes counts all requests in flight as cut off by the shutdown, and returns the counts of
+// callers' and of forwarded requests.
+func (m *Metrics) StopOutcomes() (callers, forwarded outcome.Totals) {
+	return m.callers.Stop(), m.peers.Stop()
+}
+
 var kindNames = [...]string{"idempotent", "non_idempotent", "streaming"}
 
 func (m *Metrics) requestEnded(r *request, refused *failure, took time.Duration) {
--- a/transport/httproute/relay.go
+++ b/transport/httproute/relay.go
@@ -242,6 +242,7 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		return d.interrupted(ctx, rep, err)
 	}
+	d.r.callerLeft = true
 	rep.end(placement.OutcomeCancelled)
 	return nil
 }
@@ -273,6 +274,7 @@
 			f.reason = reasonDeadline
 		}
 	}
+	d.r.recordInterruption(f, rep)
 	rep.end(outcome)
 	return f
 }
--- a/transport/httproute/trace.go
+++ b/transport/httproute/trace.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/basilroute/basilroute/state/routes"
+	"github.com/basilroute/basilroute/transport/outcome"
 )
 
 // Events of a request trace, documented in docs/OPERATIONS.md.
@@ -41,10 +42,10 @@
 	r.trace = append(r.trace, traceStep{time.Now(), event, attrs})
 }
 
-// logTrace logs the trace of a request that was refused, failed, retried or slow, and of a
+// logTrace logs the trace of a request that was not answered, was retried or slow, and of a
 // sample of the normal requests.
-func (r *request) logTrace(log *slog.Logger, refused *failure, took time.Duration) {
-	if refused == nil && !r.notable(took) && xxhash.Sum64String(r.RequestID)%normalSampleInterval != 0 {
+func (r *request) logTrace(log *slog.Logger, ending outcome.Ending, took time.Duration) {
+	if ending.Outcome == outcome.Answered && !r.notable(took) && xxhash.Sum64String(r.RequestID)%normalSampleInterval != 0 {
 		return
 	}
 	for _, d := range r.trace {
@@ -72,8 +73,11 @@
 }
 
 // recordEnd records how a request ended.
-func (r *request) recordEnd(refused *failure, gone bool, took time.Duration) {
-	attrs := []any{"took_ms", took.Milliseconds(), "first_byte_ms", r.firstByte.Milliseconds(), "attempts", r.sends}
+func (r *request) recordEnd(refused *failure, ending outcome.Ending, gone bool, took time.Duration) {
+	attrs := []any{"outcome", string(ending.Outcome), "took_ms", took.Milliseconds(), "first_byte_ms", r.firstByte.Milliseconds(), "attempts", r.sends}
+	if ending.Outcome == outcome.Cut {
+		attrs = append(attrs, "by", ending.By)
+	}
 	if r.gaps.events > 0 {
 		attrs = append(attrs, "events", r.gaps.events, "longest_pause_ms", r.gaps.longest.Milliseconds())
 	}
--- a/transport/httproute/unframed_test.go
+++ b/transport/httproute/unframed_test.go
@@ -42,10 +42,17 @@
 // forwardingFront returns a front of another region without servers, which forwards to a front's region.
 func forwardingFront(t *testing.T, to *Front) *httptest.Server {
 	t.Helper()
-	peer := httptest.NewServer(&Peer{Codec: testCodec{}, Local: to.Local, Routes: to.Routes, Stopping: to.Stopping})
+	_, front, _ := forwardingFronts(t, to)
+	return front
+}
+
+// forwardingFronts returns the same, also with its state and the peer that it forwards to.
+func forwardingFronts(t *testing.T, to *Front) (f *Front, front, peer *httptest.Server) {
+	t.Helper()
+	peer = httptest.NewServer(&Peer{Codec: testCodec{}, Local: to.Local, Routes: to.Routes, Stopping: to.Stopping})
 	t.Cleanup(peer.Close)
-	f, front := newTestFront(t)
+	f, front = newTestFront(t)
 	f.Region, f.Routes = "elsewhere", to.Routes
 	f.Remotes = fakeRemotes{{Region: "r", Instance: "peer", Address: peer.Listener.Addr().String(), Servers: 1, FreeSlots: 8}}
-	return front
+	return f, front, peer
 }
