Keep a request at its silent server until another one has begun to respond

Cause: when nothing came for the idle timeout (1.2 s or more), the instance closed the only connection on which the response could still come, because another server existed at that moment. Whether that one would take the request was only known afterwards: it may turn it away, fail, be of another build by then, be silent itself, or a new configuration may have removed it. Class: the only process that has a request is given up on a guess that another will take it.

Change: the idle timeout now starts a try at another server beside the silent one (handover). The silent server, the holder, keeps its connection until the other one has sent the head of a usable response; then it is closed, so that both work on the request for one round trip at most. If the holder sends anything, the try is cancelled and the holder goes on. If it fails while a try runs, the try is waited for, as it is then the only one. Attempts of the route and the fleet's budget of retries bound tries as they did retries. The timeout is armed again after a try that came to nothing. A request that may not be repeated is never tried elsewhere, as before. The idle timer moves into a file of its own; a timer that fires late no longer closes a connection that has been returned to the pool.

Weighed: to wait for the keep-alive probes of a dead server instead (4 s) is longer than most callers of streams wait; to probe with a connection first tells a dead host but not a hung server.

--- a/transport/backendhttp/client.go
+++ b/transport/backendhttp/client.go
@@ -105,8 +105,8 @@
 type Options struct {
 	FreshConn     bool                      // use only a new or recently used connection, because the request may not be repeated
 	MatchResponse func(*http.Response) bool // reports whether a response belongs to this request
-	// IdleTimeout is how long to wait for the head of the response before ShouldAbort is
-	// asked whether to close the connection; 0 to wait until the context ends.
+	// IdleTimeout is how long to wait for data before ShouldAbort is asked whether to close the
+	// connection, see SetIdleTimeout; 0 to wait until the context ends.
 	IdleTimeout time.Duration
 	ShouldAbort func() bool
 }
@@ -130,13 +130,8 @@
 	stop        func() bool
 	complete    bool
 
-	idleTimeout time.Duration
-	idleTimer   *time.Timer
-	mu          sync.Mutex
-	activity    int       // number of times that data arrived
-	heardAt     time.Time // when data last arrived; at first when the request was sent
-	timedOut    bool      // the connection was closed by the idle timeout
-	Reused      bool      // the connection had carried a request before
+	watch  idleWatch
+	Reused bool // the connection had carried a request before
 }
 
 // Do sends a request and reads the head of the response. ctx also covers the body of the
@@ -160,7 +155,7 @@
 
 // roundTrip runs a request on a connection.
 func (c *Client) roundTrip(ctx context.Context, cn *conn, address string, r *Request, o Options) (*Response, error) {
-	a := &Response{client: c, ctx: ctx, address: address, conn: cn, Reused: cn.reused, heardAt: time.Now()}
+	a := &Response{client: c, ctx: ctx, address: address, conn: cn, Reused: cn.reused, watch: idleWatch{heardAt: time.Now()}}
 	cn.written = 0
 	a.stop = cn.closeOnCancel(ctx)
 	var err error
@@ -311,84 +306,12 @@
 	return n, err
 }
 
-// SetIdleTimeout sets the idle timeout of the response. When no data has arrived for d,
-// shouldAbort is asked, once, whether to close the connection. If it returns true, reads
-// fail with ErrIdleTimeout; otherwise the response is waited for until the context ends.
-func (a *Response) SetIdleTimeout(d time.Duration, giveUp func() bool) {
-	if a.idleTimer != nil {
-		a.idleTimer.Stop()
-	}
-	a.idleTimeout = d
-	a.idleTimer = time.AfterFunc(d, func() {
-		before := a.activityCount()
-		if giveUp() {
-			a.closeUnlessActive(before)
-		}
-	})
-}
-
-// PauseIdleTimer stops the idle timeout while the instance itself does not read. The returned function
-// starts it anew.
-func (a *Response) PauseIdleTimer() (resume func()) {
-	if a.idleTimer == nil || !a.idleTimer.Stop() {
-		return func() {}
-	}
-	return func() { a.idleTimer.Reset(a.idleTimeout) }
-}
-
-func (a *Response) activityCount() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.activity
-}
-
-// closeUnlessActive closes the connection unless data arrived while shouldAbort was
-// running, because the caller may have received the beginning of the response by then.
-func (a *Response) closeUnlessActive(before int) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.activity != before {
-		return
-	}
-	a.timedOut = true
-	_ = a.conn.Close() // unblocks the pending read
-}
-
-// ResetIdleTimer restarts the idle timeout. It returns false if the connection has been
-// closed by the idle timeout.
-func (a *Response) ResetIdleTimer() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.activity++
-	a.heardAt = time.Now()
-	if a.idleTimer != nil && a.idleTimer.Stop() {
-		a.idleTimer.Reset(a.idleTimeout)
-	}
-	return !a.timedOut
-}
-
-// markIdleTimeout marks the error of a read with ErrIdleTimeout if the idle timeout closed
-// the connection.
-func (a *Response) markIdleTimeout(err error) error {
-	if a.idleTimer != nil {
-		a.idleTimer.Stop()
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.timedOut {
-		return errors.Mark(err, ErrIdleTimeout)
-	}
-	return err
-}
-
 // Close ends the response. The connection is kept for reuse if the body was read to its
 // end and no other data arrived. Otherwise it is closed, and the server drops the request
 // if it is still running.
 func (a *Response) Close() {
 	defer a.client.requestEnded(a.address)
-	if a.idleTimer != nil {
-		a.idleTimer.Stop()
-	}
+	a.endIdleWatch()
 	if a.stop() && a.complete && a.requestWritten() {
 		if keep := responseIdleLimit(a.resp); keep > 0 && a.conn.clean() {
 			a.conn.idleLimit = keep
@@ -417,6 +340,7 @@
 
 func (a *Response) discard(err error) {
 	defer a.client.requestEnded(a.address)
+	a.endIdleWatch()
 	a.stop()
 	_ = a.conn.Close() // it failed
 	a.failed(err)
--- a/transport/backendhttp/silent.go
+++ b/transport/backendhttp/silent.go
@@ -29,13 +29,6 @@
 	}
 }
 
-// heard returns when data last arrived for the request, or when it was sent.
-func (a *Response) heard() time.Time {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.heardAt
-}
-
 // dropSilent closes the idle connections to an address that have not been used since a time, after
 // a request or dial that got no sign of the server since then. One that the caller cancelled proves
 // nothing. With the default FreshIdle nothing is dropped: it keeps requests that may not be repeated
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -83,34 +83,32 @@
 // request is the state of one request of a caller.
 type request struct {
 	Call
-	config        *routes.Config
-	route         *routes.Route
-	account       *routes.Account
-	service       string
-	header        http.Header // the caller's end-to-end headers
-	method        string
-	target        string
-	host          string
-	body          []byte
-	arrived       time.Time
-	deadline      time.Time
-	print         string               // fingerprint of the request
-	parts         []quarantine.PartKey // parts of the prompt that may be blamed for a crash
-	trial         bool                 // it finds out whether its parts still crash servers
-	work          placement.Request
-	build         atomic.Pointer[placement.Build] // that the stream may go on at; nil before it has begun
-	triedRegions  []string
-	sends         int // sends to backend servers
-	trace         []traceStep
-	server        string        // the server that responded last, in any region
-	firstByte     time.Duration // time until the head of the response
-	gaps          eventGaps     // between the events of the response
-	tries         int           // attempts, sent or not
-	hasWaited     bool          // it has waited for a slot
-	retryReserved atomic.Bool   // the next retry has been taken from the budget
-	shouldAbort   func() bool   // see Front.abortCheck
-	interruption  *failure      // that last broke off the response of a server; nil if none did
-	callerLeft    bool          // the caller left before it had the whole response
+	config       *routes.Config
+	route        *routes.Route
+	account      *routes.Account
+	service      string
+	header       http.Header // the caller's end-to-end headers
+	method       string
+	target       string
+	host         string
+	body         []byte
+	arrived      time.Time
+	deadline     time.Time
+	print        string               // fingerprint of the request
+	parts        []quarantine.PartKey // parts of the prompt that may be blamed for a crash
+	trial        bool                 // it finds out whether its parts still crash servers
+	work         placement.Request
+	build        atomic.Pointer[placement.Build] // that the stream may go on at; nil before it has begun
+	triedRegions []string
+	sends        int // sends to backend servers
+	trace        []traceStep
+	server       string        // the server that responded last, in any region
+	firstByte    time.Duration // time until the head of the response
+	gaps         eventGaps     // between the events of the response
+	tries        int           // attempts, sent or not
+	hasWaited    bool          // it has waited for a slot
+	interruption *failure      // that last broke off the response of a server; nil if none did
+	callerLeft   bool          // the caller left before it had the whole response
 }
 
 // accountName returns the name of the request's account, or an empty string if it has
--- a/transport/httproute/local.go
+++ b/transport/httproute/local.go
@@ -58,7 +58,7 @@
 	work        *placement.Request
 	deadline    time.Time
 	repeatable  bool
-	shouldAbort func() bool          // reports whether to abandon an idle server for another one; nil for never
+	shouldAbort func() bool          // reports whether to abandon an idle server, see handover; nil for never
 	print       string               // fingerprint of the request
 	parts       []quarantine.PartKey // parts of the prompt that may be blamed for a crash
 	trial       bool                 // it finds out whether its parts still crash servers
@@ -78,6 +78,16 @@
 	onBegin    func()          // called when the first event has been passed on; nil if not needed
 	onEnd      func(placement.Outcome)
 	onProgress func(time.Time) // called when more of the body has been passed on; nil if not needed
+	onData     func()          // called when more of the body has arrived; nil if not needed
+}
+
+// Read implements io.Reader.
+func (r *reply) Read(b []byte) (int, error) {
+	n, err := r.Response.Read(b)
+	if n > 0 && r.onData != nil {
+		r.onData()
+	}
+	return n, err
 }
 
 // reportProgress records that more of the body has been passed on.
--- a/transport/httproute/metrics.go
+++ b/transport/httproute/metrics.go
@@ -25,6 +25,7 @@
 	returns   *prometheus.CounterVec
 	takeUps   *prometheus.CounterVec
 	parts     *prometheus.CounterVec
+	handovers *prometheus.CounterVec
 	noService string
 
 	callers *outcome.Counts // requests of callers
@@ -87,11 +88,15 @@
 			Namespace: namespace, Subsystem: subsystem, Name: "crashing_part_requests_total",
 			Help: "Requests with a part in their prompts that crashes servers: refused, or tried to find out whether it still does.",
 		}, []string{"service", "outcome"}),
+		handovers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Subsystem: subsystem, Name: "handovers_total",
+			Help: "Other servers that were tried while the one with the request was silent, by whether the request moved.",
+		}, []string{"service", "outcome"}),
 		noService: "none",
 		callers:   outcome.New(namespace, subsystem),
 		peers:     outcome.New(namespace, "relay"),
 	}
-	registry.MustRegister(m.requests, m.seconds, m.retries, m.forwards, m.steps, m.deviation, m.notices, m.against, m.waits, m.refusals, m.returns, m.takeUps, m.parts, m.callers, m.peers)
+	registry.MustRegister(m.requests, m.seconds, m.retries, m.forwards, m.steps, m.deviation, m.notices, m.against, m.waits, m.refusals, m.returns, m.takeUps, m.parts, m.handovers, m.callers, m.peers)
 	return m
 }
 
@@ -150,7 +155,10 @@
 func (m *Metrics) partRefused(service string) { m.parts.WithLabelValues(service, "refused").Inc() }
 func (m *Metrics) partTried(service string)   { m.parts.WithLabelValues(service, "tried").Inc() }
 
-func (m *Metrics) retried(service string)   { m.retries.WithLabelValues(service).Inc() }
+func (m *Metrics) retried(service string) { m.retries.WithLabelValues(service).Inc() }
+func (m *Metrics) handedOver(service, outcome string) {
+	m.handovers.WithLabelValues(service, outcome).Inc()
+}
 func (m *Metrics) forwarded(service string) { m.forwards.WithLabelValues(service).Inc() }
 
 // What a backend server says about itself in an answer.
--- a/transport/httproute/trace.go
+++ b/transport/httproute/trace.go
@@ -20,6 +20,7 @@
 	eventWaited     = "request_waited"
 	eventRetried    = "request_retried"
 	eventResumed    = "request_resumed"
+	eventHandover   = "request_handover" // of a silent server
 	eventRefused    = "request_refused"
 	eventCut        = "request_cut"
 	eventServed     = "request_served"
