Keep a silent server whose response the caller has in part

What callers saw: a response of over 1 MB, or a smaller one while memory for responses was short, ended in the middle when its sound server paused for 1.2 s.

Cause: such a response is passed on as it arrives, so no other server can go on with it; the idle timeout of the attempt stayed armed all the same, and moved the request to a server whose response could then not be used. Same class as the stream that is given up for silence.

TestLargeResponseOfASilentServerIsKept failed before (unexpected EOF after 1,097,728 of 1,114,112 bytes) and passes. The idle timeout is disarmed, and a try that runs is cancelled, when the first part is passed on.

--- a/transport/httproute/relay.go
+++ b/transport/httproute/relay.go
@@ -116,8 +116,10 @@
 	_ = d.caller.control.SetWriteDeadline(time.Time{})  // fails only on a connection that has failed
 }
 
-// deliverLarge relays a response that is too large to be buffered.
+// deliverLarge relays a response that is too large to be buffered. No other server can go on with it.
 func (d *delivery) deliverLarge(ctx context.Context, rep *reply, body []byte) *failure {
+	rep.SetIdleCheck(nil)
+	d.handover.keep()
 	d.writeHead(rep)
 	part, buffer := body, make([]byte, relayBuffer)
 	for {
--- a/transport/httproute/silence_test.go
+++ b/transport/httproute/silence_test.go
@@ -87,6 +87,23 @@
 	}
 }
 
+// Guards against a response whose beginning the caller has, and that is cut because its sound server paused although no
+// other server can go on with it.
+func TestLargeResponseOfASilentServerIsKept(t *testing.T) {
+	const size = maxBuffered + 4*relayBuffer
+	pausing := func(c net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n", r.Header.Get("Id"), size)
+		_, _ = c.Write(make([]byte, size-relayBuffer))
+		time.Sleep(silence)
+		_, err := c.Write(make([]byte, relayBuffer))
+		return err == nil
+	}
+	other := func(c net.Conn, r *http.Request) bool { return respond(c, r, http.StatusOK, "ok") }
+	if status, body, err := startSilentPair(t, pausing, other)("/read/1"); err != nil || status != http.StatusOK || len(body) != size {
+		t.Errorf("status %d, %d bytes, %v", status, len(body), err)
+	}
+}
+
 // Guards against work that stays at a server that is gone without closing its connections.
 func TestStreamOfADeadServerIsTakenOver(t *testing.T) {
 	dead := func(c net.Conn, r *http.Request) bool {
