Answer and log the panic of a handler

A panic in the handler of callers or of forwarded requests was recovered by net/http, which closes the connection and logs at debug level: the caller saw a whole request end without an answer, and no log line told it.

The handler now recovers: it logs handler_panicked at error level with the request's id and the stack, counts the request as cut by a panic, and answers 502 if nothing was written, since the request may have run; a response that has begun is aborted. The headers of a server's response that were already copied are discarded.

Seen on the code before: TestPanicIsAnsweredAndLogged got EOF, no error logged; TestPanicWithinAStream got EOF where a panic came before the first event was written.

--- a/transport/httproute/failure.go
+++ b/transport/httproute/failure.go
@@ -42,6 +42,7 @@
 	reasonDeadline    reason = "deadline"     // the deadline passed
 	reasonBuild       reason = "stream_build" // the build that began the stream is not known, or has no part in the route
 	reasonPeer        reason = "peer"         // the peer was unreachable or its response failed
+	reasonPanic       reason = "panic"        // the handler of this instance or of a peer panicked
 )
 
 // failure describes an attempt, or a whole request, that got no response.
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -15,7 +15,6 @@
 	"github.com/basilroute/basilroute/service/features"
 	"github.com/basilroute/basilroute/state/routes"
 	"github.com/basilroute/basilroute/transport/backendhttp"
-	"github.com/basilroute/basilroute/transport/outcome"
 )
 
 // Headers between instances. A forwarded request makes one hop: the receiving instance
@@ -169,7 +168,12 @@
 		return
 	}
 	watched, counted := watchWriter(w, hr), p.Local.Metrics.peers.Request()
-	defer counted.End(outcome.Ending{Outcome: outcome.Cut, By: outcome.ByPanic}) // only if nothing else has ended it
+	defer counted.End(cutByPanic) // counts only if nothing else has ended the request
+	defer func() {
+		if cause := recover(); cause != nil {
+			p.endPanicked(watched, hr, info.Service, cause, counted)
+		}
+	}()
 	call := p.Codec.DecodeCall(hr.Header)
 	body, err := p.Memory.readAll(hr.Body)
 	switch {
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -127,11 +127,18 @@
 		w.Header().Set("Connection", "close")
 	}
 	watched, counted := watchWriter(w, hr), f.Metrics.callers.Request()
-	defer counted.End(outcome.Ending{Outcome: outcome.Cut, By: outcome.ByPanic}) // only if nothing else has ended it
+	var r *request
+	var refused *failure
+	defer counted.End(cutByPanic) // counts only if nothing else has ended the request
+	defer func() {
+		if cause := recover(); cause != nil {
+			f.endPanicked(watched, hr, r, cause, counted, arrived)
+		}
+	}()
 	if hr.ContentLength == 0 {
 		counted.Read()
 	}
-	r, refused := f.accept(w, hr, arrived, counted)
+	r, refused = f.accept(w, hr, arrived, counted)
 	if refused == nil && r == nil {
 		counted.End(outcome.Ending{Outcome: outcome.CallerGone, By: outcome.ByClose})
 		panic(http.ErrAbortHandler) // the caller has disconnected; returning would write an empty 200 response
--- a/transport/httproute/outcome.go
+++ b/transport/httproute/outcome.go
@@ -60,6 +60,19 @@
 	}
 }
 
+// discardHeader removes what was to be written, except whether the connection closes, if nothing was.
+func (w *watchedWriter) discardHeader() {
+	if w.began {
+		return
+	}
+	header := w.Header()
+	closes := header["Connection"]
+	clear(header)
+	if closes != nil {
+		header["Connection"] = closes
+	}
+}
+
 // finish writes what net/http still holds of a response of known length. The error would otherwise
 // arise when the handler has returned.
 func (w *watchedWriter) finish() {
@@ -73,6 +86,8 @@
 func (w *watchedWriter) ending(r *request, failed *failure) outcome.Ending {
 	w.finish()
 	switch {
+	case failed != nil && failed.reason == reasonPanic && !failed.remote:
+		return cutByPanic
 	case w.err != nil:
 		return outcome.Ending{Outcome: outcome.CallerGone, By: outcome.ByWrite}
 	case w.callerLeft(r, failed):
--- a/transport/httproute/trace.go
+++ b/transport/httproute/trace.go
@@ -75,10 +75,11 @@
 
 // recordEnd records how a request ended.
 func (r *request) recordEnd(refused *failure, ending outcome.Ending, gone bool, took time.Duration) {
-	attrs := []any{"outcome", string(ending.Outcome), "took_ms", took.Milliseconds(), "first_byte_ms", r.firstByte.Milliseconds(), "attempts", r.sends}
+	attrs := []any{"outcome", string(ending.Outcome)}
 	if ending.Outcome == outcome.Cut {
 		attrs = append(attrs, "by", ending.By)
 	}
+	attrs = append(attrs, "took_ms", took.Milliseconds(), "first_byte_ms", r.firstByte.Milliseconds(), "attempts", r.sends)
 	if r.gaps.events > 0 {
 		attrs = append(attrs, "events", r.gaps.events, "longest_pause_ms", r.gaps.longest.Milliseconds())
 	}
