--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -15,6 +15,7 @@
 	"github.com/basilroute/basilroute/service/features"
 	"github.com/basilroute/basilroute/state/routes"
 	"github.com/basilroute/basilroute/transport/backendhttp"
+	"github.com/basilroute/basilroute/transport/outcome"
 )
 
 // Headers between instances. A forwarded request makes one hop: the receiving instance
@@ -167,7 +168,7 @@
 		http.Error(w, "not a forwarded request", http.StatusBadRequest)
 		return
 	}
-	watched, counted := watchWriter(w, hr), p.Local.Metrics.peers.Request()
+	watched, counted := outcome.Watch(w, hr), p.Local.Metrics.peers.Request()
 	defer counted.End(cutByPanic) // counts only if nothing else has ended the request
 	defer func() {
 		if cause := recover(); cause != nil {
@@ -192,7 +193,7 @@
 	if failed != nil && !failed.responseStarted {
 		p.refuse(watched, o, failed)
 	}
-	counted.End(watched.ending(nil, failed))
+	counted.End(endingOf(watched, nil, failed))
 	if failed != nil && failed.responseStarted {
 		panic(http.ErrAbortHandler) // the peer has to see that the response is incomplete
 	}
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -126,7 +126,7 @@
 	if f.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	watched, counted := watchWriter(w, hr), f.Metrics.callers.Request()
+	watched, counted := outcome.Watch(w, hr), f.Metrics.callers.Request()
 	var r *request
 	var refused *failure
 	defer counted.End(cutByPanic) // counts only if nothing else has ended the request
@@ -154,7 +154,7 @@
 
 // finish writes the final response of a request that was not served, counts how the request has
 // ended, and logs its trace.
-func (f *Front) finish(w *watchedWriter, hr *http.Request, r *request, refused *failure, counted *outcome.Request, arrived time.Time) {
+func (f *Front) finish(w *outcome.Writer, hr *http.Request, r *request, refused *failure, counted *outcome.Request, arrived time.Time) {
 	took := time.Since(arrived)
 	started := refused != nil && refused.responseStarted
 	if refused != nil && !started && hr.Context().Err() == nil {
@@ -164,7 +164,7 @@
 	if r == nil {
 		r = &request{Call: f.Codec.DecodeCall(hr.Header), arrived: arrived}
 	}
-	ending := counted.End(w.ending(r, refused))
+	ending := counted.End(endingOf(w, r, refused))
 	r.recordEnd(refused, ending, hr.Context().Err() != nil, took)
 	r.logTrace(f.Log, ending, took)
 	if refused != nil && (started || hr.Context().Err() != nil) {
--- a/transport/httproute/panics.go
+++ b/transport/httproute/panics.go
@@ -19,7 +19,7 @@
 
 // endPanicked ends a request whose handler panicked. It may have run. It panics with
 // http.ErrAbortHandler if the handler did, or if its response has begun.
-func (f *Front) endPanicked(w *watchedWriter, hr *http.Request, r *request, cause any, counted *outcome.Request, arrived time.Time) {
+func (f *Front) endPanicked(w *outcome.Writer, hr *http.Request, r *request, cause any, counted *outcome.Request, arrived time.Time) {
 	if cause == any(http.ErrAbortHandler) {
 		panic(cause)
 	}
@@ -27,12 +27,12 @@
 		r = &request{Call: decodeAgain(f.Codec, hr.Header), arrived: arrived}
 	}
 	logPanic(f.Log, r.RequestID, cause)
-	w.discardHeader()
+	w.DiscardHeader()
 	f.finish(w, hr, r, panicFailure(w, cause), counted, arrived)
 }
 
 // endPanicked does the same for a forwarded request.
-func (p *Peer) endPanicked(w *watchedWriter, hr *http.Request, service string, cause any, counted *outcome.Request) {
+func (p *Peer) endPanicked(w *outcome.Writer, hr *http.Request, service string, cause any, counted *outcome.Request) {
 	if cause == any(http.ErrAbortHandler) {
 		panic(cause)
 	}
@@ -43,12 +43,12 @@
 	if failed.responseStarted {
 		panic(http.ErrAbortHandler)
 	}
-	w.discardHeader()
+	w.DiscardHeader()
 	p.refuse(w, &outbound{id: id, service: service}, failed)
 }
 
-func panicFailure(w *watchedWriter, cause any) *failure {
-	return &failure{run: runUnknown, reason: reasonPanic, sent: true, responseStarted: w.began, cause: errors.Newf("panic: %v", cause)}
+func panicFailure(w *outcome.Writer, cause any) *failure {
+	return &failure{run: runUnknown, reason: reasonPanic, sent: true, responseStarted: w.Began(), cause: errors.Newf("panic: %v", cause)}
 }
 
 func logPanic(log *slog.Logger, requestID string, cause any) {
