Count how each request of /v1 that was read whole has ended

The counts of /v1 hold requests that ended, by code: one whose caller left, whose connection failed or whose handler panicked was in no count, or in one with those that were answered. Each request that a backend server may run is now in flight or has one outcome, in the same words as on HTTP routes; an instance that stops logs them.

No decision about a request changes.

--- a/instance/stop.go
+++ b/instance/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -42,6 +43,8 @@
 	} else {
 		i.cancelInFlight(callersDone, peersDone)
 	}
+	callers := i.metrics.Callers().Stop()
+	i.log.Info("stopped", slog.Group("requests", callers.Attrs()...))
 	i.Kill()
 	return errors.Wrap(err, "requests in flight were cancelled")
 }
--- a/transport/gateway/errors.go
+++ b/transport/gateway/errors.go
@@ -58,6 +58,7 @@
 // NewError implements gatewayapi.Handler.
 func (g *Gateway) NewError(ctx context.Context, err error) *gatewayapi.RefusalStatusCodeWithHeaders {
 	r := classify(err)
+	endOf(ctx).refused = r
 	c, _ := ctx.Value(callerKey{}).(caller)
 	out := &gatewayapi.RefusalStatusCodeWithHeaders{StatusCode: r.Status(), Response: g.encodeRefusal(r, c.account)}
 	if r.RetryAfter > 0 {
@@ -67,20 +68,21 @@
 }
 
 // writeError responds to errors that occur before an operation's handler runs.
-func (g *Gateway) writeError(_ context.Context, w http.ResponseWriter, _ *http.Request, err error) {
-	g.writeRefusal(w, classify(err))
+func (g *Gateway) writeError(_ context.Context, w http.ResponseWriter, r *http.Request, err error) {
+	g.writeRefusal(w, r, classify(err))
 }
 
-func (g *Gateway) notFound(w http.ResponseWriter, _ *http.Request) {
-	g.writeRefusal(w, refusal.New(refusal.CodeNotFound, "no such path"))
+func (g *Gateway) notFound(w http.ResponseWriter, r *http.Request) {
+	g.writeRefusal(w, r, refusal.New(refusal.CodeNotFound, "no such path"))
 }
 
-func (g *Gateway) methodNotAllowed(w http.ResponseWriter, _ *http.Request, allowed string) {
+func (g *Gateway) methodNotAllowed(w http.ResponseWriter, r *http.Request, allowed string) {
 	w.Header().Set("Allow", allowed)
-	g.writeRefusal(w, refusal.New(refusal.CodeMethod, "want one of %s", allowed))
+	g.writeRefusal(w, r, refusal.New(refusal.CodeMethod, "want one of %s", allowed))
 }
 
-func (g *Gateway) writeRefusal(w http.ResponseWriter, r *refusal.Refusal) {
+func (g *Gateway) writeRefusal(w http.ResponseWriter, hr *http.Request, r *refusal.Refusal) {
+	endOf(hr.Context()).refused = r
 	body := g.encodeRefusal(r, nil)
 	encoded, err := body.MarshalJSON()
 	if err != nil {
--- a/transport/gateway/flush_test.go
+++ b/transport/gateway/flush_test.go
@@ -16,6 +16,7 @@
 	"github.com/basilroute/basilroute/state/catalog"
 	"github.com/basilroute/basilroute/state/requests"
 	"github.com/basilroute/basilroute/transport/dispatch"
+	"github.com/basilroute/basilroute/transport/metrics"
 )
 
 // stepRunner sends a frame, waits until the caller has read it, and sends the last one.
@@ -48,6 +49,12 @@
 
 // serve runs a gateway with one model service and returns its URL and a key.
 func serve(t *testing.T, runner Runner) (url, key string) {
+	t.Helper()
+	server, key := serveWith(t, runner, nil)
+	return server.URL, key
+}
+
+func serveWith(t *testing.T, runner Runner, recorder *metrics.Recorder) (server *httptest.Server, key string) {
 	t.Helper()
 	documents := catalog.New()
 	presented, stored := catalog.NewKey("suva-1")
@@ -55,14 +62,14 @@
 	documents.Put(document(t, "kind: account\nname: suva\nrate: 1\nburst: 1\nkeys: [{id: "+stored.ID+", sha256: "+stored.SHA256+"}]\n"))
 	handler, err := (&Gateway{
 		Catalog: documents, Requests: requests.New(), Runner: runner, Entries: noEntries{}, Ready: func() bool { return true },
-		Via: via.NewSigner(nil),
+		Via: via.NewSigner(nil), Metrics: recorder,
 	}).Handler()
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := httptest.NewServer(handler)
+	server = httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	return server.URL, presented
+	return server, presented
 }
 
 // A caller reads a streamed response token by token. The generated server copies the response
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "gateway")
 	}
-	return limitBody(httpstream.FlushHandler(api)), nil
+	return limitBody(g.countOutcomes(httpstream.FlushHandler(api))), nil
 }
 
 func limitBody(next http.Handler) http.Handler {
--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -36,6 +36,7 @@
 	wake         chan struct{} // capacity 1: there is something to read
 	drained      chan struct{} // capacity 1: the buffer has space again
 	callerGone   <-chan struct{}
+	call         *callEnd
 }
 
 // stream starts the work and returns once its first event is buffered, so that a refusal
@@ -44,7 +45,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	e := &eventStream{
 		id: w.RequestID, model: w.Service, object: object, created: time.Now().Unix(),
-		cancel: cancel, finished: make(chan struct{}), callerGone: ctx.Done(),
+		cancel: cancel, finished: make(chan struct{}), callerGone: ctx.Done(), call: endOf(ctx),
 		wake: make(chan struct{}, 1), drained: make(chan struct{}, 1),
 	}
 	var runErr error
@@ -166,7 +167,9 @@
 	case err == nil:
 		e.buffered = append(e.buffered, "data: [DONE]\n\n"...)
 	case e.frames > 0:
-		e.buffered = appendIncomplete(e.buffered, classify(err))
+		refused := classify(err)
+		e.call.refused, e.call.cut = refused, true
+		e.buffered = appendIncomplete(e.buffered, refused)
 	}
 	signal(e.wake)
 }
--- a/transport/metrics/recorder.go
+++ b/transport/metrics/recorder.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/basilroute/basilroute/service"
+	"github.com/basilroute/basilroute/transport/outcome"
 )
 
 const namespace = "basilroute"
@@ -67,6 +68,7 @@
 	quota         *prometheus.CounterVec
 	storeCalls    *prometheus.CounterVec
 	storeDuration *prometheus.HistogramVec
+	callers       *outcome.Counts
 }
 
 func counter(name, help string, labels ...string) *prometheus.CounterVec {
@@ -92,12 +94,16 @@
 		quota:         counter("quota_tokens_total", "Tokens charged to accounts, given back, and asked for but refused.", labelResult),
 		storeCalls:    counter("store_calls_total", "Calls of the platform's services.", labelCall, labelResult),
 		storeDuration: histogram("store_call_seconds", "Duration of calls of the platform's services, waiting watches left out.", latencyBuckets, labelCall),
+		callers:       outcome.New(namespace, "caller"),
 	}
 	registry.MustRegister(r.requests, r.firstToken, r.duration, r.queueWait, r.outputTokens, r.refusals,
-		r.forwarded, r.retries, r.dropped, r.quota, r.storeCalls, r.storeDuration)
+		r.forwarded, r.retries, r.dropped, r.quota, r.storeCalls, r.storeDuration, r.callers)
 	return r
 }
 
+// Callers returns the counts of the requests of callers that were read whole.
+func (r *Recorder) Callers() *outcome.Counts { return r.callers }
+
 // RecordEnd counts a finished request and its output tokens, and observes its duration.
 func (r *Recorder) RecordEnd(svc string, class service.Class, code string, took time.Duration, tokens int) {
 	if r == nil {
