Answer callers that have closed their sending side only

Callers saw: a caller that sends a whole request and then a FIN, and reads on, got a closed connection without a byte, also where the request was refused or had not run.

Cause: net/http ends the context of a request when it reads a FIN, which a full close begins with too. The refusal was then not written, and the connection aborted; a request whose caller's context had ended before it was sent was not counted.

Ruled out: writing only where the caller still reads, since that shows by writing alone.

Works because a write to a closed connection costs nothing, and a refusal says truthfully whether the request has run. Work for such a caller is ended as before. Requests that end before they are sent count with the reason caller_gone.

--- a/transport/httproute/callergone_test.go
+++ b/transport/httproute/callergone_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -38,6 +39,14 @@
 	}
 }
 
+// closeSending sends a FIN. The caller goes on reading.
+func (c *rawCaller) closeSending() {
+	c.t.Helper()
+	if err := c.CloseWrite(); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
 // response reads one response. The error is that of its head or of its body.
 func (c *rawCaller) response() (status int, body string, err error) {
 	resp, err := http.ReadResponse(c.reader, nil)
@@ -55,6 +64,71 @@
 
 func addressOf(s *httptest.Server) string { return s.Listener.Addr().String() }
 
+// Guards against a request that ends without a response because its caller has closed its sending side only: it is refused,
+// or it ran and the response says no less.
+func TestHalfClosedCallerIsAnswered(t *testing.T) {
+	const callers = 20
+	s := startFakeServer(t, func(c net.Conn, r *http.Request) bool {
+		if strings.HasPrefix(r.URL.Path, "/order/") {
+			return respond(c, r, http.StatusOK, "ok")
+		}
+		_, _ = c.Read(make([]byte, 1)) // until the request is cancelled
+		return false
+	})
+	f, front := newTestFront(t, s)
+	configure(f)
+	for _, path := range []string{"/read/1", "/order/1", "/draft/1", "/chat/1"} {
+		for i := range callers {
+			id := fmt.Sprint(path, "-", i)
+			c := dialRaw(t, addressOf(front))
+			c.send(requestText("POST", path, id, strings.Repeat("x", i%2)))
+			c.closeSending()
+			status, body, err := c.response()
+			if err != nil {
+				t.Errorf("%s: %v, sent to the server: %v", id, err, s.hasSeen(id))
+				continue
+			}
+			if status == http.StatusServiceUnavailable && s.hasSeen(id) || status == http.StatusOK && body != "ok" {
+				t.Errorf("%s: %d %q, sent to the server: %v", id, status, body, s.hasSeen(id))
+			}
+		}
+	}
+	front.Close() // waits until the requests have ended
+	if f.Memory.Used() != 0 {
+		t.Errorf("%d bytes are still taken", f.Memory.Used())
+	}
+}
+
+// hasSeen reports whether a request reached the server.
+func (s *fakeServer) hasSeen(id string) bool {
+	return slices.ContainsFunc(s.requests(), func(r *http.Request) bool { return r.Header.Get("Id") == id })
+}
+
+// Guards against a refusal that is not written because its caller has closed its sending side only, and against memory that
+// such a request keeps.
+func TestHalfClosedCallerIsRefused(t *testing.T) {
+	f, front := newTestFront(t)
+	configure(f)
+	f.Memory = NewBudget(500)
+	for name, text := range map[string]string{
+		"no server":   requestText("POST", "/order/1", "id-1", "x"),
+		"unknown key": strings.Replace(requestText("GET", "/read/1", "id-1", ""), testKey, "another", 1),
+		"no route":    requestText("GET", "/elsewhere/1", "id-1", ""),
+		"memory":      requestText("POST", "/order/1", "id-1", strings.Repeat("x", 501)),
+	} {
+		c := dialRaw(t, addressOf(front))
+		c.send(text)
+		c.closeSending()
+		if status, body, err := c.response(); err != nil || body == "" || status < http.StatusBadRequest {
+			t.Errorf("%s: %d %q, %v", name, status, body, err)
+		}
+	}
+	front.Close() // waits until the requests have ended
+	if f.Memory.Used() != 0 {
+		t.Errorf("%d bytes are still taken", f.Memory.Used())
+	}
+}
+
 // Guards against a request that ends because its connection carries more bytes: a second request, or an empty line.
 func TestMoreBytesDoNotEndARequest(t *testing.T) {
 	for _, path := range []string{"/read/1", "/order/1", "/draft/1", "/chat/1"} {
--- a/transport/httproute/failure.go
+++ b/transport/httproute/failure.go
@@ -34,6 +34,7 @@
 	reasonLoad        reason = "overloaded"   // it cannot be served in time
 	reasonCold        reason = "cold"         // cold servers accept few requests
 	reasonStopping    reason = "stopping"     // this instance is shutting down
+	reasonCallerGone  reason = "caller_gone"  // the caller has closed at least its sending side
 	reasonShed        reason = "shed"         // the server rejected it
 	reasonUnreachable reason = "unreachable"  // nothing was sent: no connection
 	reasonBroken      reason = "broken"       // the connection closed before the response was complete
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -139,10 +139,6 @@
 		counted.Read()
 	}
 	r, refused = f.accept(w, hr, arrived, counted)
-	if refused == nil && r == nil {
-		counted.End(outcome.Ending{Outcome: outcome.CallerGone, By: outcome.ByClose})
-		panic(http.ErrAbortHandler) // the caller has disconnected; returning would write an empty 200 response
-	}
 	if r != nil {
 		defer func() { f.Memory.Release(len(r.body)) }()
 	}
@@ -157,8 +153,8 @@
 func (f *Front) finish(w *outcome.Writer, hr *http.Request, r *request, refused *failure, counted *outcome.Request, arrived time.Time) {
 	took := time.Since(arrived)
 	started := refused != nil && refused.responseStarted
-	if refused != nil && !started && hr.Context().Err() == nil {
-		refuse(w, refused)
+	if refused != nil && !started {
+		refuse(w, refused) // a caller whose context has ended may have closed its sending side only
 	}
 	f.Metrics.requestEnded(r, refused, took)
 	if r == nil {
@@ -167,15 +163,14 @@
 	ending := counted.End(endingOf(w, r, refused))
 	r.recordEnd(refused, ending, hr.Context().Err() != nil, took)
 	r.logTrace(f.Log, ending, took)
-	if refused != nil && (started || hr.Context().Err() != nil) {
+	if started {
 		// Aborts the connection before the end of the body, so that the caller sees that
-		// the response is incomplete. Returning would write an empty 200 response.
+		// the response is incomplete.
 		panic(http.ErrAbortHandler)
 	}
 }
 
-// accept reads a request and finds its route and account. Both results are nil if the
-// caller has disconnected.
+// accept reads a request and finds its route and account.
 func (f *Front) accept(w http.ResponseWriter, hr *http.Request, arrived time.Time, counted *outcome.Request) (*request, *failure) {
 	config := f.awaitConfig(hr.Context())
 	if config == nil {
@@ -207,8 +202,7 @@
 	}
 	counted.Read()
 	if hr.Context().Err() != nil {
-		f.Memory.Release(len(r.body))
-		return nil, nil
+		return r, &failure{run: runNotRun, reason: reasonCallerGone}
 	}
 	r.recordAdmitted()
 	if refused = f.pinBuild(hr.Context(), r); refused != nil {
