Abort the response of a caller that does not read and has closed its sending side

Callers saw: a stream that was broken off looked complete.

Cause: the caller's context ends while a part of the response waits for room, and that was taken for a caller that is gone: the request was recorded as served, the handler returned, and net/http wrote the final chunk after what the caller had not read.

Works because the end of the context is now a failure of a response that has started, which aborts the connection.

--- a/transport/httproute/callergone_test.go
+++ b/transport/httproute/callergone_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -129,6 +130,40 @@
 	}
 }
 
+// Guards against a stream that is broken off and looks complete: its caller reads slowly and has closed its sending side.
+func TestStreamOfHalfClosedCallerDoesNotLookComplete(t *testing.T) {
+	padding := strings.Repeat("x", 32<<10)
+	var written atomic.Int64
+	ended := make(chan struct{})
+	s := startFakeServer(t, func(c net.Conn, r *http.Request) bool {
+		writeHead(c, r)
+		for i := 0; ; i++ {
+			written.Add(1)
+			event := fmt.Sprintf("id: %d\ndata: %s\n\n", i, padding)
+			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+				close(ended)
+				return false
+			}
+		}
+	})
+	f, front := newTestFront(t, s)
+	configure(f)
+	c := dialRaw(t, addressOf(front))
+	c.send(requestText("POST", "/chat/1", "id-1", "x"))
+	if _, err := c.reader.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	for before := int64(-1); written.Load() != before; { // until the buffers on the way are full
+		before = written.Load()
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.closeSending()
+	<-ended
+	if status, _, err := c.response(); err == nil {
+		t.Errorf("an unlimited stream looks complete, with status %d", status)
+	}
+}
+
 // Guards against a request that ends because its connection carries more bytes: a second request, or an empty line.
 func TestMoreBytesDoNotEndARequest(t *testing.T) {
 	for _, path := range []string{"/read/1", "/order/1", "/draft/1", "/chat/1"} {
--- a/transport/httproute/relay.go
+++ b/transport/httproute/relay.go
@@ -243,10 +243,10 @@
 	return err
 }
 
-// unwritten ends a response of which the caller does not get the rest. It returns nil if the caller
-// has disconnected, and the failure if the deadline has passed before the caller read enough.
+// unwritten ends a response of which the caller does not get the rest. It returns nil if nothing more can
+// be written, and the failure if the request has ended before the caller read enough.
 func (d *delivery) unwritten(ctx context.Context, rep *reply, err error) *failure {
-	if errors.Is(err, context.DeadlineExceeded) {
+	if ctx.Err() != nil {
 		return d.interrupted(ctx, rep, err)
 	}
 	d.r.callerLeft = true
