Refuse at once while a body is on its way, and read the rest of it

Callers saw: a connection reset within the body, where the request was refused before the body was in. A caller that sends its whole body before it reads could not do so in 28 of 35 cases (96 KB or 3 MB in about 0.8 s; 401, 404, 413, 503; with and without an instance that is leaving, a far region and Connection: close), and one also lost the refusal. A caller that read first got none before it had sent the rest (the test ended after 10 s), and one that stalled in its body never got any: the handler's connection waited without limit.

Cause: net/http reads up to 256 KB of the rest before it writes a response, and with Connection: close after it, without a limit of time; beyond that, and at once where the request said Connection: close, it closes the connection with bytes unread.

Ruled out: answering Connection: close to all of these, as the reset stays; a limit on the server's reads, as it would also end long bodies that are accepted.

Works because the refusal is written and flushed first, and then the rest is read and dropped, within 16 MB and 2.5 s. A connection whose rest has not been read to its end is closed, so that no part of it is taken for a request.

--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -154,7 +154,7 @@
 	took := time.Since(arrived)
 	started := refused != nil && refused.responseStarted
 	if refused != nil && !started {
-		refuse(w, refused) // a caller whose context has ended may have closed its sending side only
+		refuseAtOnce(w, refused) // a caller whose context has ended may have closed its sending side only
 	}
 	f.Metrics.requestEnded(r, refused, took)
 	if r == nil {
@@ -168,6 +168,13 @@
 		// the response is incomplete.
 		panic(http.ErrAbortHandler)
 	}
+	if refused == nil {
+		return
+	}
+	if err := discardBody(w, hr); err != nil {
+		f.Log.Debug("body_not_read", "request", r.RequestID, "error", err.Error())
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // accept reads a request and finds its route and account.
