--- a/transport/httproute/refusalbody_test.go
+++ b/transport/httproute/refusalbody_test.go
@@ -194,6 +194,22 @@
 	}
 }
 
+// Guards against a caller that is asked for its body after the refusal, because the rest of the body is read.
+func TestRefusedCallerIsNotAskedForItsBody(t *testing.T) {
+	f, front := newTestFront(t)
+	configure(f)
+	c := dialRaw(t, addressOf(front))
+	u := upload{parts: 1, part: 50 << 10, header: "Expect: 100-continue\r\n"}
+	c.send(u.head("/order/1", "another"))
+	if status, _, err := c.response(); err != nil || status != http.StatusUnauthorized {
+		t.Fatalf("%d, %v", status, err)
+	}
+	c.closeSending()
+	if rest, err := io.ReadAll(c.reader); len(rest) > 0 || err != nil {
+		t.Errorf("after the refusal: %q, %v", rest, err)
+	}
+}
+
 // oneConn is a listener that accepts one connection.
 type oneConn chan net.Conn
 
