Let a stream that has begun end under its configuration

Callers saw a stream cut after its first events although a server could go on with it: its first server had broken off, it waited for a slot of another one, and meanwhile a version without its route, or with another service, home region or kind for it, came into force.

Cause: applyConfig treated it like a request that has not begun. It gave it up with no_route, unknown_key or no_server, which after the first events means to close the connection; or it replaced the route that says how the rest of the stream is passed on.

Retries that find a slot at once go by the version at arrival already, so the wait now agrees with them. A request without events is still refused or moved by the new version. The wait is bounded by the deadline.

--- a/transport/httproute/awaitslot.go
+++ b/transport/httproute/awaitslot.go
@@ -108,10 +108,11 @@
 func (f *failure) worthWaiting() bool { return f.reason == reasonLoad || f.reason == reasonCold }
 
 // applyConfig applies the configuration in force to a waiting request. It returns the failure of a
-// request that may not run by it.
+// request that may not run by it. A stream of which the caller has events ends under the version under
+// which it began: what follows has to come from the same service.
 func (f *Front) applyConfig(r *request) *failure {
 	config := f.Routes.Current()
-	if config == r.config {
+	if config == r.config || r.begun() {
 		return nil
 	}
 	target, err := url.ParseRequestURI(r.target)
@@ -139,6 +140,9 @@
 	return nil
 }
 
+// begun reports whether the caller has events of the response.
+func (r *request) begun() bool { return r.gaps.events > 0 }
+
 // waitBounds returns how long the request of a caller may wait. A caller that returns has used its objective
 // already, and waits for a late response. It has been told when to return if it returns before it
 // would come in any case.
--- /dev/null
+++ b/transport/httproute/oneconfig_test.go
@@ -0,0 +1,27 @@
+package httproute
+
+import (
+	"testing"
+)
+
+// dropRoutes puts a version without routes in force.
+func (f *waitFixture) dropRoutes(version int64) {
+	current := *f.Routes.Current()
+	current.Version, current.Routes = version, nil
+	f.Routes.Offer(&current)
+}
+
+// Guards against a stream that is cut although a server can go on with it: while it waits for a slot, a new version drops
+// its route.
+func TestBegunStreamGoesOnUnderItsVersion(t *testing.T) {
+	playWait(t, func(t *testing.T, f *waitFixture) {
+		r := f.request()
+		r.gaps.events, r.sends = 1, 1
+		result := f.start(t.Context(), r)
+		f.dropRoutes(2)
+		f.freeSlot()
+		if got := <-result; got.failed != nil || got.choice.Placement == nil || r.config.Version != 1 {
+			t.Errorf("failure %v, version %d", got.failed, r.config.Version)
+		}
+	})
+}
