Refuse a waiting request for good when a new version excludes it

What callers saw: a request waited for a slot while a new version dropped its route, withdrew its key or left it no region. It then ran under the version of its arrival if a slot was free, or its caller got 503 overloaded for 404, 401 or residency.

Cause: applyConfig refused it, but mayRetry took the refusal for an attempt that had reached no server and tried once more.

TestRefusalByANewVersionIsFinal failed in three of four cases (unreachable, the request was placed; want no_route, unknown_key, residency) and passes; the case no_server passed, as mayRetry excludes it already. Refusals by the configuration are now among those that no attempt follows.

--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -66,6 +66,8 @@
 	switch {
 	case r.tries >= maxTries, r.trial && failed.sent, failed.reason == reasonQuarantine, failed.reason == reasonDeadline:
 		return false
+	case failed.reason == reasonNoRoute, failed.reason == reasonKey, failed.reason == reasonResidency:
+		return false // a new configuration excludes it
 	case failed.run != runNotRun && !r.route.Repeatable():
 		return false
 	case out.started && !(r.route.Resumable && r.requiredBuild().Known):
