Don't hold a caller that leaves against the server of a peer

Callers saw refusals with no_server or overloaded from another region although its servers were sound: callers that had left, deadlines that had passed and streams that had been given up counted there as failures of the servers, which were ejected for it.

Cause: Peer.copy ended every response that it could not read to its end as failed. When the first instance closes its connection, the peer's context ends and closes the one to the server, and the read fails. A first instance tells the two apart by its context; the peer now does so too.

A failure to write to the first instance was cancelled before already.

--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -396,7 +396,7 @@
 
 // cutOff ends a response of which the peer has got a part.
 func cutOff(ctx context.Context, rep *reply, err error) *failure {
-	rep.end(placement.OutcomeFailed)
+	rep.end(interruptedOutcome(ctx))
 	f := &failure{run: runRan, reason: reasonBroken, server: rep.server, sent: true, responseStarted: true, cause: err}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -407,6 +407,15 @@
 	return f
 }
 
+// interruptedOutcome returns the outcome of a response that ended early. One whose context has ended says nothing about
+// its server: the first instance has closed the connection.
+func interruptedOutcome(ctx context.Context) placement.Outcome {
+	if ctx.Err() != nil {
+		return placement.OutcomeCancelled
+	}
+	return placement.OutcomeFailed
+}
+
 func outcomeOf(status int) placement.Outcome {
 	if status >= http.StatusInternalServerError {
 		return placement.OutcomeErrorCode
--- /dev/null
+++ b/transport/httproute/peerpath_test.go
@@ -0,0 +1,116 @@
+package httproute
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// peerRegion is another region. A request goes to its first instance that was not unreachable.
+type peerRegion struct {
+	servers int
+
+	mu          sync.Mutex
+	addresses   []string // of the instances
+	unreachable []string
+}
+
+func (p *peerRegion) MarkUnreachable(instance string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unreachable = append(p.unreachable, instance)
+}
+
+func (p *peerRegion) Remotes(string) []Remote {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, address := range p.addresses {
+		instance := fmt.Sprint("far-", i)
+		if !slices.Contains(p.unreachable, instance) || i == len(p.addresses)-1 {
+			return []Remote{{Region: "far", Instance: instance, Address: address, Servers: p.servers, FreeSlots: 8, ReportedAt: time.Now()}}
+		}
+	}
+	return nil
+}
+
+func (p *peerRegion) InstanceCounts() (fleet, region int) { return 1 + len(p.addresses), 1 }
+
+// peerPath is a Front without servers and a region that has some.
+type peerPath struct {
+	front   *Front
+	callers *httptest.Server
+	far     *Front // its table, its configuration
+	region  *peerRegion
+}
+
+func newPeerPath(t *testing.T, servers ...*fakeServer) *peerPath {
+	t.Helper()
+	p := &peerPath{region: &peerRegion{servers: len(servers)}}
+	p.far, _ = newTestFront(t, servers...)
+	p.front, p.callers = newTestFront(t)
+	configure(p.far)
+	configure(p.front)
+	p.front.Remotes = p.region
+	return p
+}
+
+// addPeer adds an instance to the region. change may be nil.
+func (p *peerPath) addPeer(t *testing.T, change func(*Peer)) *httptest.Server {
+	t.Helper()
+	peer := &Peer{Codec: testCodec{}, Local: p.far.Local, Routes: p.far.Routes, Stopping: func() bool { return false }}
+	if change != nil {
+		change(peer)
+	}
+	inbound := httptest.NewUnstartedServer(peer)
+	inbound.Config.ErrorLog = log.New(panicWatch{t}, "", 0)
+	inbound.Start()
+	t.Cleanup(inbound.Close)
+	p.region.addresses = append(p.region.addresses, inbound.Listener.Addr().String())
+	return inbound
+}
+
+// panicWatch fails a test whose handler panics.
+type panicWatch struct{ t *testing.T }
+
+func (w panicWatch) Write(b []byte) (int, error) {
+	if strings.Contains(string(b), "panic") {
+		w.t.Errorf("%s", b)
+	}
+	return len(b), nil
+}
+
+// Guards against a server that is ejected at a peer because callers leave while it answers them.
+func TestCallersLeaveAServerOfAPeer(t *testing.T) {
+	begun, left := make(chan struct{}), make(chan struct{})
+	server := startFakeServer(t, func(c net.Conn, r *http.Request) bool {
+		writeHead(c, r)
+		writeEvent(c, 0)
+		close(begun)
+		_, _ = c.Read(make([]byte, 1)) // returns when the peer closes the connection
+		close(left)
+		return false
+	})
+	p := newPeerPath(t, server)
+	inbound := p.addPeer(t, nil)
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		<-begun
+		leave()
+	}()
+	if _, _, err := call(t, ctx, p.callers, "POST", "/chat/1", "x"); err == nil {
+		t.Error("the caller got a whole response")
+	}
+	<-left
+	inbound.Close() // waits until the peer has ended the request
+	if state := p.far.Local.Pool("svc").States(time.Now())[0]; state.Failures != 0 || state.InFlight != 0 {
+		t.Errorf("%+v", state)
+	}
+}
