Try another instance of a region where one refuses for itself

Callers of a route with a home in another region got 503 stopping or memory although instances of that region served: the one instance that was asked had just begun to leave, had no memory left for the body, or had no configuration yet. Others went to a late server for the same reason.

Cause: any refusal by a peer closed its whole region to the request, also one that says nothing about the region's servers. Such a peer is now avoided like one that cannot be reached, and its region stays open, once for each region: all its instances may be leaving.

The request has not run at a peer that refuses this way, so an operation that may not be repeated can follow as well.

--- a/transport/httproute/failure.go
+++ b/transport/httproute/failure.go
@@ -52,7 +52,7 @@
 	reason          reason
 	retryAfter      time.Duration // 0 if unknown
 	sent            bool          // it reached a backend server
-	remote          bool          // reported by an instance of another region
+	remote          bool          // reported by an instance of another region, for the whole region
 	responseStarted bool          // the caller has received part of the response
 	forwarded       bool          // the response that it broke off came by way of a peer
 	server          string
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -114,6 +115,22 @@
 	return f.Peers
 }
 
+// avoidRefusing avoids a peer that refused a request for itself only. Another instance of its region may then be tried, once
+// for each region: the whole region may be shutting down.
+func (f *Front) avoidRefusing(r *request, failed *failure, remote *Remote) {
+	if !failed.remote || !failed.ofInstance() || slices.Contains(r.refusedOnce, remote.Region) {
+		return
+	}
+	f.Remotes.MarkUnreachable(remote.Instance)
+	r.refusedOnce = append(r.refusedOnce, remote.Region)
+	failed.remote = false
+}
+
+// ofInstance reports whether an instance refused a request for a reason that other instances of its region need not have.
+func (f *failure) ofInstance() bool {
+	return f.run == runNotRun && !f.sent && (f.reason == reasonStopping || f.reason == reasonMemory)
+}
+
 // decodeForwardFailure decodes why a peer did not serve the request.
 func decodeForwardFailure(resp *backendhttp.Response, encoded string, remote *Remote) *failure {
 	_, _ = io.Copy(io.Discard, resp) // an incomplete body means that the connection is not reused
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -40,7 +40,7 @@
 type Remotes interface {
 	// Remotes returns one reachable instance of each other region.
 	Remotes(service string) []Remote
-	// MarkUnreachable records that an instance could not be reached.
+	// MarkUnreachable records that an instance could not be reached, or takes no requests.
 	MarkUnreachable(instance string)
 	// InstanceCounts returns the number of live instances in the fleet and in the local
 	// region.
@@ -100,7 +100,8 @@
 	work         placement.Request
 	build        atomic.Pointer[placement.Build] // that the stream may go on at; nil before it has begun
 	triedRegions []string
-	sends        int // sends to backend servers
+	refusedOnce  []string // regions of which one instance refused the request for itself
+	sends        int      // sends to backend servers
 	trace        []traceStep
 	server       string        // the server that responded last, in any region
 	firstByte    time.Duration // time until the head of the response
--- a/transport/httproute/peerpath_test.go
+++ b/transport/httproute/peerpath_test.go
@@ -10,8 +10,11 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/basilroute/basilroute/state/routes"
 )
 
 // peerRegion is another region. A request goes to its first instance that was not unreachable.
@@ -87,6 +90,53 @@
 	return len(b), nil
 }
 
+func answer(c net.Conn, r *http.Request) bool { return respond(c, r, 200, "ok") }
+
+// Guards against a request that is refused because the one instance that was asked shuts down, has no memory left or has
+// no configuration yet, although another one of its region takes it.
+func TestRefusalOfOneInstanceLeavesItsRegionOpen(t *testing.T) {
+	for name, refuse := range map[string]func(*Peer){
+		"stopping":         func(p *Peer) { p.Stopping = func() bool { return true } },
+		"no memory":        func(p *Peer) { p.Memory = NewBudget(10) },
+		"no configuration": func(p *Peer) { p.Routes = &routes.Table{} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := startFakeServer(t, answer)
+			p := newPeerPath(t, server)
+			p.addPeer(t, refuse)
+			p.addPeer(t, nil)
+			resp, body, err := call(t, t.Context(), p.callers, "POST", "/order/1", strings.Repeat("b", 100))
+			if err != nil || resp.StatusCode != http.StatusOK || body != "ok" {
+				t.Errorf("%v, %q, %v", resp, body, err)
+			}
+			if n := len(server.requests()); n != 1 {
+				t.Errorf("it was sent %d times", n)
+			}
+		})
+	}
+}
+
+// Guards against a request that tries instance after instance of a region that shuts down while its own region could take it.
+func TestRegionThatShutsDownIsTriedTwice(t *testing.T) {
+	p := newPeerPath(t, startFakeServer(t, answer))
+	var asked atomic.Int32
+	for range 4 {
+		p.addPeer(t, func(peer *Peer) {
+			peer.Stopping = func() bool {
+				asked.Add(1)
+				return true
+			}
+		})
+	}
+	resp, body, err := call(t, t.Context(), p.callers, "POST", "/order/1", "x")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || body != "stopping\n" {
+		t.Errorf("%v, %q, %v", resp, body, err)
+	}
+	if n := asked.Load(); n != 2 {
+		t.Errorf("%d instances were asked", n)
+	}
+}
+
 // Guards against a server that is ejected at a peer because callers leave while it answers them.
 func TestCallersLeaveAServerOfAPeer(t *testing.T) {
 	begun, left := make(chan struct{}), make(chan struct{})
--- a/transport/httproute/send.go
+++ b/transport/httproute/send.go
@@ -74,7 +74,11 @@
 		return
 	}
 	s.r.sends--
-	if s.remote != nil && !failed.remote {
+	if s.remote == nil {
+		return
+	}
+	s.front.avoidRefusing(s.r, failed, s.remote)
+	if !failed.remote {
 		s.r.triedRegions = s.r.triedRegions[:len(s.r.triedRegions)-1] // another instance of the region may be reachable
 	}
 }
