Report a server that breaks off before its body as such between regions

A server that broke off after the head of its response and before the body made the first instance avoid the sound peer for two seconds as unreachable, with the outcome unknown and no server named; requests went to its neighbours or, where it was the only one, kept going there.

Cause: the peer wrote the head into net/http's buffer and then aborted the connection, so that the first instance got nothing at all and took that for a failure of the peer. The head is now written with the first bytes of the body, which is when it was flushed before. Until then the peer can still report the failure: ran, broken, and at which server.

Ruled out by the same test: a server that breaks off before its head or within its body ends a forwarded request of each kind with one 502, sent once.

--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -303,22 +303,7 @@
 	if failed != nil {
 		return failed
 	}
-	h := w.Header()
-	for name, values := range EndToEnd(rep.Header) {
-		h[name] = values
-	}
-	if _, ok := h["Content-Type"]; !ok {
-		h["Content-Type"] = nil // net/http would guess one
-	}
-	h.Set(headerRequest, o.id)
-	p.reportRoom(h, o.service)
-	h.Set(headerServer, rep.server)
-	encodeBuild(h, rep.build.Version)
-	if rep.Length >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(rep.Length, 10))
-	}
-	w.WriteHeader(rep.Status)
-	return p.copy(ctx, w, rep)
+	return p.copy(ctx, w, o, rep)
 }
 
 // place places the request. One that no server takes now may wait for a slot while it can be on time.
@@ -376,16 +361,43 @@
 	return choice, failed
 }
 
-// copy relays the response body as it arrives. It returns the failure of a response that was cut
-// off, and nil if the peer has got all of it or has disconnected.
-func (p *Peer) copy(ctx context.Context, w http.ResponseWriter, rep *reply) *failure {
+// writeHead writes the head of a server's response.
+func (p *Peer) writeHead(w http.ResponseWriter, o *outbound, rep *reply) {
+	h := w.Header()
+	for name, values := range EndToEnd(rep.Header) {
+		h[name] = values
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // net/http would guess one
+	}
+	h.Set(headerRequest, o.id)
+	p.reportRoom(h, o.service)
+	h.Set(headerServer, rep.server)
+	encodeBuild(h, rep.build.Version)
+	if rep.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(rep.Length, 10))
+	}
+	w.WriteHeader(rep.Status)
+}
+
+// copy relays the response as it arrives. It returns the failure of a response that was cut off, and nil if the first
+// instance has got all of it or has disconnected. The head is written with the first byte of the body: until then the
+// failure can still be reported.
+func (p *Peer) copy(ctx context.Context, w http.ResponseWriter, o *outbound, rep *reply) *failure {
 	control := http.NewResponseController(w)
 	buffer := make([]byte, relayBuffer)
 	var tail streamTail
-	for {
+	for started := false; ; started = true {
 		n, err := rep.Read(buffer)
+		tail.push(buffer[:n])
+		aborted := isAborted(rep, tail, err)
+		if aborted && !started && n == 0 {
+			return cutOff(ctx, rep, err, false)
+		}
+		if !started {
+			p.writeHead(w, o, rep)
+		}
 		if n > 0 {
-			tail.push(buffer[:n])
 			rep.reportProgress(time.Now())
 			if lastBoundary(buffer[:n]) > 0 {
 				rep.markBegun()
@@ -400,21 +412,27 @@
 			}
 		}
 		switch {
-		case errors.Is(err, io.EOF) && rep.EndsWithConn && isEventStream(rep.Header) && !tail.endsEvent():
-			return cutOff(ctx, rep, errIncompleteEvent)
-		case errors.Is(err, io.EOF):
+		case aborted:
+			return cutOff(ctx, rep, err, true)
+		case err != nil:
 			rep.end(outcomeOf(rep.Status))
 			return nil
-		case err != nil:
-			return cutOff(ctx, rep, err)
 		}
 	}
 }
 
-// cutOff ends a response of which the peer has got a part.
-func cutOff(ctx context.Context, rep *reply, err error) *failure {
+// isAborted reports whether a response ended early, by the error of its last read and the end of what has arrived.
+func isAborted(rep *reply, tail streamTail, err error) bool {
+	if errors.Is(err, io.EOF) {
+		return rep.EndsWithConn && isEventStream(rep.Header) && !tail.endsEvent()
+	}
+	return err != nil
+}
+
+// cutOff ends a response that ended early. started says whether the first instance has got a part of it.
+func cutOff(ctx context.Context, rep *reply, err error, started bool) *failure {
 	rep.end(interruptedOutcome(ctx))
-	f := &failure{run: runRan, reason: reasonBroken, server: rep.server, sent: true, responseStarted: true, cause: err}
+	f := &failure{run: runRan, reason: reasonBroken, server: rep.server, sent: true, responseStarted: started, cause: err}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		f.reason = reasonDeadline
--- a/transport/httproute/peerpath_test.go
+++ b/transport/httproute/peerpath_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log"
 	"net"
 	"net/http"
@@ -46,6 +47,12 @@
 
 func (p *peerRegion) InstanceCounts() (fleet, region int) { return 1 + len(p.addresses), 1 }
 
+func (p *peerRegion) avoided() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.unreachable)
+}
+
 // peerPath is a Front without servers and a region that has some.
 type peerPath struct {
 	front   *Front
@@ -180,3 +187,38 @@
 		t.Errorf("%+v", state)
 	}
 }
+
+// Guards against a sound peer that is taken for unreachable because its server broke off before the first byte of a body.
+func TestServerOfAPeerBreaksOff(t *testing.T) {
+	head := func(c net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 10\r\n\r\n", r.Header.Get("Id"))
+	}
+	for name, script := range map[string]func(net.Conn, *http.Request) bool{
+		"before its head": func(net.Conn, *http.Request) bool { return false },
+		"after its head":  func(c net.Conn, r *http.Request) bool { head(c, r); return false },
+		"within its body": func(c net.Conn, r *http.Request) bool {
+			head(c, r)
+			_, _ = io.WriteString(c, "half")
+			return false
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := startFakeServer(t, script)
+			p := newPeerPath(t, server)
+			p.addPeer(t, nil)
+			for _, path := range []string{"/read/1", "/order/1", "/draft/1", "/chat/1"} {
+				before := len(server.requests())
+				resp, _, err := call(t, t.Context(), p.callers, "POST", path, "x")
+				if err != nil || resp.StatusCode != http.StatusBadGateway {
+					t.Errorf("%s: %v, %v", path, resp, err)
+				}
+				if n := len(server.requests()) - before; n != 1 {
+					t.Errorf("%s: sent %d times", path, n)
+				}
+			}
+			if avoided := p.region.avoided(); len(avoided) > 0 {
+				t.Errorf("taken for unreachable: %v", avoided)
+			}
+		})
+	}
+}
