Let a forwarded operation that waits leave with its first instance

A server ran an operation for nobody: the instance that had forwarded it had ended or closed its connection while the operation waited for a slot at the peer, and the peer sent it as soon as one was free. The caller had been told that the outcome was unknown, or had come again with it.

Cause: a peer detached an operation from the connection when it had read it. That is for one that a server has, which may have taken effect; one that waits has not. It is now detached when it is sent, as at the first instance.

TestOperationOutlivesTheInstanceThatForwardedIt still passes: one that was sent runs on.

--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -38,7 +38,7 @@
 	ObjectiveMs int64  `json:"objective_ms"`     // remaining time of the objective; 0 for none
 	Repeatable  bool   `json:"repeatable"`
 	Last        bool   `json:"last"`     // no other attempt may follow
-	Detached    bool   `json:"detached"` // runs to completion after the caller has disconnected
+	Detached    bool   `json:"detached"` // once sent, runs to completion after the caller has disconnected
 	Fingerprint string `json:"print"`
 	LastEventID string `json:"last_event_id,omitempty"`
 	Config      int64  `json:"config"`
@@ -204,9 +204,9 @@
 	counted.Read()
 	defer p.Memory.Release(len(body))
 	o := p.outbound(hr, &info, &call, body, arrived)
-	ctx, cancel := p.requestContext(hr.Context(), &info, o.deadline)
+	ctx, cancel := context.WithDeadline(hr.Context(), o.deadline)
 	defer cancel()
-	failed := p.run(ctx, watched, o)
+	failed := p.run(ctx, watched, o, info.Detached)
 	if failed != nil && !failed.responseStarted {
 		p.refuse(watched, o, failed)
 	}
@@ -254,8 +254,9 @@
 	}
 }
 
-func (p *Peer) requestContext(ctx context.Context, info *forwardInfo, deadline time.Time) (context.Context, context.CancelFunc) {
-	if info.Detached {
+// sendContext returns the context of a request from its sending on.
+func sendContext(ctx context.Context, deadline time.Time, detached bool) (context.Context, context.CancelFunc) {
+	if detached {
 		ctx = context.WithoutCancel(ctx)
 	}
 	return context.WithDeadline(ctx, deadline)
@@ -285,7 +286,8 @@
 }
 
 // run sends the request to a server of the local region and copies the response.
-func (p *Peer) run(ctx context.Context, w http.ResponseWriter, o *outbound) *failure {
+// A detached one runs on after the first instance has ended, once it has been sent.
+func (p *Peer) run(ctx context.Context, w http.ResponseWriter, o *outbound, detached bool) *failure {
 	if p.Stopping() || p.Routes.Current() == nil {
 		return &failure{run: runNotRun, reason: reasonStopping}
 	}
@@ -299,6 +301,8 @@
 	if failed != nil {
 		return failed
 	}
+	ctx, cancel := sendContext(ctx, o.deadline, detached)
+	defer cancel()
 	rep, failed := p.Local.send(ctx, o, choice)
 	if failed != nil {
 		return failed
