Forward bodies and answers above 4 MiB

Callers of an operation whose answer has more than 4 MiB got 503 peer_unreachable with run state unknown from every instance that forwards it, although the server had run it and answered in full; a repeatable operation ran once for each attempt. Bodies and prompts of that size were refused in the same way, though limits.body_bytes allows 64 MiB and answers may have 16 MiB. Cause: grpc's default limit for a received message.

The limit of both ends is that of the largest body a caller may send, so that no body that the gateway takes exceeds it.

--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -28,6 +28,9 @@
 	// carry a few small messages per second, and grpc's default of 32 KiB per connection would be
 	// most of the heap.
 	readBufferBytes = 4 << 10
+	// maxMessageBytes is the size of the largest body that callers may send, 64 MiB, and its
+	// envelope. With grpc's default of 4 MiB the answer of an operation that has run is dropped.
+	maxMessageBytes = 65 << 20
 )
 
 // connectBackoff is the backoff between connection attempts. After a restart of the whole
@@ -62,6 +65,7 @@
 		grpc.WithInitialWindowSize(StreamWindow),
 		grpc.WithInitialConnWindowSize(ConnWindow),
 		grpc.WithReadBufferSize(readBufferBytes),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: connectBackoff, MinConnectTimeout: connectTimeout}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingInterval, Timeout: pingTimeout}),
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -53,6 +53,7 @@
 func ServerOptions() []grpc.ServerOption {
 	return []grpc.ServerOption{
 		grpc.ReadBufferSize(readBufferBytes),
+		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPingInterval, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
 	}
--- a/transport/peer/server_test.go
+++ b/transport/peer/server_test.go
@@ -98,7 +98,7 @@
 	}
 }
 
-func startServer(t *testing.T, r *runner) (address string) {
+func startServer(t *testing.T, r Runner) (address string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
