Answer 502 instead of 503 or 429 for what may have run

A caller whose order was at a backend server got 503 when the link to the peer broke (peer_unreachable), when the instance that ran it was made to stop (leaving), or when a later attempt was refused by a queue after an earlier one had failed with an unknown outcome. Clients and proxies may send a request again after 503, and 429, without looking at 'run' in the body; the order then runs twice.

TestStatusPromisesNoMoreThanTheRunState failed for leaving, rate_limited, peer_unreachable, no_server, overloaded, not_ready and store_unreachable with the run states unknown and ran. The status now follows the run state; the code and the body are unchanged. Ruled out by reading: a refusal with not_run whose request was sent (only a failed dial or an error code of the server's API gives not_run after a dispatch).

--- a/protocol/refusal/refusal.go
+++ b/protocol/refusal/refusal.go
@@ -90,10 +90,20 @@
 
 // Status returns the HTTP status of the refusal.
 func (r *Refusal) Status() int {
-	if status, ok := httpStatuses[r.Code]; ok {
-		return status
+	status, ok := httpStatuses[r.Code]
+	switch {
+	case !ok:
+		return http.StatusInternalServerError
+	case r.RunState != NotRun && promisesNotRun(status):
+		return http.StatusBadGateway
 	}
-	return http.StatusInternalServerError
+	return status
+}
+
+// promisesNotRun reports whether clients and intermediaries may send a request again after the
+// status, because it says that the request was not processed.
+func promisesNotRun(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 }
 
 // New returns a refusal of a request that did not run.
