Resume a forwarded stream through each peer of its failure domain

A caller whose stream was forwarded got 'incomplete' although its engine ran on and a third instance of that failure domain was well: with two dead instances the stream was resumed through these two in turn, until the limit of resumes was reached, and the generation was then cancelled.

TestResumeTriesEachPeer failed with '3 frames through [a b a b]'. The peer that was not tried for the longest time comes first now, so that no peer is tried twice before all were tried once.

--- a/transport/dispatch/resume.go
+++ b/transport/dispatch/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/basilroute/basilroute/protocol/frame"
 	"github.com/basilroute/basilroute/protocol/refusal"
@@ -30,6 +31,7 @@
 func (r *Resumer) Forward(ctx context.Context, address string, w *Work, sink Sink) error {
 	progress := &progress{Sink: sink}
 	err := r.Next.Forward(ctx, address, w, progress)
+	tried := []string{address}
 	for n := 0; n < maxResumes && r.resumable(ctx, err, progress); n++ {
 		if !sleep(ctx, resumeBackoff) {
 			break
@@ -38,7 +40,8 @@
 		if len(peers) == 0 {
 			break
 		}
-		address = peers[0]
+		address = leastRecent(peers, tried)
+		tried = append(tried, address)
 		err = r.Next.Forward(ctx, address, progress.remainingWork(w), progress)
 	}
 	if err != nil && progress.next > 0 && !progress.complete {
@@ -47,6 +50,16 @@
 	return err
 }
 
+// leastRecent returns the peer that was not tried for the longest time. Without it a stream
+// alternates between two dead peers while a third one could resume it.
+func leastRecent(peers, tried []string) string {
+	lastTry := make(map[string]int, len(tried))
+	for n, peer := range tried {
+		lastTry[peer] = n + 1
+	}
+	return slices.MinFunc(peers, func(a, b string) int { return lastTry[a] - lastTry[b] })
+}
+
 // resumable reports whether the connection broke in the middle of a stream that the caller
 // has received part of. Before the first frame the first instance can restart on another
 // server instead.
--- a/transport/dispatch/resume_test.go
+++ b/transport/dispatch/resume_test.go
@@ -18,6 +18,7 @@
 // after some frames.
 type fakePeers struct {
 	breakAfter map[string]int // frames until the link to a peer breaks; -1 for never
+	thenDead   bool           // a peer whose link broke delivers nothing more
 	asked      []string
 	started    int
 	cancelled  []string
@@ -31,13 +32,17 @@
 		return refusal.New(refusal.CodeInternal, "resumed without its engine")
 	}
 	left := f.breakAfter[address]
-	for seq := w.Generation.FromSeq; seq < answerFrames; seq++ {
+	frames := int64(w.Generation.MaxTokens)
+	for seq := w.Generation.FromSeq; seq < frames; seq++ {
 		if left == 0 {
+			if f.thenDead {
+				f.breakAfter[address] = 0
+			}
 			return refusal.New(refusal.CodePeerUnreachable, "cut").WithRunState(refusal.RunUnknown)
 		}
 		left--
 		part := &frame.Frame{RequestID: w.RequestID, Attempt: w.Attempt, Seq: seq, Text: fmt.Sprint(seq), Tokens: 1}
-		if seq == answerFrames-1 {
+		if seq == frames-1 {
 			part.Finish = frame.FinishStop
 		}
 		if err := sink.Frame("engine", part); err != nil {
@@ -132,3 +137,12 @@
 		t.Errorf("asked %v, cancelled %v", peers.asked, peers.cancelled)
 	}
 }
+
+// Guards against resuming through two dead peers in turn while a third one is well.
+func TestResumeTriesEachPeer(t *testing.T) {
+	peers := &fakePeers{breakAfter: map[string]int{"a": 3, "b": 0, "c": -1}, thenDead: true}
+	sink := &textSink{}
+	if err := newResumer(peers).Forward(t.Context(), "a", streamWork(), sink); err != nil || len(sink.frames) != answerFrames {
+		t.Errorf("%d frames through %v, %v", len(sink.frames), peers.asked, err)
+	}
+}
