Bound the resumes of a forwarded stream by time without progress

A caller whose stream was forwarded got 'incomplete' and its generation was cancelled, though the engine ran on, in two cases: the connections to the peers had broken more than three times in all, however far apart; or the only peer of the failure domain needed more than 150 ms to come back, as any restart does.

The cause of both was the limit of three resumes, 50 ms apart, over the whole stream. A stream is now resumed until it has made no progress for 5 s, with pauses from 50 to 800 ms. The caller's context still ends it at once, an engine that has gone ends it by its own refusal, and each round with progress delivers a frame, so a generation bounds the number of resumes.

The cases of TestBrokenForwardIsResumedOnItsEngine run in fake time and include peers that stay dead.

--- a/transport/dispatch/resume.go
+++ b/transport/dispatch/resume.go
@@ -3,11 +3,19 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/basilroute/basilroute/protocol/frame"
 	"github.com/basilroute/basilroute/protocol/refusal"
 )
 
+const (
+	maxResumeBackoff = 800 * time.Millisecond
+	// resumeWindow bounds the time without progress after which a generation that its engine
+	// may still run is given up. Instances restart within it.
+	resumeWindow = 5 * time.Second
+)
+
 // CancelingForwarder is a Forwarder that can also cancel forwarded work.
 type CancelingForwarder interface {
 	Forwarder
@@ -32,8 +40,10 @@
 	progress := &progress{Sink: sink}
 	err := r.Next.Forward(ctx, address, w, progress)
 	tried := []string{address}
-	for n := 0; n < maxResumes && r.resumable(ctx, err, progress); n++ {
-		if !sleep(ctx, resumeBackoff) {
+	pause := resumePause{next: progress.next, brokeAt: time.Now()}
+	for r.resumable(ctx, err, progress) {
+		wait, ok := pause.take(progress.next, time.Now())
+		if !ok || !sleep(ctx, wait) {
 			break
 		}
 		peers := r.Peers(address)
@@ -50,6 +60,25 @@
 	return err
 }
 
+// resumePause is the pause before each resume. It grows until the stream makes progress. The
+// resumes are bounded by the time without progress and not by their number: a peer takes
+// seconds to restart, and the connections of a long stream may break many times in all.
+type resumePause struct {
+	next    int64 // first frame that was missing at the last break
+	brokeAt time.Time
+	wait    time.Duration
+}
+
+// take returns the pause before the next resume, or false if the stream has made no progress
+// for too long.
+func (p *resumePause) take(next int64, now time.Time) (time.Duration, bool) {
+	if next > p.next {
+		*p = resumePause{next: next, brokeAt: now}
+	}
+	p.wait = min(max(2*p.wait, resumeBackoff), maxResumeBackoff)
+	return p.wait, now.Add(p.wait).Sub(p.brokeAt) <= resumeWindow
+}
+
 // leastRecent returns the peer that was not tried for the longest time. Without it a stream
 // alternates between two dead peers while a third one could resume it.
 func leastRecent(peers, tried []string) string {
--- a/transport/dispatch/resume_test.go
+++ b/transport/dispatch/resume_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -12,7 +14,10 @@
 	"github.com/basilroute/basilroute/protocol/refusal"
 )
 
-const answerFrames = 8
+const (
+	answerFrames   = 8
+	framesPerBreak = 10 // of a long stream whose connections break
+)
 
 // fakePeers is a failure domain with one engine, reached through peers whose links break
 // after some frames.
@@ -89,28 +94,34 @@
 // completed. Before the first frame nothing is resumed, since the first instance can
 // restart on any engine.
 func TestBrokenForwardIsResumedOnItsEngine(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		peers := &fakePeers{breakAfter: make(map[string]int)}
-		for _, p := range []string{"a", "b", "c"} {
-			peers.breakAfter[p] = rapid.IntRange(-1, 4).Draw(t, p)
-		}
-		sink := &textSink{}
-		err := newResumer(peers).Forward(context.Background(), "a", streamWork(), sink)
-		for i, seq := range sink.frames {
-			if seq != int64(i) {
-				t.Fatalf("frames %v", sink.frames)
-			}
-		}
-		if whole := len(sink.frames) == answerFrames; whole != (err == nil) {
-			t.Fatalf("%d frames, error %v", len(sink.frames), err)
-		}
-		if peers.started != 1 {
-			t.Fatalf("started %d times", peers.started)
-		}
-		if abandoned := err != nil && len(sink.frames) > 0; abandoned != (len(peers.cancelled) == 1) {
-			t.Fatalf("%v after %d frames, cancelled %v", err, len(sink.frames), peers.cancelled)
-		}
+	rapid.Check(t, func(rt *rapid.T) { checkBrokenForward(t, rt) })
+}
+
+func checkBrokenForward(outer *testing.T, t *rapid.T) {
+	peers := &fakePeers{breakAfter: make(map[string]int)}
+	for _, p := range []string{"a", "b", "c"} {
+		peers.breakAfter[p] = rapid.IntRange(-1, 4).Draw(t, p)
+	}
+	peers.thenDead = rapid.Bool().Draw(t, "then dead")
+	sink := &textSink{}
+	var err error
+	synctest.Test(outer, func(*testing.T) {
+		err = newResumer(peers).Forward(context.Background(), "a", streamWork(), sink)
 	})
+	for i, seq := range sink.frames {
+		if seq != int64(i) {
+			t.Fatalf("frames %v", sink.frames)
+		}
+	}
+	if whole := len(sink.frames) == answerFrames; whole != (err == nil) {
+		t.Fatalf("%d frames, error %v", len(sink.frames), err)
+	}
+	if peers.started != 1 {
+		t.Fatalf("started %d times", peers.started)
+	}
+	if abandoned := err != nil && len(sink.frames) > 0; abandoned != (len(peers.cancelled) == 1) {
+		t.Fatalf("%v after %d frames, cancelled %v", err, len(sink.frames), peers.cancelled)
+	}
 }
 
 // The forwarding peer fails in the middle of a stream and another peer of its failure
@@ -146,3 +157,38 @@
 		t.Errorf("%d frames through %v, %v", len(sink.frames), peers.asked, err)
 	}
 }
+
+// Guards against giving up a long stream because its connections have broken a few times in
+// all, with many frames between them.
+func TestResumesAreCountedBetweenFrames(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peers := &fakePeers{breakAfter: map[string]int{"a": framesPerBreak, "b": framesPerBreak, "c": framesPerBreak}}
+		w := streamWork()
+		w.Generation.MaxTokens = 20 * framesPerBreak
+		sink := &textSink{}
+		if err := newResumer(peers).Forward(t.Context(), "a", w, sink); err != nil || len(sink.frames) != w.Generation.MaxTokens {
+			t.Errorf("%d of %d frames, %v", len(sink.frames), w.Generation.MaxTokens, err)
+		}
+	})
+}
+
+// Guards against giving up a generation, which its engine continues, while the only peer
+// restarts.
+func TestResumeOutlastsARestart(t *testing.T) {
+	const restart = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		peers := &fakePeers{breakAfter: map[string]int{"a": 3}, thenDead: true}
+		up := time.Now().Add(restart)
+		resumer := newResumer(peers)
+		resumer.Peers = func(string) []string {
+			if time.Now().After(up) {
+				peers.breakAfter["a"] = -1
+			}
+			return []string{"a"}
+		}
+		sink := &textSink{}
+		if err := resumer.Forward(t.Context(), "a", streamWork(), sink); err != nil || len(sink.frames) != answerFrames {
+			t.Errorf("%d frames, %d attempts, %v", len(sink.frames), len(peers.asked), err)
+		}
+	})
+}
