Count the resumes of a generation in a row

A caller with a long stream got 'incomplete', and its generation was cancelled at a sound engine, at the fourth break of the connection to the engine, however many frames lay between the breaks.

TestLongStreamOutlastsManyCuts failed with 'the stream broke after frame 79' of 219, one generation cancelled. The count starts anew after a connection that delivered at least eight frames. A connection that is cut at each frame is still given up (TestStreamThatStaysCutIsAnError, unchanged).

--- a/transport/dispatch/stream.go
+++ b/transport/dispatch/stream.go
@@ -16,7 +16,8 @@
 const (
 	priorityBulk   = 10
 	cancelDeadline = 2 * time.Second
-	maxResumes     = 3 // times an interrupted stream is resumed on its engine
+	maxResumes     = 3 // times in a row that an interrupted stream is resumed on its engine
+	minProgress    = 8 // frames of a connection that was sound until it broke
 	resumeBackoff  = 50 * time.Millisecond
 )
 
@@ -39,10 +40,14 @@
 	next := w.Generation.FromSeq
 	forward := func(f *frame.Frame) error { return sink.Frame(server.ID, f) }
 	for resumed := 0; ; resumed++ {
+		from := next
 		err := l.Backend.Generate(ctx, server.Address, generation, &next, &stats, forward)
 		if err == nil {
 			return nil
 		}
+		if next-from >= minProgress {
+			resumed = 0
+		}
 		broken := refusal.FromError(err)
 		if ctx.Err() != nil || broken.Code != refusal.CodeBackendFailed {
 			l.cancelUnlessResumable(ctx, server, w)
--- a/transport/dispatch/stream_test.go
+++ b/transport/dispatch/stream_test.go
@@ -149,3 +149,16 @@
 		t.Errorf("%v %v", refused, ok)
 	}
 }
+
+// Guards against giving up a long generation because its connections have broken a few times
+// in all, with many frames between them.
+func TestLongStreamOutlastsManyCuts(t *testing.T) {
+	const cuts, framesPerCut = 10, 20
+	l, server, e := localEngine(t)
+	e.SetFaults(engine.Faults{CutAfter: framesPerCut, MaxCuts: cuts})
+	sink := newCollectingSink()
+	err := l.generate(t.Context(), localWork("r", (cuts+1)*framesPerCut), server, sink)
+	if stats := e.Stats(); err != nil || sink.last.Finish == "" || stats.Started != 1 || stats.Cancelled != 0 {
+		t.Errorf("%v after frame %d, %+v", err, sink.last.Seq, stats)
+	}
+}
