Resume a generation on an engine that is no longer listed

A caller whose stream was forwarded got 'incomplete' with 'the engine of this generation has gone' when the forwarding instance failed after the platform's list had dropped the engine, though the engine finished what it had. The other instances of the domain removed a server as soon as it was not listed, unless they had requests on it themselves; they could neither resume its generations nor cancel them.

TestResumeOnAnUnlistedEngine failed with that refusal; it now gets the rest from the one generation. It gets no new work and is not polled or counted.

--- a/state/servers/servers.go
+++ b/state/servers/servers.go
@@ -62,6 +62,7 @@
 	mu       sync.RWMutex
 	servers  map[string]*Entry
 	services map[string][]*Entry // ordered by id; replaced, never changed in place
+	departed map[string]departed // removed a short time ago
 }
 
 // Table is safe for concurrent use.
@@ -75,6 +76,7 @@
 	for i := range t.shards {
 		t.shards[i].servers = make(map[string]*Entry)
 		t.shards[i].services = make(map[string][]*Entry)
+		t.shards[i].departed = make(map[string]departed)
 	}
 	return t
 }
@@ -90,15 +92,17 @@
 }
 
 // Replace applies a new list. A server that is no longer listed gets no new work; it is
-// removed once its last request has ended.
+// removed once its last request has ended, and Find returns it for some time after that.
 func (t *Table) Replace(list []Identity, now time.Time) {
 	listed := make(map[string]bool, len(list))
+	addresses := make(map[string]bool, len(list))
 	for _, identity := range list {
 		listed[identity.ID] = true
+		addresses[identity.Address] = true
 		t.upsert(identity, now)
 	}
 	for i := range t.shards {
-		t.shards[i].unlist(listed)
+		t.shards[i].unlist(listed, addresses, now)
 	}
 }
 
@@ -137,7 +141,7 @@
 // unlist marks the servers that are no longer listed, removes those without requests in
 // flight, and regroups once for the whole list: regrouping for each server would take
 // quadratic time.
-func (s *shard) unlist(listed map[string]bool) {
+func (s *shard) unlist(listed, addresses map[string]bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, entry := range s.servers {
@@ -147,8 +151,10 @@
 		entry.modify(func(server *Server) { server.Listed = false })
 		if entry.InFlight() == 0 {
 			delete(s.servers, id)
+			s.departed[id] = departed{entry.Copy(), now}
 		}
 	}
+	s.prune(addresses, now)
 	s.regroup()
 }
 
@@ -271,11 +277,11 @@
 	return out
 }
 
-// Find returns a copy of one server.
+// Find returns a copy of one server, also of one that was removed a short time ago.
 func (t *Table) Find(service, id string) (Server, bool) {
 	entry := t.Entry(service, id)
 	if entry == nil {
-		return Server{}, false
+		return t.findDeparted(service, id)
 	}
 	return entry.Copy(), true
 }
--- a/transport/dispatch/stream_test.go
+++ b/transport/dispatch/stream_test.go
@@ -162,3 +162,25 @@
 		t.Errorf("%v after frame %d, %+v", err, sink.last.Seq, stats)
 	}
 }
+
+// Guards against giving up a generation whose engine is no longer listed but still runs it.
+func TestResumeOnAnUnlistedEngine(t *testing.T) {
+	const tokens = 200
+	l, server, e := localEngine(t)
+	ctx, detach := context.WithCancelCause(t.Context())
+	begun := newCollectingSink()
+	ended := make(chan error, 1)
+	go func() { ended <- l.generate(ctx, localWork("r", tokens), server, begun) }()
+	<-begun.first
+	detach(ErrDetached)
+	<-ended
+	l.Servers.Replace(nil, time.Now())
+	w := localWork("r", tokens)
+	w.Generation.FromSeq, w.Generation.Server = begun.last.Seq+1, server.ID
+	l.Catalog.Put(&service.Document{Kind: service.KindService, Name: "lm", Service: &service.Service{Name: "lm"}})
+	rest := newCollectingSink()
+	err := l.Run(t.Context(), w, rest)
+	if stats := e.Stats(); err != nil || rest.last.Finish == "" || stats.Started != 1 || stats.Cancelled != 0 {
+		t.Errorf("%v, last frame %+v, %+v", err, rest.last, stats)
+	}
+}
