Resume a generation whose service was removed from the configuration

A caller with a forwarded stream got 'incomplete' with not_found, and its generation was cancelled, when the service's document was deleted in the middle of the stream and the connection to the peer broke: the next peer looked the service up before it looked at the engine that runs the generation. A stream of the same service that its own instance dispatches is not ended by the deletion.

TestResumeAfterTheServiceWasRemoved failed with 'not_found (not_run): service "lm" is not known here'. Resuming uses nothing of the document, so the engine is looked up first.

--- a/transport/dispatch/local.go
+++ b/transport/dispatch/local.go
@@ -46,16 +46,16 @@
 // Run waits for a slot and sends the work to one server. The error is a *refusal.Refusal
 // or the error of the sink.
 func (l *LocalDispatcher) Run(ctx context.Context, w *Work, sink Sink) error {
-	svc := l.Catalog.Service(w.Service)
-	if svc == nil {
-		return refusal.New(refusal.CodeNotFound, "service %q is not known here", w.Service)
-	}
 	if server, refused, ok := l.pinnedServer(w); ok {
 		if refused != nil {
 			return refused
 		}
 		return l.resume(ctx, w, server, sink)
 	}
+	svc := l.Catalog.Service(w.Service)
+	if svc == nil {
+		return refusal.New(refusal.CodeNotFound, "service %q is not known here", w.Service)
+	}
 	if !l.hasServer(svc) {
 		return noServer(w.Service)
 	}
