Wait for a restarted peer's list of servers to resume a stream

A caller with a forwarded stream got 'incomplete' with 'the engine of this generation has gone' when the peer through which it was to be resumed had just restarted and had not read the list of backend servers yet. Such a peer now answers not_ready, with the run state ran, and the first instance tries again within its window.

TestResumeWaitsForTheListOfServers failed: the refusal of a table that never had a list was not resumable. An engine that a list does not contain is still refused as gone (TestResumeNeedsItsEngine, unchanged).

--- a/state/servers/servers.go
+++ b/state/servers/servers.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -68,6 +69,7 @@
 // Table is safe for concurrent use.
 type Table struct {
 	shards [shardCount]shard
+	filled atomic.Bool
 }
 
 // New returns an empty table.
@@ -104,8 +106,13 @@
 	for i := range t.shards {
 		t.shards[i].unlist(listed, addresses, now)
 	}
+	t.filled.Store(true)
 }
 
+// Filled reports whether the table has had a list. Without one, a server that it does not
+// contain may exist.
+func (t *Table) Filled() bool { return t.filled.Load() }
+
 func (t *Table) upsert(identity Identity, now time.Time) {
 	s := t.shard(identity.Service)
 	s.mu.Lock()
--- a/transport/dispatch/resume.go
+++ b/transport/dispatch/resume.go
@@ -90,14 +90,17 @@
 }
 
 // resumable reports whether the connection broke in the middle of a stream that the caller
-// has received part of. Before the first frame the first instance can restart on another
-// server instead.
+// has received part of, or the peer cannot resume it now. Before the first frame the first
+// instance can restart on another server instead.
 func (r *Resumer) resumable(ctx context.Context, err error, p *progress) bool {
 	if err == nil || ctx.Err() != nil || p.next == 0 || p.complete || p.sinkFailed {
 		return false
 	}
-	code := refusal.FromError(err).Code
-	return code == refusal.CodePeerUnreachable || code == refusal.CodeLeaving
+	switch refusal.FromError(err).Code {
+	case refusal.CodePeerUnreachable, refusal.CodeLeaving, refusal.CodeNotReady:
+		return true
+	}
+	return false
 }
 
 // cancelGeneration cancels a generation that will not be resumed.
--- a/transport/dispatch/stream.go
+++ b/transport/dispatch/stream.go
@@ -104,7 +104,10 @@
 		return servers.Server{}, nil, false
 	}
 	server, found := l.Servers.Find(w.Service, w.Generation.Server)
-	if !found {
+	switch {
+	case !found && !l.Servers.Filled():
+		refused = refusal.New(refusal.CodeNotReady, "this instance has no list of backend servers yet").WithRunState(refusal.Ran)
+	case !found:
 		refused = refusal.New(refusal.CodeIncomplete, "the engine of this generation has gone").WithRunState(refusal.Ran)
 	}
 	return server, refused, true
--- a/transport/dispatch/stream_test.go
+++ b/transport/dispatch/stream_test.go
@@ -195,3 +195,16 @@
 		t.Errorf("%v, last frame %+v", err, sink.last)
 	}
 }
+
+// Guards against taking an instance without its list of servers for one that knows that the
+// engine has gone.
+func TestResumeWaitsForTheListOfServers(t *testing.T) {
+	l := &LocalDispatcher{Catalog: catalog.New(), Servers: servers.New()}
+	w := localWork("r", 4)
+	w.Generation.FromSeq, w.Generation.Server = 2, "e"
+	err := l.Run(t.Context(), w, newCollectingSink())
+	p := &progress{Sink: newCollectingSink(), next: 2}
+	if r := &(Resumer{}); !r.resumable(t.Context(), err, p) {
+		t.Errorf("not resumed after %v", err)
+	}
+}
