Don't end the requests of a key that was moved to another account

Callers with a request in flight got 'incomplete' or 401 key_withdrawn when their key was moved to another account: first into the new account's document, then out of the old one's. The key was valid all the while and new requests with it were served, but the removal from the old document ended what was open, on each instance and at its peers.

TestMovedKeyIsNotWithdrawn failed with 'ended the requests of [k1]'. Only a key that has really gone, or has another secret, ends its requests now; the test also removes the key from its new account, which must end them.

--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -33,6 +33,13 @@
 	withdrawn map[string]int64 // key id to the time of withdrawal, milliseconds since 1970
 }
 
+func newKeyRecord(key service.Key, account string) keyRecord {
+	record := keyRecord{account: account}
+	sum, _ := hex.DecodeString(key.SHA256) // checked when the document was parsed
+	copy(record.sum[:], sum)
+	return record
+}
+
 // Catalog is safe for concurrent use.
 type Catalog struct {
 	shards [shardCount]shard
@@ -99,9 +106,7 @@
 }
 
 func (c *Catalog) putKey(key service.Key, account string) {
-	record := keyRecord{account: account}
-	sum, _ := hex.DecodeString(key.SHA256) // checked when the document was parsed
-	copy(record.sum[:], sum)
+	record := newKeyRecord(key, account)
 	s := c.shard(key.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -109,7 +114,8 @@
 }
 
 // dropKeys removes an account's keys that its new document does not contain and notifies
-// listeners, because a removed key must also end open streams.
+// listeners, because a removed key must also end open streams. A key that another account has
+// by now stays valid, and so do its requests.
 func (c *Catalog) dropKeys(previous *service.Account, keep map[string]bool) {
 	if previous == nil {
 		return
@@ -118,16 +124,26 @@
 		if keep[key.ID] {
 			continue
 		}
-		s := c.shard(key.ID)
-		s.mu.Lock()
-		if s.keys[key.ID].account == previous.Name {
-			delete(s.keys, key.ID)
+		if c.dropKey(newKeyRecord(key, previous.Name), key.ID) {
+			c.notify(key.ID)
 		}
-		s.mu.Unlock()
-		c.notify(key.ID)
 	}
 }
 
+// dropKey removes a key from its account. It returns false if the same key, with the same
+// secret, belongs to another account now.
+func (c *Catalog) dropKey(dropped keyRecord, id string) bool {
+	s := c.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current, known := s.keys[id]
+	if known && current.account == dropped.account {
+		delete(s.keys, id)
+		return true
+	}
+	return !known || current.sum != dropped.sum
+}
+
 // Delete takes the document of a kind and name out of force.
 func (c *Catalog) Delete(kind service.Kind, name string) {
 	switch kind {
