--- a/transport/backend/stream_test.go
+++ b/transport/backend/stream_test.go
@@ -87,3 +87,5 @@
 		t.Errorf("ended with %v", err)
 	}
 }
+
+func handleNothing(*frame.Frame) error { return nil }
