Apply a batch of documents in the order of their writes

Callers got 'incomplete' or 401 key_withdrawn at instances that received two documents at once, a key's new account and its old one without it: a full read of the store lists documents by name, and the old account's document could come first. The key was out of force between the two, which ends its requests.

TestBatchIsAppliedInTheOrderOfTheWrites failed with 'ended the requests of [k-1]'. Offer sorts the batch by rank, so that the key is in the new account when it leaves the old one, as it was in the store.

--- a/coordination/configwatch/configwatch.go
+++ b/coordination/configwatch/configwatch.go
@@ -46,7 +46,9 @@
 	UpTo      int64
 }
 
-// Offer applies a batch and returns how many documents came into force.
+// Offer applies a batch, in the order of the writes, and returns how many documents came into
+// force. In another order a key that was moved would be out of force for a moment, which ends
+// its requests.
 //
 // The watermark moves only when the batch starts at or below it. Without that check a
 // peer's answer to an earlier incarnation, or a partial list, would skip documents for
@@ -55,7 +57,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	count := 0
-	for _, d := range b.Documents {
+	for _, d := range slices.SortedStableFunc(slices.Values(b.Documents), byRank) {
 		if l.accept(d) {
 			count++
 		}
--- a/coordination/configwatch/configwatch_test.go
+++ b/coordination/configwatch/configwatch_test.go
@@ -237,3 +237,24 @@
 		t.Errorf("watcher %v cannot reach the store", got)
 	}
 }
+
+// Guards against a key that is out of force for a moment, which ends its requests, because a
+// batch in another order than the writes removes it from one account before it adds it to the
+// next.
+func TestBatchIsAppliedInTheOrderOfTheWrites(t *testing.T) {
+	c := catalog.New()
+	var ended []string
+	c.OnWithdraw(func(id string) { ended = append(ended, id) })
+	set := New(c)
+	_, key := catalog.NewKey("k-1")
+	keys := fmt.Sprintf("keys:\n  - {id: %s, sha256: %s}\n", key.ID, key.SHA256)
+	issued := account("a", 1, 1)
+	issued.Value = append(issued.Value, keys...)
+	set.Offer(all(1, issued))
+	moved := account("b", 1, 2)
+	moved.Value = append(moved.Value, keys...)
+	set.Offer(all(3, account("a", 1, 3), moved))
+	if len(ended) > 0 || !c.Usable("k-1") {
+		t.Errorf("ended the requests of %v, usable %t", ended, c.Usable("k-1"))
+	}
+}
