Keep the run state of a request that was cancelled while it waited

A caller whose order waited in a queue when its instance had to stop, or when its key was withdrawn, was told that the order may have run, although it was never sent. At a peer it was the same, and the first instance did not send the order to another instance as it does for what has not run. Cause: the reason of the cancellation, which cannot know how far the request was and says 'unknown', replaced the refusal with its run state.

The reason now takes the run state of the refusal that it replaces. That one is not_run only for what a queue, the placement, a claim or a failed dial ended; what is cut at a server stays unknown (second case of the test).

--- a/instance/forwarded.go
+++ b/instance/forwarded.go
@@ -45,11 +45,12 @@
 // cancelReasonOr returns the reason for which a forwarded request was cancelled in place of
 // the error that the cancellation caused. Without it, when the withdrawal of a key reaches
 // this instance before the forwarding one, the caller would get the error of a broken
-// server, and the forwarding instance would retry the request on another server.
+// server, and the forwarding instance would retry the request on another server. The run state
+// is that of the error: an order that was cancelled in a queue may be sent elsewhere.
 func cancelReasonOr(ctx context.Context, err error) error {
 	var reason *refusal.Refusal
 	if err != nil && errors.As(context.Cause(ctx), &reason) {
-		return reason
+		return reason.WithRunState(refusal.FromError(err).RunState)
 	}
 	return err
 }
--- a/transport/dispatch/front.go
+++ b/transport/dispatch/front.go
@@ -187,10 +187,10 @@
 }
 
 // cancelError prefers the cause for which the request was cancelled, such as a withdrawn
-// key.
+// key. The cause does not know whether the request ran, the refusal does.
 func (f *Front) cancelError(ctx context.Context, refused *refusal.Refusal) error {
 	if cause := context.Cause(ctx); cause != nil && cause != ctx.Err() {
-		return refusal.FromError(cause)
+		return refusal.FromError(cause).WithRunState(refused.RunState)
 	}
 	return refusal.New(refusal.CodeDeadline, "the request ran out of time").WithRunState(refused.RunState)
 }
--- a/transport/dispatch/front_test.go
+++ b/transport/dispatch/front_test.go
@@ -184,3 +184,24 @@
 		}
 	})
 }
+
+// Guards against telling a caller that its request may have run when it was cancelled in a
+// queue, for example because the instance stops.
+func TestRequestCancelledInAQueueHasNotRun(t *testing.T) {
+	leaving := refusal.New(refusal.CodeLeaving, "this instance stops").WithRunState(refusal.RunUnknown)
+	for name, attempt := range map[string]*refusal.Refusal{
+		"in a queue":  refusal.New(refusal.CodeDeadline, "the request ended while it waited"),
+		"at a server": refusal.New(refusal.CodeBackendFailed, "broke").WithRunState(refusal.RunUnknown),
+	} {
+		ctx, cancel := context.WithCancelCause(t.Context())
+		p := &fakePeerSet{domains: []routing.Domain{remoteDomain("a", "a1", 0)}}
+		p.answer = func(Sink) error {
+			cancel(leaving)
+			return attempt
+		}
+		err := newTestFront(p).runAttempts(ctx, modelService, testWork(), &usage{Sink: discardSink{}})
+		if r := refusal.FromError(err); r.Code != refusal.CodeLeaving || r.RunState != attempt.RunState {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
