A leaving instance accepts no request that it may have to cut

Callers saw: orders sent 3.3 to 4.6 s after SIGTERM, with a grace of 8 s, were passed on to a backend server and their connections closed without a byte at 7.6 s. They may not be repeated, and no refusal sent them to another instance.

Cause: only streams were checked against the time to the exit, by a guess from their output tokens. Everything else was accepted until 0.6 of the grace, whatever it takes.

The check now holds for all requests. One whose deadline ends before the exit can be accepted. Requests that end without success count as lower bounds only. The estimate for streams by tokens alone is gone: it is what a measured stream replaces.

Refused, not forwarded to a neighbour, also where the request may be repeated: a forwarded response still passes through this process and would be cut with it, and the caller finds another instance at once.

--- a/instance/routed/stop.go
+++ b/instance/routed/stop.go
@@ -18,7 +18,7 @@
 
 // A graceful shutdown has three stages within the grace period that the deployment gives.
 // First the instance announces that it is leaving and still serves callers whose directory
-// response is old, but accepts no stream that might outlast it; then it accepts no
+// response is old, but accepts no request that might outlast it; then it accepts no
 // requests; then it ends, shortly before it would be killed.
 const (
 	// serveFraction is the fraction of the grace period in which new requests are accepted.
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -138,6 +138,9 @@
 	if refused != nil {
 		return nil, refused
 	}
+	if r.firstSent.IsZero() {
+		r.firstSent = time.Now()
+	}
 	s := f.newSend(ctx, r, choice, remote, out.events.lastID)
 	s.out.shouldAbort = out.handover.check()
 	rep, failed := s.exchange()
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/basilroute/basilroute/coordination/durations"
 	"github.com/basilroute/basilroute/coordination/placement"
 	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/coordination/quota"
@@ -76,8 +77,9 @@
 	// Leaving reports whether callers are to close their connections.
 	Leaving func() bool
 
-	sent  sentLoad
-	rooms regionRooms
+	sent      sentLoad
+	rooms     regionRooms
+	durations durations.Table
 }
 
 // request is the state of one request of a caller.
@@ -104,6 +106,7 @@
 	sends        int      // sends to backend servers
 	trace        []traceStep
 	server       string        // the server that responded last, in any region
+	firstSent    time.Time     // when the first attempt had its place; zero before
 	firstByte    time.Duration // time until the head of the response
 	gaps         eventGaps     // between the events of the response
 	tries        int           // attempts, sent or not
@@ -195,10 +198,10 @@
 		Call: f.Codec.DecodeCall(hr.Header), config: config, route: route, header: EndToEnd(hr.Header),
 		method: hr.Method, target: hr.RequestURI, host: hr.Host, arrived: arrived,
 	}
+	r.service = route.PickService(r.RequestID)
 	if f.Stopping() || f.mayOutlastInstance(r) {
-		return nil, &failure{run: runNotRun, reason: reasonStopping, retryAfter: minRetryAfter}
+		return nil, stoppingFailure()
 	}
-	r.service = route.PickService(r.RequestID)
 	if len(config.Accounts) > 0 && !route.Public {
 		if r.account = config.Authenticate(r.Key); r.account == nil {
 			return r, &failure{run: runNotRun, reason: reasonKey}
@@ -220,25 +223,6 @@
 	return r, nil
 }
 
-// The duration of a stream is estimated from its maximum number of output tokens, so that
-// a leaving instance accepts no stream that its shutdown would cut off.
-const (
-	timePerToken   = 15 * time.Millisecond // twice the time that an engine with a full batch takes
-	firstTokenTime = time.Second
-	// minStreamTime is the minimum remaining time for which any stream is accepted:
-	// callers that allow few tokens may underestimate the duration.
-	minStreamTime = 4500 * time.Millisecond
-)
-
-// mayOutlastInstance reports whether a stream may last longer than this instance.
-func (f *Front) mayOutlastInstance(r *request) bool {
-	left := f.TimeToShutdown()
-	if left == 0 || r.route.Kind != routes.KindStreaming {
-		return false
-	}
-	return left < max(minStreamTime, firstTokenTime+time.Duration(r.OutputTokens)*timePerToken)
-}
-
 // headerBytes returns the size of a request's header fields as they were sent. The limit
 // of the HTTP server itself is fixed at start and is above the limits that operators set.
 func headerBytes(hr *http.Request) int {
@@ -324,6 +308,7 @@
 	f.Retries.RecordRequest(r.service, r.arrived)
 	f.awaitServer(ctx, r)
 	refused = f.attemptAll(ctx, w, r)
+	f.recordDuration(ctx, r, refused)
 	if refused != nil && refused.run == runNotRun && charge.Tokens > 0 {
 		f.Ledger.Settle(charge, 0, time.Now())
 	}
--- /dev/null
+++ b/transport/httproute/leaving.go
@@ -0,0 +1,45 @@
+package httproute
+
+import (
+	"context"
+	"time"
+
+	"github.com/basilroute/basilroute/coordination/durations"
+)
+
+// finalResponseTime is how long it takes at most to refuse a request whose deadline has passed.
+const finalResponseTime = 100 * time.Millisecond
+
+// mayOutlastInstance reports whether this instance is leaving and may exit before the end of a
+// request that has not been sent yet.
+func (f *Front) mayOutlastInstance(r *request) bool {
+	left := f.TimeToShutdown()
+	return left > 0 && left < f.maxDuration(r, time.Now())
+}
+
+// maxDuration returns how long a request that is sent now takes at most: until its deadline, or
+// for as long as requests of its kind have been measured to take.
+func (f *Front) maxDuration(r *request, now time.Time) time.Duration {
+	untilDeadline := r.arrived.Add(r.wait()).Sub(now) + finalResponseTime
+	if measured, ok := f.durations.Upper(r.kind(), now); ok {
+		return min(untilDeadline, measured)
+	}
+	return untilDeadline
+}
+
+// recordDuration records how long a request took from its first attempt. One that failed or
+// whose caller disconnected does not show how long requests take to complete, but that they
+// take that long at least.
+func (f *Front) recordDuration(ctx context.Context, r *request, refused *failure) {
+	if r.firstSent.IsZero() {
+		return
+	}
+	now := time.Now()
+	complete := refused == nil && ctx.Err() == nil
+	f.durations.Record(r.kind(), now.Sub(r.firstSent), complete, now)
+}
+
+// kind returns the kind by which the duration of a request is measured.
+func (r *request) kind() durations.Kind {
+	return durations.KindOf(r.route.Name, r.service, r.OutputTokens)
+}
--- /dev/null
+++ b/transport/httproute/leaving_test.go
@@ -0,0 +1,97 @@
+package httproute
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+)
+
+// measuredRequests is the number of requests after which the duration of a route is known.
+const measuredRequests = 10
+
+// leavingFront is a front whose instance exits after a time that the test sets.
+type leavingFront struct {
+	*Front
+	callers *httptest.Server
+	server  *fakeServer
+	left    time.Duration // 0 before it leaves
+}
+
+func startLeavingFront(t *testing.T, script func(c net.Conn, r *http.Request) bool) *leavingFront {
+	t.Helper()
+	l := &leavingFront{server: startFakeServer(t, script)}
+	l.Front, l.callers = newTestFront(t, l.server)
+	l.TimeToShutdown = func() time.Duration { return l.left }
+	l.Leaving = func() bool { return l.left > 0 }
+	configure(l.Front)
+	return l
+}
+
+// expect sends a request and checks its status, and that it reached the server only if it was served.
+func (l *leavingFront) expect(t *testing.T, what, path string, want int, header ...string) {
+	t.Helper()
+	before := len(l.server.requests())
+	resp, _, err := call(t, t.Context(), l.callers, "POST", path, "b", header...)
+	if err != nil {
+		t.Fatalf("%s: %v", what, err)
+	}
+	if resp.StatusCode != want {
+		t.Errorf("%s: status %d, want %d", what, resp.StatusCode, want)
+	}
+	if sent := len(l.server.requests()) > before; sent != (want == http.StatusOK) {
+		t.Errorf("%s: sent to the server: %v", what, sent)
+	}
+	if want != http.StatusOK && (resp.Header.Get("Retry-After") == "" || !resp.Close) {
+		t.Errorf("%s: refused with %v, closed %v", what, resp.Header, resp.Close)
+	}
+}
+
+func respondAtOnce(c net.Conn, r *http.Request) bool { return respond(c, r, http.StatusOK, "ok") }
+
+// Guards against a request that a leaving instance cuts, and against one that it refuses although
+// it can finish it. The routes have a timeout of 5 s.
+func TestLeavingInstanceAcceptsWhatItCanFinish(t *testing.T) {
+	l := startLeavingFront(t, respondAtOnce)
+	const soon = time.Second
+	for _, path := range []string{"/order/1", "/read/1"} {
+		l.left = soon
+		l.expect(t, "not measured", path, http.StatusServiceUnavailable)
+		l.expect(t, "not measured, its caller waits less", path, http.StatusOK, "Wait-Ms", "800")
+		l.expect(t, "its caller waits until the exit", path, http.StatusServiceUnavailable, "Wait-Ms", "1000")
+		l.left = 6 * time.Second
+		l.expect(t, "not measured, its timeout ends before the exit", path, http.StatusOK)
+		l.left = 0
+		for n := range measuredRequests {
+			l.expect(t, fmt.Sprint("before the shutdown ", n), path, http.StatusOK)
+		}
+		l.left = soon
+		l.expect(t, "measured and short", path, http.StatusOK)
+		l.left = time.Millisecond
+		l.expect(t, "measured, at the exit", path, http.StatusServiceUnavailable)
+	}
+}
+
+// Guards against a request that is expected to be as short as most others of its route.
+func TestLeavingInstanceExpectsTheLongestDuration(t *testing.T) {
+	const slow = 600 * time.Millisecond
+	l := startLeavingFront(t, func(c net.Conn, r *http.Request) bool {
+		if r.URL.Path == "/order/slow" {
+			time.Sleep(slow)
+		}
+		return respondAtOnce(c, r)
+	})
+	for range measuredRequests {
+		l.expect(t, "short", "/order/1", http.StatusOK)
+	}
+	l.left = slow
+	l.expect(t, "all were short", "/order/1", http.StatusOK)
+	l.left = 0
+	l.expect(t, "slow", "/order/slow", http.StatusOK)
+	l.left = slow
+	l.expect(t, "one was slow", "/order/1", http.StatusServiceUnavailable)
+	l.left = 3 * slow
+	l.expect(t, "one was slow and could be finished", "/order/1", http.StatusOK)
+}
