Check a request again when it stops waiting at a leaving instance

Callers saw: a request whose body was still on its way, or that waited for tokens of its account, for the build of its stream or for a server, was sent although its instance had begun to leave meanwhile and could not finish it. It was then cut.

Cause: the time to the exit was compared once, when the request's header had been read.

Failed first: TestInstanceLeavesBeforeARequestIsSent, status 200 and one request sent, both for a body that arrives after the start of the shutdown and for a wait for servers.

The check is made again where all these waits have ended, before the first attempt. Requests in the wait queue were refused before this change already (TestInstanceLeavesWhileRequestsWait). A refusal now tells the caller to close the connection also if the instance began to leave after the request's arrival.

--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -149,6 +149,9 @@
 	if refused == nil {
 		refused = f.serve(watched, hr, r)
 	}
+	if refused != nil && f.Leaving() { // since the request arrived
+		w.Header().Set("Connection", "close")
+	}
 	f.finish(watched, hr, r, refused, counted, arrived)
 }
 
@@ -307,8 +310,7 @@
 	}
 	f.Retries.RecordRequest(r.service, r.arrived)
 	f.awaitServer(ctx, r)
-	refused = f.attemptAll(ctx, w, r)
-	f.recordDuration(ctx, r, refused)
+	refused = f.run(ctx, w, r)
 	if refused != nil && refused.run == runNotRun && charge.Tokens > 0 {
 		f.Ledger.Settle(charge, 0, time.Now())
 	}
--- a/transport/httproute/leaving.go
+++ b/transport/httproute/leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/basilroute/basilroute/coordination/durations"
@@ -17,6 +18,16 @@
 	return left > 0 && left < f.maxDuration(r, time.Now())
 }
 
+// run sends a request that has waited for all that it needs, and measures how long it takes.
+func (f *Front) run(ctx context.Context, w http.ResponseWriter, r *request) *failure {
+	if f.mayOutlastInstance(r) { // it may have begun to leave meanwhile
+		return stoppingFailure()
+	}
+	refused := f.attemptAll(ctx, w, r)
+	f.recordDuration(ctx, r, refused)
+	return refused
+}
+
 // maxDuration returns how long a request that is sent now takes at most: until its deadline, or
 // for as long as requests of its kind have been measured to take.
 func (f *Front) maxDuration(r *request, now time.Time) time.Duration {
--- a/transport/httproute/leaving_test.go
+++ b/transport/httproute/leaving_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
+
+	"github.com/basilroute/basilroute/coordination/placement"
 )
 
 // measuredRequests is the number of requests after which the duration of a route is known.
@@ -95,3 +99,71 @@
 	l.left = 3 * slow
 	l.expect(t, "one was slow and could be finished", "/order/1", http.StatusOK)
 }
+
+// Guards against a request that is sent although its instance began to leave while its body was on its
+// way, or while it waited for a server.
+func TestInstanceLeavesBeforeARequestIsSent(t *testing.T) {
+	const soon = time.Second
+	for name, wait := range map[string]func(t *testing.T, l *leavingFront, leave func()) *http.Response{
+		"body":   sendBodyAfter,
+		"server": awaitServerUntil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := startLeavingFront(t, respondAtOnce)
+			resp := wait(t, l, func() { l.left = soon })
+			if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" || !resp.Close {
+				t.Errorf("status %d, %v, closed %v", resp.StatusCode, resp.Header, resp.Close)
+			}
+			if sent := len(l.server.requests()); sent != 0 {
+				t.Errorf("%d requests were sent", sent)
+			}
+		})
+	}
+}
+
+// sendBodyAfter sends an order whose body arrives after leave has been called.
+func sendBodyAfter(t *testing.T, l *leavingFront, leave func()) *http.Response {
+	t.Helper()
+	accepted, timeToShutdown := make(chan struct{}), l.TimeToShutdown
+	var once sync.Once
+	l.TimeToShutdown = func() time.Duration {
+		defer once.Do(func() { close(accepted) })
+		return timeToShutdown()
+	}
+	body, rest := io.Pipe()
+	go func() {
+		<-accepted
+		leave()
+		_, _ = rest.Write([]byte("lot")) // fails if the request was refused before
+		_ = rest.Close()
+	}()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, l.callers.URL+"/order/1", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = testHost
+	req.Header.Set("Key", testKey)
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return resp
+}
+
+// awaitServerUntil sends an order to an instance that has no server until leave has been called.
+func awaitServerUntil(t *testing.T, l *leavingFront, leave func()) *http.Response {
+	t.Helper()
+	pool := l.Local.Pool("svc")
+	pool.Update(placement.Settings{Slots: 8}, nil)
+	l.Starting = func() bool {
+		leave()
+		pool.Update(placement.Settings{Slots: 8}, l.Local.Backends.InRegion("r", time.Now()))
+		return true
+	}
+	resp, _, err := call(t, t.Context(), l.callers, http.MethodPost, "/order/1", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp
+}
