A leaving instance retries no request that it may have to cut

Callers saw: a request that a backend server had turned away as not run was sent once more by an instance that had begun to leave meanwhile and may end before it. It could have been refused as not run.

Cause: only the first attempt was compared with the time to the exit.

Failed first: TestInstanceLeavesBeforeARetry, "sent 2 times, status 503", want once.

The comparison is made again before a retry of a request that has not run. One that may have run is retried as before: it can't be refused any more, so its last chance is here.

--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -70,6 +70,8 @@
 		return false // a new configuration excludes it
 	case failed.run != runNotRun && !r.route.Repeatable():
 		return false
+	case failed.run == runNotRun && f.mayOutlastInstance(r):
+		return false // its caller can go to another instance
 	case out.started && !(r.route.Resumable && r.requiredBuild().Known):
 		return false
 	case failed.reason == reasonNoServer, failed.reason == reasonLoad, failed.reason == reasonCold:
--- a/transport/httproute/leaving_test.go
+++ b/transport/httproute/leaving_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/basilroute/basilroute/coordination/placement"
+	"github.com/basilroute/basilroute/state/backends"
 )
 
 // measuredRequests is the number of requests after which the duration of a route is known.
@@ -121,6 +122,28 @@
 	}
 }
 
+// Guards against a request that no server has run and that its instance, which has begun to leave
+// meanwhile, sends once more although it may not finish it.
+func TestInstanceLeavesBeforeARetry(t *testing.T) {
+	var l *leavingFront
+	turnAway := func(c net.Conn, r *http.Request) bool {
+		l.left = time.Second
+		_, err := fmt.Fprintf(c, "HTTP/1.1 503 X\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+		return err == nil
+	}
+	l = startLeavingFront(t, turnAway)
+	other := startFakeServer(t, turnAway)
+	l.Local.Backends.Put(backends.Server{ID: "other", Service: "svc", Address: other.address, Domain: "d", Region: "r", Slots: 8}, time.Now())
+	l.Local.Pool("svc").Update(placement.Settings{Slots: 8}, l.Local.Backends.InRegion("r", time.Now()))
+	resp, _, err := call(t, t.Context(), l.callers, "POST", "/read/1", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if sent := len(l.server.requests()) + len(other.requests()); sent != 1 || resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
+		t.Errorf("sent %d times, status %d, closed %v", sent, resp.StatusCode, resp.Close)
+	}
+}
+
 // sendBodyAfter sends an order whose body arrives after leave has been called.
 func sendBodyAfter(t *testing.T, l *leavingFront, leave func()) *http.Response {
 	t.Helper()
