Exit after the last byte of a forwarded response

Callers saw: a response that came by way of an instance of another region could end early when that instance exited.

Cause: a forwarded request counted as ended when its handler returned. net/http sends the end of a response after that, and Kill closes the connection in between. The connections of callers were safe, as http.Server.Shutdown waits for them; the relay has no such wait, and Shutdown would take connections that peers have dialled ahead for ones in use.

A request is now in flight until its connection is idle or closed, which net/http reports after the last byte.

--- a/instance/routed/instance.go
+++ b/instance/routed/instance.go
@@ -101,7 +101,7 @@
 	leaving    atomic.Bool  // has announced that it is leaving
 	endsAt     atomic.Int64 // uptime in nanoseconds at which the process ends; 0 before it leaves
 	stopping   atomic.Bool  // refuses new requests
-	inFlight   atomic.Int64 // requests of callers and of peers
+	inFlight   inFlight     // requests of callers and of peers
 	loops      sync.WaitGroup
 	background context.Context
 	stopLoops  context.CancelFunc
@@ -229,9 +229,10 @@
 	n.broadcaster.LoadReport, n.broadcaster.HasPlaced, n.broadcaster.ApplyReport = n.loadReport, n.hasPlaced, n.applyLoadReport
 	n.broadcaster.ReceiveOther, n.builds.exchange.Send = n.builds.exchange.Receive, n.broadcaster.SendOther
 	n.callers = &http.Server{
-		Handler: n.countInFlight(n.front), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: n.front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 	}
+	n.inFlight.track(n.callers)
 	n.peers = grpc.NewServer(append(peer.ServerOptions(),
 		grpc.InitialWindowSize(peer.StreamWindow), grpc.InitialConnWindowSize(peer.StreamWindow))...)
 	peerpb.RegisterPeerServer(n.peers, &peer.Server{Runner: generationRefuser{}, Exchanger: n, Quota: n, Follower: n})
--- a/instance/routed/listen.go
+++ b/instance/routed/listen.go
@@ -36,13 +36,16 @@
 	}{
 		{"ready", n.settings.Listen.Ready, endpoints.Ready(n.Ready)},
 		{"directory", n.settings.Listen.Directory, endpoints.Directory(n.Resolve)},
-		{"relay", n.settings.Listen.Relay, n.countInFlight(n.relay)},
 	} {
 		if _, err := n.bind(l.name, l.address); err != nil {
 			return err
 		}
 		n.serveHandler(l.handler, n.listeners[l.name])
 	}
+	if _, err := n.bind("relay", n.settings.Listen.Relay); err != nil {
+		return err
+	}
+	n.serveRelay(n.relay, n.listeners["relay"])
 	if err := n.broadcaster.Listen(n.settings.Listen.Relay); err != nil { // UDP, on the same port
 		return err
 	}
@@ -72,8 +75,20 @@
 
 // serveHandler runs one of the HTTP servers other than that of callers.
 func (n *Instance) serveHandler(handler http.Handler, l net.Listener) {
+	n.serveAsync(n.newServer(handler), l)
+}
+
+// newServer returns an HTTP server that Kill closes.
+func (n *Instance) newServer(handler http.Handler) *http.Server {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: n.callers.ErrorLog}
 	n.handlerServers = append(n.handlerServers, server)
+	return server
+}
+
+// serveRelay serves the requests that other instances forward.
+func (n *Instance) serveRelay(handler http.Handler, l net.Listener) {
+	server := n.newServer(handler)
+	n.inFlight.track(server)
 	n.serveAsync(server, l)
 }
 
@@ -90,12 +105,3 @@
 		_ = l.Close() // the instance does not start
 	}
 }
-
-// countInFlight counts the requests in flight, for the graceful shutdown.
-func (n *Instance) countInFlight(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n.inFlight.Add(1)
-		defer n.inFlight.Add(-1)
-		next.ServeHTTP(w, r)
-	})
-}
--- a/instance/routed/stop.go
+++ b/instance/routed/stop.go
@@ -53,7 +53,7 @@
 	sleep(ctx, time.Duration(serveFraction*float64(n.settings.Bounds.Grace)))
 	n.stopping.Store(true)
 	err := n.callers.Shutdown(ctx)
-	for n.inFlight.Load() > 0 && ctx.Err() == nil {
+	for n.inFlight.count() > 0 && ctx.Err() == nil {
 		sleep(ctx, drainPollInterval)
 	}
 	n.lending.ReturnAll(ctx)
