--- a/cmd/basilrouted/main.go
+++ b/cmd/basilrouted/main.go
@@ -8,13 +8,12 @@
 	"fmt"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
 	"github.com/basilroute/basilroute/instance"
+	"github.com/basilroute/basilroute/instance/signals"
 	"github.com/basilroute/basilroute/platform"
 	"github.com/basilroute/basilroute/yamldoc"
 )
@@ -30,7 +29,7 @@
 		Name:  "basilrouted",
 		Usage: "run an entry instance of basilroute",
 		Description: "Exit codes: 0 graceful shutdown or settings valid, 1 failed, 2 findings in the settings.\n" +
-			"SIGTERM and SIGINT shut it down gracefully, SIGUSR1 writes its state to the log.",
+			"SIGTERM and SIGINT shut it down gracefully, SIGHUP checks the settings, SIGUSR1 writes its state to the log.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "config", Usage: "YAML file with the instance's settings"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
@@ -53,15 +52,12 @@
 }
 
 func run(ctx context.Context, command *cli.Command) error {
+	received := signals.Receive()
 	file := command.String("config")
 	if file == "" {
 		return errors.New("--config is required")
 	}
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return errors.Wrap(err, "settings")
-	}
-	settings, err := instance.ParseSettings(file, data)
+	settings, err := readSettings(file)
 	if err != nil || command.Bool("check") {
 		return err
 	}
@@ -71,31 +67,47 @@
 		return err
 	}
 	i.Start()
-	return supervise(ctx, i, log)
+	return supervise(ctx, i, received, file, log)
 }
 
-// supervise runs until SIGTERM or SIGINT, and logs the state on SIGUSR1.
-func supervise(ctx context.Context, i *instance.Instance, log *slog.Logger) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+func readSettings(file string) (instance.Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return instance.Settings{}, errors.Wrap(err, "settings")
+	}
+	return instance.ParseSettings(file, data)
+}
+
+// supervise runs until SIGTERM or SIGINT. SIGHUP checks the settings file, and SIGUSR1 logs the state.
+func supervise(ctx context.Context, i *instance.Instance, received signals.Signals, file string, log *slog.Logger) error {
 	for {
 		select {
 		case err := <-i.Failed():
 			i.Kill()
 			return err
-		case s := <-signals:
-			if s != syscall.SIGUSR1 {
-				return shutDown(ctx, i, signals)
-			}
+		case <-received.Terminate:
+			return shutDown(ctx, i, received.Terminate)
+		case <-received.Reload:
+			reload(file, log)
+		case <-received.Dump:
 			dump, err := json.Marshal(i.Dump())
 			log.Info("state", "dump", json.RawMessage(dump), "error", err)
 		}
 	}
 }
 
+// reload checks the changed settings file. Its settings take effect at the next start.
+func reload(file string, log *slog.Logger) {
+	if _, err := readSettings(file); err != nil {
+		log.Error("settings unreadable", "error", err.Error())
+		return
+	}
+	log.Info("settings read", "in_force", "at the next start")
+}
+
 // shutDown shuts the instance down gracefully. A second SIGTERM or SIGINT aborts the
 // requests that are still in flight.
-func shutDown(ctx context.Context, i *instance.Instance, signals <-chan os.Signal) error {
+func shutDown(ctx context.Context, i *instance.Instance, terminate <-chan os.Signal) error {
 	ctx, abort := context.WithCancel(ctx)
 	defer abort()
 	stopped := make(chan error, 1)
@@ -104,10 +116,8 @@
 		select {
 		case err := <-stopped:
 			return err
-		case s := <-signals:
-			if s != syscall.SIGUSR1 {
-				abort()
-			}
+		case <-terminate:
+			abort()
 		}
 	}
 }
