Report forwarded requests that the exit cuts

Operators saw: "stopped" with cut=false and exit code 0 although requests that other instances had forwarded were cut at the end of the grace.

Cause: only the wait for callers' connections returned an error.

Failed first: TestCutOfAForwardedRequestIsReported, "no error".

"stopped" also tells how many requests were in flight at the exit.

--- a/instance/routed/stop.go
+++ b/instance/routed/stop.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/basilroute/basilroute/coordination/configwatch"
@@ -56,9 +57,13 @@
 	for n.inFlight.count() > 0 && ctx.Err() == nil {
 		sleep(ctx, drainPollInterval)
 	}
+	cut := n.inFlight.count()
+	if err == nil && cut > 0 {
+		err = errors.New("forwarded requests in flight were cut off")
+	}
 	n.lending.ReturnAll(ctx)
 	callers, forwarded := n.front.Metrics.StopOutcomes()
-	n.log.Info("stopped", "took_ms", time.Since(began).Milliseconds(), "cut", err != nil,
+	n.log.Info("stopped", "took_ms", time.Since(began).Milliseconds(), "cut", err != nil, "in_flight", cut,
 		slog.Group("requests", callers.Attrs()...), slog.Group("forwarded", forwarded.Attrs()...))
 	n.Kill()
 	return err
