Don't wait long for a silent engine or peer to confirm a cancel

A caller whose request was cancelled, because its instance was made to stop, its key was withdrawn or its deadline passed, was told so only after the cancel had been confirmed: up to 2 s late with a silent engine, and up to 3 s with a silent peer. An instance that is made to stop closes its callers' connections a second after it has cancelled their requests, so that such a stream ended without [DONE] and without the event 'incomplete'.

A request that may be retried still waits for its cancel, as a late one could end the next attempt: the engine's API cancels by request id, without the attempt. The cut connection itself was not played end to end.

--- a/transport/dispatch/resume.go
+++ b/transport/dispatch/resume.go
@@ -54,8 +54,14 @@
 		tried = append(tried, address)
 		err = r.Next.Forward(ctx, address, progress.remainingWork(w), progress)
 	}
-	if err != nil && progress.next > 0 && !progress.complete {
-		r.cancelGeneration(ctx, address, w, progress.server)
+	if err == nil || progress.next == 0 || progress.complete {
+		return err
+	}
+	cancel := func() { r.cancelGeneration(ctx, address, w, progress.server) }
+	if ctx.Err() != nil || progress.sinkFailed {
+		RunFor(CancelWait, cancel)
+	} else {
+		cancel() // a later cancel could reach the next attempt on the same engine
 	}
 	return err
 }
--- a/transport/dispatch/stream.go
+++ b/transport/dispatch/stream.go
@@ -72,7 +72,11 @@
 	if w.Hop > 0 && cause != nil && refusal.FromError(cause).Code == refusal.CodeLeaving {
 		return
 	}
-	l.cancel(server, w.RequestID)
+	if ctx.Err() != nil {
+		RunFor(CancelWait, func() { l.cancel(server, w.RequestID) })
+		return
+	}
+	l.cancel(server, w.RequestID) // a later cancel could reach the next attempt on the same engine
 }
 
 func (l *LocalDispatcher) cancel(server servers.Server, requestID string) {
--- a/transport/peer/forward.go
+++ b/transport/peer/forward.go
@@ -14,7 +14,8 @@
 	"github.com/basilroute/basilroute/transport/dispatch"
 )
 
-// cancelTimeout is how long a peer has to end a cancelled stream before the stream is closed.
+// cancelTimeout is how long a peer has to answer a cancel. The stream is closed earlier if the
+// peer is silent, see dispatch.CancelWait.
 const cancelTimeout = time.Second
 
 // Forward implements dispatch.Forwarder.
@@ -36,9 +37,11 @@
 	// closed afterwards.
 	stop := context.AfterFunc(ctx, func() {
 		defer closeStream()
-		cancelCtx, done := context.WithTimeout(streamCtx, cancelTimeout)
-		defer done()
-		_, _ = client.Cancel(cancelCtx, cancelRequest(w, ""))
+		dispatch.RunFor(dispatch.CancelWait, func() {
+			cancelCtx, done := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+			defer done()
+			_, _ = client.Cancel(cancelCtx, cancelRequest(w, ""))
+		})
 	})
 	defer stop()
 	return receive(stream, w, sink)
--- a/transport/peer/server_test.go
+++ b/transport/peer/server_test.go
@@ -99,12 +99,16 @@
 }
 
 func startServer(t *testing.T, r Runner) (address string) {
+	return servePeer(t, &Server{Runner: r})
+}
+
+func servePeer(t *testing.T, p peerpb.PeerServer) (address string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	server := grpc.NewServer(ServerOptions()...)
-	peerpb.RegisterPeerServer(server, &Server{Runner: r})
+	peerpb.RegisterPeerServer(server, p)
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(server.Stop)
 	return listener.Addr().String()
--- a/transport/peer/silent_test.go
+++ b/transport/peer/silent_test.go
@@ -5,7 +5,10 @@
 	"testing"
 	"time"
 
+	"google.golang.org/grpc"
+
 	"github.com/basilroute/basilroute/protocol/frame"
+	"github.com/basilroute/basilroute/protocol/peerpb"
 	"github.com/basilroute/basilroute/transport/dispatch"
 )
 
@@ -48,3 +51,38 @@
 		})
 	}
 }
+
+// silentPeer accepts requests and cancels and answers none.
+type silentPeer struct {
+	peerpb.UnimplementedPeerServer
+	started chan struct{}
+}
+
+func (p *silentPeer) Forward(_ *peerpb.ForwardRequest, stream grpc.ServerStreamingServer[peerpb.ForwardFrame]) error {
+	close(p.started)
+	<-stream.Context().Done()
+	return nil
+}
+
+func (p *silentPeer) Cancel(ctx context.Context, _ *peerpb.CancelRequest) (*peerpb.CancelResponse, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Guards against a caller that is not told why its request ends, because the instance waits
+// for a silent peer to confirm the cancel. A stopping instance waits a second for that.
+func TestSilentPeerDoesNotDelayTheEnd(t *testing.T) {
+	t.Parallel()
+	p := &silentPeer{started: make(chan struct{})}
+	address := servePeer(t, p)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	pool := newPool(t)
+	go func() { ended <- pool.Forward(ctx, address, operationWork(), &recordingSink{}) }()
+	<-p.started
+	cancelledAt := time.Now()
+	cancel()
+	if err := <-ended; err == nil || time.Since(cancelledAt) >= time.Second {
+		t.Errorf("ended after %s with %v", time.Since(cancelledAt), err)
+	}
+}
