Cancel a generation whose run was detached just before

A generation ran on to its token limit although its caller had gone, when the peer noticed the broken stream before it handled the cancel that had been sent ahead: the run had ended as detached, which leaves the generation to be resumed, and the cancel counted as done because the run was still registered.

TestCancelOfADetachedRunIsNotTakenForDone failed with 'taken for done true'. Such a cancel now goes on to the engine, if it names the server.

--- a/transport/peer/running.go
+++ b/transport/peer/running.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/basilroute/basilroute/protocol/refusal"
 	"github.com/basilroute/basilroute/transport/dispatch"
 )
@@ -22,6 +24,7 @@
 // runningForward is a forwarded request that runs on this instance.
 type runningForward struct {
 	attempt attempt
+	ctx     context.Context // of the run
 	cancel  context.CancelCauseFunc
 }
 
@@ -41,8 +44,8 @@
 // connection ends, even with retries disabled, and a purchase order would run twice.
 // Remembering recent attempts suffices because such a resend is immediate and goes to the
 // same peer. Resuming a stream does not run the request again, so it is admitted.
-func (r *forwardTable) begin(w *dispatch.Work, cancel context.CancelCauseFunc, now time.Time) (*runningForward, *refusal.Refusal) {
-	f := &runningForward{attempt{w.RequestID, w.Attempt}, cancel}
+func (r *forwardTable) begin(ctx context.Context, w *dispatch.Work, cancel context.CancelCauseFunc, now time.Time) (*runningForward, *refusal.Refusal) {
+	f := &runningForward{attempt{w.RequestID, w.Attempt}, ctx, cancel}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.rotate(now)
@@ -79,13 +82,15 @@
 	}
 }
 
-// cancel cancels a running request and reports whether there was one.
+// cancel cancels a running request and reports whether there was one. A run that was detached
+// before ends without cancelling its generation, so it does not count.
 func (r *forwardTable) cancel(requestID string, number int, cause error) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	f, ok := r.current[attempt{requestID, number}]
-	if ok {
-		f.cancel(cause)
+	if !ok {
+		return false
 	}
-	return ok
+	f.cancel(cause)
+	return !errors.Is(context.Cause(f.ctx), dispatch.ErrDetached)
 }
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -87,7 +87,7 @@
 	defer cancelRun(nil)
 	detach := func() { cancelRun(dispatch.ErrDetached) }
 	out := &streamSink{stream: stream, work: w, detach: detach}
-	forwarded, refused := s.running.begin(w, cancelRun, time.Now())
+	forwarded, refused := s.running.begin(ctx, w, cancelRun, time.Now())
 	if refused != nil {
 		return stream.Send(out.newFrame("", &peerpb.ForwardFrame_Refusal{Refusal: refused.ToProto()}))
 	}
--- a/transport/peer/server_test.go
+++ b/transport/peer/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -200,3 +201,23 @@
 		t.Errorf("cancelled %s", got)
 	}
 }
+
+// Guards against a cancel that is taken for done, and a generation that goes on although its
+// caller has gone, because the run was detached just before.
+func TestCancelOfADetachedRunIsNotTakenForDone(t *testing.T) {
+	var table forwardTable
+	for _, cause := range []error{nil, dispatch.ErrDetached} {
+		ctx, cancel := context.WithCancelCause(t.Context())
+		w := generationWork()
+		w.RequestID = fmt.Sprint(cause)
+		if _, refused := table.begin(ctx, w, cancel, time.Now()); refused != nil {
+			t.Fatal(refused)
+		}
+		if cause != nil {
+			cancel(cause)
+		}
+		if ended := table.cancel(w.RequestID, w.Attempt, errors.New("the caller has gone")); ended != (cause == nil) {
+			t.Errorf("cancelled before by %v: taken for done %t", cause, ended)
+		}
+	}
+}
