Begin no request that stop.limit would cancel (/v1)

Callers saw: with stop.limit set, a request that waited for a slot or for tokens when the shutdown began was sent when its wait ended, also just before the limit, and was then cancelled in its middle.

Cause: only requests that arrive during the shutdown were refused.

Failed first: TestInstanceLeavesWhileARequestWaitsForASlot, not refused; TestLeavingInstanceBeginsNoAttemptThatItWouldCancel, "called [a1 b1]" with no or one attempt expected.

The deadline of a request is compared with the end of the instance where its waits end and before each attempt of a request that has not run. It is then refused as not run. Without stop.limit nothing changes: the instance waits for all requests.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -88,6 +88,7 @@
 	crashes         chan chan struct{} // crashes to be announced; each channel is closed once its crash is
 	views           domainViews
 	leaving         atomic.Bool
+	ending          dispatch.Ending
 }
 
 type listeners struct{ callers, peers, operators net.Listener }
@@ -201,15 +202,17 @@
 	i.pool.Revision = i.config.Revision
 	i.lending = &lending.Borrower{Ledger: i.ledger, Pool: i.pool, Self: i.member, Lenders: i.lenders}
 	i.claims = claim.New(i.background, i.platform, i.settings.ID, i.log)
+	queues := dispatch.NewAdmission(i.servers)
+	queues.Ending = &i.ending
 	i.local = &dispatch.LocalDispatcher{
 		Catalog: i.catalog, Servers: i.servers, Backend: i.backend, Quarantine: i.quarantine, Parts: i.parts,
-		Admission: dispatch.NewAdmission(i.servers), Prefixes: dispatch.NewPrefixIndexes(i.settings.Region),
+		Admission: queues, Prefixes: dispatch.NewPrefixIndexes(i.settings.Region),
 		Isolation: quarantine.NewIsolation(), Metrics: i.metrics, Claims: i.claims,
 	}
 	i.front = &dispatch.Front{
 		Region: i.settings.Region, Domain: i.settings.Domain, Catalog: i.catalog, Ledger: i.ledger,
 		Retries: i.retries, Quarantine: i.quarantine, Parts: i.parts, Domains: i, Router: routing.NewRouter(i.settings.Region, i.settings.Domain),
-		Local: i.local, Forwarder: &dispatch.Resumer{Next: i.pool, Peers: i.peersInDomainOf}, Log: i.log, Metrics: i.metrics,
+		Local: i.local, Forwarder: &dispatch.Resumer{Next: i.pool, Peers: i.peersInDomainOf}, Log: i.log, Metrics: i.metrics, Ending: &i.ending,
 	}
 	return i.wireServers(creds)
 }
--- a/instance/stop.go
+++ b/instance/stop.go
@@ -21,10 +21,13 @@
 )
 
 // Stop shuts the instance down gracefully: it announces that it is leaving, refuses new
-// work, lets requests in flight finish, and ends. When ctx or stop.limit ends before that,
+// work and what waits and may not end before stop.limit, lets requests in flight finish, and ends. When ctx or stop.limit ends before that,
 // it cancels the remaining requests with an error to their callers, and returns an error.
 func (i *Instance) Stop(ctx context.Context) error {
 	i.leaving.Store(true)
+	if limit := i.settings.Stop.Limit; limit > 0 {
+		i.ending.Begin(time.Now().Add(limit))
+	}
 	i.members.UpdateSelf(time.Now(), func(m *peerpb.Member) { m.State = peerpb.MemberState_MEMBER_STATE_LEAVING })
 	i.slots.machine.Leave()
 	callersDone, peersDone := i.requests.Close(), i.forwarded.Close()
--- a/transport/dispatch/admit.go
+++ b/transport/dispatch/admit.go
@@ -14,6 +14,8 @@
 // Admission holds an admission queue for each service and a concurrency limiter for each
 // server of the local failure domain. It is safe for concurrent use.
 type Admission struct {
+	Ending *Ending // may be nil
+
 	servers *servers.Table
 
 	mu       sync.Mutex
@@ -123,11 +125,16 @@
 	if !t.Granted() {
 		return nil, t.Refusal
 	}
-	return func() {
+	release = func() {
 		now := time.Now()
 		a.refresh(s, q, now)
 		q.Release(t, now)
-	}, nil
+	}
+	if refused = a.Ending.check(w); refused != nil { // the instance began to leave while the work waited
+		release()
+		return nil, refused
+	}
+	return release, nil
 }
 
 // await waits until the ticket is decided. It returns true if the caller disconnected or
--- a/transport/dispatch/front.go
+++ b/transport/dispatch/front.go
@@ -43,6 +43,7 @@
 	Forwarder      Forwarder
 	Log            *slog.Logger
 	Metrics        *metrics.Recorder // may be nil
+	Ending         *Ending           // may be nil
 }
 
 // usage counts the tokens of an answer on its way to the caller.
@@ -103,6 +104,9 @@
 }
 
 func (f *Front) runAttempts(ctx context.Context, svc *service.Service, w *Work, u *usage) error {
+	if refused := f.Ending.check(w); refused != nil {
+		return refused
+	}
 	f.Retries.RecordRequest(svc)
 	rng := newRand()
 	request := f.request(svc, w)
@@ -126,6 +130,9 @@
 		if ctx.Err() != nil {
 			return f.cancelError(ctx, refused)
 		}
+		if leaving := f.Ending.check(w); leaving != nil && run == refusal.NotRun {
+			return leaving
+		}
 		if w.trial || f.Parts.Banned(w.parts(), time.Now()) {
 			return refused
 		}
--- a/transport/dispatch/front_test.go
+++ b/transport/dispatch/front_test.go
@@ -21,6 +21,8 @@
 	script  map[string][]error // by address; when it is used up, answer is called
 	called  []string
 	answer  func(sink Sink) error
+
+	onForward func() // may be nil
 }
 
 func (p *fakePeerSet) Local(string) routing.Domain {
@@ -30,6 +32,9 @@
 
 func (p *fakePeerSet) Forward(_ context.Context, address string, _ *Work, sink Sink) error {
 	p.called = append(p.called, address)
+	if p.onForward != nil {
+		p.onForward()
+	}
 	if left := p.script[address]; len(left) > 0 {
 		p.script[address] = left[1:]
 		return left[0]
