Find a restarted peer at its new address to resume a stream

A caller with a forwarded stream got 'incomplete' and its generation was cancelled when the only peer of that failure domain was replaced at another address: the failure domain was looked up by the address of the peer that had failed, which no member has any more.

The work now carries the failure domain that the first instance chose (TestRefusedDomainIsNotRetried checks it), and its peers are looked up by that.

--- a/instance/domains.go
+++ b/instance/domains.go
@@ -95,20 +95,13 @@
 	return d
 }
 
-// peersInDomainOf returns the peer addresses of the reachable instances in the failure
-// domain of the peer at address. That peer itself comes last.
-func (i *Instance) peersInDomainOf(address string) []string {
-	members := i.members.Members(time.Now())
-	domain := ""
-	for _, m := range members {
-		if m.Entry.GetPeerAddress() == address {
-			domain = m.Entry.GetDomain()
-		}
-	}
+// peersInDomain returns the peer addresses of the reachable instances in a failure domain. The
+// one at address comes last, and also when it is not reachable.
+func (i *Instance) peersInDomain(domain, address string) []string {
 	var siblings, last []string
-	for _, m := range members {
+	for _, m := range i.members.Members(time.Now()) {
 		switch {
-		case domain == "" || m.Entry.GetDomain() != domain:
+		case m.Entry.GetDomain() != domain:
 		case m.Entry.GetPeerAddress() == address:
 			last = append(last, address)
 		case m.Reachable && !m.Leaving():
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -212,7 +212,7 @@
 	i.front = &dispatch.Front{
 		Region: i.settings.Region, Domain: i.settings.Domain, Catalog: i.catalog, Ledger: i.ledger,
 		Retries: i.retries, Quarantine: i.quarantine, Parts: i.parts, Domains: i, Router: routing.NewRouter(i.settings.Region, i.settings.Domain),
-		Local: i.local, Forwarder: &dispatch.Resumer{Next: i.pool, Peers: i.peersInDomainOf}, Log: i.log, Metrics: i.metrics, Ending: &i.ending,
+		Local: i.local, Forwarder: &dispatch.Resumer{Next: i.pool, Peers: i.peersInDomain}, Log: i.log, Metrics: i.metrics, Ending: &i.ending,
 	}
 	return i.wireServers(creds)
 }
--- a/transport/dispatch/front.go
+++ b/transport/dispatch/front.go
@@ -227,6 +227,7 @@
 	f.countForward(w, chosen)
 	next := *w
 	next.Hop = w.Hop + 1
+	next.domain = chosen.Name
 	err := f.Forwarder.Forward(ctx, chosen.PeerAddress, &next, sink)
 	f.exclude(request, chosen, err)
 	return err
--- a/transport/dispatch/front_test.go
+++ b/transport/dispatch/front_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,6 +21,7 @@
 	domains []routing.Domain
 	script  map[string][]error // by address; when it is used up, answer is called
 	called  []string
+	named   []string // failure domains that the forwarded work named
 	answer  func(sink Sink) error
 
 	onForward func() // may be nil
@@ -30,11 +32,12 @@
 }
 func (p *fakePeerSet) Peers(string) []routing.Domain { return p.domains }
 
-func (p *fakePeerSet) Forward(_ context.Context, address string, _ *Work, sink Sink) error {
+func (p *fakePeerSet) Forward(_ context.Context, address string, w *Work, sink Sink) error {
 	p.called = append(p.called, address)
 	if p.onForward != nil {
 		p.onForward()
 	}
+	p.named = append(p.named, w.domain)
 	if left := p.script[address]; len(left) > 0 {
 		p.script[address] = left[1:]
 		return left[0]
@@ -89,6 +92,9 @@
 		if err != nil || len(p.called) != 2 || p.called[1] != "b1" {
 			t.Errorf("called %v, then %v", p.called, err)
 		}
+		if !slices.Equal(p.named, []string{"a", "b"}) {
+			t.Errorf("forwarded to the domains %v", p.named)
+		}
 		if waited := time.Since(began); waited != 0 {
 			t.Errorf("retried at the other domain after %s", waited)
 		}
--- a/transport/dispatch/resume.go
+++ b/transport/dispatch/resume.go
@@ -30,9 +30,9 @@
 // engine finds the running generation and nothing is charged or run twice.
 type Resumer struct {
 	Next CancelingForwarder
-	// Peers returns the addresses of the live peers in the failure domain of the peer at
-	// the address, with that peer last.
-	Peers func(address string) []string
+	// Peers returns the addresses of the live peers in a failure domain, with the peer at the
+	// address last.
+	Peers func(domain, address string) []string
 }
 
 // Forward implements Forwarder.
@@ -46,7 +46,7 @@
 		if !ok || !sleep(ctx, wait) {
 			break
 		}
-		peers := r.Peers(address)
+		peers := r.Peers(w.domain, address)
 		if len(peers) == 0 {
 			break
 		}
@@ -113,7 +113,7 @@
 func (r *Resumer) cancelGeneration(ctx context.Context, address string, w *Work, server string) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelDeadline)
 	defer cancel()
-	for _, peer := range append([]string{address}, r.Peers(address)...) {
+	for _, peer := range append([]string{address}, r.Peers(w.domain, address)...) {
 		if r.Next.Cancel(ctx, peer, w, server) == nil {
 			return
 		}
--- a/transport/dispatch/resume_test.go
+++ b/transport/dispatch/resume_test.go
@@ -17,6 +17,7 @@
 const (
 	answerFrames   = 8
 	framesPerBreak = 10 // of a long stream whose connections break
+	peersDomain    = "north-2"
 )
 
 // fakePeers is a failure domain with one engine, reached through peers whose links break
@@ -78,14 +79,17 @@
 func (s *textSink) Answer(string, []byte) error { return nil }
 
 func newResumer(f *fakePeers) *Resumer {
-	return &Resumer{Next: f, Peers: func(address string) []string {
+	return &Resumer{Next: f, Peers: func(domain, address string) []string {
+		if domain != peersDomain {
+			return nil
+		}
 		others := slices.DeleteFunc([]string{"a", "b", "c"}, func(p string) bool { return p == address })
 		return append(others, address)
 	}}
 }
 
 func streamWork() *Work {
-	return &Work{RequestID: "r", Attempt: 1, Hop: 1, Generation: &Generation{Prompt: "p", MaxTokens: answerFrames}}
+	return &Work{RequestID: "r", Attempt: 1, Hop: 1, domain: peersDomain, Generation: &Generation{Prompt: "p", MaxTokens: answerFrames}}
 }
 
 // The link to the forwarding peer breaks during a stream, possibly more than once. The
@@ -180,7 +184,7 @@
 		peers := &fakePeers{breakAfter: map[string]int{"a": 3}, thenDead: true}
 		up := time.Now().Add(restart)
 		resumer := newResumer(peers)
-		resumer.Peers = func(string) []string {
+		resumer.Peers = func(string, string) []string {
 			if time.Now().After(up) {
 				peers.breakAfter["a"] = -1
 			}
--- a/transport/dispatch/work.go
+++ b/transport/dispatch/work.go
@@ -32,6 +32,7 @@
 	fingerprint    string               // set by quarantineKey
 	partKeys       []quarantine.PartKey // set by parts
 	trial          bool                 // it finds out whether a part of its prompt still crashes servers
+	domain         string               // failure domain that it is forwarded to
 	designated     bool                 // this instance was chosen to run the suspect request
 
 	Generation *Generation // exactly one of Generation and Operation is set
