Don't blame the deadline for a caller that has closed its connection

A caller that closed only its sending side, and still read, got deadline_exceeded at once, 'the request ran out of time'; the end of every request whose caller left was counted under that code.

TestCallerThatLeavesIsNotOutOfTime failed with 'deadline_exceeded (not_run)'. The code is now incomplete, as for a caller that leaves while its buffer is full. A half-closed connection still ends its request: it cannot be told from a closed one, and an engine must not work for a caller that has gone.

--- a/transport/dispatch/front.go
+++ b/transport/dispatch/front.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/coordination/quota"
@@ -199,6 +200,9 @@
 	if cause := context.Cause(ctx); cause != nil && cause != ctx.Err() {
 		return refusal.FromError(cause).WithRunState(refused.RunState)
 	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return refusal.New(refusal.CodeIncomplete, "the caller closed its connection").WithRunState(refused.RunState)
+	}
 	return refusal.New(refusal.CodeDeadline, "the request ran out of time").WithRunState(refused.RunState)
 }
 
--- a/transport/dispatch/front_test.go
+++ b/transport/dispatch/front_test.go
@@ -216,3 +216,28 @@
 		}
 	}
 }
+
+// Guards against blaming the deadline for a request whose caller has closed its connection.
+func TestCallerThatLeavesIsNotOutOfTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for want, end := range map[refusal.Code]func() (context.Context, context.CancelFunc){
+			refusal.CodeIncomplete: func() (context.Context, context.CancelFunc) { return context.WithCancel(t.Context()) },
+			refusal.CodeDeadline:   func() (context.Context, context.CancelFunc) { return context.WithTimeout(t.Context(), time.Second) },
+		} {
+			ctx, leave := end()
+			p := &fakePeerSet{domains: []routing.Domain{remoteDomain("a", "a1", 0)}}
+			p.answer = func(Sink) error {
+				if want == refusal.CodeIncomplete {
+					leave()
+				}
+				<-ctx.Done()
+				return refusal.New(refusal.CodeDeadline, "the request ended while it waited")
+			}
+			err := newTestFront(p).runAttempts(ctx, modelService, testWork(), &usage{Sink: discardSink{}})
+			if r := refusal.FromError(err); r.Code != want || r.RunState != refusal.NotRun {
+				t.Errorf("want %s: %v", want, err)
+			}
+			leave()
+		}
+	})
+}
