Try the only region of a request once more when it breaks off

Callers of a route whose only servers are in another region got 502, or their stream was cut, when the instance there ended while it held the request, although other instances of that region could run it. An instance that shuts down ends after its grace period and a stream may last longer.

Cause: a region that got the request is closed to its later attempts. It is now tried once more if no other region can run the request: another instance is drawn there, or the peer places it on another server. The route's attempts and the retry budget bound that as before.

TestOnlyRegionIsNotTriedForEver: 2 sends with four attempts allowed.

TestServerOfAPeerBreaksOff asked for one send of each kind. Its region has one server and is tried once more now, so that it asks for exactly two sends of requests that may be repeated, and one of the others.

--- a/transport/httproute/choose.go
+++ b/transport/httproute/choose.go
@@ -51,6 +51,11 @@
 			return local, nil, nil
 		}
 	}
+	if remote == nil && local.Reason == placement.ReasonNoServer {
+		if again := f.secondTry(r, homes, anywhere); again != nil {
+			return placement.Choice{}, again, nil
+		}
+	}
 	if !r.work.Waits {
 		f.recordUnplaced(r, localAllowed, local, remote)
 	}
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -97,7 +97,12 @@
 	}
 	out := &reply{
 		Response: response, meta: f.Codec.DecodeResponse(response.Status, response.Header),
-		server: response.Header.Get(headerServer), build: decodeBuild(response.Header), forwarded: true, onEnd: func(placement.Outcome) {},
+		server: response.Header.Get(headerServer), build: decodeBuild(response.Header), forwarded: true,
+		onEnd: func(outcome placement.Outcome) {
+			if outcome == placement.OutcomeFailed {
+				r.broken.record(remote.Region)
+			}
+		},
 	}
 	if out.meta.Leaving {
 		f.Local.Backends.RecordRemoteLeaving(out.server, time.Now()) // nothing is fetched from it any more
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -102,8 +102,9 @@
 	work         placement.Request
 	build        atomic.Pointer[placement.Build] // that the stream may go on at; nil before it has begun
 	triedRegions []string
-	refusedOnce  []string // regions of which one instance refused the request for itself
-	sends        int      // sends to backend servers
+	refusedOnce  []string      // regions of which one instance refused the request for itself
+	broken       brokenRegions // attempts that other regions did not complete
+	sends        int           // sends to backend servers
 	trace        []traceStep
 	server       string        // the server that responded last, in any region
 	firstSent    time.Time     // when the first attempt had its place; zero before
--- a/transport/httproute/send.go
+++ b/transport/httproute/send.go
@@ -70,7 +70,13 @@
 
 // finish takes the result into the request's state.
 func (s *send) finish(failed *failure) {
-	if failed == nil || failed.sent {
+	if failed == nil {
+		return
+	}
+	if s.remote != nil {
+		s.recordBroken(failed)
+	}
+	if failed.sent {
 		return
 	}
 	s.r.sends--
