Keep the pool of a dropped service up to date

A request that came under an older version, or is forwarded by an instance that has one, could be sent to a backend server that was gone or leaving: the pools of services that a new version had dropped kept the servers that they had then.

Cause: refreshPools went over the services of the configuration in force only. It now goes over all services that had a pool. A version that only drops services no longer has the other pools take all servers anew.

TestServersOfADroppedServiceLeaveItsPool failed with: 10 servers, 10 after they have gone; now 0. Shown on the pool, not on a request.

--- a/instance/routed/storeitems.go
+++ b/instance/routed/storeitems.go
@@ -120,12 +120,14 @@
 
 // pooledVersions identifies the state that the pools have.
 type pooledVersions struct {
-	services map[string]bool   // those with a pool, and whether their servers are engines
-	regions  map[string]uint64 // of the backend servers, by region
+	services map[string]bool            // those with a pool, and whether their servers are engines
+	defined  map[string]*routes.Service // the same, as they were configured last
+	regions  map[string]uint64          // of the backend servers, by region
 }
 
 // refreshPools updates the pools with the known backend servers, those of the local region
-// and those of others, where they have changed.
+// and those of others, where they have changed. The pools of services that the configuration has
+// dropped are updated too: requests that came before may still be sent there.
 func (n *Instance) refreshPools(now time.Time) {
 	config := n.routes.Current()
 	if config == nil {
@@ -133,8 +135,9 @@
 	}
 	n.poolMu.Lock()
 	defer n.poolMu.Unlock()
-	changes := n.poolChanges(config, now)
-	for _, svc := range config.Services {
+	n.pooled.define(config)
+	changes := n.poolChanges(now)
+	for _, svc := range n.pooled.defined {
 		pool := n.local.Pool(svc.Name)
 		settings := n.poolSettings(svc)
 		settings.Precedence = config.Precedence(svc.Name)
@@ -176,15 +179,23 @@
 	pool.ChangeRemote(region, c.Entries, c.Gone)
 }
 
+// define adds the services of a configuration.
+func (p *pooledVersions) define(config *routes.Config) {
+	if p.defined == nil {
+		p.defined = make(map[string]*routes.Service, len(config.Services))
+	}
+	maps.Copy(p.defined, config.Services)
+}
+
 // poolChanges returns the changes of the regions' backend servers since the last call, or all of them
-// when the configuration has other services. The caller holds poolMu.
-func (n *Instance) poolChanges(config *routes.Config, now time.Time) map[string]backends.Changes {
-	services := make(map[string]bool, len(config.Services))
-	for name, svc := range config.Services {
+// when there are other services. The caller holds poolMu.
+func (n *Instance) poolChanges(now time.Time) map[string]backends.Changes {
+	services := make(map[string]bool, len(n.pooled.defined))
+	for name, svc := range n.pooled.defined {
 		services[name] = svc.Engine != nil
 	}
 	if n.pooled.regions == nil || !maps.Equal(n.pooled.services, services) {
-		n.pooled = pooledVersions{services: services, regions: make(map[string]uint64)}
+		n.pooled.services, n.pooled.regions = services, make(map[string]uint64)
 	}
 	out := make(map[string]backends.Changes)
 	for _, region := range n.settings.regions() {
