Wait for a peer's slot as long as the peer has announced

A request that waited at a peer for a slot was taken away from there after 1.2 s and a round trip and sent to another region: it lost its place, its caller waited again, and the attempt counted as one sent to a server, so that a route with two attempts had none left.

Cause: the idle timeout of a forwarded request was derived from the expected time to the first byte alone, and not from the wait that the peer reports beside it, by which the region had been chosen.

--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -77,7 +77,7 @@
 	}
 	header := f.Codec.Outbound(o.header, Outbound{Account: o.account, Timeout: o.deadline.Sub(now), Urgency: -1, LastEventID: o.lastEventID})
 	header.Set(headerForward, string(encoded))
-	idleTimeout := o.idleTimeout(remote.ExpectedFirstByte, now)
+	idleTimeout := o.idleTimeout(remote.Wait+remote.ExpectedFirstByte, now)
 	if idleTimeout > 0 {
 		idleTimeout += remote.RoundTrip
 	}
--- a/transport/httproute/peerfailover_test.go
+++ b/transport/httproute/peerfailover_test.go
@@ -18,7 +18,10 @@
 )
 
 // twoRegions are a near region, which is preferred, and a farther one.
-type twoRegions struct{ *peerRegion }
+type twoRegions struct {
+	*peerRegion
+	wait time.Duration // of a request in each of them
+}
 
 func (r twoRegions) Remotes(service string) []Remote {
 	out := r.peerRegion.Remotes(service)
@@ -28,7 +31,7 @@
 		for i, address := range []string{r.addresses[0], r.addresses[last]} {
 			region := []string{"far", "farther"}[i]
 			out = append(out, Remote{Region: region, Instance: region, Address: address, Servers: 1, FreeSlots: 8,
-				RoundTrip: time.Duration(i) * time.Millisecond, ReportedAt: time.Now()})
+				RoundTrip: time.Duration(i) * time.Millisecond, Wait: r.wait, ReportedAt: time.Now()})
 		}
 	}
 	return out
@@ -133,7 +136,7 @@
 	inbound = p.addPeer(t, change)
 	other.addPeer(t, nil)
 	p.region.addresses = append(p.region.addresses, other.region.addresses...)
-	p.front.Remotes = twoRegions{p.region}
+	p.front.Remotes = twoRegions{peerRegion: p.region}
 	p.front.Local.Backends.Put(backends.Server{ID: "s1", Service: "svc", Address: far.address, Domain: "d2", Region: "farther"}, time.Now())
 	resp, body, err := call(t, t.Context(), p.callers, "POST", path, "x")
 	got := result{sends: len(near.requests()) + len(far.requests())}
@@ -151,6 +154,23 @@
 	return &LocalDispatcher{Codec: l.Codec, Backends: l.Backends, Client: l.Client, Quarantine: quarantine.New(), Parts: l.Parts, Log: l.Log, Metrics: l.Metrics}
 }
 
+// Guards against a request that is taken away from a peer, and counts as sent to a server, while it waits there for a slot
+// for as long as the peer has announced.
+func TestForwardedRequestWaitsAsLongAsAnnounced(t *testing.T) {
+	server, other := startFakeServer(t, func(c net.Conn, r *http.Request) bool {
+		time.Sleep(minIdleTimeout + 200*time.Millisecond)
+		return answer(c, r)
+	}), startFakeServer(t, answer)
+	p, second := newPeerPath(t, server), newPeerPath(t, other)
+	p.addPeer(t, nil)
+	second.addPeer(t, nil)
+	p.region.addresses = append(p.region.addresses, second.region.addresses...)
+	p.front.Remotes = twoRegions{peerRegion: p.region, wait: minIdleTimeout}
+	if got := p.send(t, "/read/1", server); got != (outcome{200, 1}) || len(other.requests()) > 0 {
+		t.Errorf("%+v, %d sends to the other region", got, len(other.requests()))
+	}
+}
+
 // Guards against a caller that is held past its deadline, or a peer's server that goes on after it.
 func TestDeadlineOfAForwardedRequest(t *testing.T) {
 	dropped := make(chan struct{}, 1)
