Let a stream that has begun wait for a slot until its deadline

Callers saw a stream of a patient route cut with reason overloaded, with seconds left: its first server had broken off, and no slot was free in that moment.

Cause: the wait of a stream that goes on was bounded from its arrival, by three objectives, and asked for a server that answers within the objective. Both are past when a stream has run for a while, so that the wait ended before it began. A refusal cuts such a stream; it now waits until its deadline and takes a late slot.

--- a/transport/httproute/awaitslot.go
+++ b/transport/httproute/awaitslot.go
@@ -79,7 +79,7 @@
 			return notPlaced, &failure{run: runNotRun, reason: reasonQuarantine, retryAfter: quarantine.TrialInterval}
 		}
 		var unplaced *failure
-		choice, remote, unplaced = f.choose(r, now, chooseOptions{acceptLate: o.late, skipLocal: !o.local})
+		choice, remote, unplaced = f.choose(r, now, chooseOptions{acceptLate: o.late || r.begun(), skipLocal: !o.local})
 		switch {
 		case unplaced == nil && remote != nil:
 			return placedRemotely, nil
@@ -145,12 +145,16 @@
 
 // waitBounds returns how long the request of a caller may wait. A caller that returns has used its objective
 // already, and waits for a late response. It has been told when to return if it returns before it
-// would come in any case.
+// would come in any case. A stream that has begun may wait until its deadline, because a refusal would cut it.
 func (f *Front) waitBounds(r *request) waitqueue.Request {
 	out := waitBounds(&r.work, r.body)
 	if r.account != nil {
 		out.Account, out.Weight = r.account.Name, r.account.Rate
 	}
+	if r.begun() {
+		out.OnTime, out.Latest = r.deadline, r.deadline
+		return out
+	}
 	timeout := r.route.Timeout
 	if r.CallerTimeout <= 0 || timeout <= 0 {
 		return out
--- a/transport/httproute/oneconfig_test.go
+++ b/transport/httproute/oneconfig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 )
 
 // dropRoutes puts a version without routes in force.
@@ -25,3 +26,18 @@
 		}
 	})
 }
+
+// Guards against a stream that is cut because no slot is free at the moment, although it has begun and has time left.
+func TestBegunStreamWaitsUntilItsDeadline(t *testing.T) {
+	playWait(t, func(t *testing.T, f *waitFixture) {
+		r := f.request()
+		r.gaps.events, r.sends = 1, 1
+		time.Sleep(10 * time.Second) // of the 15 that the route allows
+		result := f.start(t.Context(), r)
+		time.Sleep(wakeInterval)
+		f.freeSlot()
+		if got := <-result; got.failed != nil || got.choice.Placement == nil {
+			t.Errorf("failure %v after %v", got.failed, got.took)
+		}
+	})
+}
