Let a stream that has begun wait for a slot

What callers saw: a stream whose first server broke off was cut with reason overloaded when no slot was free in that moment, with seconds left. One of an urgent route or of a service without precedence never waited, and one that had waited at its arrival did not wait a second time.

Cause: whether a request may wait for a slot was decided as for one that has not begun, which can be refused and sent by its caller elsewhere. For a stream that has begun a refusal is a cut.

TestBegunStreamWaitsForASlot failed in both cases (overloaded, not_run, after 0 s; a slot is free 20 ms later) and passes. Such a stream now waits until its deadline in every service, also at an instance that leaves and a second time.

--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -186,9 +186,11 @@
 	}
 }
 
-// chooseOrWait chooses where a request is sent. One that no server takes now may wait for a slot.
+// chooseOrWait chooses where a request is sent. One that no server takes now may wait for a slot, and a stream that has begun
+// always does.
 func (f *Front) chooseOrWait(ctx context.Context, r *request, now time.Time) (placement.Choice, *Remote, *failure) {
-	if !mayWait(r.config, f.Features, r.service, r.work.Urgency) {
+	resumes := r.begun() && f.Local.Waiting != nil // a refusal would cut it
+	if !resumes && !mayWait(r.config, f.Features, r.service, r.work.Urgency) {
 		return f.choose(r, now, chooseOptions{acceptLate: true})
 	}
 	r.work.Waits = true
@@ -197,7 +199,7 @@
 	case refused == nil:
 		f.Local.Waiting.recordStart(r.service, remote == nil, now)
 		return choice, remote, nil
-	case r.hasWaited || f.Leaving() || !refused.worthWaiting():
+	case !resumes && (r.hasWaited || f.Leaving()), !refused.worthWaiting():
 		return choice, remote, refused
 	}
 	r.hasWaited = true
