Return the memory of a request whose handler panics while it is admitted

Only the requests that were accepted returned the bytes of their bodies: a handler that panicked between the end of the body and the placement kept them, and as many of these as the limit holds had all later bodies refused.

The request is now known to ServeHTTP as soon as its body is read; what may fail after that is a step of its own.

Seen on the code before: TestPanicReturnsTheMemoryOfTheBody, 400 bytes are still taken.

--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -143,10 +143,14 @@
 	if hr.ContentLength == 0 {
 		counted.Read()
 	}
-	r, refused = f.accept(w, hr, arrived, counted)
+	r, refused = f.accept(w, hr, arrived)
 	if r != nil {
 		defer func() { f.Memory.Release(len(r.body)) }()
 	}
+	if refused == nil {
+		counted.Read()
+		refused = f.admit(hr.Context(), r)
+	}
 	if refused == nil {
 		refused = f.serve(watched, hr, r)
 	}
@@ -185,8 +189,9 @@
 	}
 }
 
-// accept reads a request and finds its route and account.
-func (f *Front) accept(w http.ResponseWriter, hr *http.Request, arrived time.Time, counted *outcome.Request) (*request, *failure) {
+// accept reads a request and finds its route and account. The bytes of its body are taken from the
+// memory.
+func (f *Front) accept(w http.ResponseWriter, hr *http.Request, arrived time.Time) (*request, *failure) {
 	config := f.awaitConfig(hr.Context())
 	if config == nil {
 		return nil, &failure{run: runNotRun, reason: reasonNotReady, retryAfter: notReadyRetryAfter}
@@ -212,19 +217,21 @@
 		}
 	}
 	var refused *failure
-	if r.body, refused = f.readBody(w, hr, config.Limits.BodyBytes); refused != nil {
-		return r, refused
-	}
-	counted.Read()
-	if hr.Context().Err() != nil {
-		return r, &failure{run: runNotRun, reason: reasonCallerGone}
+	r.body, refused = f.readBody(w, hr, config.Limits.BodyBytes)
+	return r, refused
+}
+
+// admit sets what the placement of an accepted request depends on.
+func (f *Front) admit(ctx context.Context, r *request) *failure {
+	if ctx.Err() != nil {
+		return &failure{run: runNotRun, reason: reasonCallerGone}
 	}
 	r.recordAdmitted()
-	if refused = f.pinBuild(hr.Context(), r); refused != nil {
-		return r, refused
+	if refused := f.pinBuild(ctx, r); refused != nil {
+		return refused
 	}
 	f.prepare(r)
-	return r, nil
+	return nil
 }
 
 // headerBytes returns the size of a request's header fields as they were sent. The limit
--- a/transport/httproute/panics_test.go
+++ b/transport/httproute/panics_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"log/slog"
 	"net"
 	"net/http"
@@ -85,3 +86,25 @@
 		checkOutcome(t, f.Metrics.callers, cutByPanic)
 	}
 }
+
+// failingBuilds fail when a caller takes a stream up.
+type failingBuilds struct{ anyBuild }
+
+func (failingBuilds) Find(context.Context, string, string) (streambuild.Origin, error) {
+	panic("no records")
+}
+
+// Guards against an instance that has no memory left for bodies because its handler keeps panicking.
+func TestPanicReturnsTheMemoryOfTheBody(t *testing.T) {
+	f, front := newTestFront(t)
+	configure(f)
+	f.Builds, f.Memory = failingBuilds{}, NewBudget(500)
+	resp, _, err := call(t, t.Context(), front, "POST", "/draft/1", strings.Repeat("b", 400), "Last-Event-Id", "1")
+	if err != nil || resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("%v, %v", resp, err)
+	}
+	front.Close()
+	if used := f.Memory.Used(); used != 0 {
+		t.Errorf("%d bytes are still taken", used)
+	}
+}
--- a/transport/httproute/peerfailover_test.go
+++ b/transport/httproute/peerfailover_test.go
@@ -166,7 +166,7 @@
 	second.addPeer(t, nil)
 	p.region.addresses = append(p.region.addresses, second.region.addresses...)
 	p.front.Remotes = twoRegions{peerRegion: p.region, wait: minIdleTimeout}
-	if got := p.send(t, "/read/1", server); got != (outcome{200, 1}) || len(other.requests()) > 0 {
+	if got := p.send(t, "/read/1", server); got != (result{200, 1}) || len(other.requests()) > 0 {
 		t.Errorf("%+v, %d sends to the other region", got, len(other.requests()))
 	}
 }
