Answer requests that are still in flight when an instance exits

Callers saw: a request that came before SIGTERM and outlasted the grace ended with a closed connection, without a response and without a reason in the log.

Cause: Stop closed all connections at the end of the grace; only then did the handlers learn of it.

At the end of the grace, at the same moment as before, requests in flight are ended with reason "stopping". One whose response has not begun gets 502, or 503 if it has certainly not run; one that has begun is aborted. Up to 150 ms of the margin before the kill are for these responses. Requests that other instances have forwarded are cut as before: the first instance reports them as possibly run.

--- a/instance/routed/instance.go
+++ b/instance/routed/instance.go
@@ -106,6 +106,8 @@
 	loops      sync.WaitGroup
 	background context.Context
 	stopLoops  context.CancelFunc
+	exiting    context.Context // ends when the requests that are still in flight are cut
+	exit       context.CancelFunc
 }
 
 // Endpoints construct the handlers of a deployment's own paths for readiness and the
@@ -157,6 +159,7 @@
 		n.ledger.DisableOvertaking()
 	}
 	n.background, n.stopLoops = context.WithCancel(context.Background())
+	n.exiting, n.exit = context.WithCancel(context.Background())
 	n.members = membership.New(n.selfEntry(), n.started)
 	n.regionMembers.Store(&[]string{settings.ID})
 	n.fleetSize.Store(1)
@@ -215,7 +218,7 @@
 		Region: n.settings.Region, Codec: n.codec, Routes: n.routes, Ledger: n.ledger, Quarantine: n.quarantine,
 		Retries: retry.NewWindow(retry.WindowSettings{Ratio: n.settings.Retry.Ratio, Slack: n.settings.Retry.Slack, Window: n.settings.Retry.Window}),
 		Remotes: n, Builds: n.builds, Local: n.local, Log: n.log, Metrics: metrics, Features: n.features, Memory: memory,
-		Starting: n.startupWaitAllowed, Stopping: n.stopping.Load, TimeToShutdown: n.timeToShutdown, Leaving: n.leaving.Load,
+		Starting: n.startupWaitAllowed, Stopping: n.stopping.Load, TimeToShutdown: n.timeToShutdown, Leaving: n.leaving.Load, Exit: n.exiting,
 		Peers: backendhttp.New(peerClientSettings()), WarmPeers: backendhttp.New(n.warmPeerClientSettings()),
 	}
 	httproute.RegisterPeerConns(n.registry, n.front.WarmPeers)
--- a/instance/routed/stop.go
+++ b/instance/routed/stop.go
@@ -27,6 +27,8 @@
 	// exitMargin is how long before the end of the grace period the process ends.
 	exitMargin        = 400 * time.Millisecond
 	drainPollInterval = 20 * time.Millisecond
+	// finalResponsePeriod is the part of the margin in which requests that were cut get a response.
+	finalResponsePeriod = 150 * time.Millisecond
 )
 
 // timeToShutdown returns how long this instance still runs once it is leaving, and 0
@@ -58,8 +60,9 @@
 		sleep(ctx, drainPollInterval)
 	}
 	cut := n.inFlight.count()
-	if err == nil && cut > 0 {
-		err = errors.New("forwarded requests in flight were cut off")
+	if cut > 0 {
+		err = errors.CombineErrors(err, errors.New("requests in flight were cut off"))
+		n.endInFlight()
 	}
 	n.lending.ReturnAll(ctx)
 	callers, forwarded := n.front.Metrics.StopOutcomes()
@@ -69,6 +72,15 @@
 	return err
 }
 
+// endInFlight ends the requests of callers that are still in flight, so that those without a response get
+// one that tells that they may have run.
+func (n *Instance) endInFlight() {
+	n.exit()
+	for deadline := time.Now().Add(finalResponsePeriod); n.inFlight.count() > 0 && time.Now().Before(deadline); {
+		sleep(context.Background(), drainPollInterval)
+	}
+}
+
 // Kill ends the instance at once, without waiting for requests in flight.
 func (n *Instance) Kill() {
 	n.stopLoops()
--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -211,7 +211,12 @@
 // nobody would know its outcome if it were aborted.
 func (f *Front) attemptContext(ctx context.Context, r *request) (context.Context, context.CancelFunc) {
 	if r.route.Kind == routes.KindNonIdempotent {
-		return context.WithDeadline(context.WithoutCancel(ctx), r.deadline)
+		ctx, endDeadline := context.WithDeadline(context.WithoutCancel(ctx), r.deadline)
+		ctx, cancel := f.untilExit(ctx)
+		return ctx, func() {
+			cancel()
+			endDeadline()
+		}
 	}
 	return context.WithCancel(ctx)
 }
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -71,6 +71,8 @@
 	// TimeToShutdown returns how long this instance keeps running after it has started to
 	// leave; 0 before that.
 	TimeToShutdown func() time.Duration
+	// Exit ends when the instance exits and cuts the requests that are still in flight; nil for never.
+	Exit context.Context
 	// Starting reports whether this instance has just started and may still lack
 	// configuration, servers or peers.
 	Starting func() bool
--- a/transport/httproute/leaving.go
+++ b/transport/httproute/leaving.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/basilroute/basilroute/coordination/durations"
 )
 
@@ -23,11 +25,31 @@
 	if f.mayOutlastInstance(r) { // it may have begun to leave meanwhile
 		return stoppingFailure()
 	}
+	ctx, cancel := f.untilExit(ctx)
+	defer cancel()
 	refused := f.attemptAll(ctx, w, r)
+	if refused != nil && errors.Is(context.Cause(ctx), errExit) {
+		refused.reason = reasonStopping
+	}
 	f.recordDuration(ctx, r, refused)
 	return refused
 }
 
+var errExit = errors.New("the instance exits")
+
+// untilExit returns a context that also ends when the instance exits.
+func (f *Front) untilExit(ctx context.Context) (context.Context, context.CancelFunc) {
+	if f.Exit == nil {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(f.Exit, func() { cancel(errExit) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // maxDuration returns how long a request that is sent now takes at most: until its deadline, or
 // for as long as requests of its kind have been measured to take.
 func (f *Front) maxDuration(r *request, now time.Time) time.Duration {
--- a/transport/httproute/leaving_test.go
+++ b/transport/httproute/leaving_test.go
@@ -1,6 +1,7 @@
 package httproute
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -190,3 +191,30 @@
 	}
 	return resp
 }
+
+// Guards against a connection that is closed without a response because the instance exits.
+func TestRequestsInFlightAtTheExitAreAnswered(t *testing.T) {
+	for _, path := range []string{"/order/1", "/read/1", "/chat/1"} {
+		arrived, ended := make(chan struct{}), make(chan struct{})
+		l := startLeavingFront(t, func(net.Conn, *http.Request) bool {
+			close(arrived)
+			<-ended
+			return false
+		})
+		exit, cancel := context.WithCancel(t.Context())
+		l.Exit = exit
+		go func() {
+			<-arrived
+			cancel()
+		}()
+		resp, body, err := call(t, t.Context(), l.callers, "POST", path, "b")
+		close(ended)
+		if err != nil {
+			t.Errorf("%s: %v", path, err)
+			continue
+		}
+		if resp.StatusCode != http.StatusBadGateway || body != "stopping\n" {
+			t.Errorf("%s: status %d, %q", path, resp.StatusCode, body)
+		}
+	}
+}
