Count callers' connections among the requests in flight at the exit

Two changes to the end of a shutdown were made side by side: callers' connections are tracked until their last byte, and requests in flight at the exit are answered. Joined, the second looked only at forwarded requests, so a caller's request that outlasts the grace was closed without a response again. Both counts are now one; closeCallers leaves the connections with a request in flight open for the final responses. TestOrderThatOutlastsTheInstanceIsAnswered covers it.

--- a/instance/routed/callerconns.go
+++ b/instance/routed/callerconns.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -59,23 +57,19 @@
 	return len(c.active) == 0 && c.changed.Before(since)
 }
 
-var errCallersCut = errors.New("requests of callers are cut off")
-
 // closeCallers accepts no more connections of callers, answers what comes on the open ones until they are quiet, and closes
-// them. It returns an error if requests are still in flight when ctx ends.
+// them. It leaves those open that still have a request in flight when ctx ends.
 //
 // http.Server.Shutdown closes idle connections at once and answers nothing more on the others, so that a request that has
 // just been read would end without a response.
-func (n *Instance) closeCallers(ctx context.Context) error {
+func (n *Instance) closeCallers(ctx context.Context) {
 	if l := n.listeners["callers"]; l != nil {
 		_ = l.Close() // fails only if it is closed
 	}
 	n.awaitQuietCallers(ctx)
-	if cut := n.callerConns.activeCount(); cut > 0 && ctx.Err() != nil {
-		return errors.Wrapf(errCallersCut, "%d", cut)
+	if ctx.Err() == nil {
+		_ = n.callers.Close() // the connections are not used
 	}
-	_ = n.callers.Close() // the connections are not used
-	return nil
 }
 
 // awaitQuietCallers waits until callers have sent nothing and no request of theirs has been in flight for quietTime.
--- a/instance/routed/stop.go
+++ b/instance/routed/stop.go
@@ -55,13 +55,14 @@
 	n.log.Info("stopping", "grace_ms", n.settings.Bounds.Grace.Milliseconds())
 	sleep(ctx, time.Duration(serveFraction*float64(n.settings.Bounds.Grace)))
 	n.stopping.Store(true)
-	err := n.closeCallers(ctx)
-	for n.inFlight.count() > 0 && ctx.Err() == nil {
+	n.closeCallers(ctx)
+	for n.requestsInFlight() > 0 && ctx.Err() == nil {
 		sleep(ctx, drainPollInterval)
 	}
-	cut := n.inFlight.count()
+	cut := n.requestsInFlight()
+	var err error
 	if cut > 0 {
-		err = errors.CombineErrors(err, errors.New("requests in flight were cut off"))
+		err = errors.Newf("%d requests in flight were cut off", cut)
 		n.endInFlight()
 	}
 	n.lending.ReturnAll(ctx)
@@ -72,11 +73,14 @@
 	return err
 }
 
+// requestsInFlight returns the number of requests of callers and of peers whose response has not been sent completely.
+func (n *Instance) requestsInFlight() int { return n.callerConns.activeCount() + n.inFlight.count() }
+
 // endInFlight ends the requests of callers that are still in flight, so that those without a response get
 // one that tells that they may have run.
 func (n *Instance) endInFlight() {
 	n.exit()
-	for deadline := time.Now().Add(finalResponsePeriod); n.inFlight.count() > 0 && time.Now().Before(deadline); {
+	for deadline := time.Now().Add(finalResponsePeriod); n.requestsInFlight() > 0 && time.Now().Before(deadline); {
 		sleep(context.Background(), drainPollInterval)
 	}
 }
