Let a begun stream go on waiting at an instance that leaves

Callers saw a stream cut when the instance got SIGTERM, seconds before its grace period ended: the stream had begun, its server was lost or given up for silence, and it waited for a slot of another one.

Cause: an instance that leaves refuses all that wait, because their callers can go to another instance. One that has part of a response cannot: the refusal cuts it. Such streams now stay in the queue, and may still join it; the deadline and the end of the grace period bound that.

A request without events that waits beside it is refused as before.

--- a/coordination/waitqueue/waitqueue.go
+++ b/coordination/waitqueue/waitqueue.go
@@ -320,13 +320,17 @@
 }
 
 // Drain removes all waiting requests.
-func (q *Queue[T]) Drain() []*Ticket[T] {
+func (q *Queue[T]) Drain() []*Ticket[T] { return q.DrainFunc(func(T) bool { return true }) }
+
+// DrainFunc removes the waiting requests for which remove returns true.
+func (q *Queue[T]) DrainFunc(remove func(T) bool) []*Ticket[T] {
 	var all []*Ticket[T]
 	for _, queue := range []*fairqueue.Queue[*Ticket[T]]{&q.onTime, &q.returned, &q.late} {
 		for _, f := range queue.Flows() {
 			all = append(all, f.Items...)
 		}
 	}
+	all = slices.DeleteFunc(all, func(t *Ticket[T]) bool { return !remove(t.Value) })
 	for _, t := range all {
 		q.Leave(t)
 	}
--- a/transport/httproute/awaitslot.go
+++ b/transport/httproute/awaitslot.go
@@ -71,7 +71,7 @@
 	waiting := f.waitBounds(r)
 	joined := time.Now()
 	steps := len(r.trace)
-	failed := f.Local.Waiting.await(ctx, r.service, waiting, func(now time.Time, o tryOptions) (tryResult, *failure) {
+	try := func(now time.Time, o tryOptions) (tryResult, *failure) {
 		if outdated := f.applyConfig(r); outdated != nil {
 			return notPlaced, outdated
 		}
@@ -91,7 +91,8 @@
 			return notPlaced, nil
 		}
 		return notPlaced, unplaced
-	})
+	}
+	failed := f.Local.Waiting.awaitAs(ctx, r.service, waiting, &waiter{try: try, begun: r.begun()})
 	r.record(eventWaited, "waited_ms", time.Since(joined).Milliseconds(), "placed", failed == nil, "returned", waiting.Returned,
 		"late", time.Now().After(waiting.OnTime))
 	f.Metrics.returned(r.service, waiting.Returned, failed == nil)
--- a/transport/httproute/oneconfig_test.go
+++ b/transport/httproute/oneconfig_test.go
@@ -41,3 +41,24 @@
 		}
 	})
 }
+
+// Guards against a stream that has begun and is cut because the instance starts to leave while the stream waits for a slot.
+func TestBegunStreamWaitsAtAnInstanceThatLeaves(t *testing.T) {
+	playWait(t, func(t *testing.T, f *waitFixture) {
+		begun, other := f.request(), f.request()
+		begun.gaps.events, begun.sends = 1, 1
+		result, refused := f.start(t.Context(), begun), f.start(t.Context(), other)
+		f.Local.Waiting.Refuse()
+		(<-refused).expectRefused(t, reasonStopping)
+		time.Sleep(wakeInterval)
+		f.freeSlot()
+		if got := <-result; got.failed != nil || got.choice.Placement == nil {
+			t.Errorf("failure %v after %v", got.failed, got.took)
+		}
+		late := f.request()
+		late.gaps.events, late.sends = 1, 1
+		if got := <-f.start(t.Context(), late); got.failed == nil || got.failed.reason == reasonStopping {
+			t.Errorf("one that comes to wait later: %v", got.failed)
+		}
+	})
+}
--- a/transport/httproute/waiting.go
+++ b/transport/httproute/waiting.go
@@ -63,8 +63,9 @@
 
 // waiter is a request that waits.
 type waiter struct {
-	try  tryFunc
-	done chan *failure // gets nil when the request has been placed
+	try   tryFunc
+	begun bool          // its caller has part of the response, and cannot go to another instance
+	done  chan *failure // gets nil when the request has been placed
 }
 
 func (w *Waiting) queue(service string) *serviceQueue {
@@ -118,7 +119,7 @@
 }
 
 // Refuse refuses all waiting requests and those that come to wait after them: this instance leaves, and
-// its callers can go to another one.
+// its callers can go to another one. Streams that have begun go on waiting: a refusal would cut them.
 func (w *Waiting) Refuse() {
 	w.mu.Lock()
 	w.closed = true
@@ -172,9 +173,15 @@
 // await lets a request wait until try has placed it. It returns the failure of a request that was
 // not placed.
 func (w *Waiting) await(ctx context.Context, service string, r waitqueue.Request, try tryFunc) *failure {
+	return w.awaitAs(ctx, service, r, &waiter{try: try})
+}
+
+// awaitAs is like await, for a request that is described by more than its try.
+func (w *Waiting) awaitAs(ctx context.Context, service string, r waitqueue.Request, value *waiter) *failure {
 	queue := w.queue(service)
 	joined := time.Now()
-	ticket, refused := queue.join(r, &waiter{try: try, done: make(chan *failure, 1)}, joined)
+	value.done = make(chan *failure, 1)
+	ticket, refused := queue.join(r, value, joined)
 	if refused != nil {
 		return refused
 	}
@@ -192,7 +199,7 @@
 func (w *serviceQueue) join(r waitqueue.Request, value *waiter, now time.Time) (*waitqueue.Ticket[*waiter], *failure) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.closed {
+	if w.closed && !value.begun {
 		return nil, stoppingFailure()
 	}
 	w.updateFlow(now)
@@ -277,13 +284,13 @@
 	}
 }
 
-// close refuses all waiting requests and lets none wait any more. Each gets a failure of its own, to
-// which its attempts are added.
+// close refuses all waiting requests that have not begun and lets no others wait any more. Each gets a
+// failure of its own, to which its attempts are added.
 func (w *serviceQueue) close() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.closed = true
-	for _, ticket := range w.waiting.Drain() {
+	for _, ticket := range w.waiting.DrainFunc(func(r *waiter) bool { return !r.begun }) {
 		ticket.Value.done <- stoppingFailure()
 	}
 }
