--- a/transport/httproute/configslotwait_test.go
+++ b/transport/httproute/configslotwait_test.go
@@ -54,7 +54,7 @@
 			if got != want {
 				t.Errorf("%+v, want %+v", got, want)
 			}
-			if n := f.ends(t); n != 1 {
+			if n := endsOf(t, f.Metrics); n != 1 {
 				t.Errorf("counted %d times", n)
 			}
 		})
--- a/transport/httproute/configsteps_test.go
+++ b/transport/httproute/configsteps_test.go
@@ -118,10 +118,10 @@
 	return total
 }
 
-// ends returns how many requests have been counted as ended.
-func (f *stepFixture) ends(t *testing.T) (total int) {
+// endsOf returns how many requests have been counted as ended.
+func endsOf(t *testing.T, m *Metrics) (total int) {
 	metrics := make(chan prometheus.Metric, 100)
-	f.Metrics.requests.Collect(metrics)
+	m.requests.Collect(metrics)
 	close(metrics)
 	for metric := range metrics {
 		var out dto.Metric
@@ -237,7 +237,7 @@
 	default:
 		t.Fatal("the step was not reached")
 	}
-	if n := f.ends(t); n != 1 {
+	if n := endsOf(t, f.Metrics); n != 1 {
 		t.Errorf("counted %d times", n)
 	}
 }
