Refuse a request that panics instead of cutting its connection

A fault that panics in one request would have ended the process, and with it all requests of the instance, if that request was streamed: it runs in a goroutine of its own. The caller of a buffered response would have got a closed connection without an answer or a refusal, and no count. No such panic is known.

TestPanicIsRefused, with the runner as it was wired, ended the test process by 'panic: a fault' when streamed; buffered, net/http recovered the panic and the request failed without an answer. The front of /v1 now turns a panic into 500 internal, or into the event 'incomplete', with run state unknown, logs it as 'request panicked' with its stack, and counts it by its code.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -221,7 +221,7 @@
 
 func (i *Instance) wireServers(creds credentials.TransportCredentials) error {
 	callers, err := (&gateway.Gateway{
-		Catalog: i.catalog, Requests: i.requests, Runner: i.front, Entries: i, Ready: i.Ready, Metrics: i.metrics,
+		Catalog: i.catalog, Requests: i.requests, Runner: gateway.Recovering(i.front, i.log), Entries: i, Ready: i.Ready, Metrics: i.metrics,
 		Via: via.NewSigner(i.settings.viaSecret()),
 	}).Handler()
 	if err != nil {
