Record the last event of a stream when it is passed on

What callers saw: a stream with a gap that looked complete. A server that went on at a wrong event was left, as it should be, but the next server was asked to go on after the last event of the wrong part, which the caller had not got.

Cause: the event buffer took the last id when events arrived, before their order was checked. It takes it now when they are passed on. It needs a route with three attempts or more and a server that goes on wrongly.

TestStreamGoesOnAfterAWrongEvent failed before (events 0, 1, 5, 6 and no error, 1 of 1) and passes (20 of 20, race detector on).

--- a/transport/httproute/events.go
+++ b/transport/httproute/events.go
@@ -16,22 +16,20 @@
 // that resumes the stream if it were passed on.
 type eventBuffer struct {
 	partial []byte
-	lastID  string // of the last complete event that had one
-	count   int
+	lastID  string // of the last event with one that was passed on
+	count   int    // events with an id that were passed on
 }
 
 // push appends b and returns the complete events in the buffer. The result is valid until
 // the next call.
 func (e *eventBuffer) push(b []byte) []byte {
 	e.partial = append(e.partial, b...)
-	end := lastBoundary(e.partial)
-	complete := e.partial[:end]
-	e.recordIDs(complete)
-	return complete
+	return e.partial[:lastBoundary(e.partial)]
 }
 
-// consume removes complete events that push returned.
+// consume removes complete events that push returned, after they were passed on.
 func (e *eventBuffer) consume(complete []byte) {
+	e.recordIDs(complete)
 	e.partial = append(e.partial[:0], e.partial[len(complete):]...)
 }
 
--- /dev/null
+++ b/transport/httproute/handover_test.go
@@ -0,0 +1,76 @@
+package httproute
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/basilroute/basilroute/state/routes"
+)
+
+// player is what a fake server does with a request.
+type player func(c net.Conn, r *http.Request) bool
+
+// startPlayers starts a front whose requests meet the players in this order, each at another server. Its routes allow as
+// many attempts as there are players.
+func startPlayers(t *testing.T, players ...player) func(path string) (status int, body string, err error) {
+	t.Helper()
+	var next atomic.Int32
+	servers := make([]*fakeServer, len(players))
+	for i := range servers {
+		servers[i] = startFakeServer(t, func(c net.Conn, r *http.Request) bool {
+			return players[int(next.Add(1)-1)%len(players)](c, r)
+		})
+	}
+	f, front := newTestFront(t, servers...)
+	configure(f)
+	config := *f.Routes.Current()
+	config.Version++
+	config.Routes = []routes.Route{
+		route("read", routes.KindIdempotent, len(players), false), route("draft", routes.KindStreaming, len(players), true),
+	}
+	f.Routes.Offer(&config)
+	return func(path string) (int, string, error) {
+		resp, body, err := call(t, t.Context(), front, "POST", path, "x")
+		if err != nil {
+			return 0, body, err
+		}
+		return resp.StatusCode, body, nil
+	}
+}
+
+// eventsUpTo returns a stream of the events up to an id.
+func eventsUpTo(last int) string {
+	var out strings.Builder
+	for i := range last + 1 {
+		fmt.Fprintf(&out, "id: %d\ndata: token%d\n\n", i, i)
+	}
+	return out.String()
+}
+
+// resumeUpTo goes on with a stream after the last event that the caller got.
+func resumeUpTo(c net.Conn, r *http.Request, last int) bool {
+	after, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if err != nil {
+		after = -1
+	}
+	writeEvents(c, r, after+1, last, true)
+	return true
+}
+
+// Guards against a stream with a gap: a server that goes on at a wrong event is left, and the next one is asked to go on
+// after an event that the caller never got.
+func TestStreamGoesOnAfterAWrongEvent(t *testing.T) {
+	const last = 6
+	send := startPlayers(t,
+		func(c net.Conn, r *http.Request) bool { writeEvents(c, r, 0, 1, false); return false },
+		func(c net.Conn, r *http.Request) bool { writeEvents(c, r, 4, 4, false); return false },
+		func(c net.Conn, r *http.Request) bool { return resumeUpTo(c, r, last) })
+	if _, body, err := send("/draft/1"); err != nil || body != eventsUpTo(last) {
+		t.Errorf("%q, %v", body, err)
+	}
+}
