Keep a silent server that is tried once the one before it has failed

What callers saw: a stream cut in the middle, or 502, although a sound server was about to go on with the request.

Cause: a try had an idle timeout of its own that closed its connection as soon as a further server existed. If the silent server before it had failed meanwhile, the try was the only one that had the request, and the further server might turn it away. Same class as the fault that the handover mends, one step later; it needs a route with three attempts. The check also read fields of the request in the timer's goroutine while the try's goroutine could change them.

A try is now handed over by the same rule as the first server: it keeps its connection until another one has begun to respond. Up to MaxAttempts servers may have a request at once while all of them are silent, as attempts were counted before.

--- a/transport/httproute/handover.go
+++ b/transport/httproute/handover.go
@@ -154,7 +154,8 @@
 	handoverKept  = "kept"
 )
 
-// sendInstead sends the request of a silent server to others until one begins to respond.
+// sendInstead sends the request of a silent server to others until one begins to respond. One of these that is silent itself
+// is kept in the same way: the first server may have failed meanwhile.
 func (f *Front) sendInstead(ctx context.Context, r *request, lastEventID string) (*reply, *failure) {
 	var last *failure
 	for ctx.Err() == nil && f.mayHandOver(r) && f.reserveRetry(r) {
@@ -166,17 +167,23 @@
 		}
 		f.Metrics.retried(r.service)
 		s := f.newSend(ctx, r, choice, remote, lastEventID)
-		s.out.shouldAbort = func() bool { return f.mayHandOver(r) }
+		own := &handover{front: f, r: r, ctx: ctx, lastEventID: lastEventID}
+		s.out.shouldAbort = own.check()
 		rep, failed := s.exchange()
 		if failed == nil {
 			failed = r.checkTakeover(rep)
 		}
+		next, tried := own.settle(failed != nil)
 		s.finish(failed)
+		if next != nil {
+			return next, nil
+		}
 		if failed == nil {
 			r.record(eventHandover, "outcome", handoverMoved, "server", rep.server, "last_event", lastEventID)
 			f.Metrics.handedOver(r.service, handoverMoved)
 			return rep, nil
 		}
+		failed = combine(tried, failed)
 		last = combine(last, failed)
 		r.record(eventHandover, "outcome", handoverKept, "reason", string(failed.reason), "run", string(failed.run), "server", failed.server,
 			"attempts", r.sends)
--- a/transport/httproute/handover_test.go
+++ b/transport/httproute/handover_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/basilroute/basilroute/state/routes"
 )
@@ -74,3 +75,32 @@
 		t.Errorf("%q, %v", body, err)
 	}
 }
+
+// Guards against the only server that has a request: it was tried in the place of one that has failed since, paused, and was
+// given up for a third one that turns the request away.
+func TestTryIsKeptOnceTheSilentServerHasFailed(t *testing.T) {
+	for path, want := range map[string]string{"/read/1": "ok", "/draft/1": eventsUpTo(3)} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			tried := make(chan struct{})
+			send := startPlayers(t, func(c net.Conn, r *http.Request) bool {
+				if path == "/draft/1" {
+					writeHead(c, r)
+					writeEvent(c, 0)
+				}
+				<-tried
+				return false
+			}, func(c net.Conn, r *http.Request) bool {
+				close(tried)
+				time.Sleep(silence)
+				if path == "/read/1" {
+					return respond(c, r, http.StatusOK, "ok")
+				}
+				return resumeUpTo(c, r, 3)
+			}, refusals["turned away"])
+			if status, body, err := send(path); err != nil || status != http.StatusOK || body != want {
+				t.Errorf("status %d, %q, %v", status, body, err)
+			}
+		})
+	}
+}
