Let a try go on when the silent server before it responds with an error

What callers saw: the error of a server that had been silent, although another server had the request and was about to respond; a stream that was resumed ended in the middle.

Cause: any head of a response counted as a sign that the silent server goes on, so the try was cancelled. With an error it had ended, the try was the only one that had the request, and no attempt was left as the try had taken it.

An unusable response (5xx, or other than 200 for a stream) now leaves the try alone; the relay waits for it, and passes the error on if the try fails too, as without a try.

--- a/transport/httproute/attempt.go
+++ b/transport/httproute/attempt.go
@@ -146,6 +146,10 @@
 	s := f.newSend(ctx, r, choice, remote, out.events.lastID)
 	s.out.shouldAbort = out.handover.check()
 	rep, failed := s.exchange()
+	if failed == nil && !r.usable(rep) {
+		r.recordServer(rep)
+		return rep, nil // deliver settles: a try that runs may still respond
+	}
 	next, tried := out.handover.settle(failed != nil)
 	s.finish(failed)
 	if failed != nil {
@@ -175,15 +179,20 @@
 	}
 }
 
-// recordReply records the server whose response the caller gets next.
+// recordReply records the server whose response the caller gets next. No try may run.
 func (r *request) recordReply(out *delivery, rep *reply) {
+	r.recordServer(rep)
+	if out.started {
+		r.record(eventResumed, "server", rep.server, "after_event", out.events.lastID)
+	}
+}
+
+// recordServer records the server that has responded.
+func (r *request) recordServer(rep *reply) {
 	r.server = rep.server
 	if r.firstByte == 0 {
 		r.firstByte = time.Since(r.arrived)
 	}
-	if out.started {
-		r.record(eventResumed, "server", rep.server, "after_event", out.events.lastID)
-	}
 }
 
 // chooseOrWait chooses where a request is sent. One that no server takes now may wait for a slot, and a stream that has begun
--- a/transport/httproute/handover.go
+++ b/transport/httproute/handover.go
@@ -209,13 +209,17 @@
 	return f.hasAlternative(r, &work, r.triedRegions)
 }
 
-// checkTakeover checks that a server has begun to respond in another one's place.
-func (r *request) checkTakeover(rep *reply) *failure {
-	ok := rep.Status < http.StatusInternalServerError
+// usable reports whether a server's response is one that the caller may get although other servers could be tried.
+func (r *request) usable(rep *reply) bool {
 	if r.route.Kind == routes.KindStreaming {
-		ok = rep.Status == http.StatusOK
+		return rep.Status == http.StatusOK
 	}
-	if ok {
+	return rep.Status < http.StatusInternalServerError
+}
+
+// checkTakeover checks that a server has begun to respond in another one's place.
+func (r *request) checkTakeover(rep *reply) *failure {
+	if r.usable(rep) {
 		return nil
 	}
 	rep.end(placement.OutcomeErrorCode)
--- a/transport/httproute/handover_test.go
+++ b/transport/httproute/handover_test.go
@@ -76,6 +76,31 @@
 	}
 }
 
+// Guards against a server that is about to respond and is given up because the silent one before it failed.
+func TestErrorOfTheSilentServerKeepsTheTry(t *testing.T) {
+	const tryTakes = 400 * time.Millisecond
+	for path, want := range map[string]string{"/read/1": "ok", "/draft/1": eventsUpTo(3)} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			tried := make(chan struct{})
+			send := startPlayers(t, func(c net.Conn, r *http.Request) bool {
+				<-tried
+				return respond(c, r, http.StatusInternalServerError, "own")
+			}, func(c net.Conn, r *http.Request) bool {
+				close(tried)
+				time.Sleep(tryTakes)
+				if path == "/read/1" {
+					return respond(c, r, http.StatusOK, "ok")
+				}
+				return resumeUpTo(c, r, 3)
+			})
+			if status, body, err := send(path); err != nil || status != http.StatusOK || body != want {
+				t.Errorf("status %d, %q, %v", status, body, err)
+			}
+		})
+	}
+}
+
 // Guards against the only server that has a request: it was tried in the place of one that has failed since, paused, and was
 // given up for a third one that turns the request away.
 func TestTryIsKeptOnceTheSilentServerHasFailed(t *testing.T) {
