Go on at the server that has taken over when the silent one ends with a part

What callers saw: a stream cut in the middle although another server had begun to go on with it.

Cause: whatever arrived from the silent server cancelled the try and its reply, also when it arrived with the end of the connection: bytes that were read just before the idle timeout closed it, and bytes of an incomplete chunk, which are returned with the error that ends it. Both servers were left then. If the part had been passed on, the other server, which was told to go on before it, would have been taken to go on wrongly.

Reads that end by the idle timeout return no data now, and a part that comes with an error no longer cancels a try.

--- a/transport/backendhttp/client.go
+++ b/transport/backendhttp/client.go
@@ -290,7 +290,8 @@
 }
 
 // Read reads the body. It returns io.EOF only if the body is complete. A body delimited by
-// the end of the connection is complete unless the connection was reset.
+// the end of the connection is complete unless the connection was reset. It returns no data
+// with ErrIdleTimeout: another server may have been told where to go on.
 func (a *Response) Read(b []byte) (int, error) {
 	n, err := a.resp.Body.Read(b)
 	switch {
@@ -298,10 +299,13 @@
 		a.complete = true
 	case err != nil:
 		a.failed(err)
-		return n, a.markIdleTimeout(err)
+		if err = a.markIdleTimeout(err); errors.Is(err, ErrIdleTimeout) {
+			n = 0
+		}
+		return n, err
 	}
-	if n > 0 {
-		a.ResetIdleTimer()
+	if n > 0 && !a.ResetIdleTimer() && !a.complete {
+		return 0, errors.Mark(errors.New("data arrived while its connection was being closed"), ErrIdleTimeout)
 	}
 	return n, err
 }
--- a/transport/httproute/handover.go
+++ b/transport/httproute/handover.go
@@ -120,6 +120,13 @@
 	}
 }
 
+// trying reports whether another server is tried or has begun to respond.
+func (h *handover) trying() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.current != nil
+}
+
 // discard cancels the try and waits for its end.
 func (t *tryElse) discard() {
 	t.cancel()
--- a/transport/httproute/handover_test.go
+++ b/transport/httproute/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -129,3 +130,34 @@
 		})
 	}
 }
+
+// Guards against a server that has begun to go on with a stream and is left because part of an event of the silent one before
+// it had arrived: with the error that its connection ends with, that part is no sign that it goes on.
+func TestPartOfAnEventDoesNotKeepASilentServer(t *testing.T) {
+	const tryTakes = 100 * time.Millisecond
+	tried := make(chan struct{})
+	for name, ends := range map[string]func(c net.Conn){
+		"silent": func(c net.Conn) { hang(c) },
+		"broken": func(net.Conn) { <-tried },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			send := startPlayers(t, func(c net.Conn, r *http.Request) bool {
+				writeHead(c, r)
+				writeEvent(c, 0)
+				_, _ = io.WriteString(c, "20\r\nid: 1\n") // the chunk has more
+				ends(c)
+				return false
+			}, func(c net.Conn, r *http.Request) bool {
+				if name == "broken" {
+					close(tried)
+					time.Sleep(tryTakes)
+				}
+				return resumeUpTo(c, r, 3)
+			})
+			if _, body, err := send("/draft/1"); err != nil || body != eventsUpTo(3) {
+				t.Errorf("%q, %v", body, err)
+			}
+		})
+	}
+}
--- a/transport/httproute/local.go
+++ b/transport/httproute/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -78,14 +79,18 @@
 	onBegin    func()          // called when the first event has been passed on; nil if not needed
 	onEnd      func(placement.Outcome)
 	onProgress func(time.Time) // called when more of the body has been passed on; nil if not needed
-	onData     func()          // called when more of the body has arrived; nil if not needed
+	handover   *handover       // may replace the server while it is silent; nil if nothing does
 }
 
 // Read implements io.Reader.
 func (r *reply) Read(b []byte) (int, error) {
 	n, err := r.Response.Read(b)
-	if n > 0 && r.onData != nil {
-		r.onData()
+	switch {
+	case r.handover == nil || n == 0:
+	case err == nil:
+		r.handover.keep()
+	case !errors.Is(err, io.EOF) && r.handover.trying():
+		n = 0 // the other server goes on before this part
 	}
 	return n, err
 }
--- a/transport/httproute/relay.go
+++ b/transport/httproute/relay.go
@@ -70,7 +70,7 @@
 // deliver writes the response to the caller. It returns nil if the caller has received it.
 func (d *delivery) deliver(ctx context.Context, rep *reply) *failure {
 	if d.r.usable(rep) {
-		rep.onData = d.handover.keep
+		rep.handover = d.handover
 	}
 	if rep.Status == http.StatusOK && d.r.route.Kind == routes.KindStreaming {
 		return d.deliverStream(ctx, rep)
