Start no try on a server that has gone on since it was found idle

What callers may see: a stream cut in the middle, a request that hangs, or two servers that work on one request.

Cause: the idle check may run late. One whose timer fired just before data arrived took the new count of data for its beginning, and could close a connection on which data had just come. And a try could begin after the data that would have cancelled it: nothing cancelled it then, its reply was never taken, and no later try could begin.

The check now returns when its timeout has been started anew, and a try begins only if the server is still idle, asked under the lock that the arrival of data takes too.

--- a/transport/backendhttp/client.go
+++ b/transport/backendhttp/client.go
@@ -108,7 +108,7 @@
 	// IdleTimeout is how long to wait for data before ShouldAbort is asked whether to close the
 	// connection, see SetIdleTimeout; 0 to wait until the context ends.
 	IdleTimeout time.Duration
-	ShouldAbort func() bool
+	ShouldAbort IdleCheck
 }
 
 // Response is a response whose body has not been read yet. The caller has to call Close.
--- a/transport/backendhttp/client_test.go
+++ b/transport/backendhttp/client_test.go
@@ -288,7 +288,7 @@
 	}
 	<-ended
 	o := matchID("2")
-	o.IdleTimeout, o.ShouldAbort = 50*time.Millisecond, func() bool { return true }
+	o.IdleTimeout, o.ShouldAbort = 50*time.Millisecond, func(func() bool) bool { return true }
 	if _, err := ask(t, client(), s.address, get("2"), o); !errors.Is(err, ErrIdleTimeout) {
 		t.Errorf("an idle server: %v", err)
 	}
@@ -306,7 +306,7 @@
 		_, _ = io.WriteString(c, "more")
 	})
 	o := matchID("1")
-	o.IdleTimeout, o.ShouldAbort = 20*time.Millisecond, func() bool { return false }
+	o.IdleTimeout, o.ShouldAbort = 20*time.Millisecond, func(func() bool) bool { return false }
 	if body, err := ask(t, client(), s.address, get("1"), o); err != nil || body != "halfmore" {
 		t.Errorf("%q, %v", body, err)
 	}
@@ -358,7 +358,7 @@
 	defer c.Close()
 	decided := make(chan struct{})
 	o := matchID("1")
-	o.IdleTimeout, o.ShouldAbort = time.Millisecond, func() bool {
+	o.IdleTimeout, o.ShouldAbort = time.Millisecond, func(func() bool) bool {
 		close(asked)
 		<-begun
 		defer close(decided)
--- a/transport/backendhttp/idle.go
+++ b/transport/backendhttp/idle.go
@@ -7,12 +7,17 @@
 	"github.com/cockroachdb/errors"
 )
 
+// IdleCheck decides whether to close the connection of a response from which no data has arrived for its idle timeout.
+// stillIdle reports whether none has arrived since.
+type IdleCheck func(stillIdle func() bool) bool
+
 // idleWatch watches a response for data, and asks whether to close its connection when none arrives.
 type idleWatch struct {
 	mu          sync.Mutex
 	timeout     time.Duration
-	shouldAbort func() bool
+	shouldAbort IdleCheck
 	timer       *time.Timer // nil until a timeout is set
+	due         time.Time   // before it the timeout has not passed
 	paused      bool        // the instance itself does not read
 	ended       bool        // nothing is read any more
 	asking      bool        // shouldAbort runs
@@ -24,12 +29,13 @@
 // SetIdleTimeout sets the idle timeout of the response. Whenever no data has arrived for d, shouldAbort is asked, in a
 // goroutine of its own, whether to close the connection. If it returns true and no data has arrived meanwhile, reads
 // fail with ErrIdleTimeout.
-func (a *Response) SetIdleTimeout(d time.Duration, shouldAbort func() bool) {
+func (a *Response) SetIdleTimeout(d time.Duration, shouldAbort IdleCheck) {
 	w := &a.watch
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timeout, w.shouldAbort = d, shouldAbort
 	if w.timer == nil {
+		w.due = time.Now().Add(d)
 		w.timer = time.AfterFunc(d, a.checkIdle)
 		return
 	}
@@ -38,7 +44,7 @@
 
 // SetIdleCheck replaces the function that is asked, and keeps the timeout. With nil the response is waited for until the
 // context ends.
-func (a *Response) SetIdleCheck(shouldAbort func() bool) {
+func (a *Response) SetIdleCheck(shouldAbort IdleCheck) {
 	w := &a.watch
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -53,22 +59,23 @@
 // restart starts the idle timeout anew. The caller holds the lock.
 func (w *idleWatch) restart() {
 	if w.timer != nil && w.shouldAbort != nil && !w.paused && !w.ended && !w.asking {
+		w.due = time.Now().Add(w.timeout)
 		w.timer.Reset(w.timeout)
 	}
 }
 
-// checkIdle runs when the idle timeout has passed.
+// checkIdle runs when the idle timeout has passed. It may run late, after the timeout was started anew.
 func (a *Response) checkIdle() {
 	w := &a.watch
 	w.mu.Lock()
 	before, shouldAbort := w.activity, w.shouldAbort
-	if shouldAbort == nil || w.paused || w.ended {
+	if shouldAbort == nil || w.paused || w.ended || time.Now().Before(w.due) {
 		w.mu.Unlock()
 		return
 	}
 	w.asking = true
 	w.mu.Unlock()
-	abort := shouldAbort()
+	abort := shouldAbort(func() bool { return w.stillIdle(before) })
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.asking = false
@@ -81,6 +88,13 @@
 	_ = a.conn.Close() // unblocks the pending read
 }
 
+// stillIdle reports whether no data has arrived since a count of activity.
+func (w *idleWatch) stillIdle(activity int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.activity == activity && !w.ended
+}
+
 // PauseIdleTimer stops the idle timeout while the instance itself does not read. The returned function
 // starts it anew.
 func (a *Response) PauseIdleTimer() (resume func()) {
--- a/transport/backendhttp/silent_test.go
+++ b/transport/backendhttp/silent_test.go
@@ -40,7 +40,7 @@
 	}{
 		"idle timeout": {dropped: true, fail: func(t *testing.T, c *Client, address string) {
 			o := unrepeatable("silent")
-			o.IdleTimeout, o.ShouldAbort = time.Millisecond, func() bool { return true }
+			o.IdleTimeout, o.ShouldAbort = time.Millisecond, func(func() bool) bool { return true }
 			if _, err := ask(t, c, address, get("silent"), o); !errors.Is(err, ErrIdleTimeout) {
 				t.Errorf("ended with %v", err)
 			}
@@ -51,7 +51,7 @@
 				t.Fatal(err)
 			}
 			defer a.Close()
-			a.SetIdleTimeout(time.Millisecond, func() bool { return true })
+			a.SetIdleTimeout(time.Millisecond, func(func() bool) bool { return true })
 			if _, err := io.ReadAll(a); !errors.Is(err, ErrIdleTimeout) {
 				t.Errorf("ended with %v", err)
 			}
@@ -59,7 +59,7 @@
 		"deadline": {dropped: true, fail: func(t *testing.T, c *Client, address string) {
 			ctx, cancel := context.WithCancel(t.Context())
 			o := unrepeatable("silent")
-			o.IdleTimeout, o.ShouldAbort = time.Millisecond, func() bool { cancel(); return false }
+			o.IdleTimeout, o.ShouldAbort = time.Millisecond, func(func() bool) bool { cancel(); return false }
 			if _, err := c.Do(expiringContext{ctx}, address, get("silent"), o); err == nil {
 				t.Error("a silent server answered")
 			}
@@ -70,7 +70,7 @@
 		"cancelled by the caller": {fail: func(t *testing.T, c *Client, address string) {
 			ctx, cancel := context.WithCancel(t.Context())
 			o := unrepeatable("silent")
-			o.IdleTimeout, o.ShouldAbort = time.Millisecond, func() bool { cancel(); return false }
+			o.IdleTimeout, o.ShouldAbort = time.Millisecond, func(func() bool) bool { cancel(); return false }
 			if _, err := c.Do(ctx, address, get("silent"), o); err == nil {
 				t.Error("a silent server answered")
 			}
--- a/transport/httproute/handover.go
+++ b/transport/httproute/handover.go
@@ -8,6 +8,7 @@
 
 	"github.com/basilroute/basilroute/coordination/placement"
 	"github.com/basilroute/basilroute/state/routes"
+	"github.com/basilroute/basilroute/transport/backendhttp"
 )
 
 // handover tries other servers for a request whose server is silent. The silent server, the holder, keeps the request
@@ -41,18 +42,18 @@
 
 // check returns the function for the holder's idle timeout. It reports whether another server has begun to respond. It is
 // nil for requests that may not be repeated.
-func (h *handover) check() func() bool {
+func (h *handover) check() backendhttp.IdleCheck {
 	if h.front == nil || !h.r.route.Repeatable() {
 		return nil
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	turn := h.turn
-	return func() bool { return h.tryInstead(turn) }
+	return func(stillIdle func() bool) bool { return h.tryInstead(turn, stillIdle) }
 }
 
-func (h *handover) tryInstead(turn int) bool {
-	t, lastEventID := h.begin(turn)
+func (h *handover) tryInstead(turn int, stillIdle func() bool) bool {
+	t, lastEventID := h.begin(turn, stillIdle)
 	if t == nil {
 		return false
 	}
@@ -60,11 +61,12 @@
 	return h.end(t)
 }
 
-// begin returns nil if the turn is over or a try has not been settled.
-func (h *handover) begin(turn int) (t *tryElse, lastEventID string) {
+// begin returns nil if the turn is over, a try has not been settled, or the holder goes on. It asks for the latter under the
+// lock: keep, which follows on the data of the holder, finds the try then.
+func (h *handover) begin(turn int, stillIdle func() bool) (t *tryElse, lastEventID string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if turn != h.turn || h.current != nil || h.ctx.Err() != nil {
+	if turn != h.turn || h.current != nil || h.ctx.Err() != nil || !stillIdle() {
 		return nil, ""
 	}
 	h.current = &tryElse{done: make(chan struct{})}
--- a/transport/httproute/handover_test.go
+++ b/transport/httproute/handover_test.go
@@ -161,3 +161,15 @@
 		})
 	}
 }
+
+// Guards against a second server that works beside one that goes on, and whose reply nobody takes: a try that begins after
+// the data of the first one has arrived is cancelled by nothing.
+func TestNoTryBeginsOnceTheServerGoesOn(t *testing.T) {
+	h := &handover{ctx: t.Context()}
+	if began, _ := h.begin(0, func() bool { return false }); began != nil {
+		t.Error("a try has begun")
+	}
+	if began, _ := h.begin(0, func() bool { return true }); began == nil {
+		t.Error("no try has begun at a silent server")
+	}
+}
--- a/transport/httproute/local.go
+++ b/transport/httproute/local.go
@@ -59,10 +59,10 @@
 	work        *placement.Request
 	deadline    time.Time
 	repeatable  bool
-	shouldAbort func() bool          // reports whether to abandon an idle server, see handover; nil for never
-	print       string               // fingerprint of the request
-	parts       []quarantine.PartKey // parts of the prompt that may be blamed for a crash
-	trial       bool                 // it finds out whether its parts still crash servers
+	shouldAbort backendhttp.IdleCheck // reports whether to abandon an idle server, see handover; nil for never
+	print       string                // fingerprint of the request
+	parts       []quarantine.PartKey  // parts of the prompt that may be blamed for a crash
+	trial       bool                  // it finds out whether its parts still crash servers
 	lastEventID string
 	config      int64
 	ranked      bool // the urgency is a rank, see routes.Precedence
