Ask another peer to cancel where one does not know the engine

A generation ran on to its token limit after its caller had been told that its stream was incomplete, if the first peer that was asked to cancel it did not know the engine, as after its restart: it answered as if it had cancelled, and no other peer was asked.

TestCancelFailsAtAPeerWithoutTheEngine failed with 'taken for done'. Such a peer now answers with an error. The peer server of HTTP routes, which runs no generations, gets the new signature.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -297,8 +297,8 @@
 }
 
 // CancelForwarded implements peer.Runner.
-func (i *Instance) CancelForwarded(service, server, requestID string) {
-	i.local.Cancel(service, server, requestID)
+func (i *Instance) CancelForwarded(service, server, requestID string) bool {
+	return i.local.Cancel(service, server, requestID)
 }
 
 // Ready reports whether the instance has a configuration to serve callers with.
--- a/instance/routed/remotes.go
+++ b/instance/routed/remotes.go
@@ -38,7 +38,7 @@
 }
 
 // CancelForwarded implements peer.Runner.
-func (generationRefuser) CancelForwarded(string, string, string) {}
+func (generationRefuser) CancelForwarded(string, string, string) bool { return false }
 
 // Remotes implements httproute.Remotes. It returns one reachable instance of each other
 // region, drawn among those to which this one forwards, with the latest load report of any
--- a/transport/dispatch/stream.go
+++ b/transport/dispatch/stream.go
@@ -85,11 +85,14 @@
 	_ = l.Backend.Cancel(ctx, server.Address, requestID) // otherwise the generation ends at its token limit
 }
 
-// Cancel cancels a generation that runs on a server of the local failure domain.
-func (l *LocalDispatcher) Cancel(serviceName, serverID, requestID string) {
-	if server, ok := l.Servers.Find(serviceName, serverID); ok {
+// Cancel cancels a generation that runs on a server of the local failure domain. It returns
+// false if the server is not known.
+func (l *LocalDispatcher) Cancel(serviceName, serverID, requestID string) bool {
+	server, ok := l.Servers.Find(serviceName, serverID)
+	if ok {
 		l.cancel(server, requestID)
 	}
+	return ok
 }
 
 // resume resumes a generation on the server that runs it. It bypasses the queue, because
--- a/transport/peer/large_test.go
+++ b/transport/peer/large_test.go
@@ -24,7 +24,7 @@
 	return sink.Answer("server", r.answer)
 }
 
-func (r *answeringRunner) CancelForwarded(string, string, string) {}
+func (r *answeringRunner) CancelForwarded(string, string, string) bool { return false }
 
 // bodySink is a sink that keeps the answer of an operation.
 type bodySink struct {
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -19,8 +19,9 @@
 // Runner runs forwarded work in the local failure domain.
 type Runner interface {
 	RunForwarded(ctx context.Context, w *dispatch.Work, sink dispatch.Sink) error
-	// CancelForwarded cancels a generation on a server of the local failure domain.
-	CancelForwarded(service, server, requestID string)
+	// CancelForwarded cancels a generation on a server of the local failure domain. It returns
+	// false if the server is not known.
+	CancelForwarded(service, server, requestID string) bool
 }
 
 // Exchanger handles membership exchanges.
@@ -106,8 +107,11 @@
 func (s *Server) Cancel(_ context.Context, req *peerpb.CancelRequest) (*peerpb.CancelResponse, error) {
 	callerGone := refusal.New(refusal.CodeIncomplete, "the caller does not wait any more").WithRunState(refusal.RunUnknown)
 	ended := s.running.cancel(req.GetRequestId(), int(req.GetAttempt()), callerGone)
-	if !ended && req.GetServer() != "" {
-		s.Runner.CancelForwarded(req.GetService(), req.GetServer(), req.GetRequestId())
+	if ended || req.GetServer() == "" {
+		return &peerpb.CancelResponse{}, nil
+	}
+	if !s.Runner.CancelForwarded(req.GetService(), req.GetServer(), req.GetRequestId()) {
+		return nil, status.Errorf(codes.NotFound, "backend server %q is not known here", req.GetServer())
 	}
 	return &peerpb.CancelResponse{}, nil
 }
--- a/transport/peer/server_test.go
+++ b/transport/peer/server_test.go
@@ -45,8 +45,12 @@
 	return refusal.FromError(context.Cause(ctx))
 }
 
-func (r *runner) CancelForwarded(_, server, requestID string) {
+func (r *runner) CancelForwarded(_, server, requestID string) bool {
+	if server != "engine" {
+		return false
+	}
 	r.cancelled <- server + "/" + requestID
+	return true
 }
 
 func (r *runner) count() int {
@@ -202,6 +206,14 @@
 	}
 }
 
+// Guards against a cancel that counts as done at a peer that does not know the engine, so that
+// no other peer is asked.
+func TestCancelFailsAtAPeerWithoutTheEngine(t *testing.T) {
+	if err := newPool(t).Cancel(t.Context(), startServer(t, newRunner()), generationWork(), "another"); err == nil {
+		t.Error("taken for done")
+	}
+}
+
 // Guards against a cancel that is taken for done, and a generation that goes on although its
 // caller has gone, because the run was detached just before.
 func TestCancelOfADetachedRunIsNotTakenForDone(t *testing.T) {
--- a/transport/peer/silent_test.go
+++ b/transport/peer/silent_test.go
@@ -36,7 +36,7 @@
 	return nil
 }
 
-func (silentRunner) CancelForwarded(string, string, string) {}
+func (silentRunner) CancelForwarded(string, string, string) bool { return false }
 
 // Guards against giving up a peer whose backend server is silent.
 func TestSilentPeerIsBorne(t *testing.T) {
