Take a server for idle only when nothing that it sent is unread

What callers saw: before the handover, sound streams that were cut in the middle after the instance itself had been held up for longer than the idle timeout. Since the handover none is cut, but each request that was held up starts a try, which takes an attempt of its route and a retry of the fleet's budget.

Cause: the timer measures when the instance last read, not when the server last sent. After a pause of the process timers and reads are due at once, and the server's data waits in the socket.

The idle check now looks at the socket, and starts the timeout anew if data or the end of the connection is unread.

--- a/transport/backendhttp/conn.go
+++ b/transport/backendhttp/conn.go
@@ -67,14 +67,30 @@
 	}
 	empty := false
 	err := c.raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		empty = errors.Is(err, syscall.EAGAIN)
+		empty = nothingPending(fd)
 		return true
 	})
 	return err == nil && empty
 }
 
+// unread reports whether data, or the end of the connection, has arrived that was not read. Unlike clean it does not wait for
+// a read that is going on.
+func (c *conn) unread() bool {
+	if c.raw == nil {
+		return false
+	}
+	empty := false
+	err := c.raw.Control(func(fd uintptr) { empty = nothingPending(fd) })
+	return err == nil && !empty
+}
+
+// nothingPending reports whether a read of a socket would wait.
+func nothingPending(fd uintptr) bool {
+	var b [1]byte
+	_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return errors.Is(err, syscall.EAGAIN)
+}
+
 func (c *conn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.written += n
--- a/transport/backendhttp/idle.go
+++ b/transport/backendhttp/idle.go
@@ -73,6 +73,11 @@
 		w.mu.Unlock()
 		return
 	}
+	if a.conn.unread() { // the instance was held up, and will read it
+		w.restart()
+		w.mu.Unlock()
+		return
+	}
 	w.asking = true
 	w.mu.Unlock()
 	abort := shouldAbort(func() bool { return w.stillIdle(before) })
--- a/transport/backendhttp/idle_test.go
+++ b/transport/backendhttp/idle_test.go
@@ -78,3 +78,33 @@
 		t.Errorf("idle %t before data, %t after it", before, after)
 	}
 }
+
+// Guards against a server that counts as idle because the instance itself was held up: its data has arrived and is unread.
+func TestUnreadDataIsNoIdleTime(t *testing.T) {
+	goOn, written := make(chan struct{}), make(chan struct{})
+	s := serve(t, func(c net.Conn, next func() *http.Request) {
+		next()
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 8\r\n\r\n")
+		<-goOn
+		_, _ = io.WriteString(c, "half")
+		close(written)
+		next() // until the client closes
+	})
+	a, err := client().Do(t.Context(), s.address, get("1"), matchID("1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Close()
+	asked := 0
+	a.watch.shouldAbort = func(func() bool) bool {
+		asked++
+		return false
+	}
+	a.checkIdle()
+	close(goOn)
+	<-written
+	a.checkIdle()
+	if asked != 1 {
+		t.Errorf("asked %d times, want once, before the data", asked)
+	}
+}
