--- a/transport/backendhttp/client_test.go
+++ b/transport/backendhttp/client_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -357,12 +358,16 @@
 	c := client()
 	defer c.Close()
 	decided := make(chan struct{})
+	var first sync.Once
 	o := matchID("1")
-	o.IdleTimeout, o.ShouldAbort = time.Millisecond, func(func() bool) bool {
-		close(asked)
-		<-begun
-		defer close(decided)
-		return true
+	o.IdleTimeout, o.ShouldAbort = time.Millisecond, func(func() bool) (abort bool) {
+		first.Do(func() {
+			close(asked)
+			<-begun
+			close(decided)
+			abort = true
+		})
+		return abort
 	}
 	a, err := c.Do(t.Context(), s.address, get("1"), o)
 	if err != nil {
