--- a/transport/httproute/leaving_test.go
+++ b/transport/httproute/leaving_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/basilroute/basilroute/coordination/placement"
 	"github.com/basilroute/basilroute/state/backends"
+	"github.com/basilroute/basilroute/transport/outcome"
 )
 
 // measuredRequests is the number of requests after which the duration of a route is known.
@@ -218,3 +219,41 @@
 		}
 	}
 }
+
+// Guards against a stream that the exit of its instance cuts, and that counts as cut by its server or as left by its caller.
+func TestStreamCutAtTheExitCountsAsCutByTheShutdown(t *testing.T) {
+	ended := make(chan struct{})
+	l := startLeavingFront(t, func(c net.Conn, r *http.Request) bool {
+		writeHead(c, r)
+		writeEvent(c, 0)
+		<-ended
+		return false
+	})
+	exit, cancel := context.WithCancel(t.Context())
+	l.Exit = exit
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, l.callers.URL+"/chat/1", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = testHost
+	req.Header.Set("Id", "id-1")
+	req.Header.Set("Key", testKey)
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.ReadFull(resp.Body, make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	if _, err := io.ReadAll(resp.Body); err == nil {
+		t.Error("a stream that was cut looks complete")
+	}
+	close(ended)
+	l.callers.Close()
+	got := l.Metrics.callers.Totals().Ended
+	if len(got) != 1 || got[outcome.Ending{Outcome: outcome.Cut, By: outcome.ByShutdown}] != 1 {
+		t.Errorf("ended %v", got)
+	}
+}
--- a/transport/httproute/outcome.go
+++ b/transport/httproute/outcome.go
@@ -43,6 +43,8 @@
 		cut = r.interruption
 	}
 	switch {
+	case failed.reason == reasonStopping:
+		return outcome.ByShutdown
 	case cut.reason == reasonSilent:
 		return outcome.BySilence
 	case cut.forwarded:
