Resume streams whose event ids do not rise by one

Callers saw a resumable stream cut when its server crashed and another one went on, although that server resumed correctly: the next id had to be the last one plus one, while ids of events only increase.

The first event of a resuming server must now be above the last one. An id alone does not tell a missing event from a larger step, so while all steps within the responses so far were equal, that step stays the expectation; a stream whose steps differ, or with a single event so far, is checked for larger ids only. A stream with uneven ids that begins with equal steps can therefore still be cut; it is cut visibly and never looks complete. The check is limited to resumable routes, like resuming itself.

--- a/transport/httproute/events.go
+++ b/transport/httproute/events.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"net/http"
-	"strconv"
 	"strings"
 )
 
@@ -15,26 +14,28 @@
 // crashes leaves an incomplete event, which would run into the first event of the server
 // that resumes the stream if it were passed on.
 type eventBuffer struct {
-	partial []byte
-	lastID  string // of the last event with one that was passed on
-	count   int    // events with an id that were passed on
+	partial    []byte
+	lastID     string // of the last complete event that had one
+	count      int
+	order      eventOrder
+	ordered    bool // the order of the events is checked
+	outOfOrder bool // the next event does not follow the last one
 }
 
-// push appends b and returns the complete events in the buffer. The result is valid until
-// the next call.
+// push appends b and returns the complete events in the buffer, up to one that is out of order.
+// The result is valid until the next call.
 func (e *eventBuffer) push(b []byte) []byte {
 	e.partial = append(e.partial, b...)
-	return e.partial[:lastBoundary(e.partial)]
+	return e.recordEvents(e.partial[:lastBoundary(e.partial)])
 }
 
-// consume removes complete events that push returned, after they were passed on.
+// consume removes complete events that push returned.
 func (e *eventBuffer) consume(complete []byte) {
-	e.recordIDs(complete)
 	e.partial = append(e.partial[:0], e.partial[len(complete):]...)
 }
 
-// reset discards the incomplete event of an aborted response.
-func (e *eventBuffer) reset() { e.partial = e.partial[:0] }
+// reset discards what was not passed on of an aborted response.
+func (e *eventBuffer) reset() { e.partial, e.outOfOrder = e.partial[:0], false }
 
 // lastBoundary returns the offset at which the last complete event ends, which is after an
 // empty line.
@@ -68,36 +69,54 @@
 	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
 
-func (e *eventBuffer) recordIDs(complete []byte) {
+// recordEvents records the ids of complete events and returns those up to one that is out of order.
+func (e *eventBuffer) recordEvents(complete []byte) []byte {
+	var event sseEvent
+	begin, at := 0, 0
 	for line := range bytes.Lines(complete) {
+		at += len(line)
 		line = bytes.TrimRight(line, "\r\n")
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			e.lastID = string(bytes.TrimPrefix(id, []byte(" ")))
-			e.count++
+		if len(line) > 0 {
+			event.addLine(line)
+			continue
 		}
+		if !e.recordEvent(event) {
+			e.outOfOrder = true
+			return complete[:begin]
+		}
+		event, begin = sseEvent{}, at
 	}
+	return complete
 }
 
-// firstID returns the id of the first event in complete events, or an empty string if it
-// has none.
-func firstID(complete []byte) string {
-	for line := range bytes.Lines(complete) {
-		if id, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), []byte("id:")); ok {
-			return string(bytes.TrimPrefix(id, []byte(" ")))
-		}
+// recordEvent records an event. It returns false if the event is out of order.
+func (e *eventBuffer) recordEvent(event sseEvent) bool {
+	if !event.hasID {
+		return !e.ordered || !event.hasData || !e.order.resumed
 	}
-	return ""
+	if e.ordered && !e.order.accept(event.id) {
+		return false
+	}
+	e.lastID = event.id
+	e.count++
+	return true
+}
+
+// sseEvent is what the order of an event depends on.
+type sseEvent struct {
+	id             string
+	hasID, hasData bool
 }
 
-// isNextID reports whether an event id directly follows another. It returns true if the
-// last id is not a number, since their order is then unknown.
-func isNextID(id, last string) bool {
-	before, err := strconv.ParseInt(last, 10, 64)
-	if err != nil {
-		return true
+// addLine adds a line of the event, without its end.
+func (v *sseEvent) addLine(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "id":
+		v.id, v.hasID = string(bytes.TrimPrefix(value, []byte(" "))), true
+	case "data":
+		v.hasData = true
 	}
-	after, err := strconv.ParseInt(id, 10, 64)
-	return err == nil && after == before+1
 }
 
 func splitList(value string) []string {
--- a/transport/httproute/relay.go
+++ b/transport/httproute/relay.go
@@ -50,7 +50,10 @@
 }
 
 func newDelivery(w http.ResponseWriter, budget *Budget, r *request) *delivery {
-	return &delivery{w: w, caller: newCallerWriter(w, budget), budget: budget, r: r, handover: &handover{r: r}}
+	return &delivery{
+		w: w, caller: newCallerWriter(w, budget), budget: budget, r: r, handover: &handover{r: r},
+		events: eventBuffer{ordered: r.route.Resumable},
+	}
 }
 
 // close waits until the caller has read what was passed on, and returns the memory that was held.
@@ -167,8 +170,7 @@
 // deliverStream relays events as they arrive.
 func (d *delivery) deliverStream(ctx context.Context, rep *reply) *failure {
 	buffer := make([]byte, relayBuffer)
-	resumedAfter := d.events.lastID
-	checked := resumedAfter == ""
+	d.events.order.resume()
 	rep.SetIdleCheck(nil)
 	if gap := d.gapTimeout(); gap > 0 {
 		rep.SetIdleTimeout(gap, d.handover.check())
@@ -176,12 +178,6 @@
 	for {
 		n, err := rep.Read(buffer)
 		completed := d.events.push(buffer[:n])
-		if !checked && len(completed) > 0 {
-			checked = true
-			if !isNextID(firstID(completed), resumedAfter) {
-				return d.interrupted(ctx, rep, errOutOfOrder)
-			}
-		}
 		if len(d.events.partial) > maxEvent {
 			return d.interrupted(ctx, rep, errLongEvent)
 		}
@@ -189,6 +185,8 @@
 			return d.unwritten(ctx, rep, err)
 		}
 		switch {
+		case d.events.outOfOrder:
+			return d.interrupted(ctx, rep, errOutOfOrder)
 		case errors.Is(err, io.EOF):
 			return d.endStream(ctx, rep)
 		case err != nil:
