Check the order of all events of a resumable stream

Callers could get events twice in a stream that looked complete: only the first event of a resuming server was checked, so one that repeated or fell back later was passed on as it came, and a first server's repeats too.

TestResumedStreamOutOfOrderIsBrokenOff ("looks complete: 0 1 2 3 4 4 5" and "0 1 2 3 4 1 5") and TestStreamOutOfOrderGoesOnAtAnotherServer ("0 1 2 1 2 3", unexpected EOF) failed before.

Every event of a resumable route must now be above the one before it. What is in order is passed on, the rest of that response is discarded, and another server may resume after the last event that was. Ids that are not numbers have no known order and only may not repeat; streams of routes that can't be resumed are passed on unchanged.

--- a/transport/httproute/eventorder.go
+++ b/transport/httproute/eventorder.go
@@ -4,7 +4,7 @@
 
 // eventOrder checks the ids of a stream's events, which increase but not necessarily by one. A
 // server that resumes the stream must go on after the last event: the caller could not tell an
-// event that is missing or comes twice.
+// event that is missing or comes twice. No event may come twice within a response either.
 //
 // The ids alone do not tell a missing event from a larger step. While all steps within the
 // responses so far were equal, a resuming server must keep that step.
@@ -20,28 +20,35 @@
 
 // accept reports whether an event may follow, and records its id if so.
 func (o *eventOrder) accept(id string) bool {
-	step, known := stepBetween(o.last, id)
-	if o.resumed {
-		if !o.mayResume(id, step, known) {
-			return false
-		}
-	} else if known {
+	step, rises := stepBetween(o.last, id)
+	if !rises && o.isOrdered(id) {
+		return false
+	}
+	if rises && o.resumed && !o.keepsStep(step) {
+		return false
+	}
+	if rises && !o.resumed {
 		o.recordStep(step)
 	}
 	o.last, o.resumed = id, false
 	return true
 }
 
-// mayResume reports whether a server that resumes the stream may begin with an event.
-func (o *eventOrder) mayResume(id string, step uint64, known bool) bool {
+// isOrdered reports whether an event with an id must have a larger one than the last event. Ids
+// that are not numbers have no known order, but none may come twice. A server that resumes after a
+// number must go on with one.
+func (o *eventOrder) isOrdered(id string) bool {
 	switch {
-	case id == o.last:
-		return false
-	case !isNumber(o.last):
-		return true // their order is not known
-	case !known:
+	case o.last == "":
 		return false
+	case id == o.last:
+		return true
 	}
+	return isNumber(o.last) && (o.resumed || isNumber(id))
+}
+
+// keepsStep reports whether a resuming server may begin that far above the last event.
+func (o *eventOrder) keepsStep(step uint64) bool {
 	return o.uneven || o.step == 0 || step == o.step
 }
 
--- a/transport/httproute/eventorder_test.go
+++ b/transport/httproute/eventorder_test.go
@@ -60,13 +60,15 @@
 	}
 }
 
-// Guards against a resumed stream that looks complete, or repeats an event, though an event is
-// repeated or missing.
+// Guards against a resumed stream that looks complete, or repeats an event, though a later event is
+// repeated, smaller or missing.
 func TestResumedStreamOutOfOrderIsBrokenOff(t *testing.T) {
 	for _, tc := range []struct {
 		name           string
 		first, resumed []int
 	}{
+		{"repeats its own event", []int{0, 1, 2}, []int{3, 4, 4, 5}},
+		{"falls back", []int{0, 1, 2}, []int{3, 4, 1, 5}},
 		{"resumes too early", []int{5, 10, 15}, []int{10, 15, 20}},
 		{"leaves one out", []int{5, 10, 15}, []int{25, 30}},
 	} {
@@ -89,3 +91,14 @@
 		})
 	}
 }
+
+// Guards against an event that is passed on twice within the response of the server that began the
+// stream: another one goes on after the last event that was in order.
+func TestStreamOutOfOrderGoesOnAtAnotherServer(t *testing.T) {
+	script := streamIn([]int{0, 1, 2, 1, 2, 3}, []int{3, 4})
+	f, front := newTestFront(t, startFakeServer(t, script), startFakeServer(t, script))
+	configure(f)
+	if _, body, err := call(t, t.Context(), front, "POST", "/draft/1", "x"); err != nil || idsIn(body) != "0 1 2 3 4" {
+		t.Errorf("%q, %v", idsIn(body), err)
+	}
+}
--- a/transport/httproute/events_test.go
+++ b/transport/httproute/events_test.go
@@ -81,3 +81,27 @@
 		}
 	}
 }
+
+// Guards against an event that comes twice within a response, and against one that is cut though
+// its id increases or has no known order.
+func TestEventsWithinResponse(t *testing.T) {
+	for _, tc := range []struct {
+		last, id string
+		want     bool
+	}{
+		{"4", "5", true},
+		{"4", "9", true},
+		{"4", "4", false},
+		{"4", "3", false},
+		{"9", "10", true},
+		{"4", "end", true},
+		{"y", "x", true},
+		{"y", "y", false},
+		{"", "0", true},
+	} {
+		o := eventOrder{last: tc.last}
+		if got := o.accept(tc.id); got != tc.want {
+			t.Errorf("%q after %q: %t", tc.id, tc.last, got)
+		}
+	}
+}
--- a/transport/httproute/relay.go
+++ b/transport/httproute/relay.go
@@ -196,7 +196,7 @@
 }
 
 var (
-	errOutOfOrder      = errors.New("the server did not resume after the last event")
+	errOutOfOrder      = errors.New("an event does not follow the last one")
 	errLongEvent       = errors.New("event exceeds the size limit")
 	errIncompleteEvent = errors.New("the response ends within an event")
 	errNoEvent         = errors.New("the connection ended before the first event")
