Refuse requests whose token counts cannot be read

TestUnusableTokenCountsAreRefused failed before: status 200 for all ten values, "10 refused requests have run". Its checks that a usual request is served afterwards and that 140 of a burst of 100 tokens get 429 held before too, so a bucket left in a wrong state is not shown.

A request with other token counts gets 400 (invalid_header) before its body is read or anything is charged; it has not run.

--- a/transport/httproute/codec.go
+++ b/transport/httproute/codec.go
@@ -24,6 +24,7 @@
 	OutputTokens  int // upper bound
 	Segments      []placement.PromptSegment
 	LastEventID   string
+	InvalidHeader string // name of a header that makes the request invalid; empty if there is none
 	Resumes       string // id of the request that brought the first event of a stream that is taken up again
 }
 
--- a/transport/httproute/failure.go
+++ b/transport/httproute/failure.go
@@ -26,24 +26,25 @@
 	reasonKey         reason = "unknown_key"    // no account has the key
 	reasonBody        reason = "body_too_large" // above the limit in force
 	reasonHeader      reason = "header_too_large"
-	reasonMemory      reason = "memory"       // this instance has no memory left for the body
-	reasonQuota       reason = "quota"        // the account has reached its rate
-	reasonQuarantine  reason = "quarantined"  // it crashed the servers that ran it
-	reasonNoServer    reason = "no_server"    // no usable server in a permitted region
-	reasonResidency   reason = "residency"    // the homes of its route and of its account have no region in common
-	reasonLoad        reason = "overloaded"   // it cannot be served in time
-	reasonCold        reason = "cold"         // cold servers accept few requests
-	reasonStopping    reason = "stopping"     // this instance is shutting down
-	reasonCallerGone  reason = "caller_gone"  // the caller has closed at least its sending side
-	reasonShed        reason = "shed"         // the server rejected it
-	reasonUnreachable reason = "unreachable"  // nothing was sent: no connection
-	reasonBroken      reason = "broken"       // the connection closed before the response was complete
-	reasonSilent      reason = "silent"       // the server exceeded the idle timeout
-	reasonMalformed   reason = "malformed"    // the data received is not a valid response
-	reasonDeadline    reason = "deadline"     // the deadline passed
-	reasonBuild       reason = "stream_build" // the build that began the stream is not known, or has no part in the route
-	reasonPeer        reason = "peer"         // the peer was unreachable or its response failed
-	reasonPanic       reason = "panic"        // the handler of this instance or of a peer panicked
+	reasonInvalid     reason = "invalid_header" // a header that the request depends on cannot be read
+	reasonMemory      reason = "memory"         // this instance has no memory left for the body
+	reasonQuota       reason = "quota"          // the account has reached its rate
+	reasonQuarantine  reason = "quarantined"    // it crashed the servers that ran it
+	reasonNoServer    reason = "no_server"      // no usable server in a permitted region
+	reasonResidency   reason = "residency"      // the homes of its route and of its account have no region in common
+	reasonLoad        reason = "overloaded"     // it cannot be served in time
+	reasonCold        reason = "cold"           // cold servers accept few requests
+	reasonStopping    reason = "stopping"       // this instance is shutting down
+	reasonCallerGone  reason = "caller_gone"    // the caller has closed at least its sending side
+	reasonShed        reason = "shed"           // the server rejected it
+	reasonUnreachable reason = "unreachable"    // nothing was sent: no connection
+	reasonBroken      reason = "broken"         // the connection closed before the response was complete
+	reasonSilent      reason = "silent"         // the server exceeded the idle timeout
+	reasonMalformed   reason = "malformed"      // the data received is not a valid response
+	reasonDeadline    reason = "deadline"       // the deadline passed
+	reasonBuild       reason = "stream_build"   // the build that began the stream is not known, or has no part in the route
+	reasonPeer        reason = "peer"           // the peer was unreachable or its response failed
+	reasonPanic       reason = "panic"          // the handler of this instance or of a peer panicked
 )
 
 // failure describes an attempt, or a whole request, that got no response.
@@ -71,6 +72,8 @@
 		return http.StatusNotFound
 	case reasonKey:
 		return http.StatusUnauthorized
+	case reasonInvalid:
+		return http.StatusBadRequest
 	case reasonBody:
 		return http.StatusRequestEntityTooLarge
 	case reasonHeader:
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -218,6 +218,9 @@
 			return r, &failure{run: runNotRun, reason: reasonKey}
 		}
 	}
+	if r.InvalidHeader != "" {
+		return r, &failure{run: runNotRun, reason: reasonInvalid, cause: errors.Newf("header %s", r.InvalidHeader)}
+	}
 	var refused *failure
 	r.body, refused = f.readBody(w, hr, config.Limits.BodyBytes)
 	return r, refused
