Don't take a store that cuts watches for one that is away

While the store cut watches that wait, a backend server whose entry was removed got requests as long as it served on.

Cause: each failed watch counted as an outage of the store. Remove keeps an entry until the store has been reachable for 2.2 s on end, and with a watch cut every second that never comes; the watch that brings the removal ends such an outage itself.

Now a failed watch alone says nothing. Beside it a small call is made: after a watch that was cut, or, for one without an answer, while the answer is due, since a store that answers later may just have come back. Only if that call fails too is the store away, as before from three seconds of silence or the first reset on. After such a watch the changes are read by one that doesn't wait, and if that fails too, as lists, one a second, so that a store that fails all watches is followed as well. An instance that has lost the store asks with the same small call, so that it learns of the return at once and not with the end of a watch.

TestEntriesThatExpireInAnOutageAreKept: no live server was dropped before or after, but one that had ended stayed in use beside cut watches, and without them when calls hang. TestOutageThatEndsWithAHangingWatchIsNoticed passes before; it fails if the call beside a silent watch is made after it, or not at all.

What hangs on the same signal: an instance no longer reports the store as unreachable for a cut watch, so that watchers aren't replaced, followers' streams stay open and exchanges run once a second. Restored stores, held evacuations, quotas and readiness don't use it and are as they were.

--- a/instance/routed/follow.go
+++ b/instance/routed/follow.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/basilroute/basilroute/coordination/configwatch"
 	"github.com/basilroute/basilroute/service/features"
 	"github.com/basilroute/basilroute/state/mirror"
@@ -15,9 +12,7 @@
 )
 
 const (
-	// watchTimeout is how long a watch waits for a change. A watch that stays without a
-	// response for longer than this plus a call's timeout shows that the store is
-	// unreachable.
+	// watchTimeout is how long a watch waits for a change.
 	watchTimeout = 2 * time.Second
 	// minBackoff and maxBackoff bound the time between calls that fail. All instances lose
 	// the store at once; without growing delays they would use up its call rate when it
@@ -40,54 +35,7 @@
 	mirror       *mirror.Mirror
 	onChange     func([]mirror.Item)
 	debounce     time.Duration // between a change and the next watch
-	failingSince atomic.Int64  // uptime in nanoseconds since which calls fail; 0 while they succeed
-}
-
-// syncPrefix lists the prefix and watches it until ctx ends.
-func (n *Instance) syncPrefix(ctx context.Context, f *prefixSync) {
-	backoff := minBackoff
-	listed := false
-	for ctx.Err() == nil {
-		delta, err := n.read(ctx, f, listed)
-		switch {
-		case err == nil:
-			listed, backoff = true, minBackoff
-			n.markStoreReachable(f)
-			n.applyDelta(f, delta, origin{source: sourceStore})
-			if len(delta.Items) > 0 && f.debounce > 0 {
-				sleep(ctx, f.debounce)
-			}
-			continue
-		case errors.Is(err, errListLong):
-			n.markStoreReachable(f)
-			n.receiveServers(ctx)
-			listed = f.mirror.Revision() != 0
-			continue
-		case errors.Is(err, platform.ErrCompacted):
-			n.log.Info("store_history_gone", "prefix", f.prefix, "after", configwatch.FormatRank(f.mirror.Revision()))
-			listed = false
-		case ctx.Err() != nil:
-			return
-		default:
-			n.markStoreFailing(f, err)
-		}
-		sleep(ctx, backoff/2+rand.N(backoff))
-		backoff = min(2*backoff, maxBackoff)
-	}
-}
-
-func (n *Instance) read(ctx context.Context, f *prefixSync, listed bool) (mirror.Delta, error) {
-	store := n.source.Store()
-	after := f.mirror.Revision()
-	if after == 0 && f == n.servers {
-		return n.readServers(ctx)
-	}
-	if !listed || after == 0 {
-		found, revision, err := store.List(ctx, f.prefix, 0)
-		return mirror.Delta{Revision: revision, Items: items(found), Full: true}, err
-	}
-	found, revision, err := store.Watch(ctx, f.prefix, after, watchTimeout)
-	return mirror.Delta{After: after, Revision: revision, Items: items(found)}, err
+	failingSince atomic.Int64  // uptime in nanoseconds since which calls, other than watches alone, fail; 0 while they succeed
 }
 
 func items(found []platform.KeyValue) []mirror.Item {
@@ -143,6 +91,9 @@
 	}
 }
 
+// failing reports whether the last call failed.
+func (f *prefixSync) failing() bool { return f.failingSince.Load() != 0 }
+
 // unreachable reports whether calls have failed for longer than unreachableAfter.
 func (f *prefixSync) unreachable(uptime time.Duration) bool {
 	since := time.Duration(f.failingSince.Load())
--- a/instance/routed/testfleet_test.go
+++ b/instance/routed/testfleet_test.go
@@ -35,6 +35,7 @@
 	items    map[string]platform.KeyValue
 	changed  chan struct{} // closed and replaced at every change
 	served   func(id string) bool
+	trouble  trouble
 
 	longLists int // lists longer than a page that were read
 }
@@ -52,6 +53,15 @@
 	s.changed = make(chan struct{})
 }
 
+func (s *memoryStore) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.items[key] = platform.KeyValue{Key: key, Revision: s.revision, Deleted: true}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // memoryCopy is a copy of a store's state.
 type memoryCopy struct {
 	revision int64
@@ -102,7 +112,7 @@
 	}
 	var out []platform.KeyValue
 	for key, item := range s.items {
-		if strings.HasPrefix(key, prefix) && item.Revision > revision {
+		if strings.HasPrefix(key, prefix) && item.Revision > revision && !(item.Deleted && revision == 0) {
 			out = append(out, item)
 		}
 	}
@@ -116,7 +126,10 @@
 	id    string
 }
 
-func (s *memoryClient) List(_ context.Context, prefix string, after int64) ([]platform.KeyValue, int64, error) {
+func (s *memoryClient) List(ctx context.Context, prefix string, after int64) ([]platform.KeyValue, int64, error) {
+	if err := s.store.disturbCall(ctx); err != nil {
+		return nil, 0, err
+	}
 	items, revision, _, err := s.store.after(s.id, prefix, after)
 	if prefix != membersPrefix {
 		s.store.countList(items)
@@ -141,7 +154,13 @@
 func (s *memoryClient) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]platform.KeyValue, int64, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	end := time.Now().Add(wait + testCallTimeout)
+	cut, stop := s.store.watchCut()
+	defer stop()
 	for {
+		if err := s.store.disturbWatch(ctx, time.Until(end)); err != nil {
+			return nil, 0, err
+		}
 		items, revision, changed, err := s.store.after(s.id, prefix, after)
 		if err != nil || len(items) > 0 {
 			return items, revision, err
@@ -150,17 +169,25 @@
 		case <-changed:
 		case <-timer.C:
 			return nil, revision, nil
+		case err := <-cut:
+			return nil, 0, err
 		case <-ctx.Done():
 			return nil, 0, ctx.Err()
 		}
 	}
 }
 
-func (s *memoryClient) Get(_ context.Context, key string) (platform.KeyValue, error) {
+func (s *memoryClient) Get(ctx context.Context, key string) (platform.KeyValue, error) {
+	if err := s.store.disturbCall(ctx); err != nil {
+		return platform.KeyValue{}, err
+	}
 	s.store.mu.Lock()
 	defer s.store.mu.Unlock()
+	if !s.store.served(s.id) {
+		return platform.KeyValue{}, errors.New("rejected")
+	}
 	item, ok := s.store.items[key]
-	if !ok {
+	if !ok || item.Deleted {
 		return item, platform.ErrNotFound
 	}
 	return item, nil
@@ -185,6 +212,9 @@
 const testPage = 50
 
 func (s testSource) ListServers(ctx context.Context, more func() bool) ([]platform.KeyValue, int64, bool, error) {
+	if err := s.client.store.disturbCall(ctx); err != nil {
+		return nil, 0, false, err
+	}
 	found, revision, _, err := s.client.store.after(s.client.id, s.ServersPrefix(), 0)
 	if err == nil && len(found) > testPage && !more() {
 		s.client.store.countList(found[:testPage])
