Tell other instances that removals may be due to an outage of the store

Beside a short outage of the store in which calls hang, instances that follow a watcher dropped live servers whose entries had expired, though these were back within two seconds of the store's return.

Cause: whether a removal may be due to an outage was known only to an instance whose own calls had failed. A follower notices an outage when its watcher ends the stream, some four seconds after it begins; when the store was back before that, the removal came over the stream or with an exchange and was acted on at once. The same at an instance that takes over as a watcher: its first list is the first that it sees of the store.

Now a view of the servers' entries carries for how long removals are held (removals_hold_ms, 0 when no outage was noticed), counted from the store's return by the instance that noticed it. The receiver keeps the removed servers of that view as long, at most ReturnGrace, and passes the same end on. The hold belongs to the entry and not to the table, so that later views don't extend it. Removals that the first list of an instance shows are held too. Without an outage nothing changes for a removal that a watch shows.

--- a/instance/routed/catchup.go
+++ b/instance/routed/catchup.go
@@ -86,12 +86,25 @@
 				out = append(out, &peerpb.StoreView{Prefix: f.prefix, Revision: d.Revision, After: d.Revision})
 				continue
 			}
-			out = append(out, encodeView(f.prefix, d))
+			view := encodeView(f.prefix, d)
+			if f == n.servers {
+				view.RemovalsHoldMs = n.removalsHold(time.Now()).Milliseconds()
+			}
+			out = append(out, view)
 		}
 	}
 	return out
 }
 
+// holdStep is the unit of the hold of removals that is passed on: most followers get the same packed update.
+const holdStep = 500 * time.Millisecond
+
+// removalsHold returns how long a peer is to keep removed servers in use.
+func (n *Instance) removalsHold(now time.Time) time.Duration {
+	steps := (n.backends.RemovalsHold(now) + holdStep - 1) / holdStep
+	return steps * holdStep
+}
+
 func encodeView(prefix string, d mirror.Delta) *peerpb.StoreView {
 	view := &peerpb.StoreView{Prefix: prefix, Revision: d.Revision, After: d.After, Whole: d.Full}
 	for _, item := range d.Items {
@@ -120,6 +133,7 @@
 				Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Removed: item.GetDeleted(),
 			})
 		}
+		from.hold = time.Duration(view.GetRemovalsHoldMs()) * time.Millisecond
 		for _, f := range n.syncs {
 			if f.prefix == view.GetPrefix() {
 				n.applyDelta(f, d, from)
@@ -151,7 +165,7 @@
 func (c *packCache) pack(update *peerpb.FollowUpdate) ([]byte, error) {
 	var key strings.Builder
 	for _, view := range update.GetViews() {
-		_, _ = fmt.Fprintf(&key, "%s %d %d;", view.GetPrefix(), view.GetAfter(), view.GetRevision()) // does not fail
+		_, _ = fmt.Fprintf(&key, "%s %d %d %d;", view.GetPrefix(), view.GetAfter(), view.GetRevision(), view.GetRemovalsHoldMs()) // does not fail
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/instance/routed/follow.go
+++ b/instance/routed/follow.go
@@ -33,7 +33,7 @@
 type prefixSync struct {
 	prefix       string
 	mirror       *mirror.Mirror
-	onChange     func([]mirror.Item)
+	onChange     func([]mirror.Item, origin)
 	debounce     time.Duration // between a change and the next watch
 	failingSince atomic.Int64  // uptime in nanoseconds since which calls, other than watches alone, fail; 0 while they succeed
 }
@@ -65,7 +65,7 @@
 		n.log.Info("store_items_from_peer", "prefix", f.prefix, "way", from.source, "peer", from.peer, "items", len(changed),
 			"bytes", itemBytes(changed), "revision", configwatch.FormatRank(d.Revision))
 	}
-	f.onChange(changed)
+	f.onChange(changed, from)
 	n.notifyFollowers()
 }
 
--- a/instance/routed/metrics.go
+++ b/instance/routed/metrics.go
@@ -1,6 +1,8 @@
 package routed
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/basilroute/basilroute/coordination/configwatch"
@@ -9,8 +11,9 @@
 
 // origin is where items of the store come from.
 type origin struct {
-	source string // one of the sources below
-	peer   string // id or address of the peer; empty for the store
+	source string        // one of the sources below
+	peer   string        // id or address of the peer; empty for the store
+	hold   time.Duration // how long removed servers stay in use
 }
 
 // Sources from which items of the store reach an instance.
--- a/instance/routed/prefixreader.go
+++ b/instance/routed/prefixreader.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/basilroute/basilroute/coordination/configwatch"
+	"github.com/basilroute/basilroute/state/backends"
 	"github.com/basilroute/basilroute/state/mirror"
 	"github.com/basilroute/basilroute/transport/platform"
 )
@@ -37,6 +38,7 @@
 	n           *Instance
 	f           *prefixSync
 	way         readWay
+	listed      bool // a list has come
 	watchesFail bool // the last watch that waited failed
 	pollsFail   bool // the last poll failed
 	backoff     time.Duration
@@ -102,7 +104,7 @@
 func (r *prefixReader) succeeded(ctx context.Context, delta mirror.Delta) {
 	r.backoff = minBackoff
 	r.n.markStoreReachable(r.f)
-	r.n.applyDelta(r.f, delta, origin{source: sourceStore})
+	r.n.applyDelta(r.f, delta, r.origin())
 	switch r.way {
 	case readWatch:
 		r.watchesFail = false
@@ -136,6 +138,17 @@
 	sleep(ctx, maxBackoff-time.Since(began))
 }
 
+// origin returns where a delta came from. What the first list lacks was removed at a time at which
+// this instance made no calls, and may not know that the store was away.
+func (r *prefixReader) origin() origin {
+	from := origin{source: sourceStore}
+	if !r.listed {
+		from.hold = backends.ReturnGrace
+	}
+	r.listed = true
+	return from
+}
+
 func (r *prefixReader) read(ctx context.Context) (mirror.Delta, error) {
 	known := r.f.mirror.Revision()
 	switch {
--- a/instance/routed/storeitems.go
+++ b/instance/routed/storeitems.go
@@ -20,7 +20,7 @@
 
 // applyConfigItems applies the items that operators write. Changes are applied in the order
 // of the store's revisions; the table rejects any that is older than what is in force.
-func (n *Instance) applyConfigItems(changed []mirror.Item) {
+func (n *Instance) applyConfigItems(changed []mirror.Item, _ origin) {
 	evacuations := false
 	for _, item := range changed {
 		if _, ok := n.source.Evacuation(item.Key); ok {
@@ -90,7 +90,7 @@
 
 // applyServerItems applies the entries of backend servers. A server whose entry cannot be
 // decoded is removed.
-func (n *Instance) applyServerItems(changed []mirror.Item) {
+func (n *Instance) applyServerItems(changed []mirror.Item, from origin) {
 	now := time.Now()
 	entries := newEntryLog(n.log, len(changed))
 	var servers []backends.Server
@@ -98,7 +98,7 @@
 		id := n.source.ServerID(item.Key)
 		if item.Removed {
 			entries.entryGone(id, item.Revision)
-			n.backends.Remove(id, now)
+			n.backends.RemoveAfter(id, from.hold, now)
 			continue
 		}
 		server, err := n.source.Server(item.Key, item.Value)
--- a/instance/routed/watchcut_test.go
+++ b/instance/routed/watchcut_test.go
@@ -1,6 +1,7 @@
 package routed
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -162,3 +163,28 @@
 		}
 	})
 }
+
+// Guards against live servers that are dropped by the instances that follow another one or exchange with
+// it, and have not noticed an outage themselves.
+func TestOutageHoldsRemovalsThatArePassedOn(t *testing.T) {
+	const size, step = 8, 400 * time.Millisecond
+	for _, outage := range []time.Duration{2500 * time.Millisecond, 4 * time.Second, 6 * time.Second} {
+		for name, down := range map[string]fault{"calls fail": faultReset, "calls hang": faultSilent} {
+			t.Run(fmt.Sprint(name, " for ", outage), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := startFleetOfServers(t, size, "servers/lives")
+					defer f.stop()
+					for offset := time.Duration(0); offset < watchTimeout; offset += step {
+						time.Sleep(offset)
+						f.failCalls(down, 0, outage, "servers/lives")
+						f.wantInUseUntilBack("servers/lives")
+						time.Sleep(fleetStartTime)
+					}
+					f.store.remove("servers/lives")
+					time.Sleep(removalLimit)
+					f.wantOutOfUse("servers/lives")
+				})
+			})
+		}
+	}
+}
--- a/state/backends/backends.go
+++ b/state/backends/backends.go
@@ -40,6 +40,7 @@
 	ColdUntil    time.Time
 	RemovalTime  time.Time // zero when no notice was given
 	missingSince time.Time // when its entry disappeared; zero while it exists
+	missingUntil time.Time // a missing entry is not removed before
 	heldUntil    time.Time // a removed entry that came back with a restored store is not used before
 }
 
@@ -59,6 +60,7 @@
 	incarnations     uint64
 	storeUnreachable bool
 	storeBackAt      time.Time                    // when it was last reachable again
+	removalsHeld     time.Time                    // until when removals that this instance knows may be due to an outage
 	storeRestoredAt  time.Time                    // when it last came back from a copy
 	removed          map[incarnationKey]time.Time // when an entry was removed
 	evacuated        map[string]bool
@@ -124,7 +126,7 @@
 		current = &Entry{Incarnation: t.incarnations}
 	}
 	next := *current
-	next.Server, next.missingSince = s, time.Time{}
+	next.Server, next.missingSince, next.missingUntil = s, time.Time{}, time.Time{}
 	if s.ColdRemaining > 0 {
 		next.ColdUntil = now.Add(s.ColdRemaining)
 	}
@@ -140,7 +142,11 @@
 
 // Remove records that a server's entry has disappeared. While the store is unreachable,
 // or was until just now, that is no proof that the server has ended, see ReturnGrace.
-func (t *Table) Remove(id string, now time.Time) {
+func (t *Table) Remove(id string, now time.Time) { t.RemoveAfter(id, 0, now) }
+
+// RemoveAfter is Remove for an entry that may have expired in an outage of the store that this instance
+// has not noticed. It keeps the server in use for a time.
+func (t *Table) RemoveAfter(id string, hold time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	current := t.entries[id]
@@ -148,9 +154,11 @@
 		return
 	}
 	t.recordChange(current.Region, id)
-	if t.storeUnreachable || now.Sub(t.storeBackAt) < ReturnGrace {
+	hold = min(hold, ReturnGrace)
+	if t.storeUnreachable || now.Sub(t.storeBackAt) < ReturnGrace || hold > 0 {
 		next := *current
-		next.missingSince = now
+		next.missingSince, next.missingUntil = now, now.Add(hold)
+		t.holdRemovals(next.missingUntil)
 		t.entries[id] = &next
 		return
 	}
@@ -169,10 +177,26 @@
 	defer t.mu.Unlock()
 	if t.storeUnreachable && !unreachable {
 		t.storeBackAt = now
+		t.holdRemovals(now.Add(ReturnGrace))
 	}
 	t.storeUnreachable = unreachable
 }
 
+// holdRemovals extends the time in which removals may be due to an outage. The caller holds the lock.
+func (t *Table) holdRemovals(until time.Time) {
+	if until.After(t.removalsHeld) {
+		t.removalsHeld = until
+	}
+}
+
+// RemovalsHold returns for how long other instances have to keep removed servers in use, of whose
+// entries they learn from this one.
+func (t *Table) RemovalsHold(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(0, t.removalsHeld.Sub(now))
+}
+
 // Sweep removes servers whose entries are still missing after ReturnGrace, and expired notices.
 func (t *Table) Sweep(now time.Time) {
 	t.mu.Lock()
@@ -183,7 +207,7 @@
 		return
 	}
 	for _, e := range t.entries {
-		if !e.missingSince.IsZero() {
+		if !e.missingSince.IsZero() && !now.Before(e.missingUntil) {
 			t.removeEntry(e, now)
 			t.recordChange(e.Region, e.ID)
 		}
--- a/state/backends/backends_test.go
+++ b/state/backends/backends_test.go
@@ -129,3 +129,31 @@
 		}
 	}
 }
+
+// Guards against a removal that another instance passes on while the outage that may have caused it is
+// recent, and that is applied at once or held again by each later one.
+func TestRemovalAfterAnOutageThatOthersNoticed(t *testing.T) {
+	const hold = time.Second
+	table := New()
+	table.Put(server("lives"), start)
+	table.Put(server("gone"), start)
+	table.Put(server("later"), start)
+	table.RemoveAfter("lives", hold, start)
+	table.RemoveAfter("gone", hold, start)
+	if got := usable(table, start); len(got) != 3 || table.RemovalsHold(start) != hold {
+		t.Errorf("right after the removal: %v, held for %v", got, table.RemovalsHold(start))
+	}
+	table.Put(server("lives"), start.Add(hold/2))
+	table.RemoveAfter("later", hold, start.Add(hold/2))
+	table.Sweep(start.Add(hold))
+	if got := usable(table, start.Add(hold)); len(got) != 2 || got["gone"].ID != "" {
+		t.Errorf("after the hold: %v", got)
+	}
+	table.Remove("lives", start.Add(hold))
+	if got := usable(table, start.Add(hold)); len(got) != 1 || got["later"].ID == "" {
+		t.Errorf("after a removal without an outage: %v", got)
+	}
+	if end := start.Add(2 * hold); table.RemovalsHold(end) != 0 {
+		t.Errorf("held for %v after all", table.RemovalsHold(end))
+	}
+}
--- a/state/backends/restored.go
+++ b/state/backends/restored.go
@@ -12,6 +12,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.storeBackAt, t.storeRestoredAt = now, now
+	t.holdRemovals(now.Add(ReturnGrace))
 }
 
 // recentlyRestored reports whether the store may still show entries as they were in the copy. The
