Hand over cold servers before announcing that an instance leaves

What callers saw: for up to a second after an instance began to stop, it and its successor both sent to a cold server, each at the whole rate.

Cause: an instance computes who sends to cold servers when the entries of others change and once a second. Its own announcement is neither, so it went on as owner while its peers had the announcement.

Failing before: TestLeavingInstanceHandsOverItsColdServers, "s7 has the owners [front-0 front-1]". After: never two owners in two stops, and no server without an owner for more than 0.5 s.

The members are applied at once when the instance begins to stop, and the calls that apply them are ordered, so that one that read the table before can't put the earlier state back.

--- a/instance/routed/cold_test.go
+++ b/instance/routed/cold_test.go
@@ -1,6 +1,7 @@
 package routed
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,3 +33,49 @@
 		}
 	})
 }
+
+// coldServers are enough that each instance of a small region owns some.
+const coldServers = 24
+
+// watchColdOwners checks at each step of a time that no cold server has two owners, and returns for
+// how long the server that was longest without one had none.
+func (f *testFleet) watchColdOwners(d time.Duration) (longestUnowned time.Duration) {
+	const step = 5 * time.Millisecond
+	unowned := make(map[string]time.Duration)
+	for range d / step {
+		time.Sleep(step)
+		for s := range coldServers {
+			server := fmt.Sprint("s", s)
+			var owners []string
+			for _, n := range f.instances {
+				if n.ownsColdServer(server) {
+					owners = append(owners, n.settings.ID)
+				}
+			}
+			if len(owners) > 1 {
+				f.t.Fatalf("%s has the owners %v", server, owners)
+			}
+			unowned[server] += step
+			if len(owners) == 1 {
+				unowned[server] = 0
+			}
+			longestUnowned = max(longestUnowned, unowned[server])
+		}
+	}
+	return longestUnowned
+}
+
+// Guards against an instance that goes on sending to its cold servers while another one has learnt
+// that it leaves and sends to them too.
+func TestLeavingInstanceHandsOverItsColdServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startTestFleet(t, wideLink, wideLink, wideLink)
+		defer f.stop()
+		for _, n := range f.instances[:2] {
+			go func() { _ = n.Stop(t.Context()) }()
+			if unowned := f.watchColdOwners(2 * time.Second); unowned > 500*time.Millisecond {
+				t.Errorf("a server had no owner for %s", unowned)
+			}
+		}
+	})
+}
--- a/instance/routed/instance.go
+++ b/instance/routed/instance.go
@@ -76,6 +76,7 @@
 	ledgerConfig  int64
 	ledgerHolders int
 
+	membersMu       sync.Mutex               // orders the calls of applyMembers, so that an earlier state replaces no later one
 	appliedMembers  atomic.Value             // memberVersion that was last applied
 	regionMembers   atomic.Pointer[[]string] // ids of the live instances of the local region
 	coldOwners      rendezvous.Owners        // which instance of the region sends to a cold server
--- a/instance/routed/members.go
+++ b/instance/routed/members.go
@@ -195,6 +195,8 @@
 
 // applyMembers applies what the members report of quota shares, and which of them are live.
 func (n *Instance) applyMembers(now time.Time) {
+	n.membersMu.Lock()
+	defer n.membersMu.Unlock()
 	n.appliedMembers.Store(memberVersion{n.members.Changes(), n.shares.Hash()})
 	var regional []string
 	var peers []loadhub.Peer
--- a/instance/routed/stop.go
+++ b/instance/routed/stop.go
@@ -51,6 +51,7 @@
 	n.leaving.Store(true)
 	n.local.Waiting.Refuse()
 	n.members.UpdateSelf(began, func(m *peerpb.Member) { m.State = peerpb.MemberState_MEMBER_STATE_LEAVING })
+	n.applyMembers(began) // before others act on the announcement
 	n.triggerExchange()
 	n.log.Info("stopping", "grace_ms", n.settings.Bounds.Grace.Milliseconds())
 	sleep(ctx, time.Duration(serveFraction*float64(n.settings.Bounds.Grace)))
