Let one instance send to a cold server while all of a region leave

What callers saw: when all instances of a region stop in turn, a cold server gets the rate that is meant for all of them from each (nine requests in one second of 6.9 allowed, with three instances). It may crash, and its streams are lost.

Cause: instances that leave were not among those of which one sends to a cold server, and an instance that found nobody there took itself for the one.

Leaving instances own cold servers among themselves once no others are left. Each stops when it accepts no more requests; the others count it for as long after they learnt of its shutdown, which is later. So each view holds all that may own a server, and one more in it only leaves that one's servers without an owner (TestDifferentViewsYieldOneOwner). An instance that finds nobody owns nothing.

Ruled out: dividing the rate over the leaving instances, which needs no ownership, but with many of them a cold server would get next to nothing from each. TestStartingInstanceOwnsNoColdServer sets the new type of the field, and checks what it did.

--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -47,6 +47,8 @@
 	Entry       *peerpb.Member // read-only
 	LastContact time.Time      // when its heartbeat counter last rose in this table
 	Reachable   bool
+	// LeavingSince is when this table learnt that the instance is leaving; zero if it is not.
+	LeavingSince time.Time
 	// Loads is the last load report of its failure domain, and LoadsReceivedAt the time
 	// that report arrived; zero when there was none.
 	Loads           []*peerpb.ServiceLoad
@@ -68,6 +70,7 @@
 	entry           *peerpb.Member
 	heartbeat       uint64
 	lastContact     time.Time
+	leavingSince    time.Time // zero if it is not leaving
 	loads           []*peerpb.ServiceLoad
 	loadsReceivedAt time.Time
 }
@@ -119,6 +122,9 @@
 		next.Version++
 		t.index = nil
 	}
+	if leaving(next) && !leaving(r.entry) {
+		r.leavingSince = now
+	}
 	r.entry, r.lastContact = next, now
 }
 
@@ -259,6 +265,10 @@
 		next.lastContact = later(next.lastContact, r.lastContact)
 		next.entry.ConfigRevision = max(entry.GetConfigRevision(), r.entry.GetConfigRevision())
 		next.loads, next.loadsReceivedAt = r.loads, r.loadsReceivedAt
+		next.leavingSince = r.leavingSince
+	}
+	if leaving(entry) && next.leavingSince.IsZero() {
+		next.leavingSince = now
 	}
 	next.entry.Heartbeat, next.entry.HeardAgoMs = 0, 0
 	t.members[id] = next
@@ -354,7 +364,8 @@
 	out := make([]Member, len(records))
 	for i, r := range records {
 		out[i] = Member{
-			Entry: r.entry, LastContact: r.lastContact, Reachable: t.reachable(r.entry.GetId(), r, observed), Loads: r.loads, LoadsReceivedAt: r.loadsReceivedAt,
+			Entry: r.entry, LastContact: r.lastContact, Reachable: t.reachable(r.entry.GetId(), r, observed),
+			LeavingSince: r.leavingSince, Loads: r.loads, LoadsReceivedAt: r.loadsReceivedAt,
 		}
 	}
 	return out
--- a/instance/routed/cold_test.go
+++ b/instance/routed/cold_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/basilroute/basilroute/coordination/coldowner"
 )
 
 // Guards against a restarted region whose instances all send to the same cold server and
@@ -12,7 +14,7 @@
 func TestStartingInstanceOwnsNoColdServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := &Instance{settings: Settings{ID: "front-1"}, started: time.Now()}
-		n.regionMembers.Store(&[]string{"front-1"})
+		n.coldOwners.Store(coldowner.NewView([]coldowner.Member{{ID: "front-1"}}))
 		if n.ownsColdServer("s1") {
 			t.Error("owns a cold server before it knows of any other instance")
 		}
@@ -23,7 +25,7 @@
 		owners := 0
 		for _, id := range []string{"front-1", "front-2", "front-3"} {
 			n := &Instance{settings: Settings{ID: id}, started: time.Now().Add(-startupPeriod)}
-			n.regionMembers.Store(&[]string{"front-1", "front-2", "front-3"})
+			n.coldOwners.Store(coldowner.NewView([]coldowner.Member{{ID: "front-1"}, {ID: "front-2"}, {ID: "front-3"}}))
 			if n.ownsColdServer("s1") {
 				owners++
 			}
@@ -79,3 +81,28 @@
 		}
 	})
 }
+
+// Guards against a region in which all instances leave and each of them, or none, sends to the cold
+// servers.
+func TestColdServersHaveOneOwnerWhileAllInstancesLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startTestFleet(t, wideLink, wideLink, wideLink)
+		defer f.stop()
+		const gap = time.Second
+		for _, n := range f.instances {
+			go func() { _ = n.Stop(t.Context()) }()
+			if unowned := f.watchColdOwners(gap); unowned > gap/2 {
+				t.Errorf("a server had no owner for %s", unowned)
+			}
+		}
+		last := f.instances[2]
+		serves := time.Duration(serveFraction*float64(last.settings.Bounds.Grace)) - gap
+		if unowned := f.watchColdOwners(serves); unowned > gap/2 {
+			t.Errorf("a server had no owner for %s while an instance served", unowned)
+		}
+		time.Sleep(gap)
+		if last.ownsColdServer("s1") {
+			t.Error("an instance that serves no more owns a cold server")
+		}
+	})
+}
--- a/instance/routed/instance.go
+++ b/instance/routed/instance.go
@@ -14,12 +14,12 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"github.com/basilroute/basilroute/coordination/coldowner"
 	"github.com/basilroute/basilroute/coordination/loadhub"
 	"github.com/basilroute/basilroute/coordination/membership"
 	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/coordination/quota"
 	"github.com/basilroute/basilroute/coordination/quotashare"
-	"github.com/basilroute/basilroute/coordination/rendezvous"
 	"github.com/basilroute/basilroute/coordination/retry"
 	"github.com/basilroute/basilroute/protocol/peerpb"
 	"github.com/basilroute/basilroute/service/features"
@@ -79,13 +79,13 @@
 	membersMu       sync.Mutex               // orders the calls of applyMembers, so that an earlier state replaces no later one
 	appliedMembers  atomic.Value             // memberVersion that was last applied
 	regionMembers   atomic.Pointer[[]string] // ids of the live instances of the local region
-	coldOwners      rendezvous.Owners        // which instance of the region sends to a cold server
-	fleetSize       atomic.Int64             // instances that share the retry budget
-	liveSize        atomic.Int64             // instances that can be reached
-	unreachableAt   sync.Map                 // uptime at which a call last failed to reach an instance, by its id
-	exchanging      sync.Map                 // peer addresses with an exchange in progress
-	failures        sync.Map                 // consecutive failed exchanges, by peer address
-	holderAddresses sync.Map                 // peer address of each instance that shares the quotas, by id
+	coldOwners      atomic.Pointer[coldowner.View]
+	fleetSize       atomic.Int64 // instances that share the retry budget
+	liveSize        atomic.Int64 // instances that can be reached
+	unreachableAt   sync.Map     // uptime at which a call last failed to reach an instance, by its id
+	exchanging      sync.Map     // peer addresses with an exchange in progress
+	failures        sync.Map     // consecutive failed exchanges, by peer address
+	holderAddresses sync.Map     // peer address of each instance that shares the quotas, by id
 	exchangeTrigger chan struct{}
 	unreadable      prometheus.Counter
 	syncMetrics     *syncMetrics
@@ -163,6 +163,7 @@
 	n.exiting, n.exit = context.WithCancel(context.Background())
 	n.members = membership.New(n.selfEntry(), n.started)
 	n.regionMembers.Store(&[]string{settings.ID})
+	n.coldOwners.Store(coldowner.NewView([]coldowner.Member{{ID: settings.ID}}))
 	n.fleetSize.Store(1)
 	n.members.SetSeeds(n.staticSeeds())
 	n.initSyncs(source)
@@ -285,9 +286,11 @@
 			version = v
 			n.refreshPools(now)
 		}
+		if due || n.leaving.Load() { // what leaving instances own changes with the time
+			n.applyMembers(now)
+		}
 		if due {
 			swept = now
-			n.applyMembers(now)
 			n.builds.recordServers(n.backends.Builds(), now)
 			n.local.Client.Sweep()
 			n.front.Peers.Sweep()
--- a/instance/routed/members.go
+++ b/instance/routed/members.go
@@ -204,6 +204,7 @@
 	agreed := n.shares.AgreementHash()
 	members := n.members.Members(now)
 	n.builds.setMembers(n.settings.Region, n.settings.ID, members)
+	n.applyColdOwners(members, now)
 	for _, m := range members {
 		n.shares.ApplyReport(m.Entry.GetId(), quotashare.Report{
 			Incarnation: m.Entry.GetIncarnation(), Hash: m.Entry.GetQuotaHash(), AgreementHash: m.Entry.GetQuotaAgreed(),
--- a/instance/routed/stop.go
+++ b/instance/routed/stop.go
@@ -41,6 +41,11 @@
 	return max(time.Duration(ends)-time.Since(n.started), 1)
 }
 
+// serveTime returns how long a leaving instance accepts new requests.
+func (n *Instance) serveTime() time.Duration {
+	return time.Duration(serveFraction * float64(n.settings.Bounds.Grace))
+}
+
 // Stop shuts the instance down gracefully. It returns an error if requests in flight were
 // cut off at the end of the grace period.
 func (n *Instance) Stop(ctx context.Context) error {
@@ -54,7 +59,7 @@
 	n.applyMembers(began) // before others act on the announcement
 	n.triggerExchange()
 	n.log.Info("stopping", "grace_ms", n.settings.Bounds.Grace.Milliseconds())
-	sleep(ctx, time.Duration(serveFraction*float64(n.settings.Bounds.Grace)))
+	sleep(ctx, n.serveTime())
 	n.stopping.Store(true)
 	n.closeCallers(ctx)
 	for n.requestsInFlight() > 0 && ctx.Err() == nil {
--- a/instance/routed/storeitems.go
+++ b/instance/routed/storeitems.go
@@ -225,20 +225,6 @@
 	return out
 }
 
-// ownsColdServer reports whether this instance is the one of its region that sends requests
-// to a cold server. The server's rate limit applies to all instances together; a single
-// sender keeps it without coordination, and two that do not see each other stay below the
-// server's bound, which is more than twice the rate. An instance that has just started sees
-// only itself: when a whole region starts, each of its instances would send, and the server
-// would crash.
-func (n *Instance) ownsColdServer(server string) bool {
-	if n.uptime() < startupPeriod {
-		return false
-	}
-	members := n.regionMembers.Load()
-	return len(*members) == 0 || n.coldOwners.Of(server, members) == n.settings.ID
-}
-
 // updateLedger passes the accounts and the instances that share them to the ledger.
 func (n *Instance) updateLedger(config *routes.Config) {
 	n.ledgerMu.Lock()
