Keep a cut off instance that joined after the platform's list was read

What callers saw: nothing yet on its own. After 30 s of a cut, an instance that had joined later than the others had read the platform's list was forgotten by them, and counted as one that does not run, though it runs; rules that depend on how many instances may run were then off by it.

Cause: an unreachable instance that is not on the list was taken for one that the platform no longer lists. The list is read at the start, so it lacks all that joined since.

Failing before: TestCutOffInstanceThatJoinedAfterTheListIsKept, "1 of 5 instances know it" after 60 s. After: 5 of 5, and forgotten after the 15 minutes that hold for a cut. One that was on the list and is not any more is still forgotten after 30 s (TestInstanceThatIsNoLongerListedIsForgottenEarly, which passed before too).

--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -33,7 +33,8 @@
 	// entries that they had.
 	ForgetAfter = 15 * time.Minute
 	// forgetUnlistedAfter applies to an unreachable instance that announced its
-	// shutdown or that the platform no longer lists.
+	// shutdown or that the platform no longer lists. One that it has never listed may have
+	// joined since.
 	forgetUnlistedAfter = 30 * time.Second
 	// tombstoneTTL is how long stale gossip cannot add a forgotten instance again.
 	tombstoneTTL = 24 * time.Hour
@@ -90,6 +91,7 @@
 	tombstones   map[string]tombstone
 	seeds        []Seed
 	listed       map[string]bool // ids on the platform's list; nil before the first list
+	everListed   map[string]bool // ids that have been on it
 	lastRound    time.Time
 	rounds       uint64
 	relayedViews int                     // views of other domains that were relayed
@@ -105,6 +107,7 @@
 		self:       self.GetId(),
 		members:    map[string]*record{self.GetId(): {entry: self, heartbeat: 1, lastContact: now}},
 		tombstones: make(map[string]tombstone),
+		everListed: make(map[string]bool),
 		lastRound:  now,
 	}
 }
@@ -160,7 +163,7 @@
 			t.listed = make(map[string]bool, len(seeds))
 		}
 		if seed.ID != "" {
-			t.listed[seed.ID] = true
+			t.listed[seed.ID], t.everListed[seed.ID] = true, true
 		}
 		if seed.ID != t.self {
 			t.seeds = append(t.seeds, seed)
@@ -197,6 +200,7 @@
 		}
 		t.tombstones[id] = tombstone{r.entry.GetIncarnation(), r.heartbeat, r.entry.GetPeerAddress(), now.Add(tombstoneTTL)}
 		delete(t.members, id)
+		delete(t.everListed, id)
 		t.markChanged()
 	}
 	for id, g := range t.tombstones {
@@ -207,7 +211,7 @@
 }
 
 func (t *Table) retention(id string, r *record) time.Duration {
-	if leaving(r.entry) || t.listed != nil && !t.listed[id] {
+	if leaving(r.entry) || t.listed != nil && !t.listed[id] && t.everListed[id] {
 		return forgetUnlistedAfter
 	}
 	return ForgetAfter
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -265,3 +265,46 @@
 		t.Errorf("revisions took %d rounds to spread, the limit is 10", n)
 	}
 }
+
+// Guards against an instance that is forgotten while it is cut off because it joined after the others
+// had read the platform's list.
+func TestCutOffInstanceThatJoinedAfterTheListIsKept(t *testing.T) {
+	f := newFleet(4, 1)
+	late := f.add(4, 1).self
+	f.tables[address(4)].SetSeeds([]Seed{{PeerAddress: f.order[0]}})
+	f.rounds(10)
+	if got := f.count(f.allReachable(5)); got != 5 {
+		t.Fatalf("%d of 5 instances see all", got)
+	}
+	f.cut = func(from, to *peerpb.Member) bool { return from.GetId() == late || to.GetId() == late }
+	f.rounds(2 * int(forgetUnlistedAfter/RoundInterval))
+	knows := func(t *Table) bool {
+		_, ok := t.find(late, f.now)
+		return ok
+	}
+	if got := f.count(knows); got != 5 {
+		t.Errorf("%d of 5 instances know it", got)
+	}
+	f.rounds(int(ForgetAfter / RoundInterval))
+	if got := f.count(knows); got != 1 {
+		t.Errorf("%d of 5 instances know it after %s", got, ForgetAfter)
+	}
+}
+
+// Guards against an instance that the platform has dropped from its list and that stays for as long as
+// one that is cut off.
+func TestInstanceThatIsNoLongerListedIsForgottenEarly(t *testing.T) {
+	f := newFleet(4, 1)
+	f.rounds(10)
+	f.seedAll()
+	gone := f.tables[f.order[1]].self
+	f.down[f.order[1]] = true
+	f.seedAll()
+	f.rounds(int((forgetUnlistedAfter+unreachableAfterRelayed)/RoundInterval) + 1)
+	if got := f.count(func(t *Table) bool {
+		_, ok := t.find(gone, f.now)
+		return ok
+	}); got != 0 {
+		t.Errorf("%d of 3 instances know it", got)
+	}
+}
