Divide the rate of a cold server over the parts of a cut region

What callers saw: an instance that cannot reach the others of its region takes itself for the one that sends to cold servers. With the region in two parts a cold server gets twice its rate, in three parts three times (more than its bound for the usual rates); it may crash, and its streams are lost.

Cause: the sender was chosen among the instances in touch, and sent at the whole rate however many others may run out of touch.

An instance uses the share of the members in touch among all that may run. The share falls when a member has been silent for half of the time after which it is unreachable, so before the other side chooses another sender, and rises 2 s after it may: contact that comes back is noticed at different times. Instances that have announced their shutdown and accept no more requests don't count, nor do forgotten ones, so a single one left gets all of the rate in the end; until then a part of it. The next request's time follows from the last one's and the share now, as a share may rise in between (TestColdServerGetsTheShareOfItsRate).

The tests that set OwnsColdServer or the set of instances set their successors, and check what they did.

--- a/coordination/coldowner/coldowner_test.go
+++ b/coordination/coldowner/coldowner_test.go
@@ -7,11 +7,16 @@
 
 const servers = 200
 
+func inTouch(id string) Member { return Member{ID: id, Reachable: true, Confirmed: true} }
+
 // Guards against a server with two owners where views differ: one instance knows of a member's end,
 // or of its shutdown, before another one does.
 func TestDifferentViewsYieldOneOwner(t *testing.T) {
-	a, b, c := Member{ID: "a"}, Member{ID: "b"}, Member{ID: "c"}
-	leaving := func(m Member) Member { return Member{ID: m.ID, Leaving: true} }
+	a, b, c := inTouch("a"), inTouch("b"), inTouch("c")
+	leaving := func(m Member) Member {
+		m.Leaving = true
+		return m
+	}
 	for name, views := range map[string]map[string][]Member{
 		"one has ended":         {"a": {leaving(a), leaving(b)}, "b": {leaving(a), leaving(b), leaving(c)}},
 		"one leaves":            {"a": {a, b, leaving(c)}, "b": {a, b, c}, "c": {a, b, leaving(c)}},
@@ -21,7 +26,7 @@
 		for s := range servers {
 			owners := 0
 			for self, members := range views {
-				if NewView(members).Owner(fmt.Sprint("s", s)) == self {
+				if NewView(members).Share(fmt.Sprint("s", s), self) > 0 {
 					owners++
 				}
 			}
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -48,6 +48,7 @@
 	Entry       *peerpb.Member // read-only
 	LastContact time.Time      // when its heartbeat counter last rose in this table
 	Reachable   bool
+	Confirmed   bool // its counter rose within half of the time after which it is unreachable
 	// LeavingSince is when this table learnt that the instance is leaving; zero if it is not.
 	LeavingSince time.Time
 	// Loads is the last load report of its failure domain, and LoadsReceivedAt the time
@@ -227,11 +228,18 @@
 }
 
 func (t *Table) reachable(id string, r *record, observed time.Time) bool {
-	limit := UnreachableAfter
+	return id == t.self || observed.Sub(r.lastContact) < t.silenceLimit()
+}
+
+func (t *Table) confirmed(id string, r *record, observed time.Time) bool {
+	return id == t.self || observed.Sub(r.lastContact) < t.silenceLimit()/2
+}
+
+func (t *Table) silenceLimit() time.Duration {
 	if len(t.members) > maxFullMesh {
-		limit = unreachableAfterRelayed
+		return unreachableAfterRelayed
 	}
-	return id == t.self || observed.Sub(r.lastContact) < limit
+	return UnreachableAfter
 }
 
 // Merge applies entries that a peer sent.
@@ -369,6 +377,7 @@
 	for i, r := range records {
 		out[i] = Member{
 			Entry: r.entry, LastContact: r.lastContact, Reachable: t.reachable(r.entry.GetId(), r, observed),
+			Confirmed:    t.confirmed(r.entry.GetId(), r, observed),
 			LeavingSince: r.leavingSince, Loads: r.loads, LoadsReceivedAt: r.loadsReceivedAt,
 		}
 	}
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -51,11 +51,12 @@
 	CacheTokens          int     // prompt capacity of an engine's cache
 	FetchSecondsPerToken float64 // time in which a server fetches one cached token from another; 0 when servers do not exchange them
 	ColdRate             float64 // requests per second to a cold server from all instances together; 0 for no limit
-	OwnsColdServer       func(server string) bool
-	Features             features.Set
-	Precedence           routes.Precedence // among the service's requests
-	Instances            int               // of the region, this one included
-	Seed                 uint64            // of random choices; differs between instances
+	// ColdShare returns the share of ColdRate at which this instance may send to a server; nil for all of it.
+	ColdShare  func(server string) float64
+	Features   features.Set
+	Precedence routes.Precedence // among the service's requests
+	Instances  int               // of the region, this one included
+	Seed       uint64            // of random choices; differs between instances
 }
 
 const (
@@ -380,11 +381,17 @@
 	return s
 }
 
+// coldSlot returns when a cold server takes the next request of this instance, and whether it does now.
 func (p *Pool) coldSlot(s *server, now time.Time) (time.Time, bool) {
-	if p.settings.OwnsColdServer != nil && !p.settings.OwnsColdServer(s.ID) {
+	share := 1.0
+	if p.settings.ColdShare != nil {
+		share = p.settings.ColdShare(s.ID)
+	}
+	if share <= 0 {
 		return s.ColdUntil, false
 	}
-	return s.nextColdSlot, !now.Before(s.nextColdSlot)
+	next := s.coldSentAt.Add(seconds(1 / (p.settings.ColdRate * share)))
+	return next, !now.Before(next)
 }
 
 func (p *Pool) start(c *candidate, r *Request, now time.Time) *Placement {
@@ -402,7 +409,7 @@
 	p.meanUncached += (c.uncached - p.meanUncached) * uncachedWeight
 	p.recordDispatch(s, r.Segments)
 	if now.Before(s.ColdUntil) && p.settings.ColdRate > 0 {
-		s.nextColdSlot = now.Add(seconds(1 / p.settings.ColdRate))
+		s.coldSentAt = now
 	}
 	if now.Before(s.ejectedUntil) {
 		s.probedAt = now
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -100,8 +100,11 @@
 	cold := newEntries(1)
 	cold[0].ColdUntil = start.Add(3 * time.Second)
 	for _, owner := range []bool{true, false} {
-		p := New()
-		p.Update(Settings{Engine: true, Slots: 64, CacheTokens: 200_000, ColdRate: 2.6, OwnsColdServer: func(string) bool { return owner }}, cold)
+		p, share := New(), 0.0
+		if owner {
+			share = 1
+		}
+		p.Update(Settings{Engine: true, Slots: 64, CacheTokens: 200_000, ColdRate: 2.6, ColdShare: func(string) float64 { return share }}, cold)
 		var sent []time.Time
 		for at := start; at.Before(cold[0].ColdUntil); at = at.Add(10 * time.Millisecond) {
 			r := newPrompt(1, 10)
@@ -127,6 +130,34 @@
 	}
 }
 
+// Guards against an instance that sends to a cold server at more than its share of the rate, or that
+// keeps to a share that has changed.
+func TestColdServerGetsTheShareOfItsRate(t *testing.T) {
+	const coldRate = 2.0
+	cold := newEntries(1)
+	cold[0].ColdUntil = start.Add(time.Minute)
+	p, share := New(), 0.1
+	p.Update(Settings{Engine: true, Slots: 64, CacheTokens: 200_000, ColdRate: coldRate, ColdShare: func(string) float64 { return share }}, cold)
+	sent := func(from time.Duration) (count int) {
+		for at := start.Add(from); at.Before(start.Add(from + 20*time.Second)); at = at.Add(50 * time.Millisecond) {
+			r := newPrompt(1, 10)
+			r.Arrived, r.Deadline = at, at.Add(5*time.Second)
+			if c := p.Place(r, at); c.Placement != nil {
+				count++
+				p.Done(c.Placement, OutcomeServed, at)
+			}
+		}
+		return count
+	}
+	if got := sent(0); got != 4 {
+		t.Errorf("%d requests in 20 s at a tenth of the rate, want 4", got)
+	}
+	share = 1
+	if got := sent(20 * time.Second); got != 40 {
+		t.Errorf("%d requests in 20 s at the whole rate, want 40", got)
+	}
+}
+
 // The shared segments of a prompt are cached by one server, which is busy. The next request
 // with them goes to an idle server, which fetches them from the busy one, where servers
 // exchange cached tokens; where they do not, it waits at the busy one as long as that is faster.
--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -80,9 +80,9 @@
 	ejectedUntil      time.Time
 	ejectionDuration  time.Duration
 	probedAt          time.Time
-	down              bool // it accepts no connections
-	nextColdSlot      time.Time
-	cache             *cache // nil before the first prompt: in a large fleet most servers never get one from here
+	down              bool      // it accepts no connections
+	coldSentAt        time.Time // when this instance last sent it a request while it was cold
+	cache             *cache    // nil before the first prompt: in a large fleet most servers never get one from here
 }
 
 func newServer() *server {
--- a/instance/routed/coldservers.go
+++ b/instance/routed/coldservers.go
@@ -7,28 +7,27 @@
 	"github.com/basilroute/basilroute/coordination/membership"
 )
 
-// ownsColdServer reports whether this instance is the one of its region that sends requests
-// to a cold server. Two that do not see each other stay below the server's bound, which is
-// more than twice the rate. An instance that has just started sees only itself: when a whole
-// region starts, each of its instances would send, and the server would crash.
-func (n *Instance) ownsColdServer(server string) bool {
+// coldShare returns the share of a cold server's rate at which this instance may send to it. An
+// instance that has just started sees only itself: when a whole region starts, each of its
+// instances would send, and the server would crash.
+func (n *Instance) coldShare(server string) float64 {
 	if n.uptime() < startupPeriod || n.stopping.Load() {
-		return false
+		return 0
 	}
-	return n.coldOwners.Load().Owner(server) == n.settings.ID
+	return n.coldOwners.Load().Share(server, n.settings.ID)
 }
 
 // applyColdOwners applies the members of the region to the ownership of cold servers.
 func (n *Instance) applyColdOwners(members []membership.Member, now time.Time) {
 	var serving []coldowner.Member
 	for _, m := range members {
-		if m.Reachable && m.Entry.GetRegion() == n.settings.Region && n.mayServe(m, now) {
-			serving = append(serving, coldowner.Member{ID: m.Entry.GetId(), Leaving: m.Leaving()})
+		if m.Entry.GetRegion() == n.settings.Region && n.mayServe(m, now) {
+			serving = append(serving, coldowner.Member{
+				ID: m.Entry.GetId(), Leaving: m.Leaving(), Reachable: m.Reachable, Confirmed: m.Confirmed,
+			})
 		}
 	}
-	if view := coldowner.NewView(serving); !view.Equal(n.coldOwners.Load()) {
-		n.coldOwners.Store(view)
-	}
+	n.coldOwners.Store(n.coldOwners.Load().Next(serving, now))
 }
 
 // mayServe reports whether a member may still accept requests: it is not leaving, or has begun to
--- a/instance/routed/instance.go
+++ b/instance/routed/instance.go
@@ -163,7 +163,7 @@
 	n.exiting, n.exit = context.WithCancel(context.Background())
 	n.members = membership.New(n.selfEntry(), n.started)
 	n.regionMembers.Store(&[]string{settings.ID})
-	n.coldOwners.Store(coldowner.NewView([]coldowner.Member{{ID: settings.ID}}))
+	n.coldOwners.Store(coldowner.NewView([]coldowner.Member{{ID: settings.ID, Reachable: true, Confirmed: true}}))
 	n.fleetSize.Store(1)
 	n.members.SetSeeds(n.staticSeeds())
 	n.initSyncs(source)
--- a/instance/routed/storeitems.go
+++ b/instance/routed/storeitems.go
@@ -159,7 +159,7 @@
 
 func (n *Instance) poolSettings(svc *routes.Service) placement.Settings {
 	settings := placement.Settings{
-		ColdRate: svc.ColdRate, OwnsColdServer: n.ownsColdServer, Features: n.features,
+		ColdRate: svc.ColdRate, ColdShare: n.coldShare, Features: n.features,
 		Instances: len(*n.regionMembers.Load()), Seed: xxhash.Sum64String(n.settings.ID),
 	}
 	if svc.Engine != nil {
