Keep the distance between requests to a cold server when its sender changes

What callers saw: each change of the instance that sends to a cold server let the new one send at once, however shortly after the last request of the former one. A region that restarts instances in turn changes the sender often, and a cold server got one request more with each change.

Cause: an instance counted the time only from its own requests.

Failing before: TestColdServerThatIsHandedOverKeepsItsDistance, "sent 100 ms after the other instance may have". After: sent one interval after this instance last knew that another one sends.

An instance that may not send to a cold server takes it that the one that may has just done so.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -388,6 +388,7 @@
 		share = p.settings.ColdShare(s.ID)
 	}
 	if share <= 0 {
+		s.coldSentAt = now // by the instance that has the share, perhaps
 		return s.ColdUntil, false
 	}
 	next := s.coldSentAt.Add(seconds(1 / (p.settings.ColdRate * share)))
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -158,6 +158,31 @@
 	}
 }
 
+// Guards against a cold server that gets requests at a short distance from two instances, of which one
+// has just handed it over to the other.
+func TestColdServerThatIsHandedOverKeepsItsDistance(t *testing.T) {
+	const coldRate = 2.0
+	cold := newEntries(1)
+	cold[0].ColdUntil = start.Add(time.Minute)
+	p, share := New(), 0.0
+	p.Update(Settings{Engine: true, Slots: 64, CacheTokens: 200_000, ColdRate: coldRate, ColdShare: func(string) float64 { return share }}, cold)
+	place := func(at time.Duration) bool {
+		r := newPrompt(1, 10)
+		r.Arrived, r.Deadline = start.Add(at), start.Add(at+5*time.Second)
+		return p.Place(r, start.Add(at)).Placement != nil
+	}
+	if place(time.Second) {
+		t.Fatal("sent to another instance's cold server")
+	}
+	share = 1
+	if place(1100 * time.Millisecond) {
+		t.Error("sent 100 ms after the other instance may have")
+	}
+	if !place(1500 * time.Millisecond) {
+		t.Error("not sent although the other instance's request is long enough ago")
+	}
+}
+
 // The shared segments of a prompt are cached by one server, which is busy. The next request
 // with them goes to an idle server, which fetches them from the busy one, where servers
 // exchange cached tokens; where they do not, it waits at the busy one as long as that is faster.
