Let one instance try a part again while all of a region leave

What callers saw: a part of prompts that crashes servers is tried again by one request in the fleet; while the instances that saw the crashes stop, each of them let one through, and each could crash a server.

Cause: the one that tries is chosen among the instances that reported crashes and can be reached. Each counted itself, also when it was leaving, but no other one that was leaving.

Failing before: TestOneInstanceTriesAPartWhileAllLeave, "3 trials, want 1".

A leaving instance counts for as long as it may serve, for itself and for the others.

--- a/instance/routed/members.go
+++ b/instance/routed/members.go
@@ -239,10 +239,12 @@
 	return int(max(n.fleetSize.Load(), 1)), max(len(*n.regionMembers.Load()), 1)
 }
 
-// isReachable reports whether an instance with a hash of its id can be reached.
+// isReachable reports whether an instance with a hash of its id can be reached and may still serve.
+// One that is leaving does for a while, and counts itself.
 func (n *Instance) isReachable(idHash uint64) bool {
-	return slices.ContainsFunc(n.members.Members(time.Now()), func(m membership.Member) bool {
-		return m.Reachable && !m.Leaving() && quarantine.ReporterHash(m.Entry.GetId()) == idHash
+	now := time.Now()
+	return slices.ContainsFunc(n.members.Members(now), func(m membership.Member) bool {
+		return m.Reachable && n.mayServe(m, now) && quarantine.ReporterHash(m.Entry.GetId()) == idHash
 	})
 }
 
