Refuse a request that crashes servers after its first event

Callers saw sound streams cut again and again: a request that crashed its server after its first event had been passed on was never suspected, and took a server or two with it each time that it came.

Cause: a crash counted against a request only if none of its events had been passed on, as a server that crashes cuts many streams that are not to blame. No evidence was gathered over several crashes.

Now each crash counts for the fingerprints of all requests at the server, beside the parts of prompts, in the same judgement and exchange. What is at crashes at three moments is refused; crashes that it explains do not count against others. Answers in full clear a request, each with a chance of one in five, which follows from the rates of a request that crashes one time in three and of a sound one that is at a crash one time in twenty.

Failing before: TestRequestThatCrashesServersAfterItsFirstEventIsRefused, local and forwarded: the request came again with status 200, 5 servers of 5 crashed, and another stream got 503. After: 3 crash, 503, and the other stream is served. The tests of the judgement are on new functions and could not fail before.

--- a/coordination/quarantine/judge.go
+++ b/coordination/quarantine/judge.go
@@ -30,7 +30,7 @@
 		}
 		counted[part] = make(map[crashKey]partCrash)
 		for key, c := range crashes {
-			if !c.cleared() && (c.begun || !begun[key]) {
+			if !c.cleared() && (part.request() || c.begun || !begun[key]) {
 				counted[part][key] = c
 			}
 		}
@@ -44,6 +44,9 @@
 		explained := counted[worst[0]]
 		for _, part := range worst {
 			p.banned[part] = newBan(explained)
+			if part.request() {
+				p.lengthenTrials(part)
+			}
 			delete(counted, part)
 		}
 		for _, crashes := range counted {
@@ -72,29 +75,45 @@
 				latest = c.at
 			}
 		}
-		if len(crashes) == 0 || now.Sub(latest) >= CrashTTL {
+		ttl := CrashTTL
+		if part.request() && len(crashes) == 1 {
+			ttl = soleCrashTTL
+		}
+		if len(crashes) == 0 || now.Sub(latest) >= ttl {
 			delete(p.blamed, part)
 		}
 	}
 }
 
 // mostBlamed returns the parts that are blamed for crashes at the most moments, if these are partCrashLimit or more. Several parts
-// are returned only if they are blamed for the same crashes: nothing tells them apart.
+// are returned only if they are blamed for the same crashes: nothing tells them apart. A request comes before its parts, which
+// others share.
 func mostBlamed(counted map[PartKey]map[crashKey]partCrash) []PartKey {
 	var out []PartKey
 	most := partCrashLimit - 1
-	for _, part := range slices.SortedFunc(maps.Keys(counted), func(a, b PartKey) int { return cmp.Compare(a, b) }) {
+	for _, part := range slices.SortedFunc(maps.Keys(counted), requestsFirst) {
 		n := len(moments(counted[part]))
 		switch {
 		case n > most:
 			most, out = n, []PartKey{part}
-		case n == most && len(out) > 0 && sameCrashes(counted[part], counted[out[0]]):
+		case n == most && len(out) > 0 && out[0].request() == part.request() && sameCrashes(counted[part], counted[out[0]]):
 			out = append(out, part)
 		}
 	}
 	return out
 }
 
+// requestsFirst orders keys.
+func requestsFirst(a, b PartKey) int {
+	if a.request() != b.request() {
+		if a.request() {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a, b)
+}
+
 func sameCrashes(a, b map[crashKey]partCrash) bool {
 	return maps.EqualFunc(a, b, func(partCrash, partCrash) bool { return true })
 }
@@ -115,6 +134,14 @@
 	return out
 }
 
+// lengthenTrials lets all recent crashes of a banned request count for the time to its next trial: one that crashes servers
+// only sometimes is cleared of some in between.
+func (p *Parts) lengthenTrials(request PartKey) {
+	b := p.banned[request]
+	b.moments = len(moments(p.blamed[request]))
+	p.banned[request] = b
+}
+
 func newBan(crashes map[crashKey]partCrash) ban {
 	times := moments(crashes)
 	out := ban{moments: len(times)}
--- a/coordination/quarantine/partrecords.go
+++ b/coordination/quarantine/partrecords.go
@@ -43,7 +43,8 @@
 	p.judge(now)
 }
 
-// Records returns what to send to a peer: the parts with most crashes first, at most maxPartRecords.
+// Records returns what to send to a peer: what is blamed for most crashes first, at most maxPartRecords parts, and a bounded
+// number of crashes of requests.
 func (p *Parts) Records(now time.Time) []PartRecord {
 	if !p.anyBlamed.Load() {
 		return nil
@@ -59,12 +60,13 @@
 				r.Crashes = append(r.Crashes, c.message(key, now))
 			}
 		}
+		newestCrashes(&r)
 		if len(r.Crashes) > 0 {
 			out = append(out, r)
 		}
 	}
 	slices.SortFunc(out, func(a, b PartRecord) int { return blame(b) - blame(a) })
-	out = out[:min(len(out), maxPartRecords)]
+	out = p.boundRecords(out)
 	for _, r := range out {
 		p.recordTold(r)
 	}
--- a/coordination/quarantine/parts.go
+++ b/coordination/quarantine/parts.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -46,6 +47,10 @@
 // crashKey identifies a crash: the hash of its CrashID.
 type crashKey uint64
 
+func keyOfCrash(server, bootID string) crashKey {
+	return crashKey(xxhash.Sum64String(CrashID(server, bootID)))
+}
+
 // partCrash is a crash of which an instance has learned.
 type partCrash struct {
 	at        time.Time
@@ -69,6 +74,7 @@
 type Parts struct {
 	self  uint64                     // hash of this instance's id
 	alive func(reporter uint64) bool // whether another instance can be reached
+	draw  func(n int) int            // a random number from 0 to n-1
 
 	anyBanned atomic.Bool
 	anyBlamed atomic.Bool
@@ -91,7 +97,7 @@
 // NewParts returns an empty judgement for an instance. alive reports whether an instance with a hash of its id can be reached.
 func NewParts(instance string, alive func(reporter uint64) bool) *Parts {
 	return &Parts{
-		self: ReporterHash(instance), alive: alive, blamed: make(map[PartKey]map[crashKey]partCrash), banned: make(map[PartKey]ban),
+		self: ReporterHash(instance), alive: alive, draw: rand.IntN, blamed: make(map[PartKey]map[crashKey]partCrash), banned: make(map[PartKey]ban),
 		trials: make(map[PartKey]time.Time), recent: make(map[PartKey]time.Time),
 	}
 }
@@ -106,13 +112,18 @@
 	if p == nil || len(parts) == 0 {
 		return
 	}
-	key := crashKey(xxhash.Sum64String(CrashID(server, bootID)))
+	key := keyOfCrash(server, bootID)
 	p.mu.Lock()
 	for _, part := range parts {
 		p.add(part, key, partCrash{at: now, begun: begun, reporter: p.self})
 	}
 	p.judge(now)
 	p.mu.Unlock()
+	p.announceLater()
+}
+
+// announceLater tells the peers of a crash when most of what was at it is cleared.
+func (p *Parts) announceLater() {
 	if p.onCrash != nil {
 		time.AfterFunc(announceDelay, p.onCrash)
 	}
@@ -165,7 +176,7 @@
 	return out
 }
 
-// evict drops the part that is blamed least, unless all are banned. The caller holds the lock.
+// evict drops what is blamed least, requests before parts, unless all are banned. The caller holds the lock.
 func (p *Parts) evict() bool {
 	var least PartKey
 	fewest := maxCrashesPerPart + 1
@@ -179,7 +190,7 @@
 				count++
 			}
 		}
-		if count < fewest {
+		if count < fewest || count == fewest && part.request() && !least.request() {
 			least, fewest = part, count
 		}
 	}
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -44,6 +44,9 @@
 // reported its crashes, as requests with the part come there, the one with the highest score. A trial that is answered
 // clears the part everywhere. A part that was blamed wrongly is back after one trial.
 //
+// Whole requests are judged beside the parts, by all crashes that they were at, also after their first event: see RequestKey. Only
+// answers in full clear them, each with a chance of one in answersPerCrash.
+//
 // Each exchange between instances carries the blamed parts with their crashes, merged by union, and what was cleared of
 // them. Without a recent crash there are none.
 package quarantine
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -299,7 +299,7 @@
 	if until, bad := p.Local.Quarantine.Quarantined(o.print, time.Now()); bad {
 		return &failure{run: runNotRun, reason: reasonQuarantine, retryAfter: time.Until(until)}
 	}
-	if !o.trial && p.Local.Parts.Banned(o.parts, time.Now()) {
+	if !o.trial && p.Local.Parts.Banned(suspectsOf(o.print, o.parts), time.Now()) {
 		return &failure{run: runNotRun, reason: reasonQuarantine, retryAfter: quarantine.TrialInterval}
 	}
 	choice, failed := p.place(ctx, o)
@@ -354,7 +354,7 @@
 		if !options.local {
 			return notPlaced, nil
 		}
-		if !o.trial && p.Local.Parts.Banned(o.parts, now) {
+		if !o.trial && p.Local.Parts.Banned(suspectsOf(o.print, o.parts), now) {
 			return notPlaced, &failure{run: runNotRun, reason: reasonQuarantine, retryAfter: quarantine.TrialInterval}
 		}
 		var refused *failure
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -100,6 +100,7 @@
 	deadline     time.Time
 	print        string               // fingerprint of the request
 	parts        []quarantine.PartKey // parts of the prompt that may be blamed for a crash
+	suspects     []quarantine.PartKey // the parts and the request itself
 	trial        bool                 // it finds out whether its parts still crash servers
 	work         placement.Request
 	build        atomic.Pointer[placement.Build] // that the stream may go on at; nil before it has begun
@@ -300,6 +301,7 @@
 	r.deadline = r.arrived.Add(r.wait())
 	r.print = quarantine.Fingerprint(r.accountName(), r.service, r.method+" "+r.target+"\n"+string(r.body))
 	r.parts = partsOf(r.service, r.Segments)
+	r.suspects = suspectsOf(r.print, r.parts)
 	r.work = placement.Request{
 		Segments: r.Segments, Tokens: r.PromptTokens, Urgency: f.precedence(r).Rank(r.route, r.account), Objective: r.route.Objective, MaxEventGap: r.route.GapObjective,
 		Arrived: r.arrived, Deadline: r.deadline, Probe: r.route.Repeatable(),
--- a/transport/httproute/local.go
+++ b/transport/httproute/local.go
@@ -195,7 +195,10 @@
 	r.onEnd = func(outcome placement.Outcome) {
 		pool.Done(placed, outcome, time.Now())
 		l.Waiting.Wake(o.service)
-		if outcome == placement.OutcomeFailed {
+		switch outcome {
+		case placement.OutcomeServed:
+			l.Parts.RecordWholeAnswer(o.print, time.Now())
+		case placement.OutcomeFailed:
 			l.checkCrash(o, placed, blame{headReceived: true, begun: r.begun})
 		}
 	}
@@ -266,9 +269,9 @@
 }
 
 // checkCrash detects in the background whether the server's process ended while the
-// request was in flight, in which case connections to its address are refused. The crash
-// is recorded against the request's fingerprint and the parts of its prompt, unless the
-// server had answered in part: then the request is one of many that ran there.
+// request was in flight, in which case connections to its address are refused. The request
+// was at the crash, which counts against it if it is at more of them than others. If it had
+// no event yet, it is one of few, and its parts are blamed as well.
 func (l *LocalDispatcher) checkCrash(o *outbound, placed *placement.Placement, b blame) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
@@ -278,6 +281,7 @@
 		}
 		now := time.Now()
 		l.Pool(o.service).RecordDown(placed, now)
+		l.Parts.RecordRequestCrash(o.print, placed.Server.ID, incarnationName(placed), now)
 		if !b.begun {
 			l.Quarantine.RecordCrash(o.print, placed.Server.ID, incarnationName(placed), now)
 			l.Parts.RecordCrash(o.parts, placed.Server.ID, incarnationName(placed), b.headReceived, now)
--- a/transport/httproute/quarantine.go
+++ b/transport/httproute/quarantine.go
@@ -1,6 +1,7 @@
 package httproute
 
 import (
+	"slices"
 	"time"
 
 	"github.com/basilroute/basilroute/coordination/placement"
@@ -16,12 +17,17 @@
 	return quarantine.KeysOfParts(service, ids)
 }
 
+// suspectsOf returns the keys of all that may be blamed for a crash: a request with a fingerprint and the parts of its prompt.
+func suspectsOf(print string, parts []quarantine.PartKey) []quarantine.PartKey {
+	return append(slices.Clone(parts), quarantine.RequestKey(print))
+}
+
 // checkQuarantine refuses a request that crashed servers, or one with a part in its prompt that does.
 func (f *Front) checkQuarantine(r *request) *failure {
 	if until, bad := f.Quarantine.Quarantined(r.print, r.arrived); bad {
 		return &failure{run: runNotRun, reason: reasonQuarantine, retryAfter: time.Until(until)}
 	}
-	verdict, wait := f.Local.Parts.Admit(r.parts, r.arrived)
+	verdict, wait := f.Local.Parts.Admit(r.suspects, r.arrived)
 	if verdict == quarantine.Refused {
 		f.Metrics.partRefused(r.service)
 		return &failure{run: runNotRun, reason: reasonQuarantine, retryAfter: wait}
@@ -29,12 +35,12 @@
 	if verdict == quarantine.Trial {
 		r.trial = true
 		f.Metrics.partTried(r.service)
-		f.Log.Info("prompt_part_tried", "request", r.RequestID, "service", r.service, "parts", r.parts)
+		f.Log.Info("prompt_part_tried", "request", r.RequestID, "service", r.service, "parts", r.parts, "fingerprint", r.print)
 	}
 	return nil
 }
 
-// partsBanned reports whether requests with a part of the request's prompt have come to be refused since it was admitted.
+// partsBanned reports whether the request or those with a part of its prompt have come to be refused since it was admitted.
 func (f *Front) partsBanned(r *request, now time.Time) bool {
-	return !r.trial && f.Local.Parts.Banned(r.parts, now)
+	return !r.trial && f.Local.Parts.Banned(r.suspects, now)
 }
