Test that streams beside a request that crashes servers are served

Thirty sound streams at each of three crashes, of the same account, and one that is at two crashes in a row are served afterwards, while the request that crashes servers is refused.

--- a/transport/httproute/crashafterevent_test.go
+++ b/transport/httproute/crashafterevent_test.go
@@ -11,12 +11,14 @@
 	"time"
 
 	"github.com/basilroute/basilroute/coordination/placement"
+	"github.com/basilroute/basilroute/state/backends"
 )
 
 const (
 	crashingPath = "/chat/crashes"
 	// crashSpacing is the time between crashes that count as different moments.
 	crashSpacing = 300 * time.Millisecond
+	soundStreams = 30
 )
 
 // eventCrashServer is a backend server that crashes after the first event of a request for crashingPath. All other streams there
@@ -119,6 +121,57 @@
 	}
 }
 
+// Guards against sound streams that are refused because a request crashed the servers that ran them: thirty at each crash, of the
+// same account, and one that was at two crashes in a row.
+func TestStreamsBesideARequestThatCrashesServersAreServed(t *testing.T) {
+	f, front := newTestFront(t)
+	configure(f)
+	use := func(n int) *eventCrashServer {
+		s := startEventCrashServer(t)
+		now := time.Now()
+		f.Local.Backends.Remove(fmt.Sprint("s", n-1), now)
+		f.Local.Backends.Put(backends.Server{ID: fmt.Sprint("s", n), Service: "svc", Address: s.address, Domain: "d", Region: "r", Slots: 2 * soundStreams}, now)
+		f.Local.Pool("svc").Update(placement.Settings{Slots: 2 * soundStreams}, f.Local.Backends.InRegion("r", now))
+		return s
+	}
+	var sound []string
+	for n := range 3 {
+		s := use(n)
+		var beside []string
+		for i := range soundStreams {
+			beside = append(beside, fmt.Sprintf("/chat/sound-%d-%d", n, i))
+		}
+		sound = append(sound, beside...)
+		if n > 0 {
+			beside = append(beside, "/chat/unlucky")
+		}
+		var cut sync.WaitGroup
+		for _, path := range beside {
+			cut.Go(func() {
+				if resp, _, err := call(t, t.Context(), front, http.MethodGet, path, ""); err == nil && resp.StatusCode == http.StatusOK {
+					t.Errorf("%s is whole", path)
+				}
+			})
+		}
+		for arrivals([]*eventCrashServer{s}, "/chat/") < len(beside) {
+			time.Sleep(time.Millisecond)
+		}
+		_, _, _ = call(t, t.Context(), front, http.MethodGet, crashingPath, "") // is cut
+		cut.Wait()
+		time.Sleep(crashSpacing)
+	}
+	last := use(3)
+	close(last.release)
+	if resp, _, err := call(t, t.Context(), front, http.MethodGet, crashingPath, ""); err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("the request that crashes servers: %v, %v", resp, err)
+	}
+	for _, path := range append(sound, "/chat/unlucky") {
+		if resp, body, err := call(t, t.Context(), front, http.MethodGet, path, ""); err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("%s: %v, %q, %v", path, resp, body, err)
+		}
+	}
+}
+
 // arrivals returns how many requests for a path have reached servers.
 func arrivals(servers []*eventCrashServer, path string) (n int) {
 	for _, s := range servers {
