Recover from a panic of a try at another server

What callers would have seen: the end of all requests of an instance. A try runs in the goroutine of the idle timeout, in which a panic ends the process; the recovery of the handlers does not reach there. No such panic is known.

TestPanicOfATryKeepsTheSilentServer ended the test process before ("panic: armed"); now it is logged as handler_panicked, the try counts as failed, and the silent server keeps the request.

--- a/transport/httproute/handover.go
+++ b/transport/httproute/handover.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/basilroute/basilroute/coordination/placement"
 	"github.com/basilroute/basilroute/state/routes"
 	"github.com/basilroute/basilroute/transport/backendhttp"
@@ -22,14 +24,14 @@
 	ctx   context.Context
 
 	mu          sync.Mutex
-	turn        int      // rises with each holder, so that an idle timeout of an earlier one has no effect
-	current     *tryElse // nil if none runs and none has succeeded
-	failed      *failure // of the tries in this turn
-	lastEventID string   // of the last event that the caller gets
+	turn        int       // rises with each holder, so that an idle timeout of an earlier one has no effect
+	current     *takeover // nil if none runs and none has succeeded
+	failed      *failure  // of the tries in this turn
+	lastEventID string    // of the last event that the caller gets
 }
 
-// tryElse is one try to find a server in the holder's place.
-type tryElse struct {
+// takeover is one try to find a server that takes the holder's place.
+type takeover struct {
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   chan struct{} // closed when the fields below are set
@@ -57,25 +59,36 @@
 	if t == nil {
 		return false
 	}
-	t.reply, t.failed = h.front.sendInstead(t.ctx, h.r, lastEventID)
+	t.reply, t.failed = h.sendInstead(t.ctx, lastEventID)
 	return h.end(t)
 }
 
+// sendInstead recovers from a panic, which in the goroutine of a timer would end the process with all its requests.
+func (h *handover) sendInstead(ctx context.Context, lastEventID string) (rep *reply, failed *failure) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			logPanic(h.front.Log, h.r.RequestID, cause)
+			rep, failed = nil, &failure{run: runUnknown, reason: reasonPanic, sent: true, cause: errors.Newf("panic: %v", cause)}
+		}
+	}()
+	return h.front.sendInstead(ctx, h.r, lastEventID)
+}
+
 // begin returns nil if the turn is over, a try has not been settled, or the holder goes on. It asks for the latter under the
 // lock: keep, which follows on the data of the holder, finds the try then.
-func (h *handover) begin(turn int, stillIdle func() bool) (t *tryElse, lastEventID string) {
+func (h *handover) begin(turn int, stillIdle func() bool) (t *takeover, lastEventID string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if turn != h.turn || h.current != nil || h.ctx.Err() != nil || !stillIdle() {
 		return nil, ""
 	}
-	h.current = &tryElse{done: make(chan struct{})}
+	h.current = &takeover{done: make(chan struct{})}
 	h.current.ctx, h.current.cancel = context.WithCancel(h.ctx)
 	return h.current, h.lastEventID
 }
 
 // end reports whether the try has succeeded.
-func (h *handover) end(t *tryElse) bool {
+func (h *handover) end(t *takeover) bool {
 	defer close(t.done)
 	if t.reply != nil {
 		ended := t.reply.onEnd
@@ -130,7 +143,7 @@
 }
 
 // discard cancels the try and waits for its end.
-func (t *tryElse) discard() {
+func (t *takeover) discard() {
 	t.cancel()
 	<-t.done
 	if t.reply != nil {
--- a/transport/httproute/silence_test.go
+++ b/transport/httproute/silence_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -125,3 +126,31 @@
 		t.Errorf("took %s, the route's timeout is %s", took, limit)
 	}
 }
+
+// armedRemotes panics once it is armed.
+type armedRemotes struct {
+	noRemotes
+	armed *atomic.Bool
+}
+
+func (a armedRemotes) InstanceCounts() (fleet, region int) {
+	if a.armed.Load() {
+		panic("armed")
+	}
+	return a.noRemotes.InstanceCounts()
+}
+
+// Guards against a process that ends with all its requests because a try at another server panicked.
+func TestPanicOfATryKeepsTheSilentServer(t *testing.T) {
+	var armed atomic.Bool
+	script := func(c net.Conn, r *http.Request) bool {
+		armed.Store(true)
+		return pausingStream(c, r)
+	}
+	f, front := newTestFront(t, startFakeServer(t, script), startFakeServer(t, script))
+	configure(f)
+	f.Remotes = armedRemotes{armed: &armed}
+	if _, body, err := call(t, t.Context(), front, "POST", "/draft/1", "x"); err != nil || strings.Count(body, "data:") != 4 {
+		t.Errorf("%q, %v", body, err)
+	}
+}
