--- a/coordination/membership/exchange.go
+++ b/coordination/membership/exchange.go
@@ -344,17 +344,10 @@
 }
 
 // applyLoads applies the load report of the sender's domain. It also replaces that of
-// members of the domain whose own last report is older than loadReportMaxAge. A report
-// without loads applies to the sender only: it has not read the list of backend servers
-// yet, or has not reached one.
+// members of the domain whose own last report is older than loadReportMaxAge.
 func (t *Table) applyLoads(from string, loads []*peerpb.ServiceLoad, now time.Time) {
 	sender, ok := t.members[from]
-	if !ok || from == t.self {
-		return
-	}
-	sender.reportedAt = now
-	if len(loads) == 0 {
-		sender.loads, sender.loadsReceivedAt = nil, time.Time{}
+	if !ok || from == t.self || len(loads) == 0 {
 		return
 	}
 	sender.loadsReceivedAt = now
@@ -362,7 +355,7 @@
 		if id == t.self || r.entry.GetDomain() != sender.entry.GetDomain() {
 			continue
 		}
-		if r != sender && now.Sub(r.reportedAt) < loadReportMaxAge {
+		if r != sender && now.Sub(r.loadsReceivedAt) < loadReportMaxAge {
 			continue
 		}
 		r.loads = loads
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -73,7 +73,6 @@
 	heartbeat       uint64
 	lastContact     time.Time
 	leavingSince    time.Time // zero if it is not leaving
-	reportedAt      time.Time // when its own last load report arrived, also one without loads
 	loads           []*peerpb.ServiceLoad
 	loadsReceivedAt time.Time
 }
@@ -277,7 +276,7 @@
 		next.heartbeat = max(next.heartbeat, r.heartbeat)
 		next.lastContact = later(next.lastContact, r.lastContact)
 		next.entry.ConfigRevision = max(entry.GetConfigRevision(), r.entry.GetConfigRevision())
-		next.reportedAt, next.loads, next.loadsReceivedAt = r.reportedAt, r.loads, r.loadsReceivedAt
+		next.loads, next.loadsReceivedAt = r.loads, r.loadsReceivedAt
 		next.leavingSince = r.leavingSince
 	}
 	if leaving(entry) && next.leavingSince.IsZero() {
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -308,32 +308,3 @@
 		t.Errorf("%d of 3 instances know it", got)
 	}
 }
-
-// Guards against requests that are forwarded to an instance which has reported that it knows
-// no backend server, because another instance of its failure domain knows one.
-func TestReportWithoutServersCountsForItsSender(t *testing.T) {
-	loads := []*peerpb.ServiceLoad{{Service: "lm", Servers: 1}}
-	for _, c := range []struct {
-		name    string
-		reports [][]*peerpb.ServiceLoad // of the sibling and of the instance, alternating
-	}{
-		{"first report", [][]*peerpb.ServiceLoad{loads, nil}},
-		{"before the sibling's", [][]*peerpb.ServiceLoad{nil, nil, loads}},
-		{"after its servers have left", [][]*peerpb.ServiceLoad{loads, loads, loads, nil, loads}},
-	} {
-		now := time.Unix(1, 0)
-		table := New(entry(0, 1), now)
-		senders := []*peerpb.Member{entry(1, 1), entry(1+testDomains, 1)}
-		table.Merge(senders, now)
-		for n, report := range c.reports {
-			sender := senders[n%len(senders)]
-			table.Respond(&peerpb.ExchangeRequest{From: sender.GetId(), View: New(sender, now).Request(nil).GetView(), Loads: report}, now)
-		}
-		if m, ok := table.find(senders[0].GetId(), now); !ok || len(m.Loads) != 1 {
-			t.Errorf("%s: sibling known %t, loads %v", c.name, ok, m.Loads)
-		}
-		if m, ok := table.find(senders[1].GetId(), now); !ok || len(m.Loads) != 0 || !m.LoadsReceivedAt.IsZero() {
-			t.Errorf("%s: instance known %t, loads %v of %s", c.name, ok, m.Loads, m.LoadsReceivedAt)
-		}
-	}
-}
--- a/transport/dispatch/front.go
+++ b/transport/dispatch/front.go
@@ -225,7 +225,7 @@
 	}
 	if chosen.PeerAddress == "" {
 		err := f.Local.Run(ctx, w, sink)
-		f.exclude(request, w, chosen, err)
+		f.exclude(request, chosen, err)
 		return err
 	}
 	f.countForward(w, chosen)
@@ -233,7 +233,7 @@
 	next.Hop = w.Hop + 1
 	next.domain = chosen.Name
 	err := f.Forwarder.Forward(ctx, chosen.PeerAddress, &next, sink)
-	f.exclude(request, w, chosen, err)
+	f.exclude(request, chosen, err)
 	return err
 }
 
@@ -252,49 +252,19 @@
 	if w.designated {
 		return routing.Designate(request, xxhash.Sum64String(fingerprint), &local, peers)
 	}
-	chosen := f.Router.ChooseDomain(request, &local, peers)
-	if chosen == nil && readmit(request, w) {
-		chosen = f.Router.ChooseDomain(request, &local, peers)
-	}
-	return chosen
-}
-
-// readmit excludes the instances that had no server in place of their failure domains, and
-// reports whether there were any. The other instances of such a domain may have one: each
-// reads the list of servers and polls them on its own.
-func readmit(request *routing.Request, w *Work) bool {
-	peers := w.withoutServer
-	w.withoutServer = nil
-	for domain, peer := range peers {
-		delete(request.Exclude, domain)
-		request.Exclude[peer] = true
-	}
-	return len(peers) > 0
-}
-
-// recordNoServer records the instance of another domain that had no server.
-func (w *Work) recordNoServer(d *routing.Domain) {
-	if w.withoutServer == nil {
-		w.withoutServer = make(map[string]string)
-	}
-	w.withoutServer[d.Name] = d.PeerID
+	return f.Router.ChooseDomain(request, &local, peers)
 }
 
 // exclude excludes from the request's further attempts a domain that refused it or an
 // instance that is unreachable.
-func (f *Front) exclude(request *routing.Request, w *Work, d *routing.Domain, err error) {
+func (f *Front) exclude(request *routing.Request, d *routing.Domain, err error) {
 	if err == nil {
 		return
 	}
 	switch refusal.FromError(err).Code {
 	case refusal.CodePeerUnreachable, refusal.CodeLeaving:
 		request.Exclude[d.PeerID] = true
-	case refusal.CodeOverloaded:
-		request.Exclude[d.Name] = true
-	case refusal.CodeNoServer:
-		if d.PeerAddress != "" && !request.Exclude[d.Name] {
-			w.recordNoServer(d)
-		}
+	case refusal.CodeOverloaded, refusal.CodeNoServer:
 		request.Exclude[d.Name] = true
 	}
 }
--- a/transport/dispatch/front_test.go
+++ b/transport/dispatch/front_test.go
@@ -101,44 +101,6 @@
 	})
 }
 
-// Guards against a refused caller when one instance of a failure domain knows no backend
-// server and another one there does.
-func TestInstanceWithoutServerDoesNotExcludeItsDomain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		none := noServer("notice-writer")
-		p := &fakePeerSet{
-			domains: []routing.Domain{remoteDomain("a", "a1", 0), remoteDomain("a", "a2", 0)},
-			answer:  answerOK,
-		}
-		p.onForward = func() { // the instance that is asked first has no server
-			if len(p.called) == 1 {
-				p.script = map[string][]error{p.called[0]: {none, none}}
-			}
-		}
-		err := newTestFront(p).runAttempts(t.Context(), modelService, testWork(), &usage{Sink: discardSink{}})
-		if err != nil || len(p.called) != 2 || p.called[1] == p.called[0] {
-			t.Errorf("called %v, then %v", p.called, err)
-		}
-	})
-}
-
-// Guards against a second attempt in a failure domain without backend servers while another
-// domain has one.
-func TestInstanceWithoutServerIsFollowedByAnotherDomain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		none := noServer("notice-writer")
-		p := &fakePeerSet{
-			domains: []routing.Domain{remoteDomain("a", "a1", 0), remoteDomain("a", "a2", 0), remoteDomain("b", "b1", time.Second)},
-			script:  map[string][]error{"a1": {none}, "a2": {none}},
-			answer:  answerOK,
-		}
-		err := newTestFront(p).runAttempts(t.Context(), modelService, testWork(), &usage{Sink: discardSink{}})
-		if err != nil || len(p.called) != 2 || p.called[1] != "b1" {
-			t.Errorf("called %v, then %v", p.called, err)
-		}
-	})
-}
-
 // Every domain's queue refuses. The caller is refused at once, with the retry time that a
 // queue gave.
 func TestAllQueuesFullIsRefusedAtOnce(t *testing.T) {
--- a/transport/dispatch/work.go
+++ b/transport/dispatch/work.go
@@ -29,7 +29,6 @@
 
 	ConfigRevision int64                // revision at the first instance, on forwarded work
 	triedServers   []string             // servers of the local domain that failed this request
-	withoutServer  map[string]string    // instance that had no server, by its excluded domain
 	fingerprint    string               // set by quarantineKey
 	partKeys       []quarantine.PartKey // set by parts
 	trial          bool                 // it finds out whether a part of its prompt still crashes servers
