Say of every request that the exit ends that the instance stops

The context of an attempt that runs on after its caller and that of its request end by the exit in goroutines of their own, and the reason was read from the second when only the first had ended.

--- a/transport/httproute/leaving.go
+++ b/transport/httproute/leaving.go
@@ -28,7 +28,7 @@
 	ctx, cancel := f.untilExit(ctx)
 	defer cancel()
 	refused := f.attemptAll(ctx, w, r)
-	if refused != nil && errors.Is(context.Cause(ctx), errExit) {
+	if refused != nil && f.exiting() {
 		refused.reason = reasonStopping
 	}
 	f.recordDuration(ctx, r, refused)
@@ -37,6 +37,10 @@
 
 var errExit = errors.New("the instance exits")
 
+// exiting reports whether the requests in flight are being cut. The context of an attempt may end by it before that of its
+// request.
+func (f *Front) exiting() bool { return f.Exit != nil && f.Exit.Err() != nil }
+
 // untilExit returns a context that also ends when the instance exits.
 func (f *Front) untilExit(ctx context.Context) (context.Context, context.CancelFunc) {
 	if f.Exit == nil {
