--- /dev/null
+++ b/review/.rig2/spoilt.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	spoiltWorkers  = 3
+	spoiltAffected = 2    // of the workers: the share of the disturbance, 0.6, rounded
+	spoiltShare    = 0.03 // of the answers of an affected worker
+	spoiltRequests = 600
+	spoiltPause    = 20 * time.Millisecond
+	stampHeader    = "X-Basilroute-Server-Stamp"
+)
+
+// spoilt sends requests to workers of which some hand out wrong bytes now and then: an answer without the
+// worker's proof, to the request in question.
+func spoilt(g *rig) (bool, string) {
+	g.store.set("op/config", map[string]any{
+		"version": 7,
+		"routes": []any{
+			map[string]any{"name": "order", "host": host, "path_prefix": "/order/", "kind": "non_idempotent", "timeout_ms": 3000,
+				"target_latency_ms": 600, "priority": 2, "service": "ledger", "max_attempts": 1, "public": false},
+			map[string]any{"name": "status", "host": host, "path_prefix": "/status/", "kind": "idempotent", "timeout_ms": 3000,
+				"target_latency_ms": 600, "priority": 2, "service": "ledger", "max_attempts": 2, "public": false},
+		},
+		"services": []any{map[string]any{"name": "ledger", "max_conns": 110}},
+		"limits":   limits,
+		"tenants":  []any{grocers},
+	})
+	for i := range spoiltWorkers {
+		w := &worker{rig: g, name: fmt.Sprintf("i-ledger-%d", i), service: "ledger", zone: "suva-a"}
+		affected := i < spoiltAffected
+		w.handle = func(w *worker, life int, c net.Conn, r *http.Request, _ string) bool {
+			id := r.Header.Get("X-Basilroute-Request-Id")
+			if g.trouble && affected && rand.Float64() < spoiltShare {
+				g.note("%s spoils its answer to %s", w.id(life), id)
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Basilroute-Request-Id: %s\r\nContent-Length: 4\r\n\r\n\x00\x01\x02\x03", id)
+				return true
+			}
+			fmt.Fprint(c, head(w, life, r, "Content-Length: 4\r\n")+"done")
+			return true
+		}
+		w.start()
+	}
+	g.addInstances("suva-a", 3)
+	time.Sleep(2 * time.Second)
+	answers, unproved := make(map[string]int), 0
+	for i := range spoiltRequests {
+		id, path := newID(), []string{"/order/1", "/status/1"}[i%2]
+		a := g.send(g.anyInstance().front, path, id, "x", 3*time.Second)
+		stamped := a.header.Get(stampHeader) != ""
+		answers[fmt.Sprintf("status %d with proof %t", a.status, stamped)]++
+		if a.status/100 == 2 && !stamped {
+			unproved++
+			g.note("%s %s: status %d without proof, body %q", id, path, a.status, a.body)
+		}
+		time.Sleep(spoiltPause)
+	}
+	return unproved > 0, fmt.Sprintf("%d of %d requests got a success without proof; answers %v", unproved, spoiltRequests, answers)
+}
