--- a/review/.rig2/replaced.go
+++ b/review/.rig2/replaced.go
@@ -23,7 +23,7 @@
 // replaced replaces the machines of a fleet one after the other, the last one in a loss of power of all. The
 // others come back. A tenant asks for a seventh of its rate.
 func replaced(g *rig) (bool, string) {
-	g.store.set("op/config", map[string]any{
+	config := map[string]any{
 		"version": 7,
 		"routes": []any{map[string]any{"name": "order", "host": host, "path_prefix": "/order/", "kind": "non_idempotent", "timeout_ms": 3000,
 			"target_latency_ms": 600, "priority": 2, "service": "ledger", "max_attempts": 1, "public": false}},
@@ -31,7 +31,8 @@
 		"limits":   limits,
 		"tenants": []any{map[string]any{"name": "grocers", "api_keys": []string{key}, "unit": "token_budget", "plain_tokens": replacedTokens,
 			"rate_per_s": replacedRate, "burst": 2 * replacedRate}},
-	})
+	}
+	g.store.set("op/config", config)
 	for i := range 3 {
 		w := &worker{rig: g, name: fmt.Sprintf("i-ledger-%d", i), service: "ledger", zone: "suva-a"}
 		w.handle = func(w *worker, life int, c net.Conn, r *http.Request, _ string) bool {
@@ -68,6 +69,8 @@
 		}
 	}
 	time.Sleep(time.Until(fault))
+	config["version"] = 12 // otherwise as before: the final fault follows its confirmation
+	g.store.set("op/config", config)
 	g.losePower()
 	<-done
 	result := fmt.Sprintf("before the final fault served %d of %d (statuses %v); from %s after it served %d of %d (statuses %v)",
--- a/review/.rig2/spoilt.go
+++ b/review/.rig2/spoilt.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,8 +13,10 @@
 	spoiltWorkers  = 5
 	spoiltAffected = 3    // of the workers: a share of 0.6
 	spoiltShare    = 0.03 // of the answers of an affected worker
-	spoiltRequests = 600
-	spoiltPause    = 20 * time.Millisecond
+	spoiltRequests = 1200
+	spoiltPause    = 10 * time.Millisecond
+	spoiltFrom     = 2 * time.Second // after the begin of the traffic
+	spoiltFor      = 5 * time.Second // the length of the disturbance
 	stampHeader    = "X-Basilroute-Server-Stamp"
 )
 
@@ -32,12 +35,15 @@
 		"limits":   limits,
 		"tenants":  []any{grocers},
 	})
+	var spoilFrom atomic.Pointer[time.Time] // nil before the traffic
 	for i := range spoiltWorkers {
 		w := &worker{rig: g, name: fmt.Sprintf("i-ledger-%d", i), service: "ledger", zone: "suva-a"}
 		affected := i < spoiltAffected
 		w.handle = func(w *worker, life int, c net.Conn, r *http.Request, _ string) bool {
 			id := r.Header.Get("X-Basilroute-Request-Id")
-			if g.trouble && affected && rand.Float64() < spoiltShare {
+			from := spoilFrom.Load()
+			spoils := from != nil && time.Since(*from) >= 0 && time.Since(*from) < spoiltFor
+			if g.trouble && affected && spoils && rand.Float64() < spoiltShare {
 				g.note("%s spoils its answer to %s", w.id(life), id)
 				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Basilroute-Request-Id: %s\r\nContent-Length: 4\r\n\r\n\x00\x01\x02\x03", id)
 				return true
@@ -49,6 +55,8 @@
 	}
 	g.addInstances("suva-a", 3)
 	time.Sleep(2 * time.Second)
+	from := time.Now().Add(spoiltFrom)
+	spoilFrom.Store(&from)
 	answers, unproved := make(map[string]int), 0
 	for i := range spoiltRequests {
 		id, path := newID(), []string{"/order/1", "/status/1"}[i%2]
