Judge requests by their answers too, not by their crashes alone

Cause: quarantine.List counted crashes by fingerprint and refused what had been at two for 15 minutes. Equal requests of many callers share a fingerprint and are in flight at nearly each crash. No answer and no trial took a crash off the list.

Ruled out: a configuration that is not in force (799 of 799 lookups served before the first crash), servers taken for dead (orders to the same ones), GET and crashes of two at one moment (the users' runs with one at a time and equal POSTs broke as well).

The routed path now has one judgement, quarantine.Parts, which counts answers. Crashes before the first event weigh more there: two moments, or three crashes, refuse. An answer takes one of them off by a chance of one in 20; a refused request is tried after a second, then in a row, and twelve answers free it. Once a trial has crashed a server the next ones wait 12, 48, 192 s, answered or not, as a request that crashes every third server is answered as well. Trials of requests after their first event follow the same rule; one answer freed these before.

Before: TestEqualSoundRequestsAreServedAfterCrashes serves 0 of 300 after the second crash.

--- a/coordination/quarantine/judge.go
+++ b/coordination/quarantine/judge.go
@@ -18,9 +18,9 @@
 	p.changed, p.judgedAt = false, now
 	p.expire(now)
 	begun := make(map[crashKey]bool) // crashes of servers that had begun a response
-	for _, crashes := range p.blamed {
+	for part, crashes := range p.blamed {
 		for key, c := range crashes {
-			begun[key] = begun[key] || c.begun
+			begun[key] = begun[key] || c.begun && !part.request()
 		}
 	}
 	counted := make(map[PartKey]map[crashKey]partCrash)
@@ -36,6 +36,7 @@
 		}
 	}
 	clear(p.banned)
+	explainedBy := make(map[crashKey]PartKey)
 	for {
 		worst := mostBlamed(counted)
 		if len(worst) == 0 {
@@ -44,8 +45,8 @@
 		explained := counted[worst[0]]
 		for _, part := range worst {
 			p.banned[part] = newBan(explained)
-			if part.request() {
-				p.lengthenTrials(part)
+			for key := range explained {
+				explainedBy[key] = part
 			}
 			delete(counted, part)
 		}
@@ -53,6 +54,7 @@
 			maps.DeleteFunc(crashes, func(key crashKey, _ partCrash) bool { _, ok := explained[key]; return ok })
 		}
 	}
+	p.banEarly(explainedBy)
 	for part := range p.trials {
 		if _, banned := p.banned[part]; !banned {
 			delete(p.trials, part)
@@ -76,7 +78,7 @@
 			}
 		}
 		ttl := CrashTTL
-		if part.request() && len(crashes) == 1 {
+		if part.request() && len(crashes) == 1 && allBegun(crashes) {
 			ttl = soleCrashTTL
 		}
 		if len(crashes) == 0 || now.Sub(latest) >= ttl {
@@ -134,17 +136,18 @@
 	return out
 }
 
-// lengthenTrials lets all recent crashes of a banned request count for the time to its next trial: one that crashes servers
-// only sometimes is cleared of some in between.
-func (p *Parts) lengthenTrials(request PartKey) {
-	b := p.banned[request]
-	b.moments = len(moments(p.blamed[request]))
-	p.banned[request] = b
+func allBegun(crashes map[crashKey]partCrash) bool {
+	for _, c := range crashes {
+		if !c.begun {
+			return false
+		}
+	}
+	return true
 }
 
 func newBan(crashes map[crashKey]partCrash) ban {
 	times := moments(crashes)
-	out := ban{moments: len(times)}
+	out := ban{moments: len(times), limit: partCrashLimit}
 	for _, c := range crashes {
 		if c.at.After(out.lastCrash) {
 			out.lastCrash = c.at
--- a/coordination/quarantine/parts.go
+++ b/coordination/quarantine/parts.go
@@ -54,7 +54,7 @@
 // partCrash is a crash of which an instance has learned.
 type partCrash struct {
 	at        time.Time
-	begun     bool
+	begun     bool      // the server had begun the response; of a request: an event had been passed on
 	clearedAt time.Time // zero if the part is blamed for it
 	told      bool      // a peer has been told, or has told this instance, that the part is blamed for it
 	reporter  uint64
@@ -84,7 +84,7 @@
 	blamed    map[PartKey]map[crashKey]partCrash
 	sent      map[PartKey]int // messages to peers that named a part since its last crash
 	banned    map[PartKey]ban
-	trials    map[PartKey]time.Time // when the last trial of a part was admitted
+	trials    map[PartKey]trials
 	recent    map[PartKey]time.Time // when a request with the part was last answered
 	previous  map[PartKey]time.Time // as recent, older
 	rotatedAt time.Time
@@ -100,7 +100,7 @@
 func NewParts(instance string, alive func(reporter uint64) bool) *Parts {
 	return &Parts{
 		self: ReporterHash(instance), alive: alive, draw: rand.IntN, blamed: make(map[PartKey]map[crashKey]partCrash), sent: make(map[PartKey]int), banned: make(map[PartKey]ban),
-		trials: make(map[PartKey]time.Time), recent: make(map[PartKey]time.Time),
+		trials: make(map[PartKey]trials), recent: make(map[PartKey]time.Time),
 	}
 }
 
@@ -165,6 +165,7 @@
 	}
 	if _, known := crashes[key]; !known {
 		delete(p.sent, part)
+		delete(p.trials, part)
 	}
 	crashes[key] = c
 	p.changed = true
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -44,8 +44,16 @@
 // reported its crashes, as requests with the part come there, the one with the highest score. A trial that is answered
 // clears the part everywhere. A part that was blamed wrongly is back after one trial.
 //
-// Whole requests are judged beside the parts, by all crashes that they were at, also after their first event: see RequestKey. Only
-// answers in full clear them, each with a chance of one in answersPerCrash.
+// # Whole requests
+//
+// Whole requests are judged beside the parts, by all crashes that they were at: see RequestKey. Crashes after the first event refuse
+// a request as they refuse a part. Few requests are at a crash before their first event, so two such crashes refuse one.
+//
+// Many callers may send the same sound request, which is then at each crash. It differs from one that crashes servers in how often
+// it is answered. So each answer in full clears a request of a crash, by chance: at the rate at which such a request is answered,
+// within moments, and seldom if it crashes every third server. Once it is refused, a row of answered trials clears it. The trials
+// follow each other at once, and more of them run beside each other the more were answered. When one has crashed a server, the
+// next ones wait ever longer, whether they are answered or not.
 //
 // Each exchange between instances carries the blamed parts with their crashes, merged by union, and what was cleared of
 // them. Without a recent crash there are none.
--- a/coordination/quarantine/requests.go
+++ b/coordination/quarantine/requests.go
@@ -15,8 +15,16 @@
 	// answersPerCrash is how many complete answers outweigh a crash. A request that crashes a server one time in three gains
 	// two answers with each crash and stands out; one that is at a crash less than one time in six does not.
 	answersPerCrash = 5
+	// earlyCrashWeight is how many times as many answers outweigh a crash before the first event. Few requests are at such a
+	// crash, so that two suffice to refuse one.
+	earlyCrashWeight = 4
 
-	// soleCrashTTL is how long a request is remembered that was at one crash only.
+	// earlyMomentLimit and earlyCrashLimit are the moments of crashes before the first event, and the crashes, after which a
+	// request is refused. Servers that crash together are one moment, but copies of one request may crash several at once.
+	earlyMomentLimit = 2
+	earlyCrashLimit  = 3
+
+	// soleCrashTTL is how long a request is remembered that was at one crash only, after its first event.
 	soleCrashTTL = 2 * time.Minute
 
 	// maxCrashesPerRequestRecord bounds the crashes of one request in the records for a peer. They suffice to refuse it.
@@ -35,40 +43,68 @@
 // request reports whether the key is of a whole request.
 func (k PartKey) request() bool { return k&requestTag == requestTag }
 
-// RecordRequestCrash records that a server crashed while it ran a request, wherever its answer was.
+// RecordRequestCrash records that a server crashed while it ran a request, after an event of its answer.
 func (p *Parts) RecordRequestCrash(fingerprint, server, bootID string, now time.Time) {
+	p.recordRequest(fingerprint, server, bootID, true, now)
+}
+
+// RecordEarlyRequestCrash records that a server crashed while it ran a request, before any event of its answer.
+func (p *Parts) RecordEarlyRequestCrash(fingerprint, server, bootID string, now time.Time) {
+	p.recordRequest(fingerprint, server, bootID, false, now)
+}
+
+func (p *Parts) recordRequest(fingerprint, server, bootID string, begun bool, now time.Time) {
 	if p == nil {
 		return
 	}
 	p.mu.Lock()
-	p.add(RequestKey(fingerprint), keyOfCrash(server, bootID), partCrash{at: now, reporter: p.self})
+	p.add(RequestKey(fingerprint), keyOfCrash(server, bootID), partCrash{at: now, begun: begun, reporter: p.self})
 	p.judge(now)
 	p.mu.Unlock()
 	p.announceLater()
 }
 
-// RecordWholeAnswer records that a request was answered in full. A trial clears it of one crash, and so does one in
-// answersPerCrash other answers: chosen by chance, so that answers at many instances count as much as those at one.
+// RecordWholeAnswer records that a request was answered in full. An answer clears it of one crash with a chance of one in
+// answersPerCrash, which is smaller for a crash before the first event: so answers at many instances count as much as those at
+// one. A request that is refused is cleared of all crashes by a row of trials.
 func (p *Parts) RecordWholeAnswer(fingerprint string, now time.Time) {
 	if p == nil || !p.anyBlamed.Load() {
 		return
 	}
 	key := RequestKey(fingerprint)
 	p.mu.Lock()
-	_, banned := p.banned[key]
-	if banned || p.draw(answersPerCrash) == 0 {
-		p.clearOldest(key, now)
-	}
+	b, banned := p.banned[key]
+	freed := false
 	if banned {
-		p.judge(now)
+		freed = p.passTrial(key, b, now)
+	} else if p.draw(answersPerCrash) == 0 {
+		p.clearOldest(key, now)
 	}
 	p.mu.Unlock()
-	if banned && p.onCrash != nil {
+	if freed && p.onCrash != nil {
 		go p.onCrash()
 	}
 }
 
-// clearOldest clears a key of the oldest crash that it is blamed for. The caller holds the lock.
+// passTrial records that a refused request was answered, and reports whether it is refused no more. The caller holds the lock.
+func (p *Parts) passTrial(key PartKey, b ban, now time.Time) (freed bool) {
+	t := p.trials[key]
+	t.passed++
+	p.trials[key] = t
+	if t.passed < b.requiredTrials() {
+		return false
+	}
+	for id, c := range p.blamed[key] {
+		c.clear(now)
+		p.blamed[key][id] = c
+	}
+	p.changed = true
+	p.judge(now)
+	return true
+}
+
+// clearOldest clears a request of the oldest crash that it is blamed for, if that was before the first event only by chance. The
+// caller holds the lock.
 func (p *Parts) clearOldest(key PartKey, now time.Time) {
 	crashes := p.blamed[key]
 	var first crashKey
@@ -82,11 +118,58 @@
 		return
 	}
 	c := crashes[first]
+	if !c.begun && p.draw(earlyCrashWeight) != 0 {
+		return
+	}
 	c.clear(now)
 	crashes[first] = c
 	p.changed = true
 }
 
+// banEarly bans the requests that were at too many crashes before their first event, but for crashes that others explain. The
+// caller holds the lock.
+func (p *Parts) banEarly(explained map[crashKey]PartKey) {
+	for key, crashes := range p.blamed {
+		if !key.request() || len(crashes) < earlyMomentLimit {
+			continue
+		}
+		early := make(map[crashKey]partCrash)
+		for id, c := range crashes {
+			by, known := explained[id]
+			if !c.cleared() && !c.begun && (!known || by == key) {
+				early[id] = c
+			}
+		}
+		if limit := earlyLimit(early); limit > 0 {
+			b := newBan(early)
+			b.limit = limit
+			p.banned[key] = b
+		}
+	}
+}
+
+// earlyLimit returns at how many moments of crashes before its first event a request was when it came to be refused, or 0 if it is
+// not.
+func earlyLimit(early map[crashKey]partCrash) int {
+	times := moments(early)
+	switch {
+	case len(early) < earlyCrashLimit && len(times) < earlyMomentLimit:
+		return 0
+	case len(times) < earlyMomentLimit:
+		return len(times)
+	}
+	atFirst := 0
+	for _, c := range early {
+		if c.at.Before(times[1]) {
+			atFirst++
+		}
+	}
+	if atFirst >= earlyCrashLimit {
+		return 1
+	}
+	return earlyMomentLimit
+}
+
 // newestCrashes cuts the record of a request to its newest crashes, those that it is blamed for before others.
 func newestCrashes(r *PartRecord) {
 	if !r.Part.request() || len(r.Crashes) <= maxCrashesPerRequestRecord {
--- a/coordination/quarantine/trial.go
+++ b/coordination/quarantine/trial.go
@@ -13,17 +13,52 @@
 	TrialInterval    = 3 * time.Second
 	trialFactor      = 4
 	maxTrialInterval = 10 * time.Minute
+	// requestTrialInterval is the time from the crash that had a request refused to its first trial.
+	requestTrialInterval = time.Second
 	// trialTimeout is how long another trial waits for the outcome of one.
 	trialTimeout = 10 * time.Second
+
+	// trialsInRow is how many trials in a row have to be answered until a request is refused no more. One that crashes a server
+	// one time in three gets there once in a hundred times.
+	trialsInRow = 12
+	// rareTrialsInRow is the same once a trial has crashed a server, as each trial waits longer from then on.
+	rareTrialsInRow = 3
 )
 
 // ban is a part whose requests are refused.
 type ban struct {
 	lastCrash time.Time
 	moments   int
+	limit     int // moments after which it is refused
 	reporters []uint64
 }
 
+// trials are the trials of a refused part at this instance since its last crash.
+type trials struct {
+	last     time.Time // when the last one was admitted
+	admitted int
+	passed   int
+}
+
+// running returns how many trials have no outcome yet.
+func (t trials) running(now time.Time) int {
+	if now.Sub(t.last) >= trialTimeout {
+		return 0
+	}
+	return t.admitted - t.passed
+}
+
+// failed reports whether a trial has crashed a server.
+func (b *ban) failed() bool { return b.moments > b.limit }
+
+// requiredTrials returns how many trials of a request have to be answered.
+func (b *ban) requiredTrials() int {
+	if b.failed() {
+		return rareTrialsInRow
+	}
+	return trialsInRow
+}
+
 // Verdict says what to do with a request.
 type Verdict int
 
@@ -49,7 +84,7 @@
 			continue
 		}
 		verdict = Trial
-		if due := b.lastCrash.Add(b.interval()); now.Before(due) {
+		if due := p.nextTrial(part, b); now.Before(due) {
 			wait = max(wait, due.Sub(now))
 		} else if !p.runsTrial(part, b, now) {
 			wait = max(wait, TrialInterval)
@@ -61,13 +96,31 @@
 	if verdict == Trial {
 		for _, part := range parts {
 			if _, banned := p.banned[part]; banned {
-				p.trials[part] = now
+				t := p.trials[part]
+				t.admitted = t.passed + t.running(now) + 1
+				t.last = now
+				p.trials[part] = t
 			}
 		}
 	}
 	return verdict, 0
 }
 
+// AbandonTrial records that a trial of a request with parts did not run.
+func (p *Parts) AbandonTrial(parts []PartKey) {
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, part := range parts {
+		if t, ok := p.trials[part]; ok && t.admitted > t.passed {
+			t.admitted--
+			p.trials[part] = t
+		}
+	}
+}
+
 // Banned reports whether requests with one of the parts are refused.
 func (p *Parts) Banned(parts []PartKey, now time.Time) bool {
 	if p == nil || !p.anyBanned.Load() {
@@ -79,10 +132,28 @@
 	return slices.ContainsFunc(parts, func(part PartKey) bool { _, banned := p.banned[part]; return banned })
 }
 
-// interval returns the time from the last crash to the next trial.
-func (b *ban) interval() time.Duration {
+// nextTrial returns when a part may be tried next. The trials of a request follow each other until one has crashed a server. From
+// then on each waits longer, also after an answer: a request that crashes servers now and then is answered as well. The caller holds
+// the lock.
+func (p *Parts) nextTrial(part PartKey, b ban) time.Time {
+	if !part.request() {
+		return b.lastCrash.Add(trialInterval(b.moments - b.limit))
+	}
+	if !b.failed() {
+		return b.lastCrash.Add(requestTrialInterval)
+	}
+	t := p.trials[part]
+	last := b.lastCrash
+	if t.last.After(last) {
+		last = t.last
+	}
+	return last.Add(trialInterval(b.moments - b.limit + t.passed))
+}
+
+// trialInterval returns how long a trial waits that follows a number of others.
+func trialInterval(others int) time.Duration {
 	out := TrialInterval
-	for range b.moments - partCrashLimit {
+	for range others {
 		out = min(trialFactor*out, maxTrialInterval)
 	}
 	return out
@@ -90,7 +161,11 @@
 
 // runsTrial reports whether this instance may let a request try a part now. The caller holds the lock.
 func (p *Parts) runsTrial(part PartKey, b ban, now time.Time) bool {
-	if at, ok := p.trials[part]; ok && now.Sub(at) < trialTimeout {
+	allowed := 1
+	if part.request() && !b.failed() {
+		allowed += p.trials[part].passed
+	}
+	if p.trials[part].running(now) >= allowed {
 		return false
 	}
 	return p.owns(part, b) || p.inherits(part, b)
--- a/instance/routed/instance.go
+++ b/instance/routed/instance.go
@@ -48,7 +48,6 @@
 	ledger      *quota.Ledger
 	shares      *quotashare.HolderSet
 	features    features.Set
-	quarantine  *quarantine.List
 	parts       *quarantine.Parts
 	bans        *banStore
 	local       *httproute.LocalDispatcher
@@ -152,8 +151,8 @@
 		settings: settings, features: set, source: source, codec: codec, log: log.With("instance", settings.ID),
 		registry: prometheus.NewRegistry(), started: started,
 		routes: &routes.Table{}, backends: backends.New(), ledger: quota.New(settings.ID),
-		shares: quotashare.NewHolderSet(settings.ID, uint64(started.UnixNano())), quarantine: quarantine.New(),
-		pool: peer.NewPool(insecure.NewCredentials()), exchangeTrigger: make(chan struct{}, 1),
+		shares: quotashare.NewHolderSet(settings.ID, uint64(started.UnixNano())),
+		pool:   peer.NewPool(insecure.NewCredentials()), exchangeTrigger: make(chan struct{}, 1),
 		storeRestored: make(chan struct{}, 1),
 		listeners:     make(map[string]net.Listener), listenerErrors: make(chan error, 8),
 	}
@@ -168,7 +167,6 @@
 	n.fleetSize.Store(1)
 	n.members.SetSeeds(n.staticSeeds())
 	n.initSyncs(source)
-	n.quarantine.OnCrash(n.triggerExchange)
 	n.parts = quarantine.NewParts(settings.ID, n.isReachable)
 	n.parts.OnCrash(n.triggerExchange)
 	n.parts.InheritBans(n.inheritsBan)
@@ -213,14 +211,14 @@
 	metrics := httproute.NewMetrics(n.registry)
 	memory := httproute.NewBudget(n.settings.MemoryMB << 20 / bodyMemoryShare)
 	n.local = &httproute.LocalDispatcher{
-		Codec: n.codec, Backends: n.backends, Quarantine: n.quarantine, Parts: n.parts, Log: n.log, Metrics: metrics,
+		Codec: n.codec, Backends: n.backends, Parts: n.parts, Log: n.log, Metrics: metrics,
 		Client: backendhttp.New(backendhttp.Settings{DialTimeout: serverDialTimeout, UserTimeout: userTimeout, MaxIdle: maxIdleConns}),
 	}
 	n.builds = newStreamBuilds(&n.settings, n.started)
 	n.builds.hasPeers, n.builds.starting = n.hasPeers, n.startupWaitAllowed
 	n.local.Waiting = &httproute.Waiting{Metrics: metrics, MaxBytes: int(n.settings.MemoryMB << 20 / waitMemoryShare), Flow: n.slotFlow}
 	n.front = &httproute.Front{
-		Region: n.settings.Region, Codec: n.codec, Routes: n.routes, Ledger: n.ledger, Quarantine: n.quarantine,
+		Region: n.settings.Region, Codec: n.codec, Routes: n.routes, Ledger: n.ledger,
 		Retries: retry.NewWindow(retry.WindowSettings{Ratio: n.settings.Retry.Ratio, Slack: n.settings.Retry.Slack, Window: n.settings.Retry.Window}),
 		Remotes: n, Builds: n.builds, Local: n.local, Log: n.log, Metrics: metrics, Features: n.features, Memory: memory,
 		Starting: n.startupWaitAllowed, Stopping: n.stopping.Load, TimeToShutdown: n.timeToShutdown, Leaving: n.leaving.Load, Exit: n.exiting,
--- a/instance/routed/members.go
+++ b/instance/routed/members.go
@@ -83,7 +83,6 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	req := n.members.Request(n.members.ByPeerAddress(address))
-	req.Quarantines = peer.EncodeQuarantines(n.quarantine.Records(time.Now()))
 	req.PartQuarantines = peer.EncodePartQuarantines(n.parts.Records(time.Now()))
 	req.StoreViews = n.knownRevisions()
 	req.LentBefore = !n.shares.Cleared()
@@ -119,9 +118,6 @@
 	if n.mayCatchUpFrom(resp.GetView().GetDomain(), time.Now()) {
 		n.catchUp(client, resp.GetFrom(), resp.GetStoreViews())
 	}
-	for _, q := range resp.GetQuarantines() {
-		n.quarantine.Merge(peer.DecodeQuarantine(q))
-	}
 	n.parts.Merge(peer.DecodePartQuarantines(resp.GetPartQuarantines()), time.Now())
 	if req.GetLentBefore() && !resp.GetOwes() {
 		n.shares.ConfirmNoLoans(resp.GetFrom())
@@ -178,10 +174,6 @@
 	if req.GetView() == nil {
 		return resp
 	}
-	for _, q := range req.GetQuarantines() {
-		n.quarantine.Merge(peer.DecodeQuarantine(q))
-	}
-	resp.Quarantines = peer.EncodeQuarantines(n.quarantine.Records(now))
 	n.parts.Merge(peer.DecodePartQuarantines(req.GetPartQuarantines()), now)
 	resp.PartQuarantines = peer.EncodePartQuarantines(n.parts.Records(now))
 	resp.StoreViews = n.viewsSince(req.GetStoreViews(), n.exchangeItemBytes(req.GetView().GetDomain()))
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -100,8 +100,11 @@
 		server: response.Header.Get(headerServer), build: decodeBuild(response.Header), forwarded: true,
 		malformed: f.malformedReporter(o, remote),
 		onEnd: func(outcome placement.Outcome) {
-			if outcome == placement.OutcomeFailed {
+			switch {
+			case outcome == placement.OutcomeFailed:
 				r.broken.record(remote.Region)
+			case outcome == placement.OutcomeServed && r.trial:
+				f.Local.Parts.RecordWholeAnswer(r.print, time.Now()) // the next trial waits for it here
 			}
 		},
 	}
@@ -311,9 +314,6 @@
 	if p.Stopping() || p.Routes.Current() == nil {
 		return &failure{run: runNotRun, reason: reasonStopping}
 	}
-	if until, bad := p.Local.Quarantine.Quarantined(o.print, time.Now()); bad {
-		return &failure{run: runNotRun, reason: reasonQuarantine, retryAfter: time.Until(until)}
-	}
 	if !o.trial && p.Local.Parts.Banned(suspectsOf(o.print, o.parts), time.Now()) {
 		return &failure{run: runNotRun, reason: reasonQuarantine, retryAfter: quarantine.TrialInterval}
 	}
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -49,21 +49,20 @@
 
 // Front serves the requests of callers.
 type Front struct {
-	Region     string
-	Codec      Codec
-	Routes     *routes.Table
-	Ledger     *quota.Ledger
-	Quarantine *quarantine.List
-	Retries    *retry.Window
-	Remotes    Remotes
-	Builds     StreamBuilds
-	Local      *LocalDispatcher
-	Peers      *backendhttp.Client
-	WarmPeers  *backendhttp.Client // for requests that are forwarded by room; keeps connections ready
-	Log        *slog.Logger
-	Metrics    *Metrics
-	Features   features.Set
-	Memory     *Budget // for bodies and unread responses; nil for no limit
+	Region    string
+	Codec     Codec
+	Routes    *routes.Table
+	Ledger    *quota.Ledger
+	Retries   *retry.Window
+	Remotes   Remotes
+	Builds    StreamBuilds
+	Local     *LocalDispatcher
+	Peers     *backendhttp.Client
+	WarmPeers *backendhttp.Client // for requests that are forwarded by room; keeps connections ready
+	Log       *slog.Logger
+	Metrics   *Metrics
+	Features  features.Set
+	Memory    *Budget // for bodies and unread responses; nil for no limit
 	// Stopping reports whether this instance is about to exit and accepts no more
 	// requests.
 	Stopping func() bool
@@ -153,6 +152,7 @@
 	}
 	if refused == nil {
 		refused = f.serve(watched, hr, r)
+		f.endTrial(r, refused)
 	}
 	if refused != nil && f.Leaving() { // since the request arrived
 		w.Header().Set("Connection", "close")
--- a/transport/httproute/local.go
+++ b/transport/httproute/local.go
@@ -18,14 +18,13 @@
 
 // LocalDispatcher sends requests to the backend servers of the local region.
 type LocalDispatcher struct {
-	Codec      Codec
-	Backends   *backends.Table
-	Client     *backendhttp.Client
-	Quarantine *quarantine.List
-	Parts      *quarantine.Parts
-	Log        *slog.Logger
-	Metrics    *Metrics
-	Waiting    *Waiting // requests that wait for a slot; nil if none does
+	Codec    Codec
+	Backends *backends.Table
+	Client   *backendhttp.Client
+	Parts    *quarantine.Parts
+	Log      *slog.Logger
+	Metrics  *Metrics
+	Waiting  *Waiting // requests that wait for a slot; nil if none does
 
 	mu    sync.Mutex
 	pools map[string]*placement.Pool
@@ -291,9 +290,10 @@
 		}
 		now := time.Now()
 		l.Pool(o.service).RecordDown(placed, now)
-		l.Parts.RecordRequestCrash(o.print, placed.Server.ID, incarnationName(placed), now)
-		if !b.begun {
-			l.Quarantine.RecordCrash(o.print, placed.Server.ID, incarnationName(placed), now)
+		if b.begun {
+			l.Parts.RecordRequestCrash(o.print, placed.Server.ID, incarnationName(placed), now)
+		} else {
+			l.Parts.RecordEarlyRequestCrash(o.print, placed.Server.ID, incarnationName(placed), now)
 			l.Parts.RecordCrash(o.parts, placed.Server.ID, incarnationName(placed), b.headReceived, now)
 		}
 		l.Log.Info("server_crashed", "request", o.id, "server", placed.Server.ID, "fingerprint", o.print, "blamed", !b.begun,
--- a/transport/httproute/path_test.go
+++ b/transport/httproute/path_test.go
@@ -174,14 +174,13 @@
 	}
 	log := slog.New(slog.DiscardHandler)
 	metrics := NewMetrics(prometheus.NewRegistry())
-	list := quarantine.New()
-	local := &LocalDispatcher{Codec: testCodec{}, Backends: table, Quarantine: list, Log: log, Metrics: metrics,
+	local := &LocalDispatcher{Codec: testCodec{}, Backends: table, Log: log, Metrics: metrics,
 		Parts:  quarantine.NewParts("i", func(uint64) bool { return false }),
 		Client: backendhttp.New(backendhttp.Settings{DialTimeout: time.Second, UserTimeout: time.Second, MaxIdle: 8})}
 	local.Pool("svc").Update(placement.Settings{Slots: 8}, table.InRegion("r", time.Now()))
 	never := func() bool { return false }
 	f := &Front{
-		Region: "r", Codec: testCodec{}, Routes: &routes.Table{}, Ledger: quota.New("i"), Quarantine: list,
+		Region: "r", Codec: testCodec{}, Routes: &routes.Table{}, Ledger: quota.New("i"),
 		Retries: retry.NewWindow(retry.WindowSettings{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second}),
 		Remotes: noRemotes{}, Builds: anyBuild{}, Local: local, Peers: local.Client, Log: log, Metrics: metrics,
 		Starting: never, Stopping: never, Leaving: never, TimeToShutdown: func() time.Duration { return 0 },
--- a/transport/httproute/peerfailover_test.go
+++ b/transport/httproute/peerfailover_test.go
@@ -13,7 +13,6 @@
 	"testing"
 	"time"
 
-	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/state/backends"
 )
 
@@ -151,7 +150,7 @@
 
 // emptyDispatcher returns a dispatcher that knows neither the services nor the servers of another one.
 func emptyDispatcher(l *LocalDispatcher) *LocalDispatcher {
-	return &LocalDispatcher{Codec: l.Codec, Backends: l.Backends, Client: l.Client, Quarantine: quarantine.New(), Parts: l.Parts, Log: l.Log, Metrics: l.Metrics}
+	return &LocalDispatcher{Codec: l.Codec, Backends: l.Backends, Client: l.Client, Parts: l.Parts, Log: l.Log, Metrics: l.Metrics}
 }
 
 // Guards against a request that is taken away from a peer, and counts as sent to a server, while it waits there for a slot
--- a/transport/httproute/quarantine.go
+++ b/transport/httproute/quarantine.go
@@ -24,9 +24,6 @@
 
 // checkQuarantine refuses a request that crashed servers, or one with a part in its prompt that does.
 func (f *Front) checkQuarantine(r *request) *failure {
-	if until, bad := f.Quarantine.Quarantined(r.print, r.arrived); bad {
-		return &failure{run: runNotRun, reason: reasonQuarantine, retryAfter: time.Until(until)}
-	}
 	verdict, wait := f.Local.Parts.Admit(r.suspects, r.arrived)
 	if verdict == quarantine.Refused {
 		f.Metrics.partRefused(r.service)
@@ -40,6 +37,13 @@
 	return nil
 }
 
+// endTrial lets another request take the place of a trial that did not run.
+func (f *Front) endTrial(r *request, failed *failure) {
+	if r.trial && failed != nil && failed.run == runNotRun {
+		f.Local.Parts.AbandonTrial(r.suspects)
+	}
+}
+
 // partsBanned reports whether the request or those with a part of its prompt have come to be refused since it was admitted.
 func (f *Front) partsBanned(r *request, now time.Time) bool {
 	return !r.trial && f.Local.Parts.Banned(r.suspects, now)
