Judge requests on /v1 by their answers too

Callers of /v1 saw the same as on the routed path: a sound prompt that many send alike was in flight at two crashes and got 422 "quarantined" at all instances for 15 minutes. With one crash it ran one copy at a time for as long.

Cause: as on the routed path. /v1 asked quarantine.List, which counted crashes and no answers.

/v1 now asks quarantine.Parts about the request as well as about the parts of its prompt. Each instance keeps the copies of a request on one server, so that two crashes refuse it there also if they are one moment: its own tests allow two. The list only keeps suspects apart. An answer clears a request there, and for 3 s two crashes in the list hold back a third run, until the judgement has reached all instances. A trial carries a mark between instances (ForwardRequest.trial). A suspect that found no free server waited until something ended, or its deadline; it looks again every 100 ms.

Ruled out on the way: the moment rule of the routed path (TestPoisonRequestSentAgainThroughAllInstances: 5 crashes, 2 allowed), and crashes counted without presumed ones (3 or 4 crashes).

--- a/coordination/quarantine/parts.go
+++ b/coordination/quarantine/parts.go
@@ -76,6 +76,8 @@
 	alive func(reporter uint64) bool // whether another instance can be reached
 	heir  func(part PartKey) bool    // whether this instance speaks for a part whose reporters are gone; may be nil
 	draw  func(n int) int            // a random number from 0 to n-1
+	// crashLimit is the number of crashes before their first event after which requests are refused, also if these are one moment.
+	crashLimit int
 
 	anyBanned atomic.Bool
 	anyBlamed atomic.Bool
@@ -99,7 +101,7 @@
 // NewParts returns an empty judgement for an instance. alive reports whether an instance with a hash of its id can be reached.
 func NewParts(instance string, alive func(reporter uint64) bool) *Parts {
 	return &Parts{
-		self: ReporterHash(instance), alive: alive, draw: rand.IntN, blamed: make(map[PartKey]map[crashKey]partCrash), sent: make(map[PartKey]int), banned: make(map[PartKey]ban),
+		self: ReporterHash(instance), alive: alive, draw: rand.IntN, crashLimit: earlyCrashLimit, blamed: make(map[PartKey]map[crashKey]partCrash), sent: make(map[PartKey]int), banned: make(map[PartKey]ban),
 		trials: make(map[PartKey]trials), recent: make(map[PartKey]time.Time),
 	}
 }
@@ -108,6 +110,10 @@
 // the judgement is used.
 func (p *Parts) OnCrash(notify func()) { p.onCrash = notify }
 
+// ExpectIsolatedCopies says that each instance keeps the copies of a request on one server, see Isolation. It has to be called before
+// the judgement is used.
+func (p *Parts) ExpectIsolatedCopies() { p.crashLimit = isolatedCrashLimit }
+
 // InheritBans sets the function that chooses one instance, out of all, for a part whose reporters can no longer be reached. Without it
 // such a part is not tried until it is forgotten. It has to be set before the judgement is used.
 func (p *Parts) InheritBans(heir func(part PartKey) bool) { p.heir = heir }
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -17,9 +17,9 @@
 //
 // Crashes are a set of (server, boot id), merged by union, so that two instances
 // that see the same crash count it once, and two crashes seen by two instances
-// count as two. With one known crash a fingerprint is suspected: it runs on one
-// designated instance only, one copy at a time. So the bound is two crashes
-// whenever the update about the first arrives before the next dispatch. A stricter
+// count as two. With one known crash a fingerprint is suspected: until it is answered,
+// it runs on one designated instance only, one copy at a time. So the bound is two
+// crashes whenever the update about the first arrives before the next dispatch. A stricter
 // bound would need consensus: copies that are in flight at k instances when the
 // first of them crashes its server may crash one server each (copies at one
 // instance go to the same server), and the designated instance may lose one more,
@@ -69,12 +69,12 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// CrashLimit is how many crashes in the fleet quarantine a fingerprint.
-const CrashLimit = 2
-
 // CrashTTL is how long a crash counts against a fingerprint.
 const CrashTTL = 15 * time.Minute
 
+// mergeDelay is the time in which instances tell each other of a crash.
+const mergeDelay = 3 * time.Second
+
 // presumptionTTL is how long an unconfirmed crash counts against a fingerprint.
 const presumptionTTL = 10 * time.Second
 
@@ -122,10 +122,16 @@
 	onConfirmed func()
 }
 
-// List is safe for concurrent use.
+// suspicion is the suspicion of a fingerprint for one crash.
+type suspicion struct {
+	until   time.Time
+	cleared bool // the request was answered since
+}
+
+// List holds the suspects: requests that were in flight at crashes and were not answered since. It is safe for concurrent use.
 type List struct {
 	mu           sync.Mutex
-	crashes      map[string]map[string]time.Time // expiry by fingerprint and crash id
+	crashes      map[string]map[string]suspicion // by fingerprint and crash id
 	presumed     map[string][]presumedCrash      // by server
 	onCrash      func()
 	onServerExit func(server, bootID string)
@@ -134,7 +140,7 @@
 // New returns an empty list.
 func New() *List {
 	return &List{
-		crashes:  make(map[string]map[string]time.Time),
+		crashes:  make(map[string]map[string]suspicion),
 		presumed: make(map[string][]presumedCrash),
 	}
 }
@@ -149,34 +155,49 @@
 // to be set before the list is used.
 func (l *List) OnServerExit(notify func(server, bootID string)) { l.onServerExit = notify }
 
-// Quarantined reports whether the fingerprint is quarantined, and until when.
-func (l *List) Quarantined(fingerprint string, now time.Time) (time.Time, bool) {
-	expiries := l.expiries(fingerprint, now)
-	if len(expiries) < CrashLimit {
-		return time.Time{}, false
-	}
-	return expiries[len(expiries)-CrashLimit], true
-}
-
 // Suspected reports whether a crash counts against the fingerprint.
 func (l *List) Suspected(fingerprint string, now time.Time) bool {
 	return len(l.expiries(fingerprint, now)) > 0
 }
 
+// CrashedLately reports whether a request was at so many crashes lately that it is not run again before all instances have told each
+// other of them: the judgement of Parts follows within mergeDelay.
+func (l *List) CrashedLately(fingerprint string, now time.Time) bool {
+	lately := 0
+	for _, until := range l.expiries(fingerprint, now) {
+		presumed := until.Sub(now) <= presumptionTTL
+		if presumed || now.Sub(until.Add(-CrashTTL)) < mergeDelay {
+			lately++
+		}
+	}
+	return lately >= isolatedCrashLimit
+}
+
 // expiries returns when each crash that counts against the fingerprint expires, in order.
 func (l *List) expiries(fingerprint string, now time.Time) []time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []time.Time
-	for _, until := range l.crashes[fingerprint] {
-		if now.Before(until) {
-			out = append(out, until)
+	for _, s := range l.crashes[fingerprint] {
+		if !s.cleared && now.Before(s.until) {
+			out = append(out, s.until)
 		}
 	}
 	slices.SortFunc(out, time.Time.Compare)
 	return out
 }
 
+// RecordAnswer clears a request that was answered in full of all crashes that this instance knows of. Another instance still suspects
+// it and sends it to the one that runs the suspects, which clears it with its first answer.
+func (l *List) RecordAnswer(fingerprint string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, s := range l.crashes[fingerprint] {
+		s.cleared = true
+		l.crashes[fingerprint][id] = s
+	}
+}
+
 // RecordCrash records that a server crashed with the request in flight.
 func (l *List) RecordCrash(fingerprint, server, bootID string, now time.Time) {
 	l.mu.Lock()
@@ -230,15 +251,17 @@
 func (l *List) addCrash(fingerprint, id string, until time.Time) {
 	byID := l.crashes[fingerprint]
 	if byID == nil {
-		byID = make(map[string]time.Time)
+		byID = make(map[string]suspicion)
 		l.crashes[fingerprint] = byID
 	}
-	if _, known := byID[id]; !known && l.onServerExit != nil {
+	s, known := byID[id]
+	if !known && l.onServerExit != nil {
 		server, bootID := splitCrashID(id)
 		l.onServerExit(server, bootID)
 	}
-	if until.After(byID[id]) {
-		byID[id] = until
+	if until.After(s.until) {
+		s.until = until
+		byID[id] = s
 	}
 }
 
@@ -251,7 +274,7 @@
 	}
 }
 
-// Records returns the fingerprints with unexpired crashes, most crashes first and then by
+// Records returns the suspected fingerprints with their crashes, most crashes first and then by
 // latest expiry, at most maxRecords, and removes expired crashes.
 func (l *List) Records(now time.Time) []Record {
 	l.mu.Lock()
@@ -259,32 +282,34 @@
 	var out []Record
 	for fingerprint, crashes := range l.crashes {
 		r := Record{Fingerprint: fingerprint}
-		for id, until := range crashes {
-			if !now.Before(until) {
+		for id, s := range crashes {
+			if !now.Before(s.until) {
 				delete(crashes, id)
 				continue
 			}
-			r.Seen = append(r.Seen, Crash{id, until})
-			if until.After(r.Until) {
-				r.Until = until
+			if s.cleared {
+				continue
+			}
+			r.Seen = append(r.Seen, Crash{id, s.until})
+			if s.until.After(r.Until) {
+				r.Until = s.until
 			}
 		}
-		r.Crashes = len(r.Seen)
-		if r.Crashes == 0 {
+		if len(crashes) == 0 {
 			delete(l.crashes, fingerprint)
-			continue
 		}
-		out = append(out, r)
+		if r.Crashes = len(r.Seen); r.Crashes > 0 {
+			out = append(out, r)
+		}
 	}
 	slices.SortFunc(out, byCrashes)
 	return out[:min(len(out), maxRecords)]
 }
 
-// byCrashes orders records by descending number of crashes, which puts quarantined
-// fingerprints before suspected ones, and then by descending expiry.
+// byCrashes orders records by descending number of crashes and then by descending expiry.
 func byCrashes(a, b Record) int {
-	if quarantined := b.Crashes - a.Crashes; quarantined != 0 {
-		return quarantined
+	if more := b.Crashes - a.Crashes; more != 0 {
+		return more
 	}
 	return b.Until.Compare(a.Until)
 }
--- a/coordination/quarantine/requests.go
+++ b/coordination/quarantine/requests.go
@@ -23,6 +23,8 @@
 	// request is refused. Servers that crash together are one moment, but copies of one request may crash several at once.
 	earlyMomentLimit = 2
 	earlyCrashLimit  = 3
+	// isolatedCrashLimit is the limit of crashes where an instance keeps the copies of a request on one server.
+	isolatedCrashLimit = 2
 
 	// soleCrashTTL is how long a request is remembered that was at one crash only, after its first event.
 	soleCrashTTL = 2 * time.Minute
@@ -140,7 +142,7 @@
 				early[id] = c
 			}
 		}
-		if limit := earlyLimit(early); limit > 0 {
+		if limit := earlyLimit(early, p.crashLimit); limit > 0 {
 			b := newBan(early)
 			b.limit = limit
 			p.banned[key] = b
@@ -150,10 +152,10 @@
 
 // earlyLimit returns at how many moments of crashes before its first event a request was when it came to be refused, or 0 if it is
 // not.
-func earlyLimit(early map[crashKey]partCrash) int {
+func earlyLimit(early map[crashKey]partCrash, crashLimit int) int {
 	times := moments(early)
 	switch {
-	case len(early) < earlyCrashLimit && len(times) < earlyMomentLimit:
+	case len(early) < crashLimit && len(times) < earlyMomentLimit:
 		return 0
 	case len(times) < earlyMomentLimit:
 		return len(times)
@@ -164,7 +166,7 @@
 			atFirst++
 		}
 	}
-	if atFirst >= earlyCrashLimit {
+	if atFirst >= crashLimit {
 		return 1
 	}
 	return earlyMomentLimit
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -120,6 +120,7 @@
 	i.config = configwatch.New(i.catalog)
 	i.quarantine.OnCrash(i.announceCrash)
 	i.parts = quarantine.NewParts(settings.ID, i.isReachable)
+	i.parts.ExpectIsolatedCopies()
 	i.parts.OnCrash(i.announceCrash)
 	i.quarantine.OnServerExit(i.servers.MarkProcessEnded)
 	i.catalog.OnWithdraw(i.requests.CancelKey)
--- a/transport/dispatch/crash.go
+++ b/transport/dispatch/crash.go
@@ -37,20 +37,23 @@
 	bootID := server.Load.BootID
 	load, err := l.fetchLoad(ctx, w, server)
 	now := time.Now()
-	blameParts := func() {
-		if !begun {
-			l.Parts.RecordCrash(w.parts(), server.ID, bootID, false, time.Now())
+	fingerprint, parts := w.quarantineKey(), w.parts()
+	blame := func() {
+		if begun {
+			l.Parts.RecordRequestCrash(fingerprint, server.ID, bootID, time.Now())
+			return
 		}
+		l.Parts.RecordEarlyRequestCrash(fingerprint, server.ID, bootID, time.Now())
+		l.Parts.RecordCrash(parts, server.ID, bootID, false, time.Now())
 	}
 	switch {
 	case err == nil && load.BootID == bootID:
 		return
 	case err == nil || errors.Is(err, syscall.ECONNREFUSED):
-		l.Quarantine.RecordCrash(w.quarantineKey(), server.ID, bootID, now)
-		blameParts()
+		l.Quarantine.RecordCrash(fingerprint, server.ID, bootID, now)
+		blame()
 	default:
-		w.parts() // computed before another goroutine reads them
-		l.Quarantine.PresumeCrash(w.quarantineKey(), server.ID, bootID, now, blameParts)
+		l.Quarantine.PresumeCrash(fingerprint, server.ID, bootID, now, blame)
 	}
 }
 
--- a/transport/dispatch/front.go
+++ b/transport/dispatch/front.go
@@ -36,7 +36,7 @@
 	Catalog        *catalog.Catalog
 	Ledger         *quota.Ledger
 	Retries        *retry.Budget
-	Quarantine     *quarantine.List
+	Quarantine     *quarantine.List  // of suspects
 	Parts          *quarantine.Parts // may be nil
 	Domains        Domains
 	Router         *routing.Router
@@ -87,10 +87,7 @@
 	if svc == nil {
 		return refusal.New(refusal.CodeNotFound, "no service %q", w.Service)
 	}
-	if until, refused := f.Quarantine.Quarantined(w.quarantineKey(), time.Now()); refused {
-		return quarantined(until)
-	}
-	if refused := f.checkParts(w); refused != nil {
+	if refused := f.checkQuarantine(w); refused != nil {
 		return refused
 	}
 	cost := w.Cost(svc)
@@ -101,6 +98,9 @@
 	counted := &usage{Sink: sink}
 	err := f.runAttempts(ctx, svc, w, counted)
 	f.settle(charge, w, counted, err)
+	if w.Trial && err != nil && refusal.FromError(err).RunState == refusal.NotRun {
+		f.Parts.AbandonTrial(w.suspects())
+	}
 	return err
 }
 
@@ -134,7 +134,7 @@
 		if leaving := f.Ending.check(w); leaving != nil && run == refusal.NotRun {
 			return leaving
 		}
-		if w.trial || f.Parts.Banned(w.parts(), time.Now()) {
+		if w.Trial || f.Parts.Banned(w.suspects(), time.Now()) {
 			return refused
 		}
 		if !u.restart() || !retry.Retryable(current, w.Repeatable(svc)) {
@@ -158,18 +158,18 @@
 	}
 }
 
-// checkParts refuses work with a part in its prompt that crashes servers.
-func (f *Front) checkParts(w *Work) *refusal.Refusal {
-	verdict, wait := f.Parts.Admit(w.parts(), time.Now())
-	w.trial = verdict == quarantine.Trial
+// checkQuarantine refuses work that crashes servers, or with a part in its prompt that does.
+func (f *Front) checkQuarantine(w *Work) *refusal.Refusal {
+	verdict, wait := f.Parts.Admit(w.suspects(), time.Now())
+	w.Trial = verdict == quarantine.Trial
 	if verdict == quarantine.Refused {
-		return partRefused(wait)
+		return quarantined(wait)
 	}
 	return nil
 }
 
-func partRefused(wait time.Duration) *refusal.Refusal {
-	return refusal.New(refusal.CodeQuarantined, "requests with a part of this prompt crashed backend servers").WithRetryAfter(wait)
+func quarantined(wait time.Duration) *refusal.Refusal {
+	return refusal.New(refusal.CodeQuarantined, "this request, or requests with a part of its prompt, crashed backend servers").WithRetryAfter(wait)
 }
 
 // request returns the inputs of routing for the work.
@@ -237,6 +237,9 @@
 	next.domain = chosen.Name
 	err := f.Forwarder.Forward(ctx, chosen.PeerAddress, &next, sink)
 	f.exclude(request, chosen, err)
+	if err == nil && w.Trial {
+		f.Parts.RecordWholeAnswer(w.quarantineKey(), time.Now()) // the next trial waits for it here
+	}
 	return err
 }
 
--- a/transport/dispatch/local.go
+++ b/transport/dispatch/local.go
@@ -27,6 +27,8 @@
 	// copies of it that other instances dispatched at the same moment have crashed their
 	// servers, and this instance has received the crash reports.
 	suspectDelay = 300 * time.Millisecond
+	// suspectRetryInterval is how often a suspect request looks for a server that takes it.
+	suspectRetryInterval = 100 * time.Millisecond
 	// firstPollWait is how long a request waits at most for the first poll of a listed server.
 	firstPollWait     = 300 * time.Millisecond
 	firstPollInterval = 10 * time.Millisecond
@@ -37,7 +39,7 @@
 	Catalog    *catalog.Catalog
 	Servers    *servers.Table
 	Backend    *backend.Client
-	Quarantine *quarantine.List
+	Quarantine *quarantine.List  // of suspects
 	Parts      *quarantine.Parts // may be nil
 	Admission  *Admission
 	Prefixes   *PrefixIndexes
@@ -137,8 +139,8 @@
 	delayed, crashChecked := false, false
 	for {
 		now := time.Now()
-		if until, refused := l.Quarantine.Quarantined(fingerprint, now); refused {
-			return nil, quarantined(until)
+		if !w.Trial && (l.Parts.Banned(w.suspects(), now) || l.Quarantine.CrashedLately(fingerprint, now)) {
+			return nil, quarantined(quarantine.TrialInterval)
 		}
 		if !l.Quarantine.Suspected(fingerprint, now) {
 			if !crashChecked {
@@ -180,6 +182,7 @@
 		}
 		select {
 		case <-changed:
+		case <-time.After(suspectRetryInterval): // a server may have started
 		case <-ctx.Done():
 			return nil, refusal.New(refusal.CodeDeadline, "the request ended while it waited")
 		}
@@ -214,10 +217,6 @@
 	return servers
 }
 
-func quarantined(until time.Time) *refusal.Refusal {
-	return refusal.New(refusal.CodeQuarantined, "this request crashed backend servers").WithRetryAfter(time.Until(until))
-}
-
 func (l *LocalDispatcher) request(w *Work, svc *service.Service) *routing.Request {
 	r := &routing.Request{Service: svc, Account: xxhash.Sum64String(w.Account), HomeRegion: w.Home, Hop: w.Hop, Bulk: w.Class == service.ClassBulk}
 	if w.Generation != nil {
@@ -312,6 +311,8 @@
 	case err == nil:
 		duration := now.Sub(m.sent)
 		routing.RecordResponse(p.entry, m.latency, m.expected, duration)
+		l.Quarantine.RecordAnswer(w.quarantineKey())
+		l.Parts.RecordWholeAnswer(w.quarantineKey(), now)
 	case ctx.Err() == nil && refusal.FromError(err).Code == refusal.CodeBackendFailed:
 		l.Admission.addSample(p.entry, p.service, admission.Sample{Failed: true}, now)
 		routing.RecordFailure(l.Servers, p.entry, now)
--- a/transport/dispatch/work.go
+++ b/transport/dispatch/work.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/basilroute/basilroute/coordination/quarantine"
@@ -26,12 +27,12 @@
 	Deadline  time.Time
 	MaxWait   time.Duration // maximum time in queues
 	Via       string
+	Trial     bool // it finds out whether the request or a part of its prompt still crashes servers
 
 	ConfigRevision int64                // revision at the first instance, on forwarded work
 	triedServers   []string             // servers of the local domain that failed this request
 	fingerprint    string               // set by quarantineKey
 	partKeys       []quarantine.PartKey // set by parts
-	trial          bool                 // it finds out whether a part of its prompt still crashes servers
 	domain         string               // failure domain that it is forwarded to
 	designated     bool                 // this instance was chosen to run the suspect request
 
@@ -120,6 +121,11 @@
 	return w.partKeys
 }
 
+// suspects returns the keys of all that may be blamed for a crash: the request and the parts of its prompt.
+func (w *Work) suspects() []quarantine.PartKey {
+	return append(slices.Clone(w.parts()), quarantine.RequestKey(w.quarantineKey()))
+}
+
 // body returns the content that the work's fingerprint covers.
 func (w *Work) body() string {
 	if w.Generation != nil {
--- a/transport/peer/codec.go
+++ b/transport/peer/codec.go
@@ -18,6 +18,7 @@
 		RequestId: w.RequestID, Attempt: uint32(w.Attempt), Hop: uint32(w.Hop), Account: w.Account,
 		KeyId: w.KeyID, HomeRegion: w.Home, Service: w.Service, Class: classToProto[w.Class],
 		DeadlineMs: time.Until(w.Deadline).Milliseconds(), MaxWaitMs: w.MaxWait.Milliseconds(), Via: w.Via,
+		Trial: w.Trial,
 	}
 	if w.Generation != nil {
 		req.Work = &peerpb.ForwardRequest_Generation{Generation: &peerpb.Generation{
@@ -36,7 +37,7 @@
 	w := &dispatch.Work{
 		RequestID: req.GetRequestId(), Attempt: int(req.GetAttempt()), Hop: int(req.GetHop()),
 		Account: req.GetAccount(), KeyID: req.GetKeyId(), Home: req.GetHomeRegion(), Service: req.GetService(),
-		Class: service.ClassInteractive, Via: req.GetVia(), ConfigRevision: req.GetConfigRevision(),
+		Class: service.ClassInteractive, Via: req.GetVia(), ConfigRevision: req.GetConfigRevision(), Trial: req.GetTrial(),
 		Deadline: time.Now().Add(time.Duration(req.GetDeadlineMs()) * time.Millisecond),
 		MaxWait:  time.Duration(req.GetMaxWaitMs()) * time.Millisecond,
 	}
