Keep streams of unknown build refused, and keep builds in the store

It happens here: with all instances new and servers of v2 only, a stream that began at v1 is refused for a minute and goes on at v2 after 61 s (TestStreamOfUnknownBuildStaysRefused on the code before), when our own Retry-After sends its caller back.

Cause: without a record, the build was inferred from what instances had seen for a minute, "the longest timeout of a request". A stream is older than that by its caller's waits. An instance counted as having seen all after a minute, whatever ran before its start.

A stream that was refused as unknown is recorded so with its keepers and stays refused. One build has to have been alone for 15 minutes, not one. What the services' servers have had in that time stands in the store (fleet/builds), so that instances that start know it: a service with one build has its streams go on at once, one with two does not wait until the past is forgotten.

Ruled out by reading: streams that an instance goes on with itself (they keep the build of the first response) and forwarded ones (the response names its build); /v1 resumes only at the engine that runs the generation.

Store: two writes for a release, and a read of each instance.

Open: two builds and an end of all instances: refused. A build that came within seconds before such an end and left. A server that starts again under its id with other software while its entry stays (not shown).

--- a/coordination/streambuild/history.go
+++ b/coordination/streambuild/history.go
@@ -41,6 +41,39 @@
 	return !known || now.Sub(last) > StreamLifetime
 }
 
+// Restore adds builds that other instances have seen, by service, and says that they have seen all.
+func (h *History) Restore(builds map[string][]string, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.since = time.Time{}
+	for service, all := range builds {
+		if h.lastSeen[service] == nil {
+			h.lastSeen[service] = make(map[string]time.Time)
+		}
+		for _, build := range all {
+			if h.lastSeen[service][build].Before(now) {
+				h.lastSeen[service][build] = now
+			}
+		}
+	}
+}
+
+// All returns the builds that services had for StreamLifetime, by service and in order, and whether these are all.
+func (h *History) All(now time.Time) (builds map[string][]string, covered bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	builds = make(map[string][]string)
+	for service, seen := range h.lastSeen {
+		for build, last := range seen {
+			if now.Sub(last) <= StreamLifetime {
+				builds[service] = append(builds[service], build)
+			}
+		}
+		slices.Sort(builds[service])
+	}
+	return builds, now.Sub(h.since) >= StreamLifetime
+}
+
 // Services returns the services that had servers.
 func (h *History) Services() []string {
 	h.mu.Lock()
--- a/coordination/streambuild/records.go
+++ b/coordination/streambuild/records.go
@@ -38,6 +38,9 @@
 	if now.Sub(r.rotatedAt) >= StreamLifetime || len(r.current) >= maxRecords {
 		r.rotate(now)
 	}
+	if known, ok := r.find(record.Stream); ok && record.Origin.IsRefused() {
+		record.Origin = known
+	}
 	r.current[record.Stream] = record.Origin
 }
 
@@ -88,6 +91,10 @@
 func (r *Records) Find(stream StreamID) (Origin, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.find(stream)
+}
+
+func (r *Records) find(stream StreamID) (Origin, bool) {
 	if origin, ok := r.current[stream]; ok {
 		return origin, true
 	}
--- a/coordination/streambuild/streambuild.go
+++ b/coordination/streambuild/streambuild.go
@@ -13,9 +13,13 @@
 //
 // # When records are sent
 //
-// While a service has had one build only for as long as a stream can last, every stream began there, and no
-// record is needed: History decides that. An instance sends its records from when it cannot rule out a second
-// build, at first those of all streams that are still running.
+// While a service has had one build only for StreamLifetime, every stream began there, and no record is needed:
+// History decides that. An instance sends its records from when it cannot rule out a second build, at first those of
+// all streams that are still running.
+//
+// A stream that was refused because nobody knew its build stays refused, however long its caller waits: later the
+// builds of its time are forgotten, and one that came after it would be taken for its own. That is recorded as an
+// origin without a service.
 //
 // # What is kept
 //
@@ -36,9 +40,9 @@
 	ErrNoAnswer = errors.New("no instance answers a question about the stream's build")
 )
 
-// StreamLifetime is the longest time from a stream's first event until its caller takes it up for the last time: the
-// longest timeout of a request.
-const StreamLifetime = time.Minute
+// StreamLifetime is the longest time between two requests of a caller for one stream. It exceeds the timeouts of requests and
+// the Retry-After of refused ones by far: a stream that goes on at another build reads as if it were whole.
+const StreamLifetime = 15 * time.Minute
 
 // StreamID identifies a stream: the hash of the id of the request that brought its first event.
 type StreamID uint64
@@ -52,6 +56,9 @@
 	Build   string // version of the server's software
 }
 
+// IsRefused reports whether the stream was refused as nobody knew its origin.
+func (o Origin) IsRefused() bool { return o.Service == "" }
+
 // Record is the origin of one stream.
 type Record struct {
 	Stream StreamID
--- /dev/null
+++ b/instance/routed/buildstore.go
@@ -0,0 +1,146 @@
+package routed
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/basilroute/basilroute/coordination/quarantine"
+	"github.com/basilroute/basilroute/coordination/streambuild"
+	"github.com/basilroute/basilroute/transport/platform"
+)
+
+const (
+	// buildsKey is where the builds of each service's servers are kept. Instances tell each other of them, and read this item only
+	// when they start: after all have ended at once none is left to tell which builds began the streams of before.
+	buildsKey = "fleet/builds"
+	// buildCheckInterval is how often an instance looks for builds to store.
+	buildCheckInterval = 200 * time.Millisecond
+	// minBuildStoreDelay and, for each instance of the fleet, buildStoreSpacing bound the time by which an instance waits for another
+	// one to store a build: all see it at once, and each looks whether it is stored.
+	minBuildStoreDelay = 2 * time.Second
+	buildStoreSpacing  = 20 * time.Millisecond
+)
+
+// storedBuilds is the value of buildsKey: all builds that services had for streambuild.StreamLifetime, by service.
+type storedBuilds struct {
+	Builds map[string][]string `json:"builds"`
+}
+
+// buildStore keeps the builds in the store.
+type buildStore struct {
+	history *streambuild.History
+	source  Source
+	log     *slog.Logger
+	stored  storedBuilds
+	lost    atomic.Bool // the store was restored from an earlier copy
+}
+
+func newBuildStore(history *streambuild.History, source Source, log *slog.Logger) *buildStore {
+	return &buildStore{history: history, source: source, log: log}
+}
+
+// keepBuilds reads the stored builds and then keeps the item as the history is, until ctx ends. One instance drops builds of the past.
+// A new build is stored by any that sees it, after a while in which that one may have done so.
+func (n *Instance) keepBuilds(ctx context.Context) {
+	b := n.buildStore
+	n.retryUntilDone(ctx, func() error {
+		_, err := b.read(ctx)
+		return err
+	})
+	for ctx.Err() == nil {
+		sleep(ctx, buildCheckInterval)
+		if b.lost.Swap(false) {
+			b.stored = storedBuilds{}
+		}
+		builds, covered := b.history.All(time.Now())
+		if !covered || maps.EqualFunc(builds, b.stored.Builds, slices.Equal) {
+			continue // an instance that has not seen all builds stores none
+		}
+		if !n.inheritsBan(quarantine.PartKey(xxhash.Sum64String(buildsKey))) {
+			if !b.lacks(builds) {
+				continue
+			}
+			sleep(ctx, rand.N(n.buildStoreDelay()))
+		}
+		if err := b.update(ctx); err != nil && !errors.Is(err, platform.ErrConflict) {
+			n.log.Info("builds_not_stored", "error", err.Error())
+			sleep(ctx, minBuildStoreDelay)
+		}
+	}
+}
+
+func (n *Instance) buildStoreDelay() time.Duration {
+	fleet, _ := n.InstanceCounts()
+	return max(minBuildStoreDelay, time.Duration(fleet)*buildStoreSpacing)
+}
+
+// read adds what is new in the item to the history and returns the revision of the item, 0 if there is none. A value that cannot be
+// decoded says nothing: the next write replaces it.
+func (b *buildStore) read(ctx context.Context) (int64, error) {
+	item, err := b.source.Store().Get(ctx, buildsKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, errors.Wrap(err, "read builds")
+	}
+	var stored storedBuilds
+	if err := json.Unmarshal(item.Value, &stored); err != nil {
+		b.log.Info("builds_unreadable", "error", err.Error())
+		return item.Revision, nil
+	}
+	added := make(map[string][]string)
+	for service, all := range stored.Builds {
+		for _, build := range all {
+			if !slices.Contains(b.stored.Builds[service], build) {
+				added[service] = append(added[service], build)
+			}
+		}
+	}
+	b.stored = stored
+	b.history.Restore(added, time.Now())
+	return item.Revision, nil
+}
+
+// lacks reports whether the store lacks one of the builds.
+func (b *buildStore) lacks(builds map[string][]string) bool {
+	for service, all := range builds {
+		for _, build := range all {
+			if !slices.Contains(b.stored.Builds[service], build) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// update writes the builds of the history, unless another instance has.
+func (b *buildStore) update(ctx context.Context) error {
+	revision, err := b.read(ctx)
+	if err != nil {
+		return err
+	}
+	builds, _ := b.history.All(time.Now())
+	if maps.EqualFunc(builds, b.stored.Builds, slices.Equal) {
+		return nil
+	}
+	next := storedBuilds{Builds: builds}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return errors.Wrap(err, "builds")
+	}
+	if _, err := b.source.Store().Put(ctx, platform.Write{Key: buildsKey, Value: value, ExpectRevision: revision}); err != nil {
+		return errors.Wrap(err, "write builds")
+	}
+	b.stored = next
+	return nil
+}
--- a/instance/routed/instance.go
+++ b/instance/routed/instance.go
@@ -50,6 +50,7 @@
 	features    features.Set
 	parts       *quarantine.Parts
 	bans        *banStore
+	buildStore  *buildStore
 	local       *httproute.LocalDispatcher
 	front       *httproute.Front
 	relay       *httproute.Peer
@@ -216,6 +217,7 @@
 	}
 	n.builds = newStreamBuilds(&n.settings, n.started)
 	n.builds.hasPeers, n.builds.starting = n.hasPeers, n.startupWaitAllowed
+	n.buildStore = newBuildStore(n.builds.history, n.source, n.log)
 	n.local.Waiting = &httproute.Waiting{Metrics: metrics, MaxBytes: int(n.settings.MemoryMB << 20 / waitMemoryShare), Flow: n.slotFlow}
 	n.front = &httproute.Front{
 		Region: n.settings.Region, Codec: n.codec, Routes: n.routes, Ledger: n.ledger,
@@ -252,7 +254,7 @@
 			n.listenerErrors <- err
 		}
 	}()
-	for _, loop := range []func(context.Context){n.runStoreSync, n.join, n.rejoin, n.reseed, n.exchange, n.keepBans, n.queryLoans, n.lending.Run, n.broadcaster.Run, n.local.Waiting.Run, n.housekeep} {
+	for _, loop := range []func(context.Context){n.runStoreSync, n.join, n.rejoin, n.reseed, n.exchange, n.keepBans, n.keepBuilds, n.queryLoans, n.lending.Run, n.broadcaster.Run, n.local.Waiting.Run, n.housekeep} {
 		n.loops.Go(func() { loop(n.background) })
 	}
 	n.log.Info("started", "region", n.settings.Region, "domain", n.settings.Domain, "callers", n.settings.Listen.Callers,
--- a/instance/routed/streambuilds.go
+++ b/instance/routed/streambuilds.go
@@ -87,8 +87,12 @@
 	defer cancel()
 	stream, now := streambuild.IDOf(requestID), time.Now()
 	own := b.answer(stream, service, now)
+	refused := false
 	if own.Known && requestID != "" {
-		return own.Origin, nil
+		if !own.Origin.IsRefused() {
+			return own.Origin, nil
+		}
+		refused = true
 	}
 	candidates, local := b.awaitCandidates(ctx, stream)
 	received := b.exchange.Ask(ctx, stream, service, candidates)
@@ -97,25 +101,38 @@
 		select {
 		case a := <-received:
 			if a.Known && requestID != "" {
-				return a.Origin, nil
+				if !a.Origin.IsRefused() {
+					return a.Origin, nil
+				}
+				refused = true
 			}
 			answers = append(answers, a)
 		case <-ctx.Done():
 		}
 		build, agreed := streambuild.Agreed(own.Builds, answers, true)
-		if agreed && len(answers) >= max(local, 1) {
+		if agreed && !refused && len(answers) >= max(local, 1) {
 			return streambuild.Origin{Service: service, Build: build}, nil
 		}
 	}
-	if build, agreed := streambuild.Agreed(own.Builds, answers, b.hasPeers()); agreed {
+	if build, agreed := streambuild.Agreed(own.Builds, answers, b.hasPeers()); agreed && !refused {
 		return streambuild.Origin{Service: service, Build: build}, nil
 	}
 	if len(answers) == 0 && b.hasPeers() {
 		return streambuild.Origin{}, streambuild.ErrNoAnswer
 	}
+	if requestID != "" {
+		b.recordRefused(stream, now)
+	}
 	return streambuild.Origin{}, streambuild.ErrUnknown
 }
 
+// recordRefused records that a stream is refused, here and at its keepers.
+func (b *streamBuilds) recordRefused(stream streambuild.StreamID, now time.Time) {
+	record := streambuild.Record{Stream: stream}
+	b.records.Keep(record, now)
+	b.exchange.Report([]streambuild.Record{record}, b.members.Load().Keepers)
+}
+
 // awaitCandidates returns the instances that may keep the record of a stream, and how many of them are in the local
 // region. An instance that has just started waits until it knows some.
 func (b *streamBuilds) awaitCandidates(ctx context.Context, stream streambuild.StreamID) ([]streambuild.Member, int) {
--- a/instance/routed/streambuilds_test.go
+++ b/instance/routed/streambuilds_test.go
@@ -158,3 +158,27 @@
 		}
 	})
 }
+
+// Guards against a stream whose build nobody knows any more, and that goes on at another one once its caller has waited for as long as
+// it was told, or for longer and again and again.
+func TestStreamOfUnknownBuildStaysRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, all := newBuildNetwork(6)
+		seeBuilds(all, "v1")
+		all[0].Begin("first", streambuild.Origin{Service: "svc", Build: "v1"})
+		for _, b := range all {
+			b.history, b.records = streambuild.NewHistory(time.Now()), streambuild.NewRecords(time.Now())
+		}
+		ended := time.Now()
+		for n := 0; time.Since(ended) < 3*streambuild.StreamLifetime; n++ {
+			seeBuilds(all, "v2")
+			if origin, err := all[n%len(all)].Find(t.Context(), "first", "svc"); !errors.Is(err, streambuild.ErrUnknown) {
+				t.Fatalf("after %s: %v, %v", time.Since(ended), origin, err)
+			}
+			time.Sleep(time.Minute + time.Second)
+		}
+		if origin, err := all[0].Find(t.Context(), "later", "svc"); err != nil || origin.Build != "v2" {
+			t.Errorf("a stream of the new build: %v, %v", origin, err)
+		}
+	})
+}
--- a/transport/httproute/streambuild.go
+++ b/transport/httproute/streambuild.go
@@ -31,6 +31,9 @@
 // instance finds peers that answer.
 const noAnswerRetryAfter = time.Second
 
+// unknownRetryAfter is the Retry-After of a stream of which no instance knows the build.
+const unknownRetryAfter = time.Minute
+
 // takesUp reports whether the caller takes up a stream that was interrupted.
 func (r *request) takesUp() bool {
 	return r.route.Kind == routes.KindStreaming && (r.LastEventID != "" || r.Resumes != "")
@@ -65,10 +68,10 @@
 		return &failure{run: runNotRun, reason: reasonBuild, retryAfter: noAnswerRetryAfter, cause: err}
 	case err != nil:
 		f.Metrics.takenUp(service, takenUpUnknown)
-		return &failure{run: runNotRun, reason: reasonBuild, retryAfter: streambuild.StreamLifetime, cause: err}
+		return &failure{run: runNotRun, reason: reasonBuild, retryAfter: unknownRetryAfter, cause: err}
 	case !slices.ContainsFunc(r.route.Targets, func(t routes.Target) bool { return t.Service == origin.Service }):
 		f.Metrics.takenUp(service, takenUpUnknown)
-		return &failure{run: runNotRun, reason: reasonBuild, retryAfter: streambuild.StreamLifetime,
+		return &failure{run: runNotRun, reason: reasonBuild, retryAfter: unknownRetryAfter,
 			cause: errors.Newf("the stream began at service %s, which the route does not name", origin.Service)}
 	}
 	f.Metrics.takenUp(origin.Service, takenUpPinned)
