Infer a stream's build only with news from the store or from all

The instances of a region that is cut off from the store and from the other regions have not seen a new build. They asked each other, agreed on the old one, and a stream that had begun at the new one in another region went on at the old one.

An answer now says whether its sender reads the store at present (StreamAnswer.current). If nobody who answers does, all that are asked have to answer, one of each region at least: so streams go on while the store is away for all (TestStreamGoesOnWhileTheStoreIsAway). An instance of an older build does not say so and counts as one that does not.

--- a/coordination/streambuild/streambuild.go
+++ b/coordination/streambuild/streambuild.go
@@ -28,6 +28,7 @@
 package streambuild
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -67,9 +68,10 @@
 
 // Answer is what one instance knows of a stream and of the builds of its service.
 type Answer struct {
-	Known  bool
-	Origin Origin // if Known
-	Builds Builds
+	Known   bool
+	Origin  Origin // if Known
+	Builds  Builds
+	Current bool // the instance reads the store at present, where builds appear first
 }
 
 // Builds is what one instance knows of the builds that a service had for StreamLifetime.
@@ -79,6 +81,12 @@
 	Covered bool   // this instance has seen all of them
 }
 
+// AnyCurrent reports whether one of those that know the builds reads the store at present. Instances that are all cut off from it agree
+// on what they saw before.
+func AnyCurrent(own Answer, answers []Answer) bool {
+	return own.Current || slices.ContainsFunc(answers, func(a Answer) bool { return a.Current })
+}
+
 // Agreed returns the one build that a service had by what this instance knows and what others have answered, if it had
 // one: somebody has to know of all builds, and nobody may have seen another. Without an answer it returns false if the
 // instance has peers: it may be cut off from news of another build.
--- a/instance/routed/streambuilds.go
+++ b/instance/routed/streambuilds.go
@@ -26,12 +26,14 @@
 	hasPeers func() bool
 	// starting reports whether this instance may not know the others yet.
 	starting func() bool
+	// current reports whether this instance reads the store at present.
+	current func() bool
 }
 
 func newStreamBuilds(settings *Settings, started time.Time) *streamBuilds {
 	b := &streamBuilds{
 		history: streambuild.NewHistory(started), records: streambuild.NewRecords(started),
-		patience: 2*settings.Bounds.RegionDelay + answerMargin,
+		patience: 2*settings.Bounds.RegionDelay + answerMargin, current: func() bool { return true },
 	}
 	if settings.FirstStart {
 		b.history.SetComplete()
@@ -78,6 +80,7 @@
 func (b *streamBuilds) answer(stream streambuild.StreamID, service string, now time.Time) (a streambuild.Answer) {
 	a.Origin, a.Known = b.records.Find(stream)
 	a.Builds = b.history.Builds(service, now)
+	a.Current = b.current()
 	return a
 }
 
@@ -110,14 +113,16 @@
 		case <-ctx.Done():
 		}
 		build, agreed := streambuild.Agreed(own.Builds, answers, true)
-		if agreed && !refused && len(answers) >= max(local, 1) {
+		if agreed && !refused && len(answers) >= max(local, 1) && streambuild.AnyCurrent(own, answers) {
 			return streambuild.Origin{Service: service, Build: build}, nil
 		}
 	}
-	if build, agreed := streambuild.Agreed(own.Builds, answers, b.hasPeers()); agreed && !refused {
+	build, agreed := streambuild.Agreed(own.Builds, answers, b.hasPeers())
+	heardAll := streambuild.AnyCurrent(own, answers) || len(answers) == len(candidates)
+	if agreed && !refused && heardAll {
 		return streambuild.Origin{Service: service, Build: build}, nil
 	}
-	if len(answers) == 0 && b.hasPeers() {
+	if len(answers) == 0 && b.hasPeers() || agreed && !refused {
 		return streambuild.Origin{}, streambuild.ErrNoAnswer
 	}
 	if requestID != "" {
--- a/instance/routed/streambuilds_test.go
+++ b/instance/routed/streambuilds_test.go
@@ -182,3 +182,44 @@
 		}
 	})
 }
+
+// Guards against a stream that goes on at another build because all instances of a region, cut off from the store and from those that
+// have seen the new build, agree on the old one.
+func TestRegionThatIsCutOffDoesNotGuessTheBuild(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, all := newBuildNetwork(6)
+		seeBuilds(all, "v1")
+		time.Sleep(streambuild.StreamLifetime)
+		seeBuilds(all, "v1")
+		cut := map[netip.AddrPort]bool{netip.MustParseAddrPort("10.0.0.4:7600"): true, netip.MustParseAddrPort("10.0.0.5:7600"): true}
+		network.lost = func(from, to netip.AddrPort) bool { return cut[from] != cut[to] }
+		for _, b := range all[4:] {
+			b.current = func() bool { return false }
+		}
+		seeBuilds(all[:4], "v1", "v2")
+		all[0].Begin("first", streambuild.Origin{Service: "svc", Build: "v2"})
+		if origin, err := all[4].Find(t.Context(), "first", "svc"); !errors.Is(err, streambuild.ErrNoAnswer) {
+			t.Errorf("cut off with its region: %v, %v", origin, err)
+		}
+		network.lost = func(_, _ netip.AddrPort) bool { return false }
+		if origin, err := all[4].Find(t.Context(), "first", "svc"); err != nil || origin.Build != "v2" {
+			t.Errorf("once the regions are connected: %v, %v", origin, err)
+		}
+	})
+}
+
+// Guards against streams that are refused because nobody reads the store while it is away.
+func TestStreamGoesOnWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, all := newBuildNetwork(6)
+		seeBuilds(all, "v1")
+		time.Sleep(streambuild.StreamLifetime)
+		seeBuilds(all, "v1")
+		for _, b := range all {
+			b.current = func() bool { return false }
+		}
+		if origin, err := all[4].Find(t.Context(), "first", "svc"); err != nil || origin.Build != "v1" {
+			t.Errorf("%v, %v", origin, err)
+		}
+	})
+}
--- a/transport/streamcast/streamcast.go
+++ b/transport/streamcast/streamcast.go
@@ -155,6 +155,7 @@
 func encodeAnswer(q *peerpb.StreamQuery, a streambuild.Answer) *peerpb.StreamAnswer {
 	out := &peerpb.StreamAnswer{
 		Number: q.GetNumber(), Builds: uint32(a.Builds.Count), Build: a.Builds.One, Covered: a.Builds.Covered,
+		Current: a.Current,
 	}
 	if a.Known {
 		out.Record = encodeRecord(streambuild.Record{Stream: streambuild.StreamID(q.GetStream()), Origin: a.Origin})
@@ -164,7 +165,8 @@
 
 func decodeAnswer(a *peerpb.StreamAnswer) streambuild.Answer {
 	out := streambuild.Answer{
-		Builds: streambuild.Builds{Count: int(a.GetBuilds()), One: a.GetBuild(), Covered: a.GetCovered()},
+		Builds:  streambuild.Builds{Count: int(a.GetBuilds()), One: a.GetBuild(), Covered: a.GetCovered()},
+		Current: a.GetCurrent(),
 	}
 	if r := a.GetRecord(); r != nil {
 		out.Known, out.Origin = true, decodeRecord(r).Origin
