Know a crashing request again at another service of its route

Cause: the fingerprint of a request held the service, so that each judged it anew.

The fingerprint holds the host instead: what a caller sends is one request. Parts of prompts are still judged by service.

--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -81,10 +81,11 @@
 // maxRecords is the maximum number of records that are sent to a peer.
 const maxRecords = 256
 
-// Fingerprint identifies a request.
-func Fingerprint(account, service, body string) string {
+// Fingerprint identifies a request by its account, what it was sent to, and its content. That is a service, or a host if a route may
+// split its requests between services.
+func Fingerprint(account, target, body string) string {
 	digest := xxhash.New()
-	for _, part := range []string{account, service, body} {
+	for _, part := range []string{account, target, body} {
 		_, _ = digest.WriteString(strconv.Itoa(len(part)))
 		_, _ = digest.WriteString(":")
 		_, _ = digest.WriteString(part)
