Treat a success without the server's proof as malformed

Cause: the codec decoded the proof and nothing asked for it. Ruled out: responses that belong to another request (the case echoes the right id) and cut ones (its length is right).

Such a response is now malformed: logged and counted, its connection closed, the server's outcome a failure. What may be repeated is tried elsewhere; an order gets 502, as it may have run.

Before: TestSuccessWithoutProofIsNotPassedOn: "an order got a success without proof". After: it passes.

--- a/transport/httproute/codec.go
+++ b/transport/httproute/codec.go
@@ -47,7 +47,7 @@
 	RequestID   string
 	NotRun      bool          // the server did not run the request and never will
 	Misdirected bool          // another server now has the address
-	Stamped     bool          // the response carries the server's proof
+	Unproven    bool          // the response is a success and lacks the server's proof
 	Leaving     bool          // the server is about to shut down
 	Rest        time.Duration // how long the server wants no requests from this instance; 0 if it does not say
 	Load        *placement.ReportedLoad
--- a/transport/httproute/local.go
+++ b/transport/httproute/local.go
@@ -212,6 +212,11 @@
 	case meta.NotRun:
 		r.end(placement.OutcomeRefused)
 		return nil, l.turnedAway(o, r.server, &meta, now)
+	case meta.Unproven:
+		r.malformed.check(errUnproven)
+		resp.Close()
+		pool.Done(placed, placement.OutcomeFailed, now)
+		return nil, &failure{run: runUnknown, reason: reasonMalformed, server: r.server, sent: true, cause: errUnproven}
 	case resp.Header.Get("Content-Encoding") != "":
 		// No encoding was requested, so the body is not what the server wrote.
 		resp.Close()
@@ -229,6 +234,9 @@
 	return r, nil
 }
 
+// errUnproven is the fault of a success that does not come from the server's software.
+var errUnproven = errors.Wrap(backendhttp.ErrMalformed, "a success without the server's proof")
+
 func (l *LocalDispatcher) malformedReporter(o *outbound, placed *placement.Placement) malformedReporter {
 	return malformedReporter{
 		log: l.Log, metrics: l.Metrics, service: o.service, request: o.id,
