Tell all instances that a request was cleared of crashes

Cause: the instance that tries a refused request cleared it, and the others never heard. A message to a peer carries 13 crashes of requests, those with most blame first; a cleared request has none, and the requests that were at one crash are many. Its peers went on refusing it, so that no answer could clear it there. Ruled out: failed trials (a third of the lookups, one instance's part, was served evenly all the time).

Cleared crashes now have their own part of each message, at most 16, sent 16 times, and all crashes of such a request are told.

Before: TestAllInstancesHearThatARequestIsCleared: two of three instances refuse it.

--- a/coordination/quarantine/early_test.go
+++ b/coordination/quarantine/early_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -189,3 +190,39 @@
 		}
 	}
 }
+
+// Guards against a sound request that some instances go on refusing, as they do not hear that it was cleared among the many others
+// that were at crashes.
+func TestAllInstancesHearThatARequestIsCleared(t *testing.T) {
+	const (
+		others  = 30 // requests at each crash
+		crashes = earlyMomentLimit
+	)
+	f := newEarlyFleet(t, 1)
+	for range crashes {
+		f.crashes++
+		server := fmt.Sprint("s", f.crashes)
+		f.all[f.crashes%3].RecordEarlyRequestCrash(lookup, server, "boot", f.now)
+		for n := range others {
+			f.all[n%3].RecordEarlyRequestCrash(fmt.Sprint(f.crashes, "-", n), server, "boot", f.now)
+		}
+		f.wait(time.Second)
+	}
+	f.wantRequestRefused(true, "after the crashes", lookup)
+	key := []PartKey{RequestKey(lookup)}
+	freed := func() bool {
+		return slices.ContainsFunc(f.all, func(p *Parts) bool { return !p.Banned(key, f.now) })
+	}
+	for began := f.now; !freed() && f.now.Sub(began) < 15*time.Minute; {
+		f.now = f.now.Add(100 * time.Millisecond)
+		for at, p := range f.all {
+			if verdict, _ := p.Admit(key, f.now); verdict == Trial {
+				f.answerRequest(at, lookup)
+			}
+		}
+	}
+	for range 3 {
+		f.wait(time.Second)
+	}
+	f.wantRequestRefused(false, "once one instance has cleared it", lookup)
+}
--- a/coordination/quarantine/parts.go
+++ b/coordination/quarantine/parts.go
@@ -169,10 +169,13 @@
 	if crashes[key] == c {
 		return
 	}
-	if _, known := crashes[key]; !known {
-		delete(p.sent, part)
+	known, isKnown := crashes[key]
+	if !isKnown {
 		delete(p.trials, part)
 	}
+	if !isKnown || c.cleared() && !known.cleared() {
+		delete(p.sent, part)
+	}
 	crashes[key] = c
 	p.changed = true
 	for len(crashes) > maxCrashesPerPart {
--- a/coordination/quarantine/requests.go
+++ b/coordination/quarantine/requests.go
@@ -35,6 +35,10 @@
 	// requests that are refused. The others get what these leave.
 	maxRequestCrashes        = 13
 	maxRefusedRequestCrashes = 8
+	// maxClearedRequestCrashes bounds those of requests that were cleared of crashes, in clearedSends messages to peers: an instance
+	// that does not hear of it goes on refusing the request.
+	maxClearedRequestCrashes = maxCrashesPerPart
+	clearedSends             = 16
 )
 
 // RequestKey returns the key by which a request with a fingerprint is judged beside the parts of prompts.
@@ -100,6 +104,7 @@
 		c.clear(now)
 		p.blamed[key][id] = c
 	}
+	delete(p.sent, key)
 	p.changed = true
 	p.judge(now)
 	return true
@@ -125,6 +130,7 @@
 	}
 	c.clear(now)
 	crashes[first] = c
+	delete(p.sent, key)
 	p.changed = true
 }
 
@@ -172,9 +178,10 @@
 	return earlyMomentLimit
 }
 
-// newestCrashes cuts the record of a request to its newest crashes, those that it is blamed for before others.
+// newestCrashes cuts the record of a request to its newest crashes, those that it is blamed for before others. Of one that it is not
+// blamed for any more, peers have to hear of each.
 func newestCrashes(r *PartRecord) {
-	if !r.Part.request() || len(r.Crashes) <= maxCrashesPerRequestRecord {
+	if !r.Part.request() || len(r.Crashes) <= maxCrashesPerRequestRecord || blame(*r) == 0 {
 		return
 	}
 	slices.SortFunc(r.Crashes, func(a, b PartCrash) int {
@@ -191,7 +198,7 @@
 
 // boundRecords cuts sorted records to what a peer is sent. The caller holds the lock.
 func (p *Parts) boundRecords(records []PartRecord) []PartRecord {
-	parts, refused := maxPartRecords, maxRefusedRequestCrashes
+	parts, refused, cleared := maxPartRecords, maxRefusedRequestCrashes, maxClearedRequestCrashes
 	kept := make([]bool, len(records))
 	keep := func(at int, left *int, size int) {
 		if kept[at] = *left >= size; kept[at] {
@@ -203,12 +210,14 @@
 			keep(at, &parts, 1)
 		} else if p.isBanned(r.Part) {
 			keep(at, &refused, len(r.Crashes))
+		} else if blame(r) < len(r.Crashes) && p.sent[r.Part] < clearedSends {
+			keep(at, &cleared, len(r.Crashes))
 		}
 	}
 	suspected := maxRequestCrashes - (maxRefusedRequestCrashes - refused)
 	var out []PartRecord
 	for at, r := range records {
-		if r.Part.request() && !p.isBanned(r.Part) {
+		if r.Part.request() && !p.isBanned(r.Part) && !kept[at] {
 			keep(at, &suspected, len(r.Crashes))
 		}
 		if kept[at] {
