Connect the regions of a test without a race

Cause: the test, not the product; a question is repeated by a timer. The function is now set once and asks an atomic flag.

--- a/instance/routed/streambuilds_test.go
+++ b/instance/routed/streambuilds_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -192,7 +193,8 @@
 		time.Sleep(streambuild.StreamLifetime)
 		seeBuilds(all, "v1")
 		cut := map[netip.AddrPort]bool{netip.MustParseAddrPort("10.0.0.4:7600"): true, netip.MustParseAddrPort("10.0.0.5:7600"): true}
-		network.lost = func(from, to netip.AddrPort) bool { return cut[from] != cut[to] }
+		var connected atomic.Bool
+		network.lost = func(from, to netip.AddrPort) bool { return cut[from] != cut[to] && !connected.Load() }
 		for _, b := range all[4:] {
 			b.current = func() bool { return false }
 		}
@@ -201,7 +203,7 @@
 		if origin, err := all[4].Find(t.Context(), "first", "svc"); !errors.Is(err, streambuild.ErrNoAnswer) {
 			t.Errorf("cut off with its region: %v, %v", origin, err)
 		}
-		network.lost = func(_, _ netip.AddrPort) bool { return false }
+		connected.Store(true)
 		if origin, err := all[4].Find(t.Context(), "first", "svc"); err != nil || origin.Build != "v2" {
 			t.Errorf("once the regions are connected: %v, %v", origin, err)
 		}
