Name the instance that acts for all by its rank

From reading the diff: keepBuilds asked inheritsBan about a key that is no part of a prompt. The question is now ranksFirst, and inheritsBan asks it for a part. Comments of keepBuilds and CrashedLately say what they do.

--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -72,7 +72,7 @@
 // CrashTTL is how long a crash counts against a fingerprint.
 const CrashTTL = 15 * time.Minute
 
-// mergeDelay is the time in which instances tell each other of a crash.
+// mergeDelay is the time within which instances tell each other of a crash.
 const mergeDelay = 3 * time.Second
 
 // presumptionTTL is how long an unconfirmed crash counts against a fingerprint.
@@ -161,8 +161,8 @@
 	return len(l.expiries(fingerprint, now)) > 0
 }
 
-// CrashedLately reports whether a request was at so many crashes lately that it is not run again before all instances have told each
-// other of them: the judgement of Parts follows within mergeDelay.
+// CrashedLately reports whether a request was at isolatedCrashLimit crashes within mergeDelay, or at presumed ones. Parts learns of
+// these later than List, and the request would crash one more server meanwhile.
 func (l *List) CrashedLately(fingerprint string, now time.Time) bool {
 	lately := 0
 	for _, until := range l.expiries(fingerprint, now) {
--- a/instance/routed/buildstore.go
+++ b/instance/routed/buildstore.go
@@ -13,7 +13,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
-	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/coordination/streambuild"
 	"github.com/basilroute/basilroute/transport/platform"
 )
@@ -48,8 +47,8 @@
 	return &buildStore{history: history, source: source, log: log}
 }
 
-// keepBuilds reads the stored builds and then keeps the item as the history is, until ctx ends. One instance drops builds of the past.
-// A new build is stored by any that sees it, after a while in which that one may have done so.
+// keepBuilds reads the stored builds and then writes the item whenever the history differs from it, until ctx ends. The instance that
+// ranks first writes at once. The others wait for it, and then write only what the item lacks.
 func (n *Instance) keepBuilds(ctx context.Context) {
 	b := n.buildStore
 	n.retryUntilDone(ctx, func() error {
@@ -65,7 +64,7 @@
 		if !covered || maps.EqualFunc(builds, b.stored.Builds, slices.Equal) {
 			continue // an instance that has not seen all builds stores none
 		}
-		if !n.inheritsBan(quarantine.PartKey(xxhash.Sum64String(buildsKey))) {
+		if !n.ranksFirst(xxhash.Sum64String(buildsKey)) {
 			if !b.lacks(builds) {
 				continue
 			}
--- a/instance/routed/members.go
+++ b/instance/routed/members.go
@@ -241,19 +241,23 @@
 	})
 }
 
-// orphanDelay is how long an instance must have run to speak for bans whose reporters are gone: by then it knows the others.
+// orphanDelay is how long an instance must have run to act for all that can be reached: by then it knows the others.
 const orphanDelay = 10 * time.Second
 
-// inheritsBan reports whether this instance has the highest score for a part of all that can be reached.
-func (n *Instance) inheritsBan(part quarantine.PartKey) bool {
+// inheritsBan reports whether this instance speaks for a part whose reporters are gone.
+func (n *Instance) inheritsBan(part quarantine.PartKey) bool { return n.ranksFirst(uint64(part)) }
+
+// ranksFirst reports whether this instance has the highest score for a key of all that can be reached. One that has just started does
+// not know the others and ranks behind them.
+func (n *Instance) ranksFirst(key uint64) bool {
 	now := time.Now()
 	if now.Sub(n.started) < orphanDelay {
 		return false
 	}
-	own := rendezvous.Score(quarantine.ReporterHash(n.settings.ID), uint64(part))
+	own := rendezvous.Score(quarantine.ReporterHash(n.settings.ID), key)
 	return !slices.ContainsFunc(n.members.Members(now), func(m membership.Member) bool {
 		id := m.Entry.GetId()
-		return id != n.settings.ID && m.Reachable && n.mayServe(m, now) && rendezvous.Score(quarantine.ReporterHash(id), uint64(part)) > own
+		return id != n.settings.ID && m.Reachable && n.mayServe(m, now) && rendezvous.Score(quarantine.ReporterHash(id), key) > own
 	})
 }
 
