Try claimed orders at another peer when the link to one is lost

Trace: the order comes to the instance whose link to the peer is cut and that has heard of servers at this peer only, as the other one has just started. It sends the order there, loses the connection, finds no other server and answers.

Cause: whether to try again was asked of the operation alone. What may run once was never tried again, although the claim decides which of several dispatches runs: it is created only if no other one is there, with a nonce for each try. Ruled out: a router that prefers the cut peer.

Claimed work whose peer was lost is tried at another peer, within the budget of retries. If no other server is known, the instance reads the claim and answers 409 if it stands. Work without a key is sent once, and what was lost at a server is not sent again.

Before: TestClaimedOrderIsTriedAtAnotherPeer and TestClaimedOrderWhoseOnlyPeerIsLostIsADuplicate fail. The path is of /v1 only.

--- a/transport/claim/claim.go
+++ b/transport/claim/claim.go
@@ -147,6 +147,21 @@
 	return id, nil
 }
 
+// Standing returns the refusal of a request as a duplicate, or nil if no claim of its key is known to stand.
+func (c *Claimer) Standing(ctx context.Context, r Request) *refusal.Refusal {
+	key, refused := once.ParseKey(r.Key, time.Now())
+	if refused != nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	kv, err := c.store.Get(ctx, key.StoreKey(r.Account))
+	if err != nil {
+		return nil
+	}
+	return c.describe(kv, once.Hash(r.Service, r.Operation, r.Body))
+}
+
 // duplicateRefusal returns the refusal of a duplicate request, with what is known of the
 // existing claim. A claim that was retracted in between was never dispatched.
 func (c *Claimer) duplicateRefusal(ctx context.Context, key, hash string) *refusal.Refusal {
@@ -157,6 +172,11 @@
 	if err != nil {
 		return refusal.New(refusal.CodeConflict, "a claim under this key stands").WithRunState(refusal.RunUnknown)
 	}
+	return c.describe(kv, hash)
+}
+
+// describe returns the refusal of a duplicate of the request that made a claim.
+func (c *Claimer) describe(kv platform.KeyValue, hash string) *refusal.Refusal {
 	found, err := once.Decode(kv.Value)
 	if err != nil {
 		return refusal.New(refusal.CodeConflict, "a claim under this key stands").WithRunState(refusal.RunUnknown)
--- a/transport/dispatch/front.go
+++ b/transport/dispatch/front.go
@@ -121,7 +121,7 @@
 		}
 		current := refusal.FromError(err)
 		if current.Code == refusal.CodeNoServer && last != nil {
-			return last // no alternative is left: keep the previous reason and its retry time
+			return f.withoutAlternative(ctx, svc, w, last)
 		}
 		run = combineRun(run, current.RunState)
 		if u.frames > 0 {
@@ -137,7 +137,7 @@
 		if w.Trial || f.Parts.Banned(w.suspects(), time.Now()) {
 			return refused
 		}
-		if !u.restart() || !retry.Retryable(current, w.Repeatable(svc)) {
+		if !u.restart() || !retry.Retryable(current, repeatable(svc, w, current)) {
 			return refused
 		}
 		wait, ok := f.Retries.Take(svc, refused.Code, w.Attempt, time.Until(w.Deadline), rng)
@@ -158,6 +158,23 @@
 	}
 }
 
+// withoutAlternative returns the refusal of work for which no other server is left: the previous reason with its retry time, or that the
+// lost peer has claimed it.
+func (f *Front) withoutAlternative(ctx context.Context, svc *service.Service, w *Work, last *refusal.Refusal) *refusal.Refusal {
+	if last.Code == refusal.CodePeerUnreachable && w.Claimed(svc) {
+		if standing := f.Local.standingClaim(ctx, w); standing != nil {
+			return standing.WithRunState(combineRun(last.RunState, standing.RunState))
+		}
+	}
+	return last
+}
+
+// repeatable reports whether a refused attempt may be followed by another one although it may have run. Claimed work whose peer was lost
+// may: if the peer had claimed it, another one refuses it as a duplicate.
+func repeatable(svc *service.Service, w *Work, refused *refusal.Refusal) bool {
+	return w.Repeatable(svc) || refused.Code == refusal.CodePeerUnreachable && w.Claimed(svc)
+}
+
 // checkQuarantine refuses work that crashes servers, or with a part in its prompt that does.
 func (f *Front) checkQuarantine(w *Work) *refusal.Refusal {
 	verdict, wait := f.Parts.Admit(w.suspects(), time.Now())
--- a/transport/dispatch/front_test.go
+++ b/transport/dispatch/front_test.go
@@ -8,6 +8,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/uuid"
+
+	"github.com/basilroute/basilroute/coordination/once"
 	"github.com/basilroute/basilroute/coordination/quarantine"
 	"github.com/basilroute/basilroute/coordination/retry"
 	"github.com/basilroute/basilroute/coordination/routing"
@@ -15,6 +18,8 @@
 	"github.com/basilroute/basilroute/protocol/refusal"
 	"github.com/basilroute/basilroute/service"
 	"github.com/basilroute/basilroute/state/servers"
+	"github.com/basilroute/basilroute/transport/claim"
+	"github.com/basilroute/basilroute/transport/platform"
 )
 
 // fakePeerSet is a fleet of remote instances that refuse by a script.
@@ -68,6 +73,10 @@
 
 var modelService = &service.Service{Name: "notice-writer", Retry: service.Retry{Budget: 0.1, Attempts: 3}}
 
+var ledgerService = &service.Service{
+	Name: "ledger", Retry: service.Retry{Budget: 0.1, Attempts: 3}, Operations: map[string]service.Operation{"order": {}},
+}
+
 func testWork() *Work {
 	return &Work{
 		Account: "grocers", Service: "notice-writer", Class: service.ClassInteractive,
@@ -103,6 +112,83 @@
 	})
 }
 
+// Guards against an order with an idempotency key that is answered as of unknown outcome because the link to one peer is cut, while
+// another peer can say, or decide by the claim, whether it runs; and against orders without a claim that run twice.
+func TestClaimedOrderIsTriedAtAnotherPeer(t *testing.T) {
+	duplicate := refusal.New(refusal.CodeConflict, "duplicate").WithRunState(refusal.RunUnknown)
+	lost := refusal.New(refusal.CodePeerUnreachable, "cut").WithRunState(refusal.RunUnknown)
+	failed := refusal.New(refusal.CodeBackendFailed, "the server broke off").WithRunState(refusal.RunUnknown)
+	served := func(sink Sink) error { return sink.Answer("s", nil) }
+	for _, tc := range []struct {
+		name, key    string
+		first, again error
+		calls        int
+		code         refusal.Code // empty: served
+	}{
+		{"claimed at the first peer", "key", lost, duplicate, 2, refusal.CodeConflict},
+		{"not claimed yet", "key", lost, nil, 2, ""},
+		{"without a key", "", lost, nil, 1, refusal.CodePeerUnreachable},
+		{"lost at a server", "key", failed, nil, 1, refusal.CodeBackendFailed},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			p := &fakePeerSet{
+				domains: []routing.Domain{remoteDomain("a", "a1", 0), remoteDomain("a", "a2", 0)},
+				script:  map[string][]error{"a1": {tc.first}, "a2": {tc.first}},
+				answer:  served,
+			}
+			p.onForward = func() {
+				if other := map[string]string{"a1": "a2", "a2": "a1"}[p.called[0]]; tc.again != nil {
+					p.script[other] = []error{tc.again}
+				} else {
+					delete(p.script, other)
+				}
+			}
+			w := testWork()
+			w.Generation, w.Operation = nil, &Operation{Name: "order", IdempotencyKey: tc.key}
+			err := newTestFront(p).runAttempts(t.Context(), ledgerService, w, &usage{Sink: discardSink{}})
+			if len(p.called) != tc.calls {
+				t.Errorf("%s: sent to %v", tc.name, p.called)
+			}
+			switch r := refusal.FromError(err); {
+			case tc.code == "":
+				if err != nil {
+					t.Errorf("%s: %v", tc.name, err)
+				}
+			case r.Code != tc.code || r.RunState != refusal.RunUnknown:
+				t.Errorf("%s: %v, %v", tc.name, r, r.RunState)
+			}
+		})
+	}
+}
+
+// claimedStore is a store in which one request has claimed every key.
+type claimedStore struct {
+	claim.Store
+	value []byte
+}
+
+func (s claimedStore) Get(_ context.Context, key string) (platform.KeyValue, error) {
+	return platform.KeyValue{Key: key, Value: s.value}, nil
+}
+
+// Guards against an order whose claim stands and that is answered as of unknown outcome, because the only peer known to have a server
+// cannot be reached.
+func TestClaimedOrderWhoseOnlyPeerIsLostIsADuplicate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lost := refusal.New(refusal.CodePeerUnreachable, "cut").WithRunState(refusal.RunUnknown)
+		p := &fakePeerSet{domains: []routing.Domain{remoteDomain("a", "a1", 0)}, script: map[string][]error{"a1": {lost}}}
+		f := newTestFront(p)
+		standing := once.Claim{Hash: once.Hash("notice-writer", "order", nil)}
+		f.Local.Claims = claim.New(t.Context(), claimedStore{value: standing.Encode()}, "own", f.Log)
+		w := testWork()
+		w.Generation, w.Operation = nil, &Operation{Name: "order", IdempotencyKey: uuid.Must(uuid.NewV7()).String()}
+		r := refusal.FromError(f.runAttempts(t.Context(), ledgerService, w, &usage{Sink: discardSink{}}))
+		if r.Code != refusal.CodeConflict || r.RunState != refusal.RunUnknown || len(p.called) != 1 {
+			t.Errorf("%v, %v, sent to %v", r, r.RunState, p.called)
+		}
+	})
+}
+
 // Every domain's queue refuses. The caller is refused at once, with the retry time that a
 // queue gave.
 func TestAllQueuesFullIsRefusedAtOnce(t *testing.T) {
--- a/transport/dispatch/operate.go
+++ b/transport/dispatch/operate.go
@@ -36,13 +36,25 @@
 // again requests another run.
 func (l *LocalDispatcher) claim(ctx context.Context, w *Work) (*claim.Handle, error) {
 	svc := l.Catalog.Service(w.Service)
-	if w.Operation.IdempotencyKey == "" || l.Claims == nil || (svc != nil && w.Repeatable(svc)) {
+	if w.Operation.IdempotencyKey == "" || l.Claims == nil || (svc != nil && !w.Claimed(svc)) {
 		return nil, nil
 	}
-	return l.Claims.Claim(ctx, claim.Request{
+	return l.Claims.Claim(ctx, claimRequest(w))
+}
+
+// standingClaim returns the refusal of work whose peer was lost as a duplicate of the request that has claimed its key, or nil.
+func (l *LocalDispatcher) standingClaim(ctx context.Context, w *Work) *refusal.Refusal {
+	if l.Claims == nil {
+		return nil
+	}
+	return l.Claims.Standing(ctx, claimRequest(w))
+}
+
+func claimRequest(w *Work) claim.Request {
+	return claim.Request{
 		Key: w.Operation.IdempotencyKey, Account: w.Account, Service: w.Service,
 		Operation: w.Operation.Name, Body: w.Operation.Body, RequestID: w.RequestID,
-	})
+	}
 }
 
 func runState(err error) refusal.RunState {
--- a/transport/dispatch/work.go
+++ b/transport/dispatch/work.go
@@ -91,6 +91,12 @@
 	return s.Operations[w.Operation.Name].Repeatable
 }
 
+// Claimed reports whether the work is claimed in the store before it is dispatched: of all requests with its idempotency key one is
+// dispatched, wherever they arrive.
+func (w *Work) Claimed(s *service.Service) bool {
+	return w.Operation != nil && w.Operation.IdempotencyKey != "" && !w.Repeatable(s)
+}
+
 // quarantineKey returns the fingerprint that identifies the work in the quarantine. It is
 // computed once.
 func (w *Work) quarantineKey() string {
