Trust the stored builds only in the store's era that wrote them

With builds in the store, a restore of the store brought back the fault that they are there for: a copy from before a new build came says that its service has one build only. If all instances end before one of them has written the item again, those that start take it for complete, and streams go on at the other build.

Shown: TestBuildsOfARestoredStoreAreNotTrusted. The store is restored from a copy that has v1 only, all instances are killed, and 2 of 6 streams that began at v2 go on at v1, as the entries of v2's servers are not back yet. Ruled out: instances that survive the restore, which know both builds from memory.

The item names the era of the store in which it was written. One that is read in another era adds its builds and does not say that these are all, so the streams are refused as not run; an instance that has seen all writes it again. After: 0 of 6 go on, and TestTakenUpStreamAfterAllInstancesEnded holds (6 of 6 before one build). Store: the same calls.

--- a/coordination/streambuild/history.go
+++ b/coordination/streambuild/history.go
@@ -41,11 +41,13 @@
 	return !known || now.Sub(last) > StreamLifetime
 }
 
-// Restore adds builds that other instances have seen, by service, and says that they have seen all.
-func (h *History) Restore(builds map[string][]string, now time.Time) {
+// Restore adds builds that other instances have seen, by service. complete says that they have seen all.
+func (h *History) Restore(builds map[string][]string, complete bool, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.since = time.Time{}
+	if complete {
+		h.since = time.Time{}
+	}
 	for service, all := range builds {
 		if h.lastSeen[service] == nil {
 			h.lastSeen[service] = make(map[string]time.Time)
--- a/instance/routed/buildstore.go
+++ b/instance/routed/buildstore.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/basilroute/basilroute/coordination/configwatch"
 	"github.com/basilroute/basilroute/coordination/streambuild"
 	"github.com/basilroute/basilroute/transport/platform"
 )
@@ -31,15 +32,23 @@
 
 // storedBuilds is the value of buildsKey: all builds that services had for streambuild.StreamLifetime, by service.
 type storedBuilds struct {
+	// Era is the store's when the value was written. A value of another era is from a copy, and may lack builds.
+	Era    int64               `json:"era"`
 	Builds map[string][]string `json:"builds"`
 }
 
+// holds reports whether the value says in an era that these are all builds.
+func (s storedBuilds) holds(builds map[string][]string, era int64) bool {
+	return s.Era == era && maps.EqualFunc(builds, s.Builds, slices.Equal)
+}
+
 // buildStore keeps the builds in the store.
 type buildStore struct {
 	history *streambuild.History
 	source  Source
 	log     *slog.Logger
 	stored  storedBuilds
+	era     int64       // of the store at the last call
 	lost    atomic.Bool // the store was restored from an earlier copy
 }
 
@@ -61,7 +70,7 @@
 			b.stored = storedBuilds{}
 		}
 		builds, covered := b.history.All(time.Now())
-		if !covered || maps.EqualFunc(builds, b.stored.Builds, slices.Equal) {
+		if !covered || b.stored.holds(builds, b.era) {
 			continue // an instance that has not seen all builds stores none
 		}
 		if !n.ranksFirst(xxhash.Sum64String(buildsKey)) {
@@ -106,7 +115,8 @@
 		}
 	}
 	b.stored = stored
-	b.history.Restore(added, time.Now())
+	b.era, _ = configwatch.SplitRank(item.Revision)
+	b.history.Restore(added, stored.Era == b.era, time.Now())
 	return item.Revision, nil
 }
 
@@ -129,17 +139,19 @@
 		return err
 	}
 	builds, _ := b.history.All(time.Now())
-	if maps.EqualFunc(builds, b.stored.Builds, slices.Equal) {
+	if b.stored.holds(builds, b.era) {
 		return nil
 	}
-	next := storedBuilds{Builds: builds}
+	next := storedBuilds{Era: b.era, Builds: builds}
 	value, err := json.Marshal(next)
 	if err != nil {
 		return errors.Wrap(err, "builds")
 	}
-	if _, err := b.source.Store().Put(ctx, platform.Write{Key: buildsKey, Value: value, ExpectRevision: revision}); err != nil {
+	written, err := b.source.Store().Put(ctx, platform.Write{Key: buildsKey, Value: value, ExpectRevision: revision})
+	if err != nil {
 		return errors.Wrap(err, "write builds")
 	}
 	b.stored = next
+	b.era, _ = configwatch.SplitRank(written) // written again if it is not the one that the value names
 	return nil
 }
