Log why a standing claim could not be read

From reading the diff: the look for a claim after a lost peer dropped the store's error without a line. It is claim_not_read now. The package comment of quarantine said that a fingerprint holds the service; it refers to Fingerprint. No behaviour changes; go test -race of the packages passed.

--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -1,6 +1,6 @@
 // Package quarantine refuses requests that crash backend servers, and requests with a
-// part in their prompts that does. A request is identified by the fingerprint of its account, service and body, so that it is
-// recognised when a caller sends it again through another instance.
+// part in their prompts that does. A request is identified by a fingerprint, see Fingerprint, so that it is recognised when a
+// caller sends it again through another instance.
 //
 // # What counts as a crash
 //
--- a/transport/claim/claim.go
+++ b/transport/claim/claim.go
@@ -151,12 +151,15 @@
 func (c *Claimer) Standing(ctx context.Context, r Request) *refusal.Refusal {
 	key, refused := once.ParseKey(r.Key, time.Now())
 	if refused != nil {
-		return nil
+		return nil // no claim can have such a key
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	kv, err := c.store.Get(ctx, key.StoreKey(r.Account))
 	if err != nil {
+		if !errors.Is(err, platform.ErrNotFound) {
+			c.log.Info("claim_not_read", "request", r.RequestID, "error", err.Error())
+		}
 		return nil
 	}
 	return c.describe(kv, once.Hash(r.Service, r.Operation, r.Body))
