Read the log of a test under a lock

The log is a buffer with a lock now; what is checked is the same. The product is not concerned: its log is safe for concurrent use.

--- a/transport/httproute/malformed_test.go
+++ b/transport/httproute/malformed_test.go
@@ -17,6 +17,24 @@
 	"github.com/basilroute/basilroute/coordination/placement"
 )
 
+// lockedBuffer is a log that is read while requests may still write to it.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 // endlessly returns a script that writes a beginning and then the same bytes until its connection is closed.
 func endlessly(begin func(c net.Conn, r *http.Request), again string) func(c net.Conn, r *http.Request) bool {
 	return func(c net.Conn, r *http.Request) bool {
@@ -67,7 +85,7 @@
 			s := startFakeServer(t, tc.script)
 			f, front := newTestFront(t, s)
 			configure(f)
-			var log bytes.Buffer
+			var log lockedBuffer
 			f.Local.Log = slog.New(slog.NewJSONHandler(&log, nil))
 			began := time.Now()
 			resp, _, err := call(t, t.Context(), front, "POST", tc.path, "b")
