Know no build of a server whose process has ended

A server that starts again under its id and address with other software was taken for the build of its entry until the entry was read anew: a round trip to the store, or as long as the store is away.

Cause: the build of a response was that of the server's entry, not of the process that answered. That the process had ended was known from its refused connections, also to the other instances of the region, and was used only to choose servers. Ruled out: another server at the address, which has another id and answers 421.

A server whose process has ended has an unknown build until its entry names another process, or has stood for 10 s while entries were read without a break. A stream of known build does not go on there, and one that begins there is recorded as unknown, so that it is refused when it is taken up rather than inferred. Responses between instances do not name an unknown build. All other requests are sent there as before.

--- a/coordination/placement/loadreport.go
+++ b/coordination/placement/loadreport.go
@@ -171,8 +171,7 @@
 // sends to a server too seldom to find out that the server fails part of its requests.
 func (s *server) mergeOutcomes(load *ServerLoad, now time.Time) {
 	if load.Down {
-		s.down = true
-		s.ejectUnreachable(now)
+		s.recordEnd(now)
 	}
 	if load.InFlight > 0 && now.Before(s.ejectedUntil) {
 		s.probedAt = now // the other instance's requests serve as probes
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -57,6 +57,8 @@
 	Precedence routes.Precedence // among the service's requests
 	Instances  int               // of the region, this one included
 	Seed       uint64            // of random choices; differs between instances
+	// CurrentSince is from when on the servers' entries are up to date without a break; zero while they may not be.
+	CurrentSince time.Time
 }
 
 const (
@@ -131,15 +133,6 @@
 	Build        Build       // only servers of this build may be used; the zero value allows all
 }
 
-// Build is a version of the servers' software.
-type Build struct {
-	Known   bool
-	Version string
-}
-
-// Allows reports whether a server of a version may be used.
-func (b Build) Allows(version string) bool { return !b.Known || b.Version == version }
-
 // prefixHash returns the hash of the shared segments, or 0 when there are none.
 func (r *Request) prefixHash() uint64 {
 	if len(r.Segments) < 2 {
--- a/coordination/placement/search.go
+++ b/coordination/placement/search.go
@@ -68,7 +68,7 @@
 // consider makes a server the best one if it can be used and is cheaper.
 func (s *search) consider(server *server) {
 	p, now := s.pool, s.now
-	if slices.Contains(s.request.Exclude, server.ID) || !server.Usable(now) || !s.request.Build.Allows(server.Version) || !s.allowed(server) {
+	if slices.Contains(s.request.Exclude, server.ID) || !server.Usable(now) || !p.allowsBuild(server, s.request.Build, now) || !s.allowed(server) {
 		return
 	}
 	s.counts.usable++
--- a/coordination/placement/server.go
+++ b/coordination/placement/server.go
@@ -81,6 +81,7 @@
 	ejectionDuration  time.Duration
 	probedAt          time.Time
 	down              bool      // it accepts no connections
+	endedAt           time.Time // when its process was last known to have ended; zero if it was not
 	coldSentAt        time.Time // when this instance last sent it a request while it was cold
 	cache             *cache    // nil before the first prompt: in a large fleet most servers never get one from here
 }
@@ -251,8 +252,7 @@
 		return
 	case OutcomeDown:
 		s.newDown = true
-		s.down = true
-		s.ejectUnreachable(now)
+		s.recordEnd(now)
 		return
 	case OutcomeErrorCode:
 		if engine {
@@ -294,6 +294,13 @@
 	}
 }
 
+// recordEnd records that the server accepts no connections: its process has ended.
+func (s *server) recordEnd(now time.Time) {
+	s.down = true
+	s.endedAt = now
+	s.ejectUnreachable(now)
+}
+
 // ejectUnreachable ejects a server that accepts no connections, for longer each time.
 func (s *server) ejectUnreachable(now time.Time) {
 	s.eject(min(max(2*s.ejectionDuration, minEjection), maxEjection), now)
--- a/instance/routed/instance.go
+++ b/instance/routed/instance.go
@@ -71,6 +71,8 @@
 
 	poolMu sync.Mutex
 	pooled pooledVersions // guarded by poolMu
+	// currentSince is from when on the servers' entries are read without a break; zero while they are not. Guarded by poolMu.
+	currentSince time.Time
 
 	ledgerMu      sync.Mutex
 	division      *quotashare.Division
--- a/instance/routed/storeitems.go
+++ b/instance/routed/storeitems.go
@@ -136,6 +136,7 @@
 	n.poolMu.Lock()
 	defer n.poolMu.Unlock()
 	n.pooled.define(config)
+	n.updateCurrentSince(now)
 	changes := n.poolChanges(now)
 	for _, svc := range n.pooled.defined {
 		pool := n.local.Pool(svc.Name)
@@ -157,10 +158,21 @@
 	}
 }
 
+// updateCurrentSince tracks from when on this instance has read the servers' entries without a break. The caller holds poolMu.
+func (n *Instance) updateCurrentSince(now time.Time) {
+	switch {
+	case n.storeUnreachable():
+		n.currentSince = time.Time{}
+	case n.currentSince.IsZero():
+		n.currentSince = now
+	}
+}
+
 func (n *Instance) poolSettings(svc *routes.Service) placement.Settings {
 	settings := placement.Settings{
 		ColdRate: svc.ColdRate, ColdShare: n.coldShare, Features: n.features,
 		Instances: len(*n.regionMembers.Load()), Seed: xxhash.Sum64String(n.settings.ID),
+		CurrentSince: n.currentSince,
 	}
 	if svc.Engine != nil {
 		settings.Engine, settings.Slots, settings.CacheTokens = true, svc.Engine.Slots, svc.Engine.CacheTokens
--- a/instance/routed/streambuilds.go
+++ b/instance/routed/streambuilds.go
@@ -46,6 +46,10 @@
 // Begin implements httproute.StreamBuilds.
 func (b *streamBuilds) Begin(requestID string, origin streambuild.Origin) {
 	now := time.Now()
+	if origin.IsRefused() {
+		b.recordRefused(streambuild.IDOf(requestID), now)
+		return
+	}
 	b.records.Begin(streambuild.Record{Stream: streambuild.IDOf(requestID), Origin: origin}, now)
 	b.reportIfNeeded(origin.Service, now)
 }
@@ -131,7 +135,7 @@
 	return streambuild.Origin{}, streambuild.ErrUnknown
 }
 
-// recordRefused records that a stream is refused, here and at its keepers.
+// recordRefused records that a stream is refused when it is taken up, here and at its keepers.
 func (b *streamBuilds) recordRefused(stream streambuild.StreamID, now time.Time) {
 	record := streambuild.Record{Stream: stream}
 	b.records.Keep(record, now)
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -397,7 +397,7 @@
 	h.Set(headerRequest, o.id)
 	p.reportRoom(h, o.service)
 	h.Set(headerServer, rep.server)
-	encodeBuild(h, rep.build.Version)
+	encodeBuild(h, rep.build)
 	if rep.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(rep.Length, 10))
 	}
--- a/transport/httproute/local.go
+++ b/transport/httproute/local.go
@@ -191,7 +191,7 @@
 	if meta.Load != nil {
 		pool.RecordLoad(placed, *meta.Load, now)
 	}
-	r := &reply{Response: resp, meta: meta, server: placed.Server.ID, build: placement.Build{Known: true, Version: placed.Server.Version}, malformed: l.malformedReporter(o, placed)}
+	r := &reply{Response: resp, meta: meta, server: placed.Server.ID, build: pool.Build(placed, now), malformed: l.malformedReporter(o, placed)}
 	r.onEnd = func(outcome placement.Outcome) {
 		pool.Done(placed, outcome, time.Now())
 		l.Waiting.Wake(o.service)
--- a/transport/httproute/streambuild.go
+++ b/transport/httproute/streambuild.go
@@ -16,7 +16,7 @@
 
 // StreamBuilds knows the build of the servers' software that began a stream, see package streambuild.
 type StreamBuilds interface {
-	// Begin records where the stream began whose first event a request brought.
+	// Begin records where the stream began whose first event a request brought. The zero origin says that nobody knows.
 	Begin(requestID string, origin streambuild.Origin)
 	// End records that the stream is complete.
 	End(requestID string)
@@ -90,8 +90,13 @@
 	if !r.takesUp() {
 		r.build.Store(&rep.build)
 	}
-	if build := r.requiredBuild(); r.route.Resumable && build.Known && r.streamID() != "" {
+	build := r.requiredBuild()
+	switch {
+	case !r.route.Resumable || r.streamID() == "":
+	case build.Known:
 		f.Builds.Begin(r.streamID(), streambuild.Origin{Service: r.service, Build: build.Version})
+	default:
+		f.Builds.Begin(r.streamID(), streambuild.Origin{})
 	}
 }
 
@@ -130,7 +135,12 @@
 	return placement.Build{Known: true, Version: *info.Build}
 }
 
-func encodeBuild(h http.Header, version string) { h.Set(headerBuild, url.QueryEscape(version)) }
+// encodeBuild names the build in a response to a peer, if it is known.
+func encodeBuild(h http.Header, b placement.Build) {
+	if b.Known {
+		h.Set(headerBuild, url.QueryEscape(b.Version))
+	}
+}
 
 // decodeBuild removes the build from a peer's response.
 func decodeBuild(h http.Header) placement.Build {
