Count the answers that clear a request of crashes

Cause: each answer cleared one crash with a chance of one in 20. 60 answers between two crashes then leave one crash with a chance of one in twenty, and servers that crash together need a draw each. A request that is refused so and is at one more crash during its trials waits 12 s, 48 s and 192 s. Ruled out: the row of trials (it frees such a request in 1 to 3 s if no crash comes between) and the exchange of what was cleared.

Each instance now counts the answers that it sees, from a random number on, and 20 of them (five after the first event) clear the request of all crashes at a moment. The count has the same mean as the draws and hardly any spread, at one instance or at many.

After: all eight hold.

--- a/coordination/quarantine/early_test.go
+++ b/coordination/quarantine/early_test.go
@@ -167,7 +167,7 @@
 // Guards against a sound request that many callers send alike and that stays refused because servers crashed while they ran it.
 func TestSoundRequestOfManyCallersIsServedAfterCrashes(t *testing.T) {
 	const (
-		seeds    = 20
+		seeds    = 100
 		moments  = 8 * time.Second
 		admitted = 0.75
 	)
@@ -175,7 +175,9 @@
 		{perSecond: 99, took: 100 * time.Millisecond, together: 2, times: 3, spacing: 6 * time.Second},
 		{perSecond: 70, took: 240 * time.Millisecond, together: 1, times: 5, spacing: 3 * time.Second},
 		{perSecond: 60, took: time.Second, together: 1, times: 5, spacing: 3 * time.Second},
+		{perSecond: 99, took: 240 * time.Millisecond, together: 2, times: 10, spacing: time.Second},
 		{perSecond: 20, took: 240 * time.Millisecond, together: 1, times: 5, spacing: 3 * time.Second},
+		{perSecond: 20, took: 240 * time.Millisecond, together: 2, times: 5, spacing: 3 * time.Second},
 		{perSecond: 20, took: time.Second, together: 2, times: 3, spacing: 6 * time.Second},
 		{perSecond: 60, took: 100 * time.Millisecond, together: 8, times: 1, spacing: time.Second},
 	} {
--- a/coordination/quarantine/parts.go
+++ b/coordination/quarantine/parts.go
@@ -87,6 +87,7 @@
 	sent      map[PartKey]int // messages to peers that named a part since its last crash
 	banned    map[PartKey]ban
 	trials    map[PartKey]trials
+	answers   map[PartKey]int       // answers of a request that count towards clearing it of its oldest crash
 	recent    map[PartKey]time.Time // when a request with the part was last answered
 	previous  map[PartKey]time.Time // as recent, older
 	rotatedAt time.Time
@@ -102,7 +103,7 @@
 func NewParts(instance string, alive func(reporter uint64) bool) *Parts {
 	return &Parts{
 		self: ReporterHash(instance), alive: alive, draw: rand.IntN, crashLimit: earlyCrashLimit, blamed: make(map[PartKey]map[crashKey]partCrash), sent: make(map[PartKey]int), banned: make(map[PartKey]ban),
-		trials: make(map[PartKey]trials), recent: make(map[PartKey]time.Time),
+		trials: make(map[PartKey]trials), answers: make(map[PartKey]int), recent: make(map[PartKey]time.Time),
 	}
 }
 
@@ -224,6 +225,7 @@
 func (p *Parts) forget(part PartKey) {
 	delete(p.blamed, part)
 	delete(p.sent, part)
+	delete(p.answers, part)
 }
 
 // lastAnswered returns when a request with a part was last answered, if that is not long ago. The caller holds the lock.
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -50,8 +50,9 @@
 // a request as they refuse a part. Few requests are at a crash before their first event, so two such crashes refuse one.
 //
 // Many callers may send the same sound request, which is then at each crash. It differs from one that crashes servers in how often
-// it is answered. So each answer in full clears a request of a crash, by chance: at the rate at which such a request is answered,
-// within moments, and seldom if it crashes every third server. Once it is refused, a row of answered trials clears it. The trials
+// it is answered. So a number of answers in full clears a request of the crashes at a moment: at the rate at which such a request is
+// answered, soon, and seldom if it crashes every third server. Each instance counts the answers that it sees, from a random
+// number on. Once it is refused, a row of answered trials clears it. The trials
 // follow each other at once, and more of them run beside each other the more were answered. When one has crashed a server, the
 // next ones wait ever longer, whether they are answered or not.
 //
--- a/coordination/quarantine/requests.go
+++ b/coordination/quarantine/requests.go
@@ -70,9 +70,8 @@
 	p.announceLater()
 }
 
-// RecordWholeAnswer records that a request was answered in full. An answer clears it of one crash with a chance of one in
-// answersPerCrash, which is smaller for a crash before the first event: so answers at many instances count as much as those at
-// one. A request that is refused is cleared of all crashes by a row of trials.
+// RecordWholeAnswer records that a request was answered in full. A number of answers clears it of its oldest crash, see
+// outweighedBy. A request that is refused is cleared of all crashes by a row of trials.
 func (p *Parts) RecordWholeAnswer(fingerprint string, now time.Time) {
 	if p == nil || !p.anyBlamed.Load() {
 		return
@@ -83,8 +82,8 @@
 	freed := false
 	if banned {
 		freed = p.passTrial(key, b, now)
-	} else if p.draw(answersPerCrash) == 0 {
-		p.clearOldest(key, now)
+	} else {
+		p.countAnswer(key, now)
 	}
 	p.mu.Unlock()
 	if freed && p.onCrash != nil {
@@ -104,32 +103,58 @@
 		c.clear(now)
 		p.blamed[key][id] = c
 	}
+	delete(p.answers, key)
 	delete(p.sent, key)
 	p.changed = true
 	p.judge(now)
 	return true
 }
 
-// clearOldest clears a request of the oldest crash that it is blamed for, if that was before the first event only by chance. The
-// caller holds the lock.
-func (p *Parts) clearOldest(key PartKey, now time.Time) {
-	crashes := p.blamed[key]
-	var first crashKey
-	var found bool
-	for id, c := range crashes {
-		if !c.cleared() && (!found || c.at.Before(crashes[first].at)) {
-			first, found = id, true
-		}
-	}
+// countAnswer counts an answer of a request, and clears it of the oldest moment of crashes that it is blamed for once there are
+// enough answers. The count begins at a random number, so that answers at many instances weigh as much as those at one. The caller
+// holds the lock.
+func (p *Parts) countAnswer(key PartKey, now time.Time) {
+	oldest, found := oldestBlamed(p.blamed[key])
 	if !found {
 		return
 	}
-	c := crashes[first]
-	if !c.begun && p.draw(earlyCrashWeight) != 0 {
-		return
+	count, counting := p.answers[key]
+	if !counting {
+		count = p.draw(oldest.outweighedBy())
+	}
+	p.answers[key] = count + 1
+	if p.answers[key] >= oldest.outweighedBy() {
+		p.clearMoment(key, oldest.at, now)
+	}
+}
+
+// oldestBlamed returns the oldest crash of which a request is not cleared.
+func oldestBlamed(crashes map[crashKey]partCrash) (out partCrash, found bool) {
+	for _, c := range crashes {
+		if !c.cleared() && (!found || c.at.Before(out.at)) {
+			out, found = c, true
+		}
+	}
+	return out, found
+}
+
+// outweighedBy returns how many answers in full clear a request of the crash.
+func (c *partCrash) outweighedBy() int {
+	if c.begun {
+		return answersPerCrash
+	}
+	return earlyCrashWeight * answersPerCrash
+}
+
+// clearMoment clears a request of the crashes at a moment. The caller holds the lock.
+func (p *Parts) clearMoment(key PartKey, at, now time.Time) {
+	for id, c := range p.blamed[key] {
+		if !c.cleared() && c.at.Sub(at) < momentSpacing {
+			c.clear(now)
+			p.blamed[key][id] = c
+		}
 	}
-	c.clear(now)
-	crashes[first] = c
+	delete(p.answers, key)
 	delete(p.sent, key)
 	p.changed = true
 }
