Use the members that an answered exchange brings at once

Callers whose streams break off with a region's instances take them up in another region and are refused (stream_build), although servers of the stream's build are there.

Trace: the first instance has the other region's one in its table, as it has answered an exchange, and uses it only after one of its own, up to a second later. The records of streams that begin in between go to keepers of the region that is lost.

Cause: both sides of an exchange merge what they hear of members, and only the side that began it applied it.

The side that answers applies the members too, if they have changed: a comparison for an exchange without news.

--- a/instance/routed/members.go
+++ b/instance/routed/members.go
@@ -168,6 +168,7 @@
 func (n *Instance) Exchange(req *peerpb.ExchangeRequest) *peerpb.ExchangeResponse {
 	now := time.Now()
 	resp := n.members.Respond(req, now)
+	n.applyMemberChanges(now)
 	if req.GetLentBefore() {
 		resp.Owes = n.ledger.Owes(req.GetFrom(), now) || n.lending.HasOpenCall(req.GetFrom())
 	}
--- a/instance/routed/streambuilds_test.go
+++ b/instance/routed/streambuilds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net/netip"
 	"sync/atomic"
 	"testing"
@@ -225,3 +226,20 @@
 		}
 	})
 }
+
+// Guards against records of streams that are kept in one region only, and lost with it, because an instance uses the members of which
+// it hears in an exchange that another one began with its own next exchange only.
+func TestInstanceThatAnswersAnExchangeKnowsKeepersAtOnce(t *testing.T) {
+	instances := make([]*Instance, 2)
+	for i, region := range []string{"viti-levu", "vanua-levu"} {
+		settings := DefaultSettings()
+		settings.ID, settings.Region, settings.Domain = fmt.Sprint("front-", i), region, region+"-a"
+		settings.Listen.Relay = fmt.Sprintf("10.0.0.%d:7600", i)
+		instances[i] = newInstance(settings, testSource{client: &memoryClient{store: newMemoryStore()}}, nil, slog.New(slog.DiscardHandler))
+	}
+	asked, asking := instances[0], instances[1]
+	asked.Exchange(asking.members.Request(nil))
+	if keepers := asked.builds.members.Load().Keepers(1); len(keepers) != 1 || keepers[0].ID != asking.settings.ID {
+		t.Errorf("keepers %v, want %s", keepers, asking.settings.ID)
+	}
+}
