Date crashes on /v1 by the failure, not by its confirmation

Callers of /v1 would see: prompts that share their beginning with ones that crash engines are answered 422 "quarantined", though they are sound.

Cause: if the check of a broken connection gets no response, the crash is presumed until the engine's next report, and what was blamed was dated by that report. Sound prompts that were answered in between did not count against it, and crashes at one moment came to be several. Ruled out: engines that are down (the responses are 422, not 503).

A crash is dated by when the connection failed. Before: TestAnswerBeforeACrashIsConfirmedCountsAgainstIt refuses the sound beginning, 3 of 3.

The routed path is not concerned.

--- a/localfleet/poison_test.go
+++ b/localfleet/poison_test.go
@@ -208,6 +208,7 @@
 		rounds     = 24
 		bound      = 2 * time.Second // after the fifth crash
 		afterBound = 3               // crashes later than that: trials
+		least      = 3               // crashes without which the part cannot have come to be refused
 	)
 	f := startPoisonFleet(t)
 	shared := strings.Repeat("the rules for recall notices say", 2*tokens.BlockBytes/32)
@@ -234,9 +235,12 @@
 		}
 	}
 	t.Logf("%d crashes, %d of them later than %s after the fifth, %d of %d sound ones served", crashes, late, bound, sound, rounds)
-	if late > afterBound || fifthAt.IsZero() {
+	if late > afterBound {
 		t.Errorf("%d crashes from prompts with one part later than %s after the fifth crash", late, bound)
 	}
+	if crashes < least {
+		t.Errorf("%d crashes, want %d at least", crashes, least)
+	}
 	if sound < rounds*9/10 {
 		t.Errorf("%d of %d sound prompts served", sound, rounds)
 	}
--- a/transport/dispatch/crash.go
+++ b/transport/dispatch/crash.go
@@ -32,6 +32,7 @@
 // detectCrash distinguishes a crash from a broken connection. The package comment of
 // quarantine gives the reasons.
 func (l *LocalDispatcher) detectCrash(ctx context.Context, w *Work, server servers.Server, begun bool) {
+	failedAt := time.Now() // answers that come while the crash is still to be confirmed count against it
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	bootID := server.Load.BootID
@@ -40,11 +41,11 @@
 	fingerprint, parts := w.quarantineKey(), w.parts()
 	blame := func() {
 		if begun {
-			l.Parts.RecordRequestCrash(fingerprint, server.ID, bootID, time.Now())
+			l.Parts.RecordRequestCrash(fingerprint, server.ID, bootID, failedAt)
 			return
 		}
-		l.Parts.RecordEarlyRequestCrash(fingerprint, server.ID, bootID, time.Now())
-		l.Parts.RecordCrash(parts, server.ID, bootID, false, time.Now())
+		l.Parts.RecordEarlyRequestCrash(fingerprint, server.ID, bootID, failedAt)
+		l.Parts.RecordCrash(parts, server.ID, bootID, false, failedAt)
 	}
 	switch {
 	case err == nil && load.BootID == bootID:
--- a/transport/dispatch/poison_test.go
+++ b/transport/dispatch/poison_test.go
@@ -1,14 +1,19 @@
 package dispatch
 
 import (
+	"fmt"
+	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/basilroute/basilroute/coordination/quarantine"
+	"github.com/basilroute/basilroute/protocol/tokens"
 	"github.com/basilroute/basilroute/service"
 	"github.com/basilroute/basilroute/state/catalog"
 	"github.com/basilroute/basilroute/state/servers"
+	"github.com/basilroute/basilroute/transport/backend"
 )
 
 // Two copies of a request arrive at one instance. The first crashes its server; the second
@@ -44,3 +49,43 @@
 		}
 	})
 }
+
+// Guards against sound prompts that are refused because they share their beginning with prompts that crash engines: they were answered
+// while crashes were still to be confirmed, and each of these was dated by its confirmation.
+func TestAnswerBeforeACrashIsConfirmedCountsAgainstIt(t *testing.T) {
+	const (
+		crashes      = 3
+		answered     = 2                      // crashes before a sound prompt is answered
+		confirmation = 300 * time.Millisecond // between two of them
+	)
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // the check of a crash gets no response
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = silent.Close() }()
+	l := &LocalDispatcher{
+		Catalog: catalog.New(), Servers: servers.New(), Backend: backend.New(), Quarantine: quarantine.New(),
+		Parts: quarantine.NewParts("self", func(uint64) bool { return true }),
+	}
+	defer l.Backend.Close()
+	prompt := func(rest string) *Work {
+		w := localWork(rest, 1)
+		w.Generation.Prompt = strings.Repeat("the rules for recall notices say", 2*tokens.BlockBytes/32) + rest
+		return w
+	}
+	sound := prompt("what is due")
+	for n := range crashes {
+		if n == answered {
+			l.Parts.RecordAnswer(sound.parts(), time.Now())
+		}
+		server := servers.Server{ID: fmt.Sprint("e", n), Service: "lm", Address: "http://" + silent.Addr().String(), Load: servers.Load{BootID: "boot"}}
+		l.detectCrash(t.Context(), prompt(fmt.Sprint("poison ", n)), server, false)
+	}
+	for n := range crashes {
+		l.Quarantine.RecordBootID(fmt.Sprint("e", n), "the next boot", time.Now(), time.Now())
+		time.Sleep(confirmation)
+	}
+	if l.Parts.Banned(sound.parts(), time.Now()) {
+		t.Error("a beginning that was answered after all crashes but one is refused")
+	}
+}
