Let answers set back the count of a server's failed calls

Callers of /v1 got 502 without the second try that they may have, and then 503 no_server, while the only server of the service answered.

Cause: a server counts as not polled after three failed calls in a row, but only a poll's report set the count back. Three reset connections between two polls, with an answer after each, left the service without a server until the next poll.

Ruled out: the ejection of servers, whose count answers set back; the quarantine, which refuses as quarantined.

An answer proves that the server works, so it now sets this count back too.

--- a/state/servers/entry.go
+++ b/state/servers/entry.go
@@ -151,8 +151,8 @@
 // RecordSuccess records a response: it resets the counters of consecutive failures and
 // ejections.
 func (e *Entry) RecordSuccess() {
-	if v := e.View(); v.Ejections == 0 && v.Errors == 0 {
+	if v := e.View(); v.Ejections == 0 && v.Errors == 0 && v.Failures == 0 {
 		return
 	}
-	e.modify(func(server *Server) { server.Ejections, server.Errors = 0, 0 })
+	e.modify(func(server *Server) { server.Ejections, server.Errors, server.Failures = 0, 0, 0 })
 }
