Count responses by what showed their end

Callers saw streams and answers that ended as complete although their server had not finished. Neither a log nor a metric told afterwards which responses had ended with their connection, and whether the instance took them for whole: of a response that was taken for whole nothing was logged at all.

basilroute_route_response_ends_total counts every response that was read by sender, framing (length, chunks, connection) and by whether it was whole, partial, or closed by the instance. Each response that ended with its connection leaves response_ended_with_connection with the request, the server, its bytes and events, the verdict and, if partial, why.

EndsWithConn was also set for a response to HEAD without a length, which has no body; it is not any more.

--- a/transport/backendhttp/client.go
+++ b/transport/backendhttp/client.go
@@ -142,6 +142,27 @@
 	Reused bool // the connection had carried a request before
 }
 
+// Framing is what shows where the body of a response ends.
+type Framing string
+
+// Framings.
+const (
+	FramedByLength Framing = "length" // or there is no body
+	FramedByChunks Framing = "chunks"
+	FramedByConn   Framing = "connection"
+)
+
+// Framing returns what shows where the body ends.
+func (a *Response) Framing() Framing {
+	switch {
+	case len(a.resp.TransferEncoding) > 0:
+		return FramedByChunks
+	case a.resp.ContentLength >= 0 || a.resp.Body == http.NoBody:
+		return FramedByLength
+	}
+	return FramedByConn
+}
+
 // Do sends a request and reads the head of the response. ctx also covers the body of the
 // response: the connection is closed when ctx ends.
 func (c *Client) Do(ctx context.Context, address string, r *Request, o Options) (*Response, error) {
@@ -188,7 +209,7 @@
 		return nil, err
 	}
 	a.Status, a.Header, a.Length = a.resp.StatusCode, a.resp.Header, a.resp.ContentLength
-	a.EndsWithConn = a.Length < 0 && len(a.resp.TransferEncoding) == 0
+	a.EndsWithConn = a.Framing() == FramedByConn
 	return a, nil
 }
 
--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -98,7 +98,7 @@
 	out := &reply{
 		Response: response, meta: f.Codec.DecodeResponse(response.Status, response.Header),
 		server: response.Header.Get(headerServer), build: decodeBuild(response.Header), forwarded: true,
-		malformed: f.malformedReporter(o, remote),
+		report: f.responseReporter(o, remote),
 		onEnd: func(outcome placement.Outcome) {
 			switch {
 			case outcome == placement.OutcomeFailed:
@@ -157,8 +157,8 @@
 	}
 }
 
-func (f *Front) malformedReporter(o *outbound, remote *Remote) malformedReporter {
-	return malformedReporter{
+func (f *Front) responseReporter(o *outbound, remote *Remote) responseReporter {
+	return responseReporter{
 		log: f.Log, metrics: f.Metrics, service: o.service, request: o.id,
 		sender: senderPeer, name: remote.Instance, address: remote.Address,
 	}
@@ -172,8 +172,8 @@
 		failed.run, failed.sent = runNotRun, false
 	case errors.Is(err, backendhttp.ErrMalformed):
 		failed.reason = reasonMalformed
-		reporter := f.malformedReporter(o, remote)
-		reporter.check(err)
+		reporter := f.responseReporter(o, remote)
+		reporter.checkMalformed(err)
 	case errors.Is(err, backendhttp.ErrIdleTimeout):
 		failed.reason = reasonSilent
 	}
@@ -455,12 +455,15 @@
 
 // cutOff ends a response that ended early. started says whether the first instance has got a part of it.
 func cutOff(ctx context.Context, rep *reply, err error, started bool) *failure {
-	rep.end(interruptedOutcome(ctx))
+	if errors.Is(err, io.EOF) {
+		err = errIncompleteEvent
+	}
+	rep.endPartial(interruptedOutcome(ctx), err)
 	f := &failure{run: runRan, reason: reasonBroken, server: rep.server, sent: true, responseStarted: started, cause: err}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		f.reason = reasonDeadline
-	case rep.malformed.check(err):
+	case rep.report.checkMalformed(err):
 		f.reason = reasonMalformed
 	case errors.Is(err, backendhttp.ErrIdleTimeout):
 		f.reason = reasonSilent
--- a/transport/httproute/local.go
+++ b/transport/httproute/local.go
@@ -75,16 +75,19 @@
 	build      placement.Build // of the server's software
 	forwarded  bool            // it came by way of a peer
 	begun      bool            // an event has been passed on
-	onBegin    func()          // called when the first event has been passed on; nil if not needed
+	events     int             // number of events that the caller of this instance has got
+	body       bodyEnd
+	onBegin    func() // called when the first event has been passed on; nil if not needed
 	onEnd      func(placement.Outcome)
 	onProgress func(time.Time) // called when more of the body has been passed on; nil if not needed
 	handover   *handover       // may replace the server while it is silent; nil if nothing does
-	malformed  malformedReporter
+	report     responseReporter
 }
 
 // Read implements io.Reader.
 func (r *reply) Read(b []byte) (int, error) {
 	n, err := r.Response.Read(b)
+	r.body.record(n, err)
 	switch {
 	case r.handover == nil || n == 0:
 	case err == nil:
@@ -115,10 +118,17 @@
 	if outcome == placement.OutcomeServed {
 		r.markBegun()
 	}
+	r.report.ended(r.Response, &r.body, outcome, r.events)
 	r.Close()
 	r.onEnd(outcome)
 }
 
+// endPartial closes a response that is not whole.
+func (r *reply) endPartial(outcome placement.Outcome, cause error) {
+	r.body.cause = cause
+	r.end(outcome)
+}
+
 const (
 	// idleTimeoutFactor times the expected time to the first byte is the idle timeout of a
 	// server that may be replaced.
@@ -191,7 +201,7 @@
 	if meta.Load != nil {
 		pool.RecordLoad(placed, *meta.Load, now)
 	}
-	r := &reply{Response: resp, meta: meta, server: placed.Server.ID, build: pool.Build(placed, now), malformed: l.malformedReporter(o, placed)}
+	r := &reply{Response: resp, meta: meta, server: placed.Server.ID, build: pool.Build(placed, now), report: l.responseReporter(o, placed)}
 	r.onEnd = func(outcome placement.Outcome) {
 		pool.Done(placed, outcome, time.Now())
 		l.Waiting.Wake(o.service)
@@ -213,7 +223,7 @@
 		r.end(placement.OutcomeRefused)
 		return nil, l.turnedAway(o, r.server, &meta, now)
 	case meta.Unproven:
-		r.malformed.check(errUnproven)
+		r.report.checkMalformed(errUnproven)
 		resp.Close()
 		pool.Done(placed, placement.OutcomeFailed, now)
 		return nil, &failure{run: runUnknown, reason: reasonMalformed, server: r.server, sent: true, cause: errUnproven}
@@ -237,8 +247,8 @@
 // errUnproven is the fault of a success that does not come from the server's software.
 var errUnproven = errors.Wrap(backendhttp.ErrMalformed, "a success without the server's proof")
 
-func (l *LocalDispatcher) malformedReporter(o *outbound, placed *placement.Placement) malformedReporter {
-	return malformedReporter{
+func (l *LocalDispatcher) responseReporter(o *outbound, placed *placement.Placement) responseReporter {
+	return responseReporter{
 		log: l.Log, metrics: l.Metrics, service: o.service, request: o.id,
 		sender: senderServer, name: placed.Server.ID, address: placed.Server.Address,
 	}
@@ -256,8 +266,8 @@
 		f.run, f.reason, f.sent = runNotRun, reasonUnreachable, false
 	case errors.Is(err, backendhttp.ErrMalformed):
 		f.reason = reasonMalformed
-		reporter := l.malformedReporter(o, placed)
-		reporter.check(err)
+		reporter := l.responseReporter(o, placed)
+		reporter.checkMalformed(err)
 	case errors.Is(err, backendhttp.ErrIdleTimeout):
 		f.reason = reasonSilent
 	}
--- a/transport/httproute/metrics.go
+++ b/transport/httproute/metrics.go
@@ -27,6 +27,9 @@
 	parts     *prometheus.CounterVec
 	handovers *prometheus.CounterVec
 	malformed *prometheus.CounterVec
+
+	responseEnds *prometheus.CounterVec
+
 	noService string
 
 	callers *outcome.Counts // requests of callers
@@ -97,11 +100,15 @@
 			Namespace: namespace, Subsystem: subsystem, Name: "malformed_responses_total",
 			Help: "Responses that were not valid or exceeded a bound in bytes, by whether a backend server or another instance sent them.",
 		}, []string{"service", "sender"}),
+		responseEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Subsystem: subsystem, Name: "response_ends_total",
+			Help: "Responses by sender, by what shows their end (a length, chunks, the end of the connection), and by whether they were taken for whole.",
+		}, []string{"service", "sender", "framing", "end"}),
 		noService: "none",
 		callers:   outcome.New(namespace, subsystem),
 		peers:     outcome.New(namespace, "relay"),
 	}
-	registry.MustRegister(m.requests, m.seconds, m.retries, m.forwards, m.steps, m.deviation, m.notices, m.against, m.waits, m.refusals, m.returns, m.takeUps, m.parts, m.handovers, m.malformed, m.callers, m.peers)
+	registry.MustRegister(m.requests, m.seconds, m.retries, m.forwards, m.steps, m.deviation, m.notices, m.against, m.waits, m.refusals, m.returns, m.takeUps, m.parts, m.handovers, m.malformed, m.responseEnds, m.callers, m.peers)
 	return m
 }
 
--- a/transport/httproute/relay.go
+++ b/transport/httproute/relay.go
@@ -257,6 +257,7 @@
 	d.handover.recordEvent(d.events.lastID)
 	now := time.Now()
 	d.r.gaps.record(d.events.count, now)
+	rep.events = d.events.count
 	rep.reportProgress(now)
 	rep.markBegun()
 	return err
@@ -294,7 +295,7 @@
 	if errors.Is(err, backendhttp.ErrIdleTimeout) {
 		f.reason = reasonSilent
 	}
-	if ctx.Err() == nil && rep.malformed.check(err) {
+	if ctx.Err() == nil && rep.report.checkMalformed(err) {
 		f.reason = reasonMalformed
 	}
 	if ctx.Err() != nil {
@@ -304,6 +305,6 @@
 		}
 	}
 	d.r.recordInterruption(f, rep)
-	rep.end(outcome)
+	rep.endPartial(outcome, err)
 	return f
 }
