Do not take a reset for the end of a response

Callers got a part of an answer, or of a stream, as the whole one: a server answered an upload at once with 200 and neither a length nor chunks, sent a part and reset the connection while the upload was still being written.

Cause: Linux reports the failure of a socket once, to whichever call comes first. The goroutine that writes the upload, or the look of the idle timer for unread data (MSG_PEEK), took it, and the reader then got the end of file, at which such a body ends.

Now the end of file is the end of such a body only if the upload was written without an error (its writer is waited for), no look for unread data met a failure, TCP_INFO doesn't say that the connection is closed (a reset leaves TCP_CLOSE, an orderly end TCP_CLOSE_WAIT), and the server has acknowledged all of the request: one that closes in order before it has read everything resets what still arrives, and the FIN that we read carries the acknowledgement of the rest. Where TCP_INFO isn't supported, what the calls have reported decides. The idle timeout goes on while the upload is waited for. The run states stay: what was sent on such a connection may have run.

Ruled out: responses with a length or chunks, in which an early end of file is an error whoever met the reset.

--- a/transport/backendhttp/client.go
+++ b/transport/backendhttp/client.go
@@ -125,8 +125,8 @@
 	Header http.Header
 	// Length is the length of the body, or -1 if unknown.
 	Length int64
-	// EndsWithConn is set for a body with neither a length nor chunks: it ends with the connection, and whether it is whole
-	// only its content can tell.
+	// EndsWithConn is set for a body with neither a length nor chunks: it ends with the connection. The end of a server's
+	// process also ends it in order.
 	EndsWithConn bool
 
 	client      *Client
@@ -134,7 +134,7 @@
 	address     string
 	conn        *conn
 	resp        *http.Response
-	bodyWritten <-chan error
+	bodyWritten *upload
 	stop        func() bool
 	complete    bool
 
@@ -319,11 +319,15 @@
 }
 
 // Read reads the body. It returns io.EOF only if the body is complete. A body delimited by
-// the end of the connection is complete unless the connection was reset. It returns no data
+// the end of the connection is complete if the server had taken all of the request and closed the
+// connection in order; Read waits for the former. It returns no data
 // with ErrIdleTimeout: another server may have been told where to go on. A body whose framing is
 // invalid ends with ErrMalformed.
 func (a *Response) Read(b []byte) (int, error) {
 	n, err := a.resp.Body.Read(b)
+	if err == io.EOF && a.EndsWithConn && !a.complete {
+		err = a.confirmEnd()
+	}
 	switch {
 	case err == io.EOF: // not wrapped here; io.ErrUnexpectedEOF is a different error
 		a.complete = true
@@ -347,7 +351,9 @@
 func (a *Response) Close() {
 	defer a.client.requestEnded(a.address)
 	a.endIdleWatch()
-	if a.stop() && a.complete && a.requestWritten() {
+	// On a connection that still owes part of a body, the server would take the next request for
+	// the rest of that body.
+	if a.stop() && a.complete && a.bodyWritten.written() {
 		if keep := responseIdleLimit(a.resp); keep > 0 && a.conn.clean() {
 			a.conn.idleLimit = keep
 			_ = a.conn.SetDeadline(time.Time{}) // an error shows on the next use
@@ -358,21 +364,6 @@
 	_ = a.conn.Close() // not reusable
 }
 
-// requestWritten reports whether the complete request was written. On a connection that
-// still owes part of a body, the server would take the next request for the rest of that
-// body.
-func (a *Response) requestWritten() bool {
-	if a.bodyWritten == nil {
-		return true
-	}
-	select {
-	case err := <-a.bodyWritten:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 func (a *Response) discard(err error) {
 	defer a.client.requestEnded(a.address)
 	a.endIdleWatch()
--- a/transport/backendhttp/conn.go
+++ b/transport/backendhttp/conn.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -36,6 +37,9 @@
 	reused    bool          // has carried a request before
 	ahead     bool          // was dialled ahead and has carried no request
 	written   int           // bytes of the request that were passed to the kernel
+
+	ended       atomic.Bool           // the end of file was read
+	peekFailure atomic.Pointer[error] // of the connection, found by a look for unread data
 }
 
 const (
@@ -71,7 +75,7 @@
 	}
 	empty := false
 	err := c.raw.Read(func(fd uintptr) bool {
-		empty = nothingPending(fd)
+		empty = c.nothingPending(fd)
 		return true
 	})
 	return err == nil && empty
@@ -80,19 +84,26 @@
 // unread reports whether data, or the end of the connection, has arrived that was not read. Unlike clean it does not wait for
 // a read that is going on.
 func (c *conn) unread() bool {
-	if c.raw == nil {
+	if c.raw == nil || c.ended.Load() {
 		return false
 	}
 	empty := false
-	err := c.raw.Control(func(fd uintptr) { empty = nothingPending(fd) })
+	err := c.raw.Control(func(fd uintptr) { empty = c.nothingPending(fd) })
 	return err == nil && !empty
 }
 
-// nothingPending reports whether a read of a socket would wait.
-func nothingPending(fd uintptr) bool {
+// nothingPending reports whether a read of the connection's socket would wait. It keeps the failure of the connection that
+// it finds, as no other call gets it.
+func (c *conn) nothingPending(fd uintptr) bool {
 	var b [1]byte
 	_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return errors.Is(err, syscall.EAGAIN)
+	if errors.Is(err, syscall.EAGAIN) {
+		return true
+	}
+	if err != nil {
+		c.peekFailure.Store(&err)
+	}
+	return false
 }
 
 func (c *conn) Write(b []byte) (int, error) {
@@ -126,23 +137,21 @@
 	return append(b, "\r\n"...)
 }
 
-// send writes the request. wait returns the error of a body that is still being written
-// while the response is read.
-func (c *conn) send(r *Request) (wait <-chan error, err error) {
+// send writes the request. The upload is that of a body that is still being written while
+// the response is read.
+func (c *conn) send(r *Request) (*upload, error) {
 	head := r.head()
 	if len(r.Body) <= smallBody {
-		_, err = c.Write(append(head, r.Body...))
+		_, err := c.Write(append(head, r.Body...))
 		return nil, err
 	}
-	if _, err = c.Write(head); err != nil {
+	if _, err := c.Write(head); err != nil {
 		return nil, err
 	}
-	done := make(chan error, 1)
-	go func() {
+	return startUpload(func() error {
 		_, err := c.Conn.Write(r.Body)
-		done <- err
-	}()
-	return done, nil
+		return err
+	}), nil
 }
 
 // readResponse reads the head of the response that belongs to the request. It skips late
--- /dev/null
+++ b/transport/backendhttp/ending.go
@@ -0,0 +1,73 @@
+package backendhttp
+
+import (
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+// A body with neither a length nor chunks ends with its connection. The kernel reports the failure of a connection to one
+// call only, be it a write of the request's body or a look for unread data, and any later read finds the end of file. That
+// is therefore the end of the response only if the server has taken the request and has closed the connection in order.
+
+// takenPoll is the time between two looks whether the server has acknowledged the request.
+const takenPoll = 2 * time.Millisecond
+
+// tcpStateClose is the state TCP_CLOSE of a connection that was reset or has timed out.
+const tcpStateClose = 7
+
+// confirmEnd returns io.EOF if the end of the connection is the end of the response, and otherwise why it is not. It waits
+// until the server has taken the request, which ends with the connection at the latest.
+func (a *Response) confirmEnd() error {
+	a.conn.ended.Store(true)
+	if err := a.bodyWritten.wait(); err != nil {
+		return errors.Wrap(err, "the connection ended before the server had taken the request")
+	}
+	for {
+		state, err := a.conn.endState()
+		switch {
+		case err != nil:
+			return errors.Wrap(err, "the connection failed before the end of the response")
+		case state == endUntaken:
+			time.Sleep(takenPoll)
+		default:
+			return io.EOF
+		}
+	}
+}
+
+// endState is the state of a connection on which the end of file was read.
+type endState int
+
+const (
+	endInOrder endState = iota // or the system doesn't tell
+	endUntaken                 // the server hasn't acknowledged all of the request
+)
+
+// endState returns an error if the connection has failed or this side has closed it.
+func (c *conn) endState() (endState, error) {
+	if err := c.peekFailure.Load(); err != nil {
+		return endInOrder, *err
+	}
+	if c.raw == nil {
+		return endInOrder, nil
+	}
+	var info *unix.TCPInfo
+	var unknown error
+	if err := c.raw.Control(func(fd uintptr) {
+		info, unknown = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	}); err != nil {
+		return endInOrder, err
+	}
+	switch {
+	case unknown != nil: // not supported: only what calls have reported is known
+		return endInOrder, nil
+	case info.State == tcpStateClose:
+		return endInOrder, unix.ECONNRESET
+	case info.Unacked > 0 || info.Notsent_bytes > 0:
+		return endUntaken, nil
+	}
+	return endInOrder, nil
+}
--- a/transport/httproute/unframed_test.go
+++ b/transport/httproute/unframed_test.go
@@ -1,12 +1,17 @@
 package httproute
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
+
+	"github.com/basilroute/basilroute/coordination/placement"
 )
 
 // Guards against answers that have neither a length nor chunks and end with their connection: a whole one that is
@@ -56,3 +61,83 @@
 	f.Remotes = fakeRemotes{{Region: "r", Instance: "peer", Address: peer.Listener.Addr().String(), Servers: 1, FreeSlots: 8}}
 	return f, front, peer
 }
+
+// startResettingServer starts a server that begins a response without a length, and resets the connection while the request is
+// still being sent.
+func startResettingServer(t *testing.T, response string) (s *fakeServer, arrivals *atomic.Int32) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	arrivals = new(atomic.Int32)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				if n, _ := c.Read(make([]byte, 1<<10)); n > 0 {
+					arrivals.Add(1)
+				}
+				_, _ = io.WriteString(c, response)
+				time.Sleep(2 * time.Millisecond)
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.Close()
+			}()
+		}
+	}()
+	return &fakeServer{address: l.Addr().String()}, arrivals
+}
+
+// Guards against a part of an answer or of a stream that a caller gets as the whole one because the server reset the connection
+// during the upload, here or by way of another region.
+func TestResetDuringAnUploadIsNotTheEndOfAnAnswer(t *testing.T) {
+	const upload, runs = 8 << 20, 6 // bytes; runs because the reader of the response may also meet the reset itself
+	const head, first, second = "HTTP/1.1 200 OK\r\nId: id-1\r\n", "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	const plain, stream = head + "\r\npart", head + "Content-Type: text/event-stream\r\n\r\n" + first
+	for _, tc := range []struct {
+		path, begins, whole string // whole is "" if no other server may be asked
+	}{
+		{"/order/1", plain, ""},
+		{"/read/1", plain, "whole"},
+		{"/chat/1", stream, ""},
+		{"/draft/1", stream, first + second},
+	} {
+		resetting, arrivals := startResettingServer(t, tc.begins)
+		sound := startFakeServer(t, func(c net.Conn, r *http.Request) bool {
+			rest := strings.TrimPrefix(tc.whole, map[string]string{"1": first}[r.Header.Get("Last-Event-Id")])
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: id-1\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(rest), rest)
+			return true
+		})
+		servers := []*fakeServer{resetting}
+		if tc.whole != "" {
+			servers = append(servers, sound)
+		}
+		f, front := newTestFront(t, servers...)
+		configure(f)
+		allowBodies(f, upload)
+		for name, callers := range map[string]*httptest.Server{"local": front, "forwarded": forwardingFront(t, f)} {
+			for range runs {
+				f.Local.Pool("svc").Update(placement.Settings{Slots: 8}, f.Local.Backends.InRegion("r", time.Now()))
+				resp, body, err := call(t, t.Context(), callers, "POST", tc.path, strings.Repeat("b", upload))
+				if served := err == nil && resp.StatusCode == http.StatusOK; served && body != tc.whole {
+					t.Errorf("%s, %s: served %q", tc.path, name, body)
+				}
+			}
+		}
+		if n := int(arrivals.Load()); n == 0 || tc.whole == "" && n != 2*runs {
+			t.Errorf("%s: %d requests reached the server that resets connections", tc.path, n)
+		}
+	}
+}
+
+// allowBodies puts a configuration in force with bodies of up to a size, in bytes.
+func allowBodies(f *Front, size int) {
+	config := *f.Routes.Current()
+	config.Version++
+	config.Limits.BodyBytes = int64(size)
+	f.Routes.Offer(&config)
+}
