Refuse an instance's response without a length or chunks

A response of another instance with neither a length nor chunks was taken for whole when its connection ended, and its caller got what had arrived as the complete answer or stream. Instances always send a length or chunks, and break off chunks that are not whole, so such a response was damaged or cut on the way. It is malformed now: counted and logged as such, 502 for what may not be repeated, another server otherwise.

Ruled out: refusals of an instance, which have a length of 0 and are read from the head only.

TestUnframedResponseOfAPeerIsNotWhole before: an order, an idempotent request and streams with and without resumption got status 200 and the part. With -race: the tests of transport/httproute on peers, forwarding and unframed answers.

--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -88,6 +88,10 @@
 		MatchResponse: func(resp *http.Response) bool { return resp.Header.Get(headerRequest) == o.id },
 	})
 	f.Metrics.forwarded(o.service)
+	if err == nil && response.EndsWithConn {
+		response.Close()
+		err = errUnframed
+	}
 	if err != nil {
 		return nil, f.forwardFailed(ctx, o, remote, err)
 	}
@@ -116,6 +120,9 @@
 	return out, nil
 }
 
+// errUnframed is the fault of a peer's response whose end nothing shows. Instances send a length or chunks.
+var errUnframed = errors.Wrap(backendhttp.ErrMalformed, "a response of an instance with neither a length nor chunks")
+
 // peerClient returns the client that forwards a request.
 func (f *Front) peerClient(r *request) *backendhttp.Client {
 	if f.WarmPeers != nil && (f.forwardsByRoom(r) || f.Local.Pool(r.service).SharedMachines()) {
--- a/transport/httproute/unframed_test.go
+++ b/transport/httproute/unframed_test.go
@@ -141,3 +141,28 @@
 	config.Limits.BodyBytes = int64(size)
 	f.Routes.Offer(&config)
 }
+
+// Guards against a response of another instance that ends with its connection and is taken for whole: instances send a length
+// or chunks, so it was broken off on the way.
+func TestUnframedResponseOfAPeerIsNotWhole(t *testing.T) {
+	for path, begins := range map[string]string{
+		"/order/1": "\r\npart",
+		"/read/1":  "\r\npart",
+		"/chat/1":  "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n",
+		"/draft/1": "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n",
+	} {
+		peer := startFakeServer(t, func(c net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+headerRequest+": id-1\r\n"+begins)
+			return false
+		})
+		p := newPeerPath(t, startFakeServer(t, respondAtOnce))
+		p.region.addresses = append(p.region.addresses, peer.address)
+		resp, body, err := call(t, t.Context(), p.callers, "POST", path, "")
+		if err != nil || resp.StatusCode != http.StatusBadGateway {
+			t.Errorf("%s: %v, %q, %v", path, resp, body, err)
+		}
+		if len(peer.requests()) == 0 {
+			t.Errorf("%s: the peer got no request", path)
+		}
+	}
+}
