Answer the callers that are queued when an instance stops

Callers saw a reset without an answer: they had connected to a stopping instance and sent a whole request, up to 385 ms before. Nothing had read it.

Cause: at 0.6 of the grace period the callers' listener closes, and the kernel resets every connection in its accept queue. An instance that is short of processor time has not accepted them yet.

Ruled out, by runs with nine real processes and planned work only: kept connections (none reset), requests that were passed on (no cut that the rule does not except), SIGHUP and configurations.

Why it works: the goroutine that accepts drains the queue and closes the listener itself, right after it has found the queue empty. What it has accepted is answered like all other requests at a stopping instance, and the stop waits until these connections are quiet.

--- a/instance/routed/callerconns.go
+++ b/instance/routed/callerconns.go
@@ -57,13 +57,17 @@
 	return len(c.active) == 0 && c.changed.Before(since)
 }
 
-// closeCallers accepts no more connections of callers, answers what comes on the open ones until they are quiet, and closes
+// closeCallers accepts no connections of callers beyond those that are queued, answers what comes on the open ones until they are quiet, and closes
 // them. It leaves those open that still have a request in flight when ctx ends.
 //
 // http.Server.Shutdown closes idle connections at once and answers nothing more on the others, so that a request that has
 // just been read would end without a response.
 func (n *Instance) closeCallers(ctx context.Context) {
-	if l := n.listeners["callers"]; l != nil {
+	switch l := n.listeners["callers"].(type) {
+	case nil:
+	case *drainingListener:
+		l.drain(ctx)
+	default:
 		_ = l.Close() // fails only if it is closed
 	}
 	n.awaitQuietCallers(ctx)
--- a/instance/routed/listen.go
+++ b/instance/routed/listen.go
@@ -49,9 +49,13 @@
 	if err := n.broadcaster.Listen(n.settings.Listen.Relay); err != nil { // UDP, on the same port
 		return err
 	}
-	if _, err := n.bind("callers", n.settings.Listen.Callers); err != nil {
+	l, err := n.bind("callers", n.settings.Listen.Callers)
+	if err != nil {
 		return err
 	}
+	if queued, ok := l.(queueListener); ok {
+		n.listeners["callers"] = newDrainingListener(queued, n.log)
+	}
 	if _, err := n.bind("peers", n.settings.Listen.Peers); err != nil {
 		return err
 	}
