Agree on a stream's build only when each region was heard

What callers saw: nothing is reported of this system. Shown by test: a stream began at a server of a new build through an instance of one region, broke, was taken up in another region and went on at a server of the old build.

Cause: the search for a stream's build ended with the first answers, as many as there are instances of the own region to ask. Where these are behind (the region was cut off or stood still, or the new build is younger than the way of its entry) they agree on the old build before a region that knows better has answered. "Reads the store at present" did not help: calls have to fail for a while before the store counts as away, and an instance that runs again has not noticed yet. And members that are unreachable for 4 s were not asked, so that in a region that is alone all that were asked had answered.

Ruled out: one instance alone that is out of step, cut off from the store, the others or both, or standing still (21 runs with processes): it is contradicted, or not answered.

Evidence, on the code before: TestRegionThatIsBehindDoesNotGuessTheBuild: "instance 0: {svc v1}, <nil>", want v2, each time. TestCutOffInstanceDoesNotTakeAStreamOfANewBuildForTheOldOne: 4 of 30 forms fail, each time ("a region from both for 2s, 4s, 6s, 8s": "the stream "first" goes on at v1"). TestInstanceThatStoodStillDoesNotTakeAStreamOfANewBuildForTheOldOne (processes): "its region, cut from the store" failed in 8 of 9 runs ("take 1 went on at v1"), "its region" in 2 of 9.

Why the fix works: an instance of each region with members, reachable or not, has to answer. Of the first instance's region those that are asked keep the record or have seen the build. Where a region is silent the changes of the servers' entries are read from the store in a call that begins after the stream was taken up, and so after the entry of the server at which it began. TestStreamGoesOnWithoutALostRegion checks that sound streams are not refused meanwhile.

--- a/coordination/streambuild/keepers.go
+++ b/coordination/streambuild/keepers.go
@@ -30,10 +30,11 @@
 	region   string // of this instance
 	byRegion map[string][]Member
 	remote   []Member
+	silent   []string // regions with members that cannot be reached, and no others
 }
 
-// NewMembers returns the members around an instance of a region.
-func NewMembers(region string, others []Member) *Members {
+// NewMembers returns the members around an instance of a region. unreachable names the regions of those that cannot be reached.
+func NewMembers(region string, others []Member, unreachable ...string) *Members {
 	out := &Members{region: region, byRegion: make(map[string][]Member)}
 	for _, m := range others {
 		m.hash = xxhash.Sum64String(m.ID)
@@ -42,6 +43,11 @@
 			out.remote = append(out.remote, m)
 		}
 	}
+	for _, region := range unreachable {
+		if len(out.byRegion[region]) == 0 {
+			out.silent = append(out.silent, region)
+		}
+	}
 	return out
 }
 
@@ -75,6 +81,18 @@
 	return n
 }
 
+// Heard reports whether an instance of each region has answered, of those that were asked. One that has not may hold the record, or
+// have seen another build.
+func (m *Members) Heard(asked []Member, answers []Answer) bool {
+	heard := make(map[string]bool, len(m.byRegion))
+	for _, a := range answers {
+		if at := slices.IndexFunc(asked, func(member Member) bool { return member.Address == a.From }); at >= 0 {
+			heard[asked[at].Region] = true
+		}
+	}
+	return len(m.silent) == 0 && len(heard) == len(m.byRegion)
+}
+
 // top returns the members with the highest scores for a stream, the highest first.
 func top(members []Member, stream StreamID, count int) []Member {
 	out := make([]Member, 0, count+1)
--- a/coordination/streambuild/streambuild.go
+++ b/coordination/streambuild/streambuild.go
@@ -28,6 +28,7 @@
 package streambuild
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -68,6 +69,7 @@
 
 // Answer is what one instance knows of a stream and of the builds of its service.
 type Answer struct {
+	From    netip.AddrPort // zero if this instance's own
 	Known   bool
 	Origin  Origin // if Known
 	Builds  Builds
--- a/instance/routed/buildstore.go
+++ b/instance/routed/buildstore.go
@@ -15,6 +15,7 @@
 
 	"github.com/basilroute/basilroute/coordination/configwatch"
 	"github.com/basilroute/basilroute/coordination/streambuild"
+	"github.com/basilroute/basilroute/state/backends"
 	"github.com/basilroute/basilroute/transport/platform"
 )
 
@@ -155,3 +156,26 @@
 	b.era, _ = configwatch.SplitRank(written) // written again if it is not the one that the value names
 	return nil
 }
+
+// readBuilds records the builds of the servers whose entries have changed in the store since this instance was told last. It leaves
+// the entries themselves to what keeps the mirror up to date.
+func (n *Instance) readBuilds(ctx context.Context) error {
+	known := n.servers.mirror.Revision()
+	if known == 0 {
+		return errors.New("the servers' entries have not been read yet")
+	}
+	changed, _, err := n.source.Store().Watch(ctx, n.servers.prefix, known, 0)
+	if err != nil {
+		return errors.Wrap(err, "read the servers' entries")
+	}
+	var servers []backends.Server
+	for _, item := range changed {
+		server, err := n.source.Server(item.Key, item.Value)
+		if item.Deleted || err != nil {
+			continue // names no server; one that cannot be read is logged when it comes to the mirror
+		}
+		servers = append(servers, server)
+	}
+	n.builds.recordServers(servers, time.Now())
+	return nil
+}
--- a/instance/routed/instance.go
+++ b/instance/routed/instance.go
@@ -219,7 +219,7 @@
 	}
 	n.builds = newStreamBuilds(&n.settings, n.started)
 	n.builds.hasPeers, n.builds.starting = n.hasPeers, n.startupWaitAllowed
-	n.builds.current = func() bool { return !n.storeUnreachable() }
+	n.builds.current, n.builds.readStore = func() bool { return !n.storeUnreachable() }, n.readBuilds
 	n.buildStore = newBuildStore(n.builds.history, n.source, n.log)
 	n.local.Waiting = &httproute.Waiting{Metrics: metrics, MaxBytes: int(n.settings.MemoryMB << 20 / waitMemoryShare), Flow: n.slotFlow}
 	n.front = &httproute.Front{
--- a/instance/routed/streambuilds.go
+++ b/instance/routed/streambuilds.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/basilroute/basilroute/coordination/membership"
 	"github.com/basilroute/basilroute/coordination/streambuild"
 	"github.com/basilroute/basilroute/state/backends"
@@ -28,12 +31,21 @@
 	starting func() bool
 	// current reports whether this instance reads the store at present.
 	current func() bool
+	// readStore reads from the store which builds have come.
+	readStore func(ctx context.Context) error
+
+	reading   sync.Mutex // held during readStore
+	readBegan time.Time
+	readError error
 }
 
+var errNoStore = errors.New("no store to read builds from")
+
 func newStreamBuilds(settings *Settings, started time.Time) *streamBuilds {
 	b := &streamBuilds{
 		history: streambuild.NewHistory(started), records: streambuild.NewRecords(started),
 		patience: 2*settings.Bounds.RegionDelay + answerMargin, current: func() bool { return true },
+		readStore: func(context.Context) error { return errNoStore },
 	}
 	if settings.FirstStart {
 		b.history.SetComplete()
@@ -88,51 +100,103 @@
 	return a
 }
 
+// buildSearch is a search for the build of a stream.
+type buildSearch struct {
+	named   bool // by the request that brought its first event
+	refused bool // earlier, as nobody knew its build
+	own     streambuild.Answer
+	members *streambuild.Members
+	asked   []streambuild.Member
+	answers []streambuild.Answer
+}
+
+// recorded returns the origin that an answer has a record of.
+func (s *buildSearch) recorded(a streambuild.Answer) (streambuild.Origin, bool) {
+	if !a.Known || !s.named {
+		return streambuild.Origin{}, false
+	}
+	s.refused = s.refused || a.Origin.IsRefused()
+	return a.Origin, !a.Origin.IsRefused()
+}
+
+// heard reports whether the answers cover the other instances of the fleet, and someone reads the store or all have answered, as while
+// the store is away.
+func (s *buildSearch) heard() bool {
+	return s.members.Heard(s.asked, s.answers) && (len(s.answers) == len(s.asked) || streambuild.AnyCurrent(s.own, s.answers))
+}
+
+// agreed returns the one build of a service.
+func (s *buildSearch) agreed(hasPeers bool) (string, bool) {
+	build, agreed := streambuild.Agreed(s.own.Builds, s.answers, hasPeers)
+	return build, agreed && !s.refused
+}
+
 // Find implements httproute.StreamBuilds.
 func (b *streamBuilds) Find(ctx context.Context, requestID, service string) (streambuild.Origin, error) {
-	ctx, cancel := context.WithTimeout(ctx, b.patience)
-	defer cancel()
 	stream, now := streambuild.IDOf(requestID), time.Now()
-	own := b.answer(stream, service, now)
-	refused := false
-	if own.Known && requestID != "" {
-		if !own.Origin.IsRefused() {
-			return own.Origin, nil
+	s := &buildSearch{named: requestID != "", own: b.answer(stream, service, now)}
+	if origin, ok := s.recorded(s.own); ok {
+		return origin, nil
+	}
+	if origin, ok := b.ask(ctx, s, stream, service); ok {
+		return origin, nil
+	}
+	build, agreed := s.agreed(b.hasPeers())
+	if agreed && !s.heard() {
+		if err := b.confirm(ctx); err != nil {
+			return streambuild.Origin{}, errors.Mark(errors.Wrap(err, "not all regions answer, nor does the store"), streambuild.ErrNoAnswer)
 		}
-		refused = true
+		s.own = b.answer(stream, service, now)
+		build, agreed = s.agreed(b.hasPeers())
+	}
+	switch {
+	case agreed:
+		return streambuild.Origin{Service: service, Build: build}, nil
+	case len(s.answers) == 0 && b.hasPeers():
+		return streambuild.Origin{}, streambuild.ErrNoAnswer
+	case s.named:
+		b.recordRefused(stream, now)
 	}
-	candidates, local := b.awaitCandidates(ctx, stream)
-	received := b.exchange.Ask(ctx, stream, service, candidates)
-	var answers []streambuild.Answer
-	for range candidates {
+	return streambuild.Origin{}, streambuild.ErrUnknown
+}
+
+// ask asks other instances until one has a record of the stream, those that have answered agree on a build, or b.patience has passed.
+func (b *streamBuilds) ask(ctx context.Context, s *buildSearch, stream streambuild.StreamID, service string) (streambuild.Origin, bool) {
+	ctx, cancel := context.WithTimeout(ctx, b.patience)
+	defer cancel()
+	s.members = b.awaitMembers(ctx)
+	s.asked = s.members.Candidates(stream)
+	local, received := s.members.CountLocal(s.asked), b.exchange.Ask(ctx, stream, service, s.asked)
+	for range s.asked {
 		select {
 		case a := <-received:
-			if a.Known && requestID != "" {
-				if !a.Origin.IsRefused() {
-					return a.Origin, nil
-				}
-				refused = true
+			if origin, ok := s.recorded(a); ok {
+				return origin, true
 			}
-			answers = append(answers, a)
+			s.answers = append(s.answers, a)
 		case <-ctx.Done():
+			return streambuild.Origin{}, false
 		}
-		build, agreed := streambuild.Agreed(own.Builds, answers, true)
-		if agreed && !refused && len(answers) >= max(local, 1) && streambuild.AnyCurrent(own, answers) {
-			return streambuild.Origin{Service: service, Build: build}, nil
+		if _, agreed := s.agreed(true); agreed && len(s.answers) >= local && s.heard() {
+			break
 		}
 	}
-	build, agreed := streambuild.Agreed(own.Builds, answers, b.hasPeers())
-	heardAll := streambuild.AnyCurrent(own, answers) || len(answers) == len(candidates)
-	if agreed && !refused && heardAll {
-		return streambuild.Origin{Service: service, Build: build}, nil
-	}
-	if len(answers) == 0 && b.hasPeers() || agreed && !refused {
-		return streambuild.Origin{}, streambuild.ErrNoAnswer
-	}
-	if requestID != "" {
-		b.recordRefused(stream, now)
+	return streambuild.Origin{}, false
+}
+
+// confirm reads the builds from the store. A read that began after this call counts for all calls that wait for it.
+func (b *streamBuilds) confirm(ctx context.Context) error {
+	called := time.Now()
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	if b.readBegan.After(called) {
+		return b.readError
 	}
-	return streambuild.Origin{}, streambuild.ErrUnknown
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), b.patience)
+	defer cancel()
+	b.readBegan = time.Now()
+	b.readError = b.readStore(ctx)
+	return b.readError
 }
 
 // recordRefused records that a stream is refused when it is taken up, here and at its keepers.
@@ -142,14 +206,12 @@
 	b.exchange.Report([]streambuild.Record{record}, b.members.Load().Keepers)
 }
 
-// awaitCandidates returns the instances that may keep the record of a stream, and how many of them are in the local
-// region. An instance that has just started waits until it knows some.
-func (b *streamBuilds) awaitCandidates(ctx context.Context, stream streambuild.StreamID) ([]streambuild.Member, int) {
+// awaitMembers returns the other instances. An instance that has just started waits until it knows some.
+func (b *streamBuilds) awaitMembers(ctx context.Context) *streambuild.Members {
 	for {
 		members := b.members.Load()
-		candidates := members.Candidates(stream)
-		if len(candidates) > 0 || !b.starting() || ctx.Err() != nil {
-			return candidates, members.CountLocal(candidates)
+		if !members.None() || !b.starting() || ctx.Err() != nil {
+			return members
 		}
 		sleep(ctx, minBackoff/10)
 	}
@@ -158,15 +220,20 @@
 // setMembers sets the instances that keep records.
 func (b *streamBuilds) setMembers(region, self string, all []membership.Member) {
 	var others []streambuild.Member
+	var unreachable []string // regions
 	for _, m := range all {
 		address, err := netip.ParseAddrPort(m.Entry.GetRelayAddress())
-		if err != nil || !m.Reachable || m.Leaving() || m.Entry.GetId() == self {
+		if err != nil || m.Leaving() || m.Entry.GetId() == self {
+			continue
+		}
+		if !m.Reachable {
+			unreachable = append(unreachable, m.Entry.GetRegion())
 			continue
 		}
 		others = append(others, streambuild.Member{ID: m.Entry.GetId(), Region: m.Entry.GetRegion(), Address: address})
 	}
 	hadNone := b.members.Load().None()
-	b.members.Store(streambuild.NewMembers(region, others))
+	b.members.Store(streambuild.NewMembers(region, others, unreachable...))
 	if hadNone {
 		now := time.Now()
 		for _, service := range b.history.Services() {
--- a/instance/routed/streambuilds_test.go
+++ b/instance/routed/streambuilds_test.go
@@ -19,6 +19,8 @@
 type buildNetwork struct {
 	instances map[netip.AddrPort]*streamBuilds
 	lost      func(from, to netip.AddrPort) bool
+	// regionDelay is how long a datagram to another region takes.
+	regionDelay time.Duration
 }
 
 // newBuildNetwork returns instances that have watched a service with one build for long enough, two in each region.
@@ -33,9 +35,15 @@
 		b.hasPeers, b.starting = func() bool { return true }, func() bool { return false }
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7600)
 		b.exchange.Send = func(packet []byte, to netip.AddrPort) {
-			if receiver := network.instances[to]; receiver != nil && !network.lost(address, to) {
+			receiver := network.instances[to]
+			if receiver == nil || network.lost(address, to) {
+				return
+			}
+			if network.regionDelay == 0 || to.Addr().As4()[3]/2 == byte(i/2) {
 				receiver.exchange.Receive(packet, address, time.Now())
+				return
 			}
+			time.AfterFunc(network.regionDelay, func() { receiver.exchange.Receive(packet, address, time.Now()) })
 		}
 		network.instances[address] = b
 		all = append(all, b)
--- a/instance/routed/testfleet_test.go
+++ b/instance/routed/testfleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -237,7 +238,13 @@
 	if len(fields) != 3 {
 		return backends.Server{}, errors.New("not an entry")
 	}
-	return backends.Server{ID: key, Service: fields[0], Domain: fields[1], Address: key, Slots: 16}, nil
+	var entry struct {
+		Build string `json:"build"`
+	}
+	if err := json.Unmarshal([]byte(fields[2]), &entry); err != nil {
+		return backends.Server{}, err
+	}
+	return backends.Server{ID: key, Service: fields[0], Domain: fields[1], Address: key, Slots: 16, Version: entry.Build}, nil
 }
 
 // Config reads the version that a value begins with.
--- a/transport/streamcast/streamcast.go
+++ b/transport/streamcast/streamcast.go
@@ -139,7 +139,9 @@
 		return
 	}
 	q.asked[from] = true
-	q.answers <- decodeAnswer(a)
+	answer := decodeAnswer(a)
+	answer.From = from
+	q.answers <- answer
 }
 
 func encodeRecord(r streambuild.Record) *peerpb.StreamRecord {
