Count a build that a stream's record names as seen

What callers saw: nothing is reported. By test: a stream that was forwarded to a region with a new build, by an instance that had not heard of that build, was refused as stream_build after this instance had ended, although servers of its build were there. And a keeper of a new build's stream answered about other streams that their service has one build.

Cause: whether records are sent depends on the builds in the servers' entries that the instance has read. The build that another region's instance names in its response, or a record from another instance, did not count.

Ruled out: streams that go on at another build by this alone: since each region has to answer, the region of the new build contradicts.

Evidence, on the code before: TestForwardedStreamOfANewBuildIsReported: "instance 1: { }, no instance knows the stream's build", the same at all five; TestKeeperOfARecordHasSeenItsBuild: "instance 1 keeps a record of v2 and counts 1 builds".

Why the fix works: whoever records or keeps a stream's build has seen that build from then on, reports the running streams, and answers so.

--- a/instance/routed/buildsoutofstep_test.go
+++ b/instance/routed/buildsoutofstep_test.go
@@ -169,3 +169,47 @@
 		}
 	})
 }
+
+// Guards against a stream that is refused although its build serves: it was forwarded to a region with a new build by an instance that had
+// not heard of it, did not report it to its keepers, and ended.
+func TestForwardedStreamOfANewBuildIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, all := newBuildNetwork(6)
+		seeBuilds(all, "v1")
+		time.Sleep(streambuild.StreamLifetime)
+		seeBuilds(all, "v1")
+		seeBuilds(all[4:], "v1", "v2")
+		all[0].Begin("first", streambuild.Origin{Service: "svc", Build: "v2"})
+		delete(network.instances, netip.MustParseAddrPort("10.0.0.0:7600"))
+		for i, b := range all[1:] {
+			if origin, err := b.Find(t.Context(), "first", "svc"); err != nil || origin.Build != "v2" {
+				t.Errorf("instance %d: %v, %v", i+1, origin, err)
+			}
+		}
+	})
+}
+
+// Guards against a keeper that holds the record of a stream of a new build and answers about another stream that there is one build.
+func TestKeeperOfARecordHasSeenItsBuild(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, all := newBuildNetwork(6)
+		seeBuilds(all, "v1")
+		time.Sleep(streambuild.StreamLifetime)
+		seeBuilds(all, "v1")
+		seeBuilds(all[:1], "v1", "v2")
+		all[0].Begin("first", streambuild.Origin{Service: "svc", Build: "v2"})
+		kept := 0
+		for i, b := range all[1:] {
+			if _, known := b.records.Find(streambuild.IDOf("first")); !known {
+				continue
+			}
+			kept++
+			if a := b.answer(streambuild.IDOf("other"), "svc", time.Now()); a.Builds.Count != 2 {
+				t.Errorf("instance %d keeps a record of v2 and counts %d builds", i+1, a.Builds.Count)
+			}
+		}
+		if kept == 0 {
+			t.Error("nobody keeps the record")
+		}
+	})
+}
--- a/instance/routed/streambuilds.go
+++ b/instance/routed/streambuilds.go
@@ -50,7 +50,7 @@
 	if settings.FirstStart {
 		b.history.SetComplete()
 	}
-	b.exchange = &streamcast.Exchange{Keep: b.records.Keep, Answer: b.answer}
+	b.exchange = &streamcast.Exchange{Keep: b.keep, Answer: b.answer}
 	b.members.Store(streambuild.NewMembers(settings.Region, nil))
 	return b
 }
@@ -63,9 +63,18 @@
 		return
 	}
 	b.records.Begin(streambuild.Record{Stream: streambuild.IDOf(requestID), Origin: origin}, now)
+	b.history.Saw(origin, now) // the instance of another region may know it first
 	b.reportIfNeeded(origin.Service, now)
 }
 
+// keep keeps the record of another instance's stream.
+func (b *streamBuilds) keep(record streambuild.Record, now time.Time) {
+	b.records.Keep(record, now)
+	if !record.Origin.IsRefused() && b.history.Saw(record.Origin, now) {
+		b.reportIfNeeded(record.Origin.Service, now)
+	}
+}
+
 // End implements httproute.StreamBuilds.
 func (b *streamBuilds) End(requestID string) { b.records.End(streambuild.IDOf(requestID)) }
 
