Do not take the end of a server's process for the end of a response

Callers got streams that "end as complete after piece n of m", and parts of answers as whole ones, when a server's process was killed: it had read all of the request and had begun a response with neither a length nor chunks.

Cause: the kernel closes in order the connections of which a process had read everything, as a server does that has sent its whole response. Nothing was asked beyond that one connection.

Now, at the orderly end of such a body, another connection to the server, idle or new, has to outlast the time in which the kernel closes those of a process that ends: newest first, the listening socket last. Refused: the process has ended, the response is partial (ErrProcessEnded), and the server is down at once, before the request is sent elsewhere. Accepted and reset three times, as by a server over its limit: running. No answer within 250 ms or the request's deadline: undecided, and partial, as a part that looks complete can't be taken back. Partial means what a reset means: resumed, another server, 502 or a broken connection by kind. New connections are kept and carry the next request, which would have needed one. The question is part of reading a response in backendhttp, so all that use it ask.

Ruled out: responses with a length or chunks; other instances, which send one of both. A server known to be leaving is judged alike: it may have been ended before it was done.

--- a/transport/backendhttp/client.go
+++ b/transport/backendhttp/client.go
@@ -125,8 +125,7 @@
 	Header http.Header
 	// Length is the length of the body, or -1 if unknown.
 	Length int64
-	// EndsWithConn is set for a body with neither a length nor chunks: it ends with the connection. The end of a server's
-	// process also ends it in order.
+	// EndsWithConn is set for a body with neither a length nor chunks: it ends with the connection.
 	EndsWithConn bool
 
 	client      *Client
@@ -319,8 +318,8 @@
 }
 
 // Read reads the body. It returns io.EOF only if the body is complete. A body delimited by
-// the end of the connection is complete if the server had taken all of the request and closed the
-// connection in order; Read waits for the former. It returns no data
+// the end of the connection is complete if the server has taken all of the request, has closed the
+// connection in order and runs on, otherwise the error may be ErrProcessEnded. It returns no data
 // with ErrIdleTimeout: another server may have been told where to go on. A body whose framing is
 // invalid ends with ErrMalformed.
 func (a *Response) Read(b []byte) (int, error) {
--- a/transport/backendhttp/conn.go
+++ b/transport/backendhttp/conn.go
@@ -87,12 +87,26 @@
 // unread reports whether data, or the end of the connection, has arrived that was not read. Unlike clean it does not wait for
 // a read that is going on.
 func (c *conn) unread() bool {
-	if c.raw == nil || c.ended.Load() {
+	if c.ended.Load() {
 		return false
 	}
-	empty := false
+	empty, known := c.peek()
+	return known && !empty
+}
+
+// silentlyOpen reports whether the connection is open and nothing has arrived that was not read. It does not wait for a read either.
+func (c *conn) silentlyOpen() bool {
+	empty, known := c.peek()
+	return known && empty
+}
+
+// peek reports whether a read would wait, and whether that could be found out.
+func (c *conn) peek() (empty, known bool) {
+	if c.raw == nil {
+		return false, false
+	}
 	err := c.raw.Control(func(fd uintptr) { empty = c.nothingPending(fd) })
-	return err == nil && !empty
+	return empty, err == nil
 }
 
 // nothingPending reports whether a read of the connection's socket would wait. It keeps the failure of the connection that
--- a/transport/backendhttp/ending.go
+++ b/transport/backendhttp/ending.go
@@ -1,6 +1,7 @@
 package backendhttp
 
 import (
+	"context"
 	"io"
 	"time"
 
@@ -9,8 +10,18 @@
 )
 
 // A body with neither a length nor chunks ends with its connection. The kernel reports the failure of a connection to one
-// call only, be it a write of the request's body or a look for unread data, and any later read finds the end of file. That
-// is therefore the end of the response only if the server has taken the request and has closed the connection in order.
+// call only, be it a write of the request's body or a look for unread data, and any later read finds the end of file. When a
+// server's process ends, the kernel closes in order the connections of which it has read everything, even that of a server
+// which was known to be leaving and was ended before it was done. The end of file is therefore the end of the response only
+// if the server has taken the request, has closed the connection in order, and runs on.
+
+// ErrProcessEnded means that a server's process ended with the connection of a response that nothing else shows to be whole.
+var ErrProcessEnded = errors.New("the server's process ended with the connection")
+
+var errProcessUnknown = errors.New("the connection ended, and the server did not answer whether its process runs")
+
+// processTimeout bounds the question whether a server's process runs.
+const processTimeout = 250 * time.Millisecond
 
 // takenPoll is the time between two looks whether the server has acknowledged the request.
 const takenPoll = 2 * time.Millisecond
@@ -33,11 +44,25 @@
 		case state == endUntaken:
 			time.Sleep(takenPoll)
 		default:
-			return io.EOF
+			return a.confirmProcess()
 		}
 	}
 }
 
+// confirmProcess returns io.EOF if the server's process runs. Without an answer that is not known, and a part of a response
+// that looks whole can't be taken back.
+func (a *Response) confirmProcess() error {
+	ctx, cancel := context.WithTimeout(a.ctx, processTimeout)
+	defer cancel()
+	switch a.client.ProcessState(ctx, a.address) {
+	case ProcessRunning:
+		return io.EOF
+	case ProcessEnded:
+		return ErrProcessEnded
+	}
+	return errProcessUnknown
+}
+
 // endState is the state of a connection on which the end of file was read.
 type endState int
 
--- a/transport/backendhttp/ending_test.go
+++ b/transport/backendhttp/ending_test.go
@@ -1,6 +1,7 @@
 package backendhttp
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -8,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -208,3 +211,35 @@
 		t.Errorf("ended after %v", took)
 	}
 }
+
+// Guards against a part of an answer that is taken for the whole one because the server's process has ended, or does not tell in
+// time whether it runs.
+func TestEndOfTheProcessIsNotTheEndOfAResponse(t *testing.T) {
+	for ends, want := range map[bool]error{true: ErrProcessEnded, false: errProcessUnknown} {
+		address, _ := listen(t, func(l net.Listener, c net.Conn, _ int) {
+			_, _ = c.Read(make([]byte, 1<<10))
+			_, _ = io.WriteString(c, unframedHead+bodyPart)
+			if ends {
+				_ = l.Close()
+			}
+			_ = c.Close()
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		a, err := client().Do(ctx, address, get("1"), matchID("1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		readPart(t, a)
+		if ends {
+			_, err = io.ReadAll(a)
+		} else {
+			cancel()
+			err = a.confirmProcess()
+		}
+		if !errors.Is(err, want) {
+			t.Errorf("%v, want %v", err, want)
+		}
+		a.Close()
+		cancel()
+	}
+}
--- a/transport/httproute/local.go
+++ b/transport/httproute/local.go
@@ -209,6 +209,9 @@
 		case placement.OutcomeServed:
 			l.Parts.RecordWholeAnswer(o.print, time.Now())
 		case placement.OutcomeFailed:
+			if errors.Is(r.body.cause, backendhttp.ErrProcessEnded) {
+				pool.RecordDown(placed, time.Now()) // at once: the request is sent elsewhere next
+			}
 			l.checkCrash(o, placed, blame{headReceived: true, begun: r.begun})
 		}
 	}
