Read the responses of the store, /v1 servers and tools strictly

The platform's store, backend servers on /v1, the load tool, the demo and the operators' commands read their responses through http.Transport. It took invalid heads for answers: an operation on /v1 whose server sent `A B: x` was answered, with `Transfer-Encoding : chunked` the chunk sizes were part of the answer, frames of a generation were passed on, and the store's value, write and "not found" counted although their head was none. http.Transport also takes the end of a connection for the end of a body when the reset is seen by the writer of the request, and sends an order with an idempotency key again unless its body's type is hidden.

backendhttp.RoundTripper is an http.RoundTripper on backendhttp.Client, so these places use the one strict reader, and whatever that client decides about the end of a connection. It keeps what the callers had: the body streams, HEAD, 204 and 304 free their connection at once, a body may be closed twice and during a read, the cause of a context is the error, and a GET or HEAD is sent again if a reused connection broke before a byte of the response. Nothing else is sent again, so the hiding of body types on /v1 goes. Connections over TLS are reused only if neither the socket nor TLS holds bytes that nobody asked for. Header fields, targets and methods with bytes that end a line are refused before a byte is sent. On /v1 "not reached" is now told by ErrNotSent, which also covers a connection that was found closed before the first byte.

What callers had and no longer have: compression and HTTP/2 to an https platform, proxies of the environment in `basilroute apply` and the like, and the User-Agent field.

Tests that built an http.Transport for the store's client now build the transport that it uses.

--- a/cmd/basilroute/demo.go
+++ b/cmd/basilroute/demo.go
@@ -60,12 +60,13 @@
 
 // demo is the running fleet with the state of the demo's steps.
 type demo struct {
-	fleet *localfleet.Fleet
-	out   io.Writer
-	url   string // callers' URL of the instance used
-	admin string // operators' URL of the same instance
-	key   string
-	rows  [][2]string
+	fleet  *localfleet.Fleet
+	out    io.Writer
+	client *http.Client
+	url    string // callers' URL of the instance used
+	admin  string // operators' URL of the same instance
+	key    string
+	rows   [][2]string
 }
 
 func runDemo(ctx context.Context, command *cli.Command) error {
@@ -87,7 +88,7 @@
 		return err
 	}
 	defer fleet.Close()
-	d := &demo{fleet: fleet, out: command.Root().Writer}
+	d := &demo{fleet: fleet, out: command.Root().Writer, client: newHTTPClient(nil)}
 	limited, cancel := context.WithTimeout(ctx, demoTimeout)
 	defer cancel()
 	if err := d.walk(limited); err != nil {
@@ -143,7 +144,7 @@
 	}
 	req.Header.Set("Authorization", "Bearer "+d.key)
 	req.Header.Set("Content-Type", "application/json")
-	return http.DefaultClient.Do(req)
+	return d.client.Do(req)
 }
 
 func (d *demo) streamAnswer(ctx context.Context) error {
--- a/cmd/basilroute/documents.go
+++ b/cmd/basilroute/documents.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"os"
 	"time"
 
@@ -32,7 +31,7 @@
 func openStore(command *cli.Command) (*platform.Client, error) {
 	return platform.New(platform.Settings{
 		URL: command.String("platform"), CallTimeout: storeTimeout, CallRate: 100, CallBurst: 100,
-	}, http.DefaultTransport)
+	}, newHTTPClient(nil).Transport)
 }
 
 // readDocuments parses every file and reports the findings of all of them.
--- a/cmd/basilroute/operator.go
+++ b/cmd/basilroute/operator.go
@@ -15,6 +15,8 @@
 	"github.com/basilroute/basilroute/coordination/configwatch"
 	"github.com/basilroute/basilroute/protocol/gatewayapi"
 	"github.com/basilroute/basilroute/protocol/operatorapi"
+	"github.com/basilroute/basilroute/transport/backendhttp"
+	"github.com/basilroute/basilroute/transport/httpbound"
 	"github.com/basilroute/basilroute/transport/tlsconf"
 )
 
@@ -47,19 +49,24 @@
 	return operatorapi.Token{Token: string(t)}, nil
 }
 
+// newHTTPClient returns a client for a command's calls. dialTLS may be nil.
+func newHTTPClient(dialTLS backendhttp.DialFunc) *http.Client {
+	return &http.Client{Transport: backendhttp.NewRoundTripper(backendhttp.Settings{MaxHead: httpbound.MaxHead}, dialTLS)}
+}
+
 func openOperator(command *cli.Command) (*operatorapi.Client, error) {
 	if command.String("instance") == "" {
 		return nil, errors.New("--instance is required")
 	}
-	transport := &http.Transport{}
+	var dialTLS backendhttp.DialFunc
 	if file := command.String("ca"); file != "" {
 		source, err := tlsconf.Open(tlsconf.Files{CA: file})
 		if err != nil {
 			return nil, err
 		}
-		transport.DialTLSContext = source.Dial
+		dialTLS = source.Dial
 	}
-	client := &http.Client{Transport: transport}
+	client := newHTTPClient(dialTLS)
 	return operatorapi.NewClient(command.String("instance"), operatorToken(command.String("token")), operatorapi.WithClient(client))
 }
 
@@ -143,7 +150,7 @@
 			&cli.StringFlag{Name: "key", Required: true, Usage: "the caller's key", Sources: cli.EnvVars("BASILROUTE_KEY")},
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
-			client, err := gatewayapi.NewClient(command.String("url"), callerKey(command.String("key")))
+			client, err := gatewayapi.NewClient(command.String("url"), callerKey(command.String("key")), gatewayapi.WithClient(newHTTPClient(nil)))
 			if err != nil {
 				return err
 			}
--- a/instance/secure.go
+++ b/instance/secure.go
@@ -4,11 +4,13 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"github.com/basilroute/basilroute/transport/backendhttp"
 	"github.com/basilroute/basilroute/transport/httpbound"
 	"github.com/basilroute/basilroute/transport/peer"
 	"github.com/basilroute/basilroute/transport/tlsconf"
@@ -41,19 +43,24 @@
 	return peer.NewCredentials(source), nil
 }
 
-const platformIdleConns = 8
+// Connections to the platform that are kept without a request.
+const (
+	platformIdleConns = 8
+	platformIdleLimit = 30 * time.Second
+)
 
 // platformTransport returns a transport that verifies the platform's certificate with the
 // CA of the settings, or with the system's CAs if none is set.
-func (i *Instance) platformTransport() (*http.Transport, error) {
-	transport := &http.Transport{MaxIdleConnsPerHost: platformIdleConns, MaxResponseHeaderBytes: httpbound.MaxHead}
+func (i *Instance) platformTransport() (http.RoundTripper, error) {
+	settings := backendhttp.Settings{
+		Dial: new(net.Dialer).DialContext, MaxIdle: platformIdleConns, IdleLimit: platformIdleLimit, MaxHead: httpbound.MaxHead,
+	}
 	if i.settings.Platform.CA == "" {
-		return transport, nil
+		return backendhttp.NewRoundTripper(settings, nil), nil
 	}
 	source, err := tlsconf.Open(tlsconf.Files{CA: i.settings.Platform.CA})
 	if err != nil {
 		return nil, errors.Wrap(err, "platform.ca")
 	}
-	transport.DialTLSContext = source.Dial
-	return transport, nil
+	return backendhttp.NewRoundTripper(settings, source.Dial), nil
 }
--- a/loadgen/target.go
+++ b/loadgen/target.go
@@ -12,6 +12,7 @@
 
 	"github.com/basilroute/basilroute/protocol/engineapi"
 	"github.com/basilroute/basilroute/protocol/gatewayapi"
+	"github.com/basilroute/basilroute/transport/backendhttp"
 )
 
 // Target is a destination of requests.
@@ -22,15 +23,16 @@
 
 const (
 	idlePerHost      = 1024
+	idleLimit        = time.Minute
 	maxResponseBytes = 16 << 20
 )
 
 // Transport is an HTTP transport with keep-alive connections.
-type Transport = *http.Transport
+type Transport = *backendhttp.RoundTripper
 
 // NewTransport returns a transport for many concurrent requests.
 func NewTransport() Transport {
-	return &http.Transport{MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: time.Minute, DisableCompression: true}
+	return backendhttp.NewRoundTripper(backendhttp.Settings{MaxIdle: idlePerHost, IdleLimit: idleLimit}, nil)
 }
 
 // Gateway sends requests to entry instances as a well-behaved caller does: each account
@@ -143,7 +145,6 @@
 	if p.Key != "" {
 		req.Header.Set("Idempotency-Key", p.Key)
 	}
-	req.GetBody = nil // keeps net/http from retrying by itself, since every attempt has to be counted
 	return req, nil
 }
 
--- a/localfleet/localfleet.go
+++ b/localfleet/localfleet.go
@@ -22,6 +22,8 @@
 	"github.com/basilroute/basilroute/standin/engine"
 	"github.com/basilroute/basilroute/standin/plain"
 	"github.com/basilroute/basilroute/standin/platform"
+	"github.com/basilroute/basilroute/transport/backendhttp"
+	"github.com/basilroute/basilroute/transport/httpbound"
 	transport "github.com/basilroute/basilroute/transport/platform"
 )
 
@@ -85,7 +87,7 @@
 	if f.URL, err = f.serve(handler); err != nil {
 		return err
 	}
-	f.Store, err = transport.New(transport.Settings{URL: f.URL, CallTimeout: time.Second, CallRate: 1000, CallBurst: 1000}, http.DefaultTransport)
+	f.Store, err = transport.New(transport.Settings{URL: f.URL, CallTimeout: time.Second, CallRate: 1000, CallBurst: 1000}, backendhttp.NewRoundTripper(backendhttp.Settings{MaxHead: httpbound.MaxHead}, nil))
 	if err != nil {
 		return err
 	}
--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -1,8 +1,7 @@
 // Package backend is the client of backend servers: it sends generations, operations and
 // orders, polls load and cache events, and cancels generations.
 //
-// A request is sent once. net/http would send a request again when a kept-alive connection
-// breaks, although the server may already have run it, so its own retry is switched off.
+// A request that a server may have run is not sent again; polls are.
 package backend
 
 import (
@@ -20,11 +19,13 @@
 	"github.com/basilroute/basilroute/protocol/plainapi"
 	"github.com/basilroute/basilroute/protocol/refusal"
 	"github.com/basilroute/basilroute/state/servers"
+	"github.com/basilroute/basilroute/transport/backendhttp"
 	"github.com/basilroute/basilroute/transport/httpbound"
 )
 
 const (
 	maxIdleConnsPerHost = 64
+	idleLimit           = 30 * time.Second
 	dialTimeout         = time.Second
 	controlTimeout      = 2 * time.Second
 	maxResponseBytes    = 16 << 20
@@ -52,13 +53,9 @@
 // New returns a client with its own connections.
 func New() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
-		DialContext:            dialer.DialContext,
-		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
-		IdleConnTimeout:        30 * time.Second,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: httpbound.MaxHead,
-	}
+	transport := backendhttp.NewRoundTripper(backendhttp.Settings{
+		Dial: dialer.DialContext, MaxIdle: maxIdleConnsPerHost, IdleLimit: idleLimit, MaxHead: httpbound.MaxHead,
+	}, nil)
 	return &Client{
 		http:    &http.Client{CheckRedirect: noRedirect, Transport: transport},
 		control: &http.Client{CheckRedirect: noRedirect, Transport: httpbound.Transport{Next: transport, MaxBody: maxControlBytes}},
@@ -76,27 +73,19 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// nonRewindable hides the type of a request body from net/http, so that it cannot rewind the
-// body and send the request again. Without it, a purchase order with an idempotency key runs
-// twice when the server resets a kept-alive connection after reading the order. Hiding the
-// type suffices because net/http retries only requests without a body or with GetBody set.
-type nonRewindable struct{ io.Reader }
-
 func post(ctx context.Context, url string, body []byte) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nonRewindable{bytes.NewReader(body)})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, "backend request")
 	}
-	req.ContentLength = int64(len(body))
 	req.Header.Set("Content-Type", "application/json")
 	return req, nil
 }
 
-// connectionRefusal converts a connection error to a refusal. Only a dial error proves that
-// the server never received the request.
+// connectionRefusal converts a connection error to a refusal. The server never received a request of
+// which no byte was sent.
 func connectionRefusal(err error) *refusal.Refusal {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if errors.Is(err, backendhttp.ErrNotSent) {
 		return refusal.New(refusal.CodeBackendFailed, "backend server not reached")
 	}
 	return refusal.New(refusal.CodeBackendFailed, "connection to the backend server broke").WithRunState(refusal.RunUnknown)
--- a/transport/backendhttp/client.go
+++ b/transport/backendhttp/client.go
@@ -41,6 +41,10 @@
 	// deadline.
 	UserTimeout time.Duration
 	MaxIdle     int // idle connections kept for each address
+	// IdleLimit is how long an idle connection is kept if the server does not specify a shorter limit; 0 for DefaultIdleLimit.
+	IdleLimit time.Duration
+	// Dial replaces the dialling of TCP connections, with DialTimeout and UserTimeout; nil for none.
+	Dial DialFunc
 	// FreshIdle is how recently a connection must have been used to carry a request that may not
 	// be repeated, at most DefaultIdleLimit; 0 for one second, which is safe before any server.
 	FreshIdle time.Duration
@@ -87,6 +91,9 @@
 	if settings.FreshIdle == 0 {
 		settings.FreshIdle = defaultFreshIdle
 	}
+	if settings.IdleLimit == 0 {
+		settings.IdleLimit = DefaultIdleLimit
+	}
 	if settings.MaxHead == 0 {
 		settings.MaxHead = DefaultMaxHead
 	}
@@ -250,7 +257,11 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
-	raw, err := c.dialer.DialContext(ctx, "tcp", address)
+	open := c.dialer.DialContext
+	if c.settings.Dial != nil {
+		open = c.settings.Dial
+	}
+	raw, err := open(ctx, "tcp", address)
 	switch {
 	case err == nil:
 		return newConn(raw), nil
@@ -353,7 +364,7 @@
 	// On a connection that still owes part of a body, the server would take the next request for
 	// the rest of that body.
 	if a.stop() && a.complete && a.bodyWritten.written() {
-		if keep := responseIdleLimit(a.resp); keep > 0 && a.conn.clean() {
+		if keep := responseIdleLimit(a.resp, a.client.settings.IdleLimit); keep > 0 && a.conn.clean() {
 			a.conn.idleLimit = keep
 			_ = a.conn.SetDeadline(time.Time{}) // an error shows on the next use
 			a.client.put(a.address, a.conn)
--- a/transport/backendhttp/conn.go
+++ b/transport/backendhttp/conn.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -31,8 +33,9 @@
 // conn is one connection. It carries one request at a time.
 type conn struct {
 	net.Conn
-	raw       syscall.RawConn
-	source    *boundedReader // what reader reads from
+	raw       syscall.RawConn // of the socket
+	secured   bool            // by TLS
+	source    *boundedReader  // what reader reads from
 	reader    *bufio.Reader
 	idleSince time.Time     // when the last request ended
 	idleLimit time.Duration // how long it may be idle
@@ -60,7 +63,11 @@
 func newConn(c net.Conn) *conn {
 	source := &boundedReader{conn: c}
 	out := &conn{Conn: c, source: source, reader: bufio.NewReaderSize(source, readBuffer)}
-	if s, ok := c.(syscall.Conn); ok {
+	socket := c
+	if secured, ok := c.(*tls.Conn); ok {
+		out.secured, socket = true, secured.NetConn()
+	}
+	if s, ok := socket.(syscall.Conn); ok {
 		raw, err := s.SyscallConn()
 		if err == nil { // without it the connection is not reused
 			out.raw = raw
@@ -81,7 +88,17 @@
 		empty = c.nothingPending(fd)
 		return true
 	})
-	return err == nil && empty
+	return err == nil && empty && (!c.secured || c.nothingDecrypted())
+}
+
+// nothingDecrypted reports whether TLS holds no data that it has read from the socket. The read does not wait.
+func (c *conn) nothingDecrypted() bool {
+	var b [1]byte
+	if c.SetReadDeadline(time.Unix(1, 0)) != nil {
+		return false
+	}
+	_, err := c.Conn.Read(b[:])
+	return errors.Is(err, os.ErrDeadlineExceeded) && c.SetReadDeadline(time.Time{}) == nil
 }
 
 // unread reports whether data, or the end of the connection, has arrived that was not read. Unlike clean it does not wait for
@@ -183,7 +200,7 @@
 	for range maxSkippedResponses {
 		resp, err := c.readHead(request)
 		if err != nil {
-			return nil, c.markMalformed(err)
+			return nil, c.markUnanswered(c.markMalformed(err))
 		}
 		if match(resp) {
 			return resp, nil
@@ -245,13 +262,22 @@
 	return err
 }
 
-// responseIdleLimit returns how long the connection may be idle after a response, or 0 if
+// errUnanswered means that a reused connection broke before a byte of the response.
+var errUnanswered = errors.New("the reused connection broke without a response")
+
+func (c *conn) markUnanswered(err error) error {
+	if c.reused && c.source.left == c.source.bound {
+		return errors.Mark(err, errUnanswered)
+	}
+	return err
+}
+
+// responseIdleLimit returns how long the connection may be idle after a response, at most limit, or 0 if
 // it may not be reused.
-func responseIdleLimit(resp *http.Response) time.Duration {
+func responseIdleLimit(resp *http.Response, limit time.Duration) time.Duration {
 	if resp.Close {
 		return 0
 	}
-	limit := DefaultIdleLimit
 	for _, part := range strings.Split(resp.Header.Get("Keep-Alive"), ",") {
 		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
 		if !ok || !strings.EqualFold(strings.TrimSpace(name), "timeout") {
--- a/transport/httpidle/httpidle_test.go
+++ b/transport/httpidle/httpidle_test.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/basilroute/basilroute/standin/link"
+	"github.com/basilroute/basilroute/transport/backendhttp"
 	"github.com/basilroute/basilroute/transport/httpidle"
 )
 
@@ -32,9 +33,9 @@
 		handler(w, r)
 	})}
 	go func() { _ = server.Serve(there) }()
-	transport := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+	transport := backendhttp.NewRoundTripper(backendhttp.Settings{Dial: func(ctx context.Context, _, address string) (net.Conn, error) {
 		return here.Dial(ctx, address)
-	}}
+	}}, nil)
 	defer func() {
 		_ = server.Close()
 		transport.CloseIdleConnections()
--- a/transport/platform/endless_test.go
+++ b/transport/platform/endless_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/basilroute/basilroute/transport/backendhttp"
 	"github.com/basilroute/basilroute/transport/httpbound"
 	"github.com/basilroute/basilroute/transport/platform"
 )
@@ -32,7 +33,7 @@
 		}
 	}))
 	defer server.Close()
-	client, err := platform.New(settings(server.URL), &http.Transport{})
+	client, err := platform.New(settings(server.URL), backendhttp.NewRoundTripper(backendhttp.Settings{}, nil))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/transport/platform/platform_test.go
+++ b/transport/platform/platform_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	standin "github.com/basilroute/basilroute/standin/platform"
+	"github.com/basilroute/basilroute/transport/backendhttp"
 	"github.com/basilroute/basilroute/transport/platform"
 )
 
@@ -25,7 +26,7 @@
 	}
 	listener := httptest.NewServer(handler)
 	t.Cleanup(listener.Close)
-	client, err := platform.New(settings(listener.URL), &http.Transport{})
+	client, err := platform.New(settings(listener.URL), backendhttp.NewRoundTripper(backendhttp.Settings{}, nil))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/transport/platform/slow_test.go
+++ b/transport/platform/slow_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/basilroute/basilroute/standin/link"
 	standin "github.com/basilroute/basilroute/standin/platform"
+	"github.com/basilroute/basilroute/transport/backendhttp"
 	"github.com/basilroute/basilroute/transport/platform"
 )
 
@@ -29,9 +30,9 @@
 		instance, store := network.Add("instance", rate), network.Add("store:80", 100*rate)
 		httpServer := &http.Server{Handler: handler}
 		go func() { _ = httpServer.Serve(store) }()
-		transport := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+		transport := backendhttp.NewRoundTripper(backendhttp.Settings{Dial: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return instance.Dial(ctx, address)
-		}}
+		}}, nil)
 		defer func() {
 			_ = httpServer.Close()
 			transport.CloseIdleConnections()
--- a/transport/responsehead/responsehead.go
+++ b/transport/responsehead/responsehead.go
@@ -164,9 +164,9 @@
 
 func excerpt(line []byte) []byte { return line[:min(len(line), maxExcerpt)] }
 
-func allOf(text []byte, class func(byte) bool) bool {
-	for _, b := range text {
-		if !class(b) {
+func allOf[text []byte | string](t text, class func(byte) bool) bool {
+	for i := range len(t) {
+		if !class(t[i]) {
 			return false
 		}
 	}
@@ -187,3 +187,14 @@
 }()
 
 func isTokenByte(b byte) bool { return tokenBytes[b] }
+
+// IsName reports whether a text is a token, as names of fields and methods are.
+func IsName(text string) bool { return len(text) > 0 && allOf(text, isTokenByte) }
+
+// IsValue reports whether a text can be the value of a field.
+func IsValue(text string) bool { return allOf(text, isText) }
+
+// IsWord reports whether a text has neither blanks nor control bytes, as the parts of a request line.
+func IsWord(text string) bool { return len(text) > 0 && allOf(text, isWordByte) }
+
+func isWordByte(b byte) bool { return b > ' ' && b != 0x7f }
