Reset callers of HTTP/1.0 whose response is cut

Callers of HTTP/1.0 saw a cut stream end in order, after a whole event: at the exit of an instance, with a server of its region or by way of a peer, at the exit of that peer, at the end of the server, and when connections are closed while handlers run.

Cause: their body ends with the connection, and net/http closes the connection of a handler that has aborted in order.

Ruled out: callers of HTTP/1.1. In none of these cases does the connection carry a final chunk.

Why it works: while such a request is handled, closing its connection resets it, whoever closes it. The orderly close is set again only when the handler has ended without a cut. newTestFront passes the connection on as the instance does; no check of another test changes.

--- a/instance/routed/instance.go
+++ b/instance/routed/instance.go
@@ -242,7 +242,7 @@
 	n.broadcaster.ReceiveOther, n.builds.exchange.Send = n.builds.exchange.Receive, n.broadcaster.SendOther
 	n.callers = &http.Server{
 		Handler: n.front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug), ConnState: n.callerConns.track,
+		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug), ConnState: n.callerConns.track, ConnContext: httproute.WithConn,
 	}
 	n.peers = grpc.NewServer(append(peer.ServerOptions(),
 		grpc.InitialWindowSize(peer.StreamWindow), grpc.InitialConnWindowSize(peer.StreamWindow))...)
--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -126,7 +126,12 @@
 
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
-	arrived := time.Now()
+	whole := resetUnlessWhole(hr)
+	f.serveCaller(w, hr, time.Now())
+	whole() // not reached by a response that was cut, which panics
+}
+
+func (f *Front) serveCaller(w http.ResponseWriter, hr *http.Request, arrived time.Time) {
 	if f.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
--- a/transport/httproute/path_test.go
+++ b/transport/httproute/path_test.go
@@ -185,7 +185,9 @@
 		Remotes: noRemotes{}, Builds: anyBuild{}, Local: local, Peers: local.Client, Log: log, Metrics: metrics,
 		Starting: never, Stopping: never, Leaving: never, TimeToShutdown: func() time.Duration { return 0 },
 	}
-	front := httptest.NewServer(f)
+	front := httptest.NewUnstartedServer(f)
+	front.Config.ConnContext = WithConn
+	front.Start()
 	t.Cleanup(front.Close)
 	return f, front
 }
