Judge by its deadline whether a request outlasts its instance

Callers of a leaving instance could see a request that no server had run sent once more and ended by the exit, after a configuration had shortened the timeout of its route while it waited for a slot.

Cause: mayOutlastInstance computed the end from the timeout of the route in force, but the request's deadline is set once, when it is admitted.

Ruled out: the checks at arrival and before the first attempt, where both are the same. Found by reading; no run has shown it.

Why it works: there is one end of a request, its deadline once that is set.

--- a/transport/httproute/front.go
+++ b/transport/httproute/front.go
@@ -300,7 +300,7 @@
 
 // prepare sets the deadline, the fingerprint and the placement inputs of a request.
 func (f *Front) prepare(r *request) {
-	r.deadline = r.arrived.Add(r.wait())
+	r.deadline = r.end()
 	r.print = quarantine.Fingerprint(r.accountName(), r.host, r.method+" "+r.target+"\n"+string(r.body))
 	r.parts = partsOf(r.service, r.Segments)
 	r.suspects = suspectsOf(r.print, r.parts)
--- a/transport/httproute/leaving.go
+++ b/transport/httproute/leaving.go
@@ -16,7 +16,15 @@
 // proves nothing, and a request that the exit cuts off may have taken effect.
 func (f *Front) mayOutlastInstance(r *request) bool {
 	left := f.TimeToShutdown()
-	return left > 0 && left < time.Until(r.arrived.Add(r.wait()))+finalResponseTime
+	return left > 0 && left < time.Until(r.end())+finalResponseTime
+}
+
+// end returns the request's deadline, which a later configuration doesn't move, also before it is set.
+func (r *request) end() time.Time {
+	if r.deadline.IsZero() {
+		return r.arrived.Add(r.wait())
+	}
+	return r.deadline
 }
 
 // run sends a request that has waited for all that it needs.
--- a/transport/httproute/leaving_test.go
+++ b/transport/httproute/leaving_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/basilroute/basilroute/coordination/placement"
 	"github.com/basilroute/basilroute/state/backends"
+	"github.com/basilroute/basilroute/state/routes"
 	"github.com/basilroute/basilroute/transport/outcome"
 )
 
@@ -237,3 +238,16 @@
 		t.Errorf("ended %v", got)
 	}
 }
+
+// Guards against a request that a leaving instance sends once more, up to its exit, because a configuration has shortened the
+// timeout of its route after its deadline was set.
+func TestShorterTimeoutDoesNotMoveADeadline(t *testing.T) {
+	now := time.Now()
+	shorter := route("order", routes.KindNonIdempotent, 2, false)
+	shorter.Timeout = 500 * time.Millisecond
+	f := &Front{TimeToShutdown: func() time.Duration { return 2 * time.Second }}
+	r := &request{route: &shorter, arrived: now, deadline: now.Add(5 * time.Second)}
+	if !f.mayOutlastInstance(r) {
+		t.Error("a request whose deadline lies after the exit is taken for one that ends before it")
+	}
+}
--- a/transport/httproute/rawend_test.go
+++ b/transport/httproute/rawend_test.go
@@ -43,11 +43,12 @@
 func TestCutStreamDoesNotLookComplete(t *testing.T) {
 	for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
 		for name, start := range map[string]func(t *testing.T) (address string, cut func()){
-			"exit":               startExitingFront,
-			"exit of a peer":     startFrontBesideExitingPeer,
-			"exit before a peer": startExitingFrontBesidePeer,
-			"end of the server":  startFrontBesideEndingServer,
-			"closed connections": startClosedFront,
+			"exit":                          startExitingFront,
+			"exit, response without length": startExitingFrontWithoutLength,
+			"exit of a peer":                startFrontBesideExitingPeer,
+			"exit before a peer":            startExitingFrontBesidePeer,
+			"end of the server":             startFrontBesideEndingServer,
+			"closed connections":            startClosedFront,
 		} {
 			t.Run(fmt.Sprint(version, " ", name), func(t *testing.T) {
 				address, cut := start(t)
@@ -73,7 +74,22 @@
 func startExitingFront(t *testing.T) (address string, exits func()) {
 	ended := make(chan struct{})
 	t.Cleanup(func() { close(ended) })
-	l := startLeavingFront(t, sendsOneEvent(ended))
+	return startExiting(t, sendsOneEvent(ended))
+}
+
+// startExitingFrontWithoutLength is startExitingFront with a server whose response ends with its connection.
+func startExitingFrontWithoutLength(t *testing.T) (address string, exits func()) {
+	ended := make(chan struct{})
+	t.Cleanup(func() { close(ended) })
+	return startExiting(t, func(c net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\n\r\nid: 0\ndata: token0\n\n", r.Header.Get("Id"))
+		<-ended
+		return false
+	})
+}
+
+func startExiting(t *testing.T, script func(c net.Conn, r *http.Request) bool) (address string, exits func()) {
+	l := startLeavingFront(t, script)
 	exit, cancel := context.WithCancel(t.Context())
 	l.Exit = exit
 	return l.callers.Listener.Addr().String(), cancel
