--- a/transport/httpbound/httpbound.go
+++ b/transport/httpbound/httpbound.go
@@ -13,7 +13,7 @@
 )
 
 // MaxHead is the size of a response's head, in bytes, above which calls fail. It is meant for
-// http.Transport.MaxResponseHeaderBytes, whose default is 10 MB.
+// backendhttp.Settings.MaxHead of clients that decode a whole response.
 const MaxHead = 64 << 10
 
 // ErrTooLarge is the error of reading a body beyond its bound.
