Answer the queued callers of /v1 when an instance stops

Callers of /v1 that had connected to a stopping instance and sent a request were reset, or their connection ended without an answer.

Cause: the same as on the routed path, closing a listener resets its accept queue. Here a second one follows: http.Server.Shutdown returns from a connection whose request it then reads without answering it.

Ruled out: TLS, which is above the listener that drains.

Evidence: TestQueuedCallersAreAnsweredWhenAnInstanceStops failed with 20 of 20 callers reset in two of two runs; with the drained listener alone it failed with callers that got an end of file. It passes 5 of 5 times.

Why it works: the listener drains before Shutdown (transport/draining, moved from instance/routed), and what it accepted last has 300 ms to be answered.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -31,6 +31,7 @@
 	"github.com/basilroute/basilroute/transport/backend"
 	"github.com/basilroute/basilroute/transport/claim"
 	"github.com/basilroute/basilroute/transport/dispatch"
+	"github.com/basilroute/basilroute/transport/draining"
 	"github.com/basilroute/basilroute/transport/gateway"
 	"github.com/basilroute/basilroute/transport/lending"
 	"github.com/basilroute/basilroute/transport/metrics"
@@ -92,7 +93,10 @@
 	ending          dispatch.Ending
 }
 
-type listeners struct{ callers, peers, operators net.Listener }
+type listeners struct {
+	callers, peers, operators net.Listener
+	queue                     *draining.Listener // of callers, below TLS
+}
 
 // New binds the instance's addresses. It serves nothing before Start.
 func New(settings Settings, log *slog.Logger) (*Instance, error) {
@@ -153,6 +157,9 @@
 			i.closeListeners()
 			return errors.Wrap(err, "listen")
 		}
+		if l.into == &i.listeners.callers {
+			i.drainable(l.into)
+		}
 		if *l.into, err = secure(*l.into, l.tls); err != nil {
 			i.closeListeners()
 			return errors.Wrap(err, "listen")
@@ -161,6 +168,14 @@
 	return nil
 }
 
+// drainable lets the listener of callers drain at the end.
+func (i *Instance) drainable(callers *net.Listener) {
+	if l, ok := (*callers).(draining.QueueListener); ok {
+		i.listeners.queue = draining.New(l, i.log)
+		*callers = i.listeners.queue
+	}
+}
+
 func (i *Instance) closeListeners() {
 	for _, l := range []net.Listener{i.listeners.callers, i.listeners.peers, i.listeners.operators} {
 		if l != nil {
@@ -265,7 +280,7 @@
 
 func (i *Instance) serve(run func() error) {
 	err := run()
-	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err != nil && !errors.IsAny(err, http.ErrServerClosed, net.ErrClosed) {
 		i.listenerErrors <- err
 	}
 }
--- a/instance/routed/callerconns.go
+++ b/instance/routed/callerconns.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/basilroute/basilroute/transport/draining"
 )
 
 const (
@@ -65,8 +67,8 @@
 func (n *Instance) closeCallers(ctx context.Context) {
 	switch l := n.listeners["callers"].(type) {
 	case nil:
-	case *drainingListener:
-		l.drain(ctx)
+	case *draining.Listener:
+		l.Drain(ctx)
 	default:
 		_ = l.Close() // fails only if it is closed
 	}
--- a/instance/routed/listen.go
+++ b/instance/routed/listen.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/basilroute/basilroute/transport/draining"
 )
 
 // listenConfig has short keep-alive probes: a caller behind a cut link never closes its
@@ -53,8 +55,8 @@
 	if err != nil {
 		return err
 	}
-	if queued, ok := l.(queueListener); ok {
-		n.listeners["callers"] = newDrainingListener(queued, n.log)
+	if queued, ok := l.(draining.QueueListener); ok {
+		n.listeners["callers"] = draining.New(queued, n.log)
 	}
 	if _, err := n.bind("peers", n.settings.Listen.Peers); err != nil {
 		return err
--- a/instance/routed/queuedcallers_test.go
+++ b/instance/routed/queuedcallers_test.go
@@ -8,6 +8,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/basilroute/basilroute/transport/draining"
 )
 
 // heldListener accepts nothing before it is released, like a process that is not scheduled.
@@ -33,7 +35,7 @@
 		t.Fatal(err)
 	}
 	l := &heldListener{TCPListener: plain.(*net.TCPListener), released: make(chan struct{})}
-	s := startStoppingInstance(newDrainingListener(l, slog.New(slog.DiscardHandler)), grace, 0)
+	s := startStoppingInstance(draining.New(l, slog.New(slog.DiscardHandler)), grace, 0)
 	var waiting sync.WaitGroup
 	for n := range callers {
 		c, err := net.Dial("tcp", plain.Addr().String())
--- a/instance/stop.go
+++ b/instance/stop.go
@@ -16,6 +16,8 @@
 	// leaveAnnouncePeriod is how long a leaving instance continues to listen, so that peers
 	// and callers learn of it before connections are refused.
 	leaveAnnouncePeriod = 2 * time.Second
+	// lastCallersPeriod is how long the callers that were queued when the listener closed have to be answered.
+	lastCallersPeriod = 300 * time.Millisecond
 	// cancelNotifyTimeout is how long cancelled requests have to notify their callers.
 	cancelNotifyTimeout = time.Second
 )
@@ -53,10 +55,14 @@
 	return errors.Wrap(err, "requests in flight were cancelled")
 }
 
-// shutdown ends the listeners when the last byte of every response has been sent. A request
+// shutdown ends the listeners, after it has accepted the callers that are queued, when the last byte of every response has been sent. A request
 // leaves the tables before its caller has read all of it: without this, a slow reader would
 // lose the end of a response that an engine had finished.
 func (i *Instance) shutdown(ctx context.Context) error {
+	if i.listeners.queue != nil {
+		i.listeners.queue.Drain(ctx)
+		_ = wait(ctx, time.After(lastCallersPeriod)) // Shutdown answers no request that it finds unanswered
+	}
 	err := i.callers.Shutdown(ctx)
 	abort := context.AfterFunc(ctx, i.peers.Stop)
 	defer abort()
--- a/instance/routed/draining.go
+++ b/transport/draining/draining.go
@@ -1,4 +1,5 @@
-package routed
+// Package draining closes listeners without a reset of the connections that the kernel has queued.
+package draining
 
 import (
 	"context"
@@ -14,25 +15,26 @@
 	"golang.org/x/sys/unix"
 )
 
-// queueListener is a listener whose queue of connections can be looked at, such as a net.TCPListener.
-type queueListener interface {
+// QueueListener is a listener whose queue of connections can be looked at, such as a net.TCPListener.
+type QueueListener interface {
 	net.Listener
 	syscall.Conn
 	SetDeadline(t time.Time) error
 }
 
-// drainingListener closes only when it has accepted all connections that the kernel has queued: closing resets
+// Listener closes, when it drains, only when it has accepted all connections that the kernel has queued: closing resets
 // these, and their callers may have sent whole requests.
-type drainingListener struct {
-	queueListener
+type Listener struct {
+	QueueListener
 	log      *slog.Logger
 	draining atomic.Bool
 	closed   chan struct{}
 	close    func()
 }
 
-func newDrainingListener(l queueListener, log *slog.Logger) *drainingListener {
-	d := &drainingListener{queueListener: l, log: log, closed: make(chan struct{})}
+// New returns a listener that accepts like l.
+func New(l QueueListener, log *slog.Logger) *Listener {
+	d := &Listener{QueueListener: l, log: log, closed: make(chan struct{})}
 	d.close = sync.OnceFunc(func() {
 		_ = l.Close() // fails only if it is closed
 		close(d.closed)
@@ -40,9 +42,9 @@
 	return d
 }
 
-// drain lets Accept return the queued connections and then close the listener. It returns when it is closed, at the
+// Drain lets Accept return the queued connections and then close the listener. It returns when it is closed, at the
 // latest when ctx ends.
-func (l *drainingListener) drain(ctx context.Context) {
+func (l *Listener) Drain(ctx context.Context) {
 	l.draining.Store(true)
 	_ = l.SetDeadline(time.Now()) // wakes Accept; fails only if it is closed
 	select {
@@ -53,16 +55,16 @@
 }
 
 // Accept implements net.Listener. The goroutine that accepts also closes, at once after it has found the queue empty.
-func (l *drainingListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		if l.draining.Load() {
-			_ = l.SetDeadline(time.Time{}) // as in drain
+			_ = l.SetDeadline(time.Time{}) // as in Drain
 			if !l.hasQueued() {
 				l.close()
 				return nil, net.ErrClosed
 			}
 		}
-		c, err := l.queueListener.Accept()
+		c, err := l.QueueListener.Accept()
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return c, err
 		}
@@ -70,13 +72,13 @@
 }
 
 // Close implements net.Listener.
-func (l *drainingListener) Close() error {
+func (l *Listener) Close() error {
 	l.close()
 	return nil
 }
 
 // hasQueued reports whether a connection can be accepted without waiting.
-func (l *drainingListener) hasQueued() bool {
+func (l *Listener) hasQueued() bool {
 	ready := 0
 	raw, err := l.SyscallConn()
 	if err == nil {
