Remove instances that are gone from those that share the quotas

Once the instances of a fleet had been replaced, every request of an account with a limit got 429, for good.

An instance mints its share once every instance of the set has reported the same set. The set was read from items that nobody takes back and only grew. An instance that is gone never reports, so that none that joined after it ever minted.

Ruled out: leaving out whoever is silent, as it may be cut off or frozen and mint on; a lease in the store, which ends or stands still while the store is down, so that the clock of the instance has to decide all the same; promises of peers, which both halves of a cut can hear.

The ledger gets the end of the proof with the share. A silent instance is doubted by a conditional write of its item; an instance that reads that writes its item. When the validity has passed and the item is unchanged, a conditional write replaces it by one that says that this generation is removed. An instance that ends in order writes that it mints no more. One that comes back after its removal joins anew with the next generation. What is known of an instance is its generation and whether it is removed, and only rises, so that all end with the same set. The limit holds since a set that an instance divides by still has every instance that mints: only those that cannot are removed.

The stand-in store of these tests now checks the conditions of writes, and refuses those of instances that are cut off from it.

--- a/coordination/quotashare/quotashare.go
+++ b/coordination/quotashare/quotashare.go
@@ -1,6 +1,6 @@
-// Package quotashare divides every account's rate and burst over a set of instances that
-// only grows, see Division. The shares of all instances that mint never exceed the whole,
-// also when instances are partitioned, paused or restarted:
+// Package quotashare divides every account's rate and burst over a set of instances, see
+// Division. The shares of all instances that mint never exceed the whole, also when instances
+// are partitioned, paused, restarted or gone for good:
 //
 //   - A joining instance writes its id into the store and then reads all ids. Of two that
 //     join at the same time, the one that reads later sees the other's id.
@@ -12,8 +12,15 @@
 //     minting instances then has the other in its set, so the shares add up to at most the
 //     whole. An instance that has never minted waits until loans have expired that others
 //     may have made from what is its share now.
-//   - An instance keeps its share for good; no other ever mints it. An instance that is
-//     partitioned continues with its share, and needs neither the store nor a peer.
+//   - An instance keeps its share until it is removed from the set; no other mints it before.
+//     It may be removed once it cannot mint any more: it has left, or has proved to nobody for
+//     longer than its Proof lasts that its item stands. The store decides: the item of an
+//     instance is replaced by one that says that it is removed, under the condition that the
+//     instance has not written it in the meantime. A removed instance joins anew, with the
+//     next generation.
+//   - What is known of an instance is replaced only by a later generation or by the removal of
+//     this one, so that all instances end with the same set in whatever order they learn of it.
+//     An instance that learns late of a removal divides by more instances than it need do.
 //   - The store has a record that the instance has minted. If a restarted instance finds
 //     that record it need not wait for the others, since all of them have it in their sets.
 //     Tokens that its earlier incarnation lent may still be spent; see
@@ -27,13 +34,13 @@
 // which all instances had the joining one in their sets at once, so every set that is sent
 // later has it. spec/quotashare.pml checks this.
 //
-// The share of an instance that never returns is lost to the fleet. Demand that is uneven
-// over instances is served by loans, see package quota.
+// Demand that is uneven over instances is served by loans, see package quota.
 //
 // The package does no I/O.
 package quotashare
 
 import (
+	"iter"
 	"maps"
 	"slices"
 	"sync"
@@ -48,8 +55,9 @@
 	incarnation uint64
 
 	mu              sync.Mutex
-	holders         map[string]string // failure domain of each instance
-	hash            uint64            // of holders
+	entries         map[string]Entry  // all instances that were ever known
+	size            int               // instances that are not removed
+	hash            uint64            // of the instances that are not removed
 	complete        bool              // holders contains every instance that mints
 	established     bool              // all others had this instance in their sets at once
 	mintedBefore    bool              // an earlier incarnation of this instance has minted
@@ -63,7 +71,26 @@
 // Holder is an instance of the set.
 type Holder struct{ ID, Domain string }
 
-func (h Holder) hash() uint64 { return xxhash.Sum64String(h.ID + "\x00" + h.Domain) }
+// Entry is what is known of an instance that is or was in the set.
+type Entry struct {
+	Holder
+	Generation uint64 // how many times the instance was removed before it joined
+	Removed    bool   // this generation mints no more, and never will
+	Left       bool   // it was removed after its process had ended, so that it holds no loan
+}
+
+// hash of the first generation is that of builds that know no generations.
+func (e Entry) hash() uint64 {
+	var digest xxhash.Digest
+	digest.ResetWithSeed(e.Generation)
+	_, _ = digest.WriteString(e.ID + "\x00" + e.Domain) // writing to a hash does not fail
+	return digest.Sum64()
+}
+
+// replaces reports whether an entry is later than another one of the same instance.
+func (e Entry) replaces(known Entry) bool {
+	return e.Generation > known.Generation || e.Generation == known.Generation && e.Removed && !known.Removed
+}
 
 // Report is what an instance sends to others about its set.
 type Report struct {
@@ -75,33 +102,90 @@
 // NewHolderSet returns an empty set of an incarnation of the instance self.
 func NewHolderSet(self string, incarnation uint64) *HolderSet {
 	return &HolderSet{
-		self: self, incarnation: incarnation, holders: make(map[string]string),
+		self: self, incarnation: incarnation, entries: make(map[string]Entry),
 		acks: make(map[string]uint64), agreementHashes: make(map[string]uint64), noLoans: make(map[string]bool),
 	}
 }
 
-// Merge adds instances to the set. complete says that holders contains every instance that
-// mints: it was read from the store after this instance's id was written, or received from
-// a peer whose set is complete and contains this instance.
+// Merge adds instances of the first generation to the set, see MergeEntries.
 func (s *HolderSet) Merge(holders []Holder, complete bool) {
+	entries := make([]Entry, len(holders))
+	for i, h := range holders {
+		entries[i] = Entry{Holder: h}
+	}
+	s.MergeEntries(entries, complete)
+}
+
+// MergeEntries merges what is known of instances. complete says that the entries that are not
+// removed contain every instance that mints: they were read from the store after this instance's
+// id was written, or received from a peer whose set is complete and contains this instance. It
+// reports whether the set has changed.
+func (s *HolderSet) MergeEntries(entries []Entry, complete bool) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, h := range holders {
-		if h.ID == "" || s.has(h.ID) {
+	for _, e := range entries {
+		known, found := s.entries[e.ID]
+		if e.ID == "" || found && !e.replaces(known) {
 			continue // the failure domain of an instance never changes
 		}
-		s.holders[h.ID] = h.Domain
-		s.hash ^= h.hash()
-		clear(s.acks) // these reports were for a smaller set
+		changed = s.replace(known, e, found) || changed
 	}
 	if complete && s.has(s.self) {
 		s.complete = true
 	}
+	return changed
+}
+
+// replace replaces what is known of an instance and reports whether the set has changed.
+func (s *HolderSet) replace(known, e Entry, found bool) (changed bool) {
+	s.entries[e.ID] = e
+	if found && !known.Removed {
+		s.hash ^= known.hash()
+		s.size--
+		changed = true
+	}
+	if !e.Removed {
+		s.hash ^= e.hash()
+		s.size++
+		changed = true
+	}
+	if changed {
+		clear(s.acks) // these reports were for another set
+	}
+	if e.ID == s.self && found {
+		s.startAnew()
+	}
+	return changed
+}
+
+// startAnew forgets what allowed this instance to mint in an earlier generation: others may mint
+// its share, and lend of it.
+func (s *HolderSet) startAnew() {
+	s.complete, s.established, s.mintedBefore, s.neverMinted = false, false, false, true
 }
 
 func (s *HolderSet) has(id string) bool {
-	_, ok := s.holders[id]
-	return ok
+	e, ok := s.entries[id]
+	return ok && !e.Removed
+}
+
+// Generation returns the generation of an instance, and whether it is removed.
+func (s *HolderSet) Generation(id string) (generation uint64, removed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[id]
+	return e.Generation, e.Removed
+}
+
+// Entries returns what is known of all instances, sorted by id.
+func (s *HolderSet) Entries() []Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]Entry, 0, len(s.entries))
+	for _, id := range slices.Sorted(maps.Keys(s.entries)) {
+		out = append(out, s.entries[id])
+	}
+	return out
 }
 
 // RecordMinted records that according to the store this instance has minted. Once this
@@ -156,7 +240,7 @@
 		return 0
 	}
 	sum := s.hash
-	for id := range s.holders {
+	for id := range s.present() {
 		incarnation, known := s.acks[id]
 		if id == s.self {
 			incarnation, known = s.incarnation, true
@@ -205,7 +289,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []string
-	for id := range s.holders {
+	for id := range s.mayOwe() {
 		if !s.cleared && id != s.self && !s.noLoans[id] {
 			out = append(out, id)
 		}
@@ -214,7 +298,7 @@
 }
 
 func (s *HolderSet) noneOwesLoans() bool {
-	for id := range s.holders {
+	for id := range s.mayOwe() {
 		if id != s.self && !s.noLoans[id] {
 			return false
 		}
@@ -243,13 +327,36 @@
 	return s.complete
 }
 
+// present iterates over the ids of the instances that are not removed.
+func (s *HolderSet) present() iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for id, e := range s.entries {
+			if !e.Removed && !yield(id) {
+				return
+			}
+		}
+	}
+}
+
+// mayOwe iterates over the ids of the instances that may hold a loan. One that was removed while
+// its process may be running goes on to borrow.
+func (s *HolderSet) mayOwe() iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for id, e := range s.entries {
+			if !e.Left && !yield(id) {
+				return
+			}
+		}
+	}
+}
+
 // Holders returns the instances of the set, sorted by id.
 func (s *HolderSet) Holders() []Holder {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make([]Holder, 0, len(s.holders))
-	for _, id := range slices.Sorted(maps.Keys(s.holders)) {
-		out = append(out, Holder{ID: id, Domain: s.holders[id]})
+	out := make([]Holder, 0, s.size)
+	for _, id := range slices.Sorted(s.present()) {
+		out = append(out, s.entries[id].Holder)
 	}
 	return out
 }
@@ -258,7 +365,7 @@
 func (s *HolderSet) Size() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.holders)
+	return s.size
 }
 
 // Mints reports whether this instance may mint its share.
@@ -275,7 +382,7 @@
 	if hash == 0 {
 		return false
 	}
-	for id := range s.holders {
+	for id := range s.present() {
 		if id != s.self && s.agreementHashes[id] != hash {
 			return false
 		}
--- a/instance/routed/instance.go
+++ b/instance/routed/instance.go
@@ -77,7 +77,10 @@
 	ledgerMu      sync.Mutex
 	division      *quotashare.Division
 	ledgerConfig  int64
-	ledgerHolders int
+	ledgerHolders uint64 // hash of the set
+
+	item   *ownItem
+	heldMu sync.Mutex // orders the calls of updateHeldShare
 
 	membersMu       sync.Mutex               // orders the calls of applyMembers, so that an earlier state replaces no later one
 	appliedMembers  atomic.Value             // memberVersion that was last applied
@@ -154,8 +157,8 @@
 		settings: settings, features: set, source: source, codec: codec, log: log.With("instance", settings.ID),
 		registry: prometheus.NewRegistry(), started: started,
 		routes: &routes.Table{}, backends: backends.New(), ledger: quota.New(settings.ID),
-		shares: quotashare.NewHolderSet(settings.ID, uint64(started.UnixNano())),
-		pool:   peer.NewPool(insecure.NewCredentials()), exchangeTrigger: make(chan struct{}, 1),
+		shares: quotashare.NewHolderSet(settings.ID, uint64(started.UnixNano())), item: newOwnItem(),
+		pool: peer.NewPool(insecure.NewCredentials()), exchangeTrigger: make(chan struct{}, 1),
 		storeRestored: make(chan struct{}, 1),
 		listeners:     make(map[string]net.Listener), listenerErrors: make(chan error, 8),
 	}
@@ -251,13 +254,14 @@
 
 // Start serves and runs the loops until Stop.
 func (n *Instance) Start() {
+	n.item.require()
 	n.serveAsync(n.callers, n.listeners["callers"])
 	go func() {
 		if err := n.peers.Serve(n.listeners["peers"]); err != nil {
 			n.listenerErrors <- err
 		}
 	}()
-	for _, loop := range []func(context.Context){n.runStoreSync, n.join, n.rejoin, n.reseed, n.exchange, n.keepBans, n.keepBuilds, n.queryLoans, n.lending.Run, n.broadcaster.Run, n.local.Waiting.Run, n.housekeep} {
+	for _, loop := range []func(context.Context){n.runStoreSync, n.join, n.rejoin, n.removeGone, n.reseed, n.exchange, n.keepBans, n.keepBuilds, n.queryLoans, n.lending.Run, n.broadcaster.Run, n.local.Waiting.Run, n.housekeep} {
 		n.loops.Go(func() { loop(n.background) })
 	}
 	n.log.Info("started", "region", n.settings.Region, "domain", n.settings.Domain, "callers", n.settings.Listen.Callers,
--- a/instance/routed/join.go
+++ b/instance/routed/join.go
@@ -2,16 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/basilroute/basilroute/coordination/configwatch"
 	"github.com/basilroute/basilroute/coordination/membership"
 	"github.com/basilroute/basilroute/coordination/quotashare"
-	"github.com/basilroute/basilroute/transport/platform"
 )
 
 // membersPrefix is where each instance writes its own item. The items list the addresses to
@@ -19,31 +17,17 @@
 // deleted and not bound to a lease. Liveness is determined by exchanges between the instances.
 const membersPrefix = "fleet/members/"
 
-// memberItem is what an instance writes about itself.
-type memberItem struct {
-	ID     string `json:"id"`
-	Region string `json:"region"`
-	Domain string `json:"domain"`
-	Peer   string `json:"peer"`
-	Minted bool   `json:"minted"` // it has minted its share of the quotas at least once
-	Link   int    `json:"link"`   // Mbit/s of its machine; 0 if not known
-}
-
-// join writes this instance's item and reads those of all others. It writes the item again
-// once the instance has started to mint.
+// join writes this instance's item, reads those of all others and keeps the item until ctx ends.
+// An instance that was removed while it could not be heard joins anew.
 func (n *Instance) join(ctx context.Context) {
-	minted := false
-	n.retryUntilDone(ctx, func() (err error) {
-		minted, err = n.register(ctx)
-		return err
-	})
-	for ctx.Err() == nil && !n.shares.Mints() {
-		sleep(ctx, minBackoff)
-	}
-	if minted {
-		return
-	}
-	n.retryUntilDone(ctx, func() error { return n.putMember(ctx, true) })
+	n.item.require()
+	for ctx.Err() == nil {
+		n.retryUntilDone(ctx, func() error {
+			_, err := n.register(ctx)
+			return err
+		})
+		n.keepItem(ctx)
+	}
 }
 
 // retryUntilDone calls try with backoff until it succeeds or ctx ends.
@@ -60,82 +44,103 @@
 	}
 }
 
-// register writes this instance's item unless the store has it, and reads the others'.
-// minted reports whether the instance has minted before. An instance whose item is stored
-// from an earlier incarnation needs a single call: the item was there before it read the
-// others', and until the call returns every account is refused on this instance.
+// register writes this instance's item unless the store has it, and reads the others'. An instance
+// whose item is stored from an earlier incarnation needs a single call: the item was there before it
+// read the others', and until the call returns every account is refused on this instance.
+// minted reports whether the instance has minted before.
 func (n *Instance) register(ctx context.Context) (minted bool, err error) {
-	found, err := n.listMembers(ctx)
+	if !n.item.lock(ctx) {
+		return false, ctx.Err()
+	}
+	defer n.item.unlock()
+	if _, left, _ := n.item.state(); left {
+		return false, nil
+	}
+	began := time.Now()
+	found, rank, err := n.listMembers(ctx)
 	if err != nil {
 		return false, err
 	}
-	stored := found[n.settings.ID]
-	if stored.Peer != n.settings.Listen.Peers {
-		if err := n.putMember(ctx, stored.Minted); err != nil {
+	era, _ := configwatch.SplitRank(rank)
+	if want, stands := n.initialItem(found[n.settings.ID], era); !stands {
+		if err := n.putItem(ctx, want, found[n.settings.ID].revision); err != nil {
 			return false, err
 		}
-		if found, err = n.listMembers(ctx); err != nil {
+		began = time.Now()
+		if found, _, err = n.listMembers(ctx); err != nil {
 			return false, err
 		}
 	}
-	var seeds []membership.Seed
-	var holders []quotashare.Holder
-	for _, m := range found {
-		holders = append(holders, quotashare.Holder{ID: m.ID, Domain: m.Domain})
-		n.holderAddresses.Store(m.ID, m.Peer)
-		seeds = append(seeds, membership.Seed{ID: m.ID, PeerAddress: m.Peer, Region: m.Region, Domain: m.Domain})
-	}
-	n.members.SetSeeds(append(seeds, n.staticSeeds()...))
-	n.setStartReaders(found)
-	if stored.Minted {
-		n.shares.RecordMinted()
-	} else if !n.shares.Mints() {
-		n.shares.RecordNeverMinted()
+	stored := found[n.settings.ID]
+	if stored.Removed != "" {
+		return false, errItemGone
 	}
-	n.shares.Merge(holders, true)
-	n.log.Info("joined", "holders", len(found), "minted_before", stored.Minted)
+	n.item.prove(stored, began)
+	n.applyMemberItems(found, stored.memberItem)
+	n.log.Info("joined", "holders", n.shares.Size(), "minted_before", stored.Minted, "generation", stored.Generation)
 	n.updateLedgerHolders()
 	n.triggerExchange()
 	return stored.Minted, nil
 }
 
-// listMembers reads the items of all instances, by id.
-func (n *Instance) listMembers(ctx context.Context) (map[string]memberItem, error) {
-	items, _, err := n.source.Store().List(ctx, membersPrefix, 0)
-	if err != nil {
-		return nil, err
+// initialItem returns the item that this instance has to write at its start, and whether the one that
+// is stored of it stands.
+func (n *Instance) initialItem(stored storedMember, era int64) (want memberItem, stands bool) {
+	generation := stored.Generation
+	if stored.Removed != "" {
+		generation++
 	}
-	found := make(map[string]memberItem, len(items))
-	for _, kv := range items {
-		if m, ok := n.decodeMember(kv.Key, kv.Value); ok {
-			found[m.ID] = m
-		}
+	known, removed := n.shares.Generation(n.settings.ID)
+	if removed {
+		known++
 	}
-	return found, nil
+	if known > generation {
+		generation = known
+	}
+	stands = stored.ID != "" && stored.Peer == n.settings.Listen.Peers && stored.Doubted == "" && stored.ProofMs != 0 &&
+		generation == stored.Generation
+	base := memberItem{Generation: generation, Minted: stored.Minted && generation == stored.Generation}
+	return n.desiredItem(base, era), stands
 }
 
-func (n *Instance) decodeMember(key string, value []byte) (memberItem, bool) {
-	var m memberItem
-	if len(value) == 0 {
-		return m, false
+// applyMemberItems applies the items of all instances, of which one is this instance's own.
+func (n *Instance) applyMemberItems(found map[string]storedMember, own memberItem) {
+	var seeds []membership.Seed
+	var entries []quotashare.Entry
+	running := make(map[string]memberItem, len(found))
+	for id, m := range found {
+		entries = append(entries, m.entry())
+		if m.Removed != "" || m.Left {
+			continue
+		}
+		running[id] = m.memberItem
+		n.holderAddresses.Store(id, m.Peer)
+		seeds = append(seeds, membership.Seed{ID: id, PeerAddress: m.Peer, Region: m.Region, Domain: m.Domain})
 	}
-	if err := json.Unmarshal(value, &m); err != nil || m.ID != strings.TrimPrefix(key, membersPrefix) {
-		n.log.Info("member_unreadable", "key", key)
-		return memberItem{}, false
+	n.members.SetSeeds(append(seeds, n.staticSeeds()...))
+	n.setStartReaders(running)
+	n.shares.MergeEntries(entries, false)
+	if own.Minted {
+		n.shares.RecordMinted()
+	} else if !n.shares.Mints() {
+		n.shares.RecordNeverMinted()
 	}
-	return m, true
+	n.shares.MergeEntries(nil, true)
 }
 
-func (n *Instance) putMember(ctx context.Context, minted bool) error {
-	value, err := json.Marshal(memberItem{
-		ID: n.settings.ID, Region: n.settings.Region, Domain: n.settings.Domain, Peer: n.settings.Listen.Peers, Minted: minted,
-		Link: int(n.settings.LinkMbps),
-	})
+// listMembers reads the items of all instances, by id, and the store's rank.
+func (n *Instance) listMembers(ctx context.Context) (map[string]storedMember, int64, error) {
+	items, rank, err := n.source.Store().List(ctx, membersPrefix, 0)
 	if err != nil {
-		return errors.Wrap(err, "member")
+		return nil, 0, err
 	}
-	_, err = n.source.Store().Put(ctx, platform.Write{Key: membersPrefix + n.settings.ID, Value: value, ExpectRevision: platform.ExpectAny})
-	return err
+	found := make(map[string]storedMember, len(items))
+	for _, kv := range items {
+		if m, ok := n.decodeMember(kv); ok {
+			found[m.entry().ID] = m
+		}
+	}
+	return found, rank, nil
 }
 
 // updateLedgerHolders passes a changed set of instances to the ledger.
@@ -181,15 +186,12 @@
 
 // rewriteMember writes this instance's item unless the store has it as it is.
 func (n *Instance) rewriteMember(ctx context.Context) error {
-	key := membersPrefix + n.settings.ID
-	stored, err := n.source.Store().Get(ctx, key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return err
+	if stored, _, _ := n.item.state(); stored.ID == "" {
+		return nil // it has not joined yet
 	}
-	m, _ := n.decodeMember(key, stored.Value)
-	if m.Peer == n.settings.Listen.Peers && (m.Minted || !n.shares.Mints()) {
-		return nil
+	err := n.proveItem(ctx)
+	if errors.Is(err, errItemGone) {
+		return nil // it joins anew
 	}
-	n.log.Info("member_written_again", "minted", n.shares.Mints())
-	return n.putMember(ctx, m.Minted || n.shares.Mints())
+	return err
 }
--- a/instance/routed/members.go
+++ b/instance/routed/members.go
@@ -151,19 +151,36 @@
 	if len(resp.GetQuotaHolders()) == 0 {
 		return
 	}
-	holders, hasSelf := make([]quotashare.Holder, 0, len(resp.GetQuotaHolders())), false
+	entries, hasSelf := make([]quotashare.Entry, 0, len(resp.GetQuotaHolders())+len(resp.GetQuotaRemoved())), false
 	for _, h := range resp.GetQuotaHolders() {
-		holders = append(holders, quotashare.Holder{ID: h.GetId(), Domain: h.GetDomain()})
+		entries = append(entries, quotashare.Entry{Holder: quotashare.Holder{ID: h.GetId(), Domain: h.GetDomain()}, Generation: h.GetGeneration()})
 		hasSelf = hasSelf || h.GetId() == n.settings.ID
 	}
-	before := n.shares.Size()
-	n.shares.Merge(holders, resp.GetQuotaComplete() && hasSelf)
-	if n.shares.Size() != before {
+	for _, h := range resp.GetQuotaRemoved() {
+		entries = append(entries, quotashare.Entry{
+			Holder: quotashare.Holder{ID: h.GetId(), Domain: h.GetDomain()}, Generation: h.GetGeneration(), Removed: true, Left: h.GetLeft(),
+		})
+	}
+	if n.shares.MergeEntries(entries, resp.GetQuotaComplete() && hasSelf) {
 		n.updateLedgerHolders()
 		n.triggerExchange()
 	}
 }
 
+// addHolders adds this instance's set of those among which quotas are divided to a response. Only
+// while it has proof that it was not removed itself does the set contain every instance that mints.
+func (n *Instance) addHolders(resp *peerpb.ExchangeResponse, now time.Time) {
+	resp.QuotaComplete = n.shares.Complete() && n.item.mintsUntil(now).After(now)
+	for _, e := range n.shares.Entries() {
+		h := &peerpb.QuotaHolder{Id: e.ID, Domain: e.Domain, Generation: e.Generation, Left: e.Left}
+		if e.Removed {
+			resp.QuotaRemoved = append(resp.QuotaRemoved, h)
+		} else {
+			resp.QuotaHolders = append(resp.QuotaHolders, h)
+		}
+	}
+}
+
 // Exchange implements peer.Exchanger.
 func (n *Instance) Exchange(req *peerpb.ExchangeRequest) *peerpb.ExchangeResponse {
 	now := time.Now()
@@ -179,10 +196,7 @@
 	resp.PartQuarantines = peer.EncodePartQuarantines(n.parts.Records(now))
 	resp.StoreViews = n.viewsSince(req.GetStoreViews(), n.exchangeItemBytes(req.GetView().GetDomain()))
 	if hash := n.shares.Hash(); hash != 0 && hash != req.GetQuotaHash() {
-		resp.QuotaComplete = n.shares.Complete()
-		for _, h := range n.shares.Holders() {
-			resp.QuotaHolders = append(resp.QuotaHolders, &peerpb.QuotaHolder{Id: h.ID, Domain: h.Domain})
-		}
+		n.addHolders(resp, now)
 	}
 	return resp
 }
--- a/instance/routed/quota.go
+++ b/instance/routed/quota.go
@@ -15,14 +15,16 @@
 	return slots.Member{ID: self.GetId(), Incarnation: self.GetIncarnation()}
 }
 
-// heldForever is the validity of a held share: no other instance ever mints it.
+// heldForever is the validity of the share of an instance that needs no proof, see ownItem.
 const heldForever = 365 * 24 * time.Hour
 
-// updateHeldShare sets in the ledger whether this instance mints its share.
+// updateHeldShare sets in the ledger until when this instance mints its share.
 func (n *Instance) updateHeldShare(now time.Time) {
+	n.heldMu.Lock()
+	defer n.heldMu.Unlock()
 	var held []slots.HeldSlot
-	if n.shares.Mints() {
-		held = []slots.HeldSlot{{Slot: 0, Epoch: n.epoch(), Until: now.Add(heldForever)}}
+	if until := n.item.mintsUntil(now); until.After(now) && n.shares.Mints() {
+		held = []slots.HeldSlot{{Slot: 0, Epoch: n.epoch(), Until: until}}
 	}
 	n.ledger.SetProvisional(!n.shares.Cleared(), now)
 	n.ledger.SetHeldSlots(held, now)
@@ -33,7 +35,7 @@
 }
 
 // Epochs in which a share is held: the ledger mints at once in the first one, and in a
-// later one when the loans of former holders have expired.
+// later one when the loans of former holders have expired. Each generation has its own.
 const (
 	epochImmediate  = 1
 	epochAfterLoans = 2 // other instances may have lent tokens of what is its share now
@@ -41,7 +43,8 @@
 
 func (n *Instance) epoch() uint64 {
 	if n.shares.NoEarlierMint() {
-		return epochAfterLoans
+		generation, _ := n.shares.Generation(n.settings.ID)
+		return epochAfterLoans + generation
 	}
 	return epochImmediate
 }
--- a/instance/routed/stop.go
+++ b/instance/routed/stop.go
@@ -63,6 +63,11 @@
 	sleep(ctx, n.serveTime())
 	n.stopping.Store(true)
 	n.closeCallers(ctx)
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		n.leaveShares()
+	}()
 	for n.requestsInFlight() > 0 && ctx.Err() == nil {
 		sleep(ctx, drainPollInterval)
 	}
@@ -73,6 +78,7 @@
 		n.endInFlight()
 	}
 	n.lending.ReturnAll(ctx)
+	<-left
 	callers, forwarded := n.front.Metrics.StopOutcomes()
 	n.log.Info("stopped", "took_ms", time.Since(began).Milliseconds(), "cut", err != nil, "in_flight", cut,
 		slog.Group("requests", callers.Attrs()...), slog.Group("forwarded", forwarded.Attrs()...))
--- a/instance/routed/storeitems.go
+++ b/instance/routed/storeitems.go
@@ -241,13 +241,14 @@
 func (n *Instance) updateLedger(config *routes.Config) {
 	n.ledgerMu.Lock()
 	defer n.ledgerMu.Unlock()
+	hash := n.shares.Hash() // read first: a set that changes meanwhile is applied again
 	holders := n.shares.Holders()
-	if config.Version == n.ledgerConfig && len(holders) == n.ledgerHolders || len(holders) == 0 {
+	if config.Version == n.ledgerConfig && hash == n.ledgerHolders || len(holders) == 0 {
 		return
 	}
 	n.ledgerConfig = config.Version
-	if n.division == nil || len(holders) != n.ledgerHolders {
-		n.ledgerHolders = len(holders)
+	if n.division == nil || hash != n.ledgerHolders {
+		n.ledgerHolders = hash
 		n.division = quotashare.NewDivision(n.settings.ID, holders)
 	}
 	var docs []*service.Account
@@ -256,7 +257,7 @@
 			docs = append(docs, &service.Account{Name: a.Name, Rate: a.Rate, Burst: a.Burst})
 		}
 	}
-	n.ledger.UpdateDivided(docs, n.division, int64(n.ledgerHolders), time.Now())
+	n.ledger.UpdateDivided(docs, n.division, int64(len(holders)), time.Now())
 }
 
 // slotFlow returns how fast the slots of a service turn over in the local region.
--- a/instance/routed/testfleet_test.go
+++ b/instance/routed/testfleet_test.go
@@ -194,9 +194,33 @@
 	return item, nil
 }
 
-func (s *memoryClient) Put(_ context.Context, w platform.Write) (int64, error) {
-	s.store.set(w.Key, w.Value)
-	return 0, nil
+// Put writes under the condition that the real store knows: the revision within its era.
+func (s *memoryClient) Put(ctx context.Context, w platform.Write) (int64, error) {
+	if err := s.store.disturbCall(ctx); err != nil {
+		return 0, err
+	}
+	return s.store.put(s.id, w)
+}
+
+func (s *memoryStore) put(id string, w platform.Write) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.served(id) {
+		return 0, errors.New("rejected")
+	}
+	known := s.items[w.Key]
+	if known.Deleted {
+		known.Revision = 0
+	}
+	_, stored := configwatch.SplitRank(known.Revision)
+	if _, expected := configwatch.SplitRank(w.ExpectRevision); w.ExpectRevision != platform.ExpectAny && expected != stored {
+		return 0, platform.ErrConflict
+	}
+	s.revision++
+	s.items[w.Key] = platform.KeyValue{Key: w.Key, Value: w.Value, Revision: s.revision}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.revision, nil
 }
 
 // testSource decodes the items of the store.
