--- a/transport/backendhttp/processstate.go
+++ b/transport/backendhttp/processstate.go
@@ -93,7 +93,7 @@
 func (p *processProbe) keep() {
 	if p.dialled {
 		p.client.ahead.dialled.Add(1)
-		p.conn.ahead, p.conn.idleLimit = true, DefaultIdleLimit
+		p.conn.ahead, p.conn.idleLimit = true, p.client.settings.IdleLimit
 		p.client.put(p.address, p.conn)
 	}
 }
