Round the time that a forwarded request has left up

A caller whose request was forwarded got its 504 up to a millisecond before the deadline that it had named. Cause: the time left was sent in whole milliseconds, rounded down, and the other region's instance ended the request by that, before the first instance did.

Ruled out: clocks, as both instances of the test are one process.

Rounded up, the other instance has at most a millisecond more, and the first instance's own deadline ends the request.

--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -67,7 +67,7 @@
 	holder := f.localFetchSource(r, now)
 	encoded, err := json.Marshal(forwardInfo{
 		HolderAddress: holder.Address, HolderTokens: holder.Tokens,
-		Service: o.service, Account: o.account, Urgency: o.work.Urgency, Ranked: o.ranked, LeftMs: o.deadline.Sub(now).Milliseconds(),
+		Service: o.service, Account: o.account, Urgency: o.work.Urgency, Ranked: o.ranked, LeftMs: wholeMs(o.deadline.Sub(now)),
 		ObjectiveMs: max(r.work.Objective-now.Sub(r.arrived), 0).Milliseconds(), Repeatable: o.repeatable,
 		Detached: r.route.Kind == routes.KindNonIdempotent, Fingerprint: o.print, LastEventID: o.lastEventID, Config: o.config,
 		Build: encodeRequired(o.work.Build), Trial: o.trial,
@@ -123,6 +123,9 @@
 // errUnframed is the fault of a peer's response whose end nothing shows. Instances send a length or chunks.
 var errUnframed = errors.Wrap(backendhttp.ErrMalformed, "a response of an instance with neither a length nor chunks")
 
+// wholeMs returns a time in milliseconds, rounded up: a request that is given less time ends before its deadline.
+func wholeMs(left time.Duration) int64 { return (left + time.Millisecond - 1).Milliseconds() }
+
 // peerClient returns the client that forwards a request.
 func (f *Front) peerClient(r *request) *backendhttp.Client {
 	if f.WarmPeers != nil && (f.forwardsByRoom(r) || f.Local.Pool(r.service).SharedMachines()) {
