Tell a peer that a forwarded request is answered by a stream

A caller got an empty stream as a whole one: its server had sent the head, with neither a length nor a Content-Type of events, and had closed its connection. By way of another region only: locally a stream that ends with its connection before its first event is 502, or goes on at another server.

Cause: the other region's instance tells a stream by the Content-Type of the response, which a faulty server leaves out or writes in another case. It passes the response on in chunks, so that the first instance cannot see what ended it.

Ruled out: a stream that ends within an event, which the first instance refuses itself, and errors that have no event: they are passed on, TestErrorOfAStreamThatEndsWithItsConnectionIsPassedOn.

The first instance knows the route's kind and now sends it along. An older instance sends none, and is served as before.

--- a/transport/httproute/forward.go
+++ b/transport/httproute/forward.go
@@ -37,8 +37,9 @@
 	LeftMs      int64  `json:"left_ms"`          // time until the deadline
 	ObjectiveMs int64  `json:"objective_ms"`     // remaining time of the objective; 0 for none
 	Repeatable  bool   `json:"repeatable"`
-	Last        bool   `json:"last"`     // no other attempt may follow
-	Detached    bool   `json:"detached"` // once sent, runs to completion after the caller has disconnected
+	Stream      bool   `json:"stream,omitempty"` // its answer is a stream of events
+	Last        bool   `json:"last"`             // no other attempt may follow
+	Detached    bool   `json:"detached"`         // once sent, runs to completion after the caller has disconnected
 	Fingerprint string `json:"print"`
 	LastEventID string `json:"last_event_id,omitempty"`
 	Config      int64  `json:"config"`
@@ -68,7 +69,7 @@
 	encoded, err := json.Marshal(forwardInfo{
 		HolderAddress: holder.Address, HolderTokens: holder.Tokens,
 		Service: o.service, Account: o.account, Urgency: o.work.Urgency, Ranked: o.ranked, LeftMs: wholeMs(o.deadline.Sub(now)),
-		ObjectiveMs: max(r.work.Objective-now.Sub(r.arrived), 0).Milliseconds(), Repeatable: o.repeatable,
+		ObjectiveMs: max(r.work.Objective-now.Sub(r.arrived), 0).Milliseconds(), Repeatable: o.repeatable, Stream: r.route.Kind == routes.KindStreaming,
 		Detached: r.route.Kind == routes.KindNonIdempotent, Fingerprint: o.print, LastEventID: o.lastEventID, Config: o.config,
 		Build: encodeRequired(o.work.Build), Trial: o.trial,
 	})
@@ -306,7 +307,7 @@
 	}
 	return &outbound{
 		id: call.RequestID, service: info.Service, account: info.Account, method: hr.Method, target: hr.RequestURI,
-		host: hr.Host, header: header, body: body, deadline: deadline, repeatable: info.Repeatable, print: info.Fingerprint,
+		host: hr.Host, header: header, body: body, deadline: deadline, repeatable: info.Repeatable, stream: info.Stream, print: info.Fingerprint,
 		parts: partsOf(info.Service, call.Segments), trial: info.Trial,
 		lastEventID: info.LastEventID, config: info.Config, ranked: precedence.Enforced,
 		work: &placement.Request{
@@ -424,7 +425,7 @@
 	for started := false; ; started = true {
 		n, err := rep.Read(buffer)
 		tail.push(buffer[:n])
-		aborted := isAborted(rep, tail, err)
+		aborted := isAborted(o, rep, tail, err)
 		if aborted && !started && n == 0 {
 			return cutOff(ctx, rep, err, false)
 		}
@@ -456,9 +457,10 @@
 }
 
 // isAborted reports whether a response ended early, by the error of its last read and the end of what has arrived.
-func isAborted(rep *reply, tail streamTail, err error) bool {
+func isAborted(o *outbound, rep *reply, tail streamTail, err error) bool {
 	if errors.Is(err, io.EOF) {
-		return rep.EndsWithConn && isEventStream(rep.Header) && !tail.endsEvent()
+		stream := isEventStream(rep.Header) || o.stream && rep.Status == http.StatusOK
+		return rep.EndsWithConn && stream && !tail.endsEvent()
 	}
 	return err != nil
 }
--- a/transport/httproute/local.go
+++ b/transport/httproute/local.go
@@ -58,6 +58,7 @@
 	work        *placement.Request
 	deadline    time.Time
 	repeatable  bool
+	stream      bool                  // set at a peer: the first instance expects a stream of events
 	shouldAbort backendhttp.IdleCheck // reports whether to abandon an idle server, see handover; nil for never
 	print       string                // fingerprint of the request
 	parts       []quarantine.PartKey  // parts of the prompt that may be blamed for a crash
--- a/transport/httproute/unframed_test.go
+++ b/transport/httproute/unframed_test.go
@@ -18,6 +18,7 @@
 // refused, and one that was broken off and looks whole, here or by way of another region.
 func TestAnswersThatEndWithTheirConnection(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nId: id-1\r\nContent-Type: text/event-stream\r\n\r\n"
+	const untyped = "HTTP/1.1 200 OK\r\nId: id-1\r\n\r\n"
 	const first = "id: 1\ndata: a\n\n"
 	for _, tc := range []struct {
 		name, path, answer string
@@ -26,6 +27,9 @@
 		{"whole stream", "/chat/1", head + first + "id: 2\ndata: b\n\n", true},
 		{"stream that ends within an event", "/chat/1", head + first + "id: 2\ndata:", false},
 		{"stream without an event", "/chat/1", head, false},
+		{"stream without an event and a type", "/chat/1", untyped, false},
+		{"stream that ends within its first event, without a type", "/chat/1", untyped + "id: 1\ndata:", false},
+		{"whole stream without a type", "/chat/1", untyped + first, true},
 		{"answer that is no stream", "/read/1", "HTTP/1.1 200 OK\r\nId: id-1\r\n\r\nok", true},
 	} {
 		s := startFakeServer(t, func(c net.Conn, _ *http.Request) bool {
@@ -44,6 +48,23 @@
 	}
 }
 
+// Guards against an error that a server answers a stream with and that is refused because it holds no event.
+func TestErrorOfAStreamThatEndsWithItsConnectionIsPassedOn(t *testing.T) {
+	const text = "no such chat"
+	s := startFakeServer(t, func(c net.Conn, _ *http.Request) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 404 Not Found\r\nId: id-1\r\n\r\n"+text)
+		return false
+	})
+	f, front := newTestFront(t, s)
+	configure(f)
+	for name, callers := range map[string]*httptest.Server{"local": front, "forwarded": forwardingFront(t, f)} {
+		resp, body, err := call(t, t.Context(), callers, "GET", "/chat/1", "")
+		if err != nil || resp.StatusCode != http.StatusNotFound || body != text {
+			t.Errorf("%s: %v, %q, %v", name, resp, body, err)
+		}
+	}
+}
+
 // forwardingFront returns a front of another region without servers, which forwards to a front's region.
 func forwardingFront(t *testing.T, to *Front) *httptest.Server {
 	t.Helper()
