Refuse an answer of a plain service that is no JSON value

Callers of /v1 got the beginning of an answer as the whole one when its service sent neither a length nor chunks and its connection ended in order, as it does when a process is killed that has read its request.

Cause: the end of the data was taken for the end of the answer. plain.yaml says that it is a JSON value; nothing looked.

Ruled out: generations, which have a last frame, and polls, orders and refusals, which are decoded.

A JSON value that ends early is not valid, other than a number. The refusal says that the operation ran, as for an answer whose connection broke.

--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-faster/jx"
 	"golang.org/x/sync/semaphore"
 
 	"github.com/basilroute/basilroute/protocol/engineapi"
@@ -128,6 +129,9 @@
 	if err != nil {
 		return nil, refusal.New(refusal.CodeBackendFailed, "the answer was cut").WithRunState(refusal.Ran)
 	}
+	if !jx.Valid(body) { // an answer without a length may end with the server's process
+		return nil, refusal.New(refusal.CodeBackendFailed, "the answer is no JSON value").WithRunState(refusal.Ran)
+	}
 	return body, nil
 }
 
