Run three long tests of instances beside each other

They run in virtual time and took 20 to 33 s of a processor each, one after the other, in a run of instance/routed of 224 s beside a load. What they check stays as it is.

--- a/instance/routed/buildsoutofstep_test.go
+++ b/instance/routed/buildsoutofstep_test.go
@@ -104,6 +104,7 @@
 // Guards against a stream that began at a new build, which joined while an instance or its region was cut off, and that goes on at the
 // old build where it is taken up, during the cut or at once after it.
 func TestCutOffInstanceDoesNotTakeAStreamOfANewBuildForTheOldOne(t *testing.T) {
+	t.Parallel()            // in virtual time, and takes a processor for long
 	const firstInstance = 1 // of the region west
 	for name, cut := range map[string][]string{"an instance": {"front-0"}, "a region": {"front-0", "front-3"}} {
 		for from, links := range map[string]struct{ store, peers bool }{
--- a/instance/routed/removal_test.go
+++ b/instance/routed/removal_test.go
@@ -207,6 +207,7 @@
 
 // Guards against instances of a large fleet that doubt or remove each other at a start, before they have heard of all.
 func TestStartOfALargeFleetRemovesNobody(t *testing.T) {
+	t.Parallel() // in virtual time, and takes a processor for long
 	synctest.Test(t, func(t *testing.T) {
 		const size, writesPerInstance = 60, 3 // it joins, it mints, and its validity changes
 		f := newQuotaFleet(t, size)
@@ -228,6 +229,7 @@
 // Guards against a fleet that is replaced three times over, without a word or in order, and whose new instances never mint, or mint
 // beside those that are gone.
 func TestReplacedFleetMints(t *testing.T) {
+	t.Parallel() // in virtual time, and takes a processor for long
 	for name, end := range map[string]func(*Instance){
 		"killed": (*Instance).Kill,
 		"left":   func(n *Instance) { n.leaveShares(); n.Kill() },
